--- /dev/null
+++ b/pomelostair/__init__.py
@@ -0,0 +1,1 @@
+"""A scheduler for colocated latency-critical and batch work."""
--- /dev/null
+++ b/pomelostair/announcer.py
@@ -0,0 +1,57 @@
+"""Announcements of an agent's target to every entry."""
+
+import curio
+
+from pomelostair import gate
+from pomelostair import kernel
+from pomelostair import membership
+from pomelostair import messages
+from pomelostair import settings as settings_module
+
+
+@kernel.plugin(settings_module.Role.AGENT)
+class Announcer(kernel.Plugin):
+    """Tells the entries about the target, at intervals and on changes."""
+
+    requires = (gate.Gate, membership.Membership)
+
+    def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
+        super().__init__(parts, host)
+        self._gate = host.get(gate.Gate)
+        self._directory = host.get(membership.Membership).directory
+        self._state = messages.TargetState.READY
+
+    async def run(self) -> None:
+        """Announces until cancelled."""
+        interval_s = self._parts.settings.timing.announce_ms / 1000
+        while True:
+            await self.announce()
+            await curio.sleep(interval_s)
+
+    async def drain(self, timeout_s: float) -> None:
+        """Tells the entries at once that the target is leaving."""
+        self._state = messages.TargetState.DRAINING
+        async with curio.ignore_after(timeout_s):
+            await self.announce()
+
+    async def announce(self) -> None:
+        """Sends one announcement to each known entry."""
+        announcement = self._announcement()
+        for entry in self._directory.entries():
+            await self._parts.bus.send(entry.bus, announcement)
+
+    def _announcement(self) -> messages.Announcement:
+        settings = self._parts.settings
+        minion = self._gate.minion
+        return messages.Announcement(
+            name=settings.name,
+            zone=settings.zone,
+            cell=settings.cell,
+            state=self._state,
+            service="" if minion is None else minion.service,
+            slots=0 if minion is None else minion.slots,
+            running=self._gate.running,
+            queued=self._gate.queued,
+            service_ms=self._gate.service_ms,
+            leader=self._directory.leader(settings.cell),
+        )
--- /dev/null
+++ b/pomelostair/bus.py
@@ -0,0 +1,368 @@
+"""Messages between the system's own processes.
+
+Each process receives on one inbox and sends over one connection for each
+peer. A call that was not sent is known not to have run; after a successful
+send its outcome is unknown until the answer comes. Answers whose call is not
+open any more are counted and dropped.
+"""
+
+import abc
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import time
+import uuid
+
+import curio
+from curio import traps
+import msgspec
+import pynng
+
+from pomelostair import errors
+from pomelostair import events
+from pomelostair import log
+from pomelostair import metrics as metrics_module
+from pomelostair import wire
+
+CONNECT_TIMEOUT_S = 0.5
+SEND_BUFFER_MESSAGES = 128
+RECEIVE_BUFFER_MESSAGES = 1024
+PEER_IDLE_S = 60.0
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 500
+
+
+@dataclasses.dataclass(frozen=True)
+class Sent:
+    """A message left this process; whether it arrived is unknown."""
+
+
+@dataclasses.dataclass(frozen=True)
+class NotSent:
+    """A message certainly did not leave this process."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Answered:
+    """The answer to a call, with what surrounded it."""
+
+    message: object
+    envelope: wire.Envelope
+
+
+@dataclasses.dataclass(frozen=True)
+class NoAnswer:
+    """A call was sent, but no answer came in time."""
+
+
+Send = Sent | NotSent
+Call = Answered | NotSent | NoAnswer
+Handler = Callable[[object, wire.Envelope], Awaitable[None]]
+
+
+class Bus(abc.ABC):
+    """Sends and receives messages; answers find their open calls.
+
+    Args:
+        name: Name of this process.
+        address: Address at which this process receives.
+        metrics: Where drops are counted.
+    """
+
+    def __init__(
+        self, name: str, address: str, metrics: metrics_module.Metrics
+    ):
+        self._name = name
+        self._address = address
+        self._incarnation = uuid.uuid4().hex[:16]
+        self._metrics = metrics
+        self._handlers: dict[type, Handler] = {}
+        self._calls: dict[str, curio.Queue] = {}
+        self._next_call = 0
+
+    @property
+    def address(self) -> str:
+        """Address at which this process receives."""
+        return self._address
+
+    @property
+    def incarnation(self) -> str:
+        """Random id of this process's lifetime."""
+        return self._incarnation
+
+    @property
+    def name(self) -> str:
+        """Name of this process."""
+        return self._name
+
+    def handle(self, message_type: type, handler: Handler) -> None:
+        """Routes received messages of a type to a handler.
+
+        The handler runs in the receiving task: it must return quickly and
+        spawn a task for anything that waits.
+        """
+        self._handlers[message_type] = handler
+
+    async def send(self, address: str, message: object) -> Send:
+        """Sends a one-way message to the process at `address`."""
+        return await self._transmit(
+            address, self._seal(message, correlation="", answer=False)
+        )
+
+    async def reply(self, envelope: wire.Envelope, message: object) -> Send:
+        """Answers the call that came in `envelope`."""
+        sealed = self._seal(message, envelope.correlation, answer=True)
+        return await self._transmit(envelope.reply_to, sealed)
+
+    async def call(
+        self, address: str, message: object, timeout_s: float
+    ) -> Call:
+        """Sends a message and waits for its answer.
+
+        Args:
+            address: Where the peer receives.
+            message: A registered message.
+            timeout_s: Longest wait for the answer.
+        """
+        self._next_call += 1
+        correlation = f"{self._incarnation}-{self._next_call}"
+        answers = curio.Queue()
+        self._calls[correlation] = answers
+        try:
+            sealed = self._seal(message, correlation, answer=False)
+            sent = await self._transmit(address, sealed)
+            if isinstance(sent, NotSent):
+                return sent
+            return await curio.timeout_after(timeout_s, answers.get)
+        except curio.TaskTimeout:
+            return NoAnswer()
+        finally:
+            del self._calls[correlation]
+
+    async def receive(self, data: bytes) -> None:
+        """Decodes and dispatches one message; bad ones are dropped."""
+        try:
+            envelope, message = wire.decode(data)
+        except errors.MessageError as error:
+            self._drop("malformed", str(error))
+            return
+        if envelope.answer:
+            await self._accept_answer(envelope, message)
+            return
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            self._drop("unhandled", envelope.tag)
+            return
+        try:
+            await handler(message, envelope)
+        except Exception:  # noqa: BLE001 - one bad message must not end a process
+            self._metrics.count("messages_dropped", reason="handler-crashed")
+            log.emit(
+                events.Events.HANDLER_CRASHED, exc_info=True, tag=envelope.tag
+            )
+
+    async def _accept_answer(
+        self, envelope: wire.Envelope, message: object
+    ) -> None:
+        answers = self._calls.get(envelope.correlation)
+        if answers is None:
+            self._drop("late-answer", envelope.tag)
+            return
+        await answers.put(Answered(message, envelope))
+
+    def _drop(self, reason: str, detail: str) -> None:
+        self._metrics.count("messages_dropped", reason=reason)
+        log.emit(events.Events.MESSAGE_DROPPED, reason=reason, detail=detail)
+
+    def _seal(self, message: object, correlation: str, answer: bool) -> bytes:
+        return wire.encode(
+            wire.Envelope(
+                tag=wire.tag_of(message),
+                sender=self._name,
+                incarnation=self._incarnation,
+                reply_to=self._address,
+                correlation=correlation,
+                answer=answer,
+                body=msgspec.Raw(wire.encode_body(message)),
+            )
+        )
+
+    @abc.abstractmethod
+    async def _transmit(self, address: str, data: bytes) -> Send:
+        """Sends bytes to the process at `address`."""
+
+    @abc.abstractmethod
+    async def run(self) -> None:
+        """Receives until cancelled."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Closes all sockets."""
+
+
+class NngBus(Bus):
+    """A bus over nanomsg push and pull sockets.
+
+    Args:
+        name: Name of this process.
+        address: URL to receive at, `tcp://IP:PORT`.
+        metrics: Where drops are counted.
+    """
+
+    def __init__(
+        self, name: str, address: str, metrics: metrics_module.Metrics
+    ):
+        super().__init__(name, address, metrics)
+        self._inbox = pynng.Pull0(
+            listen=address,
+            recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
+            recv_max_size=wire.MAX_MESSAGE_BYTES,
+        )
+        self._peers: dict[str, _Peer] = {}
+
+    async def run(self) -> None:
+        """Receives until cancelled."""
+        while True:
+            try:
+                data = self._inbox.recv(block=False)
+            except pynng.TryAgain:
+                await traps._read_wait(self._inbox.recv_fd)
+                continue
+            await self.receive(data)
+
+    def close(self) -> None:
+        """Closes all sockets."""
+        self._inbox.close()
+        for peer in self._peers.values():
+            peer.close()
+
+    async def _transmit(self, address: str, data: bytes) -> Send:
+        peer = self._peers.get(address)
+        if peer is None:
+            self._close_idle_peers()
+            try:
+                peer = _Peer(address)
+            except pynng.NNGException as error:
+                return NotSent(f"address {address}: {error}")
+            self._peers[address] = peer
+        sent = await peer.send(data)
+        if isinstance(sent, NotSent):
+            self._metrics.count("messages_not_sent", reason=sent.reason)
+        return sent
+
+    def _close_idle_peers(self) -> None:
+        horizon = _now() - PEER_IDLE_S
+        idle = [a for a, peer in self._peers.items() if peer.used < horizon]
+        for address in idle:
+            self._peers.pop(address).close()
+
+
+class _Peer:
+    """The connection to one peer."""
+
+    def __init__(self, address: str):
+        self._socket = pynng.Push0(
+            dial=address,
+            block_on_dial=False,
+            send_buffer_size=0,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        self._used = _now()
+
+    @property
+    def used(self) -> float:
+        """Monotonic seconds of the last send."""
+        return self._used
+
+    async def send(self, data: bytes) -> Send:
+        """Sends bytes, or returns that they certainly did not leave."""
+        self._used = _now()
+        deadline = self._used + CONNECT_TIMEOUT_S
+        while True:
+            try:
+                self._socket.send(data, block=False)
+                return Sent()
+            except pynng.TryAgain:
+                left = deadline - _now()
+            except pynng.NNGException as error:
+                return NotSent(type(error).__name__)
+            if left <= 0:
+                return NotSent("no-connection")
+            await curio.ignore_after(
+                left, traps._read_wait, self._socket.send_fd
+            )
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._socket.close()
+
+
+class MemoryNetwork:
+    """Addresses of the memory-backed buses of one test."""
+
+    def __init__(self):
+        self._buses: dict[str, MemoryBus] = {}
+        self._cut: set[str] = set()
+
+    def attach(self, bus: "MemoryBus") -> None:
+        """Makes a bus reachable at its address."""
+        self._buses[bus.address] = bus
+
+    def cut(self, address: str) -> None:
+        """Makes sends to an address fail as not sent."""
+        self._cut.add(address)
+
+    def heal(self, address: str) -> None:
+        """Ends a cut."""
+        self._cut.discard(address)
+
+    def find(self, address: str) -> "MemoryBus | None":
+        """Returns the reachable bus at an address."""
+        if address in self._cut:
+            return None
+        return self._buses.get(address)
+
+
+class MemoryBus(Bus):
+    """A bus between objects in one process; every message is still encoded.
+
+    Args:
+        name: Name of the process that the bus stands for.
+        address: Any string.
+        metrics: Where drops are counted.
+        network: The network that the bus joins.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        metrics: metrics_module.Metrics,
+        network: MemoryNetwork,
+    ):
+        super().__init__(name, address, metrics)
+        self._network = network
+        self._inbox = curio.Queue()
+        network.attach(self)
+
+    async def run(self) -> None:
+        """Receives until cancelled."""
+        while True:
+            await self.receive(await self._inbox.get())
+
+    def close(self) -> None:
+        """Does nothing: there are no sockets."""
+
+    async def _transmit(self, address: str, data: bytes) -> Send:
+        peer = self._network.find(address)
+        if peer is None:
+            return NotSent("no-connection")
+        await peer._inbox.put(data)
+        return Sent()
+
+
+def _now() -> float:
+    return time.monotonic()
--- /dev/null
+++ b/pomelostair/compose.py
@@ -0,0 +1,39 @@
+"""The composition root: wires the parts and loads the plug-ins."""
+
+import random
+
+from pomelostair import announcer as _announcer  # noqa: F401
+from pomelostair import bus
+from pomelostair import clock
+from pomelostair import configuration as _configuration  # noqa: F401
+from pomelostair import dispatch as _dispatch  # noqa: F401
+from pomelostair import executor as _executor  # noqa: F401
+from pomelostair import gate as _gate  # noqa: F401
+from pomelostair import httpclient
+from pomelostair import ingress as _ingress  # noqa: F401
+from pomelostair import jobapi as _jobapi  # noqa: F401
+from pomelostair import kernel
+from pomelostair import leader as _leader  # noqa: F401
+from pomelostair import membership as _membership  # noqa: F401
+from pomelostair import metrics as metrics_module
+from pomelostair import platform
+from pomelostair import settings as settings_module
+
+PLATFORM_CONNECTIONS = 16
+
+
+def build(settings: settings_module.Settings) -> kernel.Kernel:
+    """Returns the wired kernel of one daemon."""
+    metrics = metrics_module.Metrics()
+    client = httpclient.Client(settings.platform.address, PLATFORM_CONNECTIONS)
+    timeout_s = settings.platform.timeout_ms / 1000
+    parts = kernel.Parts(
+        settings=settings,
+        clock=clock.MonotonicClock(),
+        bus=bus.NngBus(settings.name, f"tcp://{settings.bus}", metrics),
+        table=platform.HttpTable(client, metrics, timeout_s),
+        objects=platform.HttpObjects(client, timeout_s),
+        metrics=metrics,
+        random=random.Random(),
+    )
+    return kernel.Kernel(parts)
--- /dev/null
+++ b/pomelostair/directory.py
@@ -0,0 +1,119 @@
+"""What a process knows of the entries, targets and leaders of the site."""
+
+import attrs
+
+from pomelostair import clock as clock_module
+from pomelostair import messages
+from pomelostair import wire
+
+ENTRY_EXPIRY_S = 10.0
+TARGET_EXPIRY_S = 60.0
+
+
+@attrs.define
+class Target:
+    """One announced target.
+
+    Attributes:
+        bus: Bus URL of its agent.
+        incarnation: Incarnation of its agent.
+        announcement: The latest announcement.
+        seen: Monotonic seconds of that announcement.
+        outstanding: Requests of this process that are not answered yet.
+    """
+
+    bus: str
+    incarnation: str
+    announcement: messages.Announcement
+    seen: float
+    outstanding: int = 0
+
+
+class Directory:
+    """Entries, targets and leaders, as last heard of.
+
+    Args:
+        clock: Source of the ages.
+        silent_s: Silence after which a target gets no new work.
+    """
+
+    def __init__(self, clock: clock_module.Clock, silent_s: float):
+        self._clock = clock
+        self._silent_s = silent_s
+        self._entries: dict[str, tuple[messages.EntryAddress, float]] = {}
+        self._targets: dict[str, Target] = {}
+        self._leaders: dict[str, messages.LeaderAddress] = {}
+
+    def learn_entry(self, entry: messages.EntryAddress) -> None:
+        """Takes over an entry that is not known or was heard of later."""
+        heard = self._clock.now() - entry.age_s
+        known = self._entries.get(entry.name)
+        if known is None or known[1] < heard:
+            self._entries[entry.name] = (entry, heard)
+
+    def entries(self) -> tuple[messages.EntryAddress, ...]:
+        """Returns the entries heard of recently, with their ages."""
+        now = self._clock.now()
+        return tuple(
+            attrs.evolve(entry, age_s=max(0.0, now - heard))
+            for entry, heard in self._entries.values()
+            if now - heard < ENTRY_EXPIRY_S
+        )
+
+    def learn_leader(self, leader: messages.LeaderAddress) -> None:
+        """Takes over a leader of a newer epoch."""
+        known = self._leaders.get(leader.cell)
+        if known is None or known.epoch < leader.epoch:
+            self._leaders[leader.cell] = leader
+
+    def leader(self, cell: str) -> messages.LeaderAddress | None:
+        """Returns the newest known leader of a cell."""
+        return self._leaders.get(cell)
+
+    def leaders(self) -> tuple[messages.LeaderAddress, ...]:
+        """Returns the newest known leader of each cell."""
+        return tuple(self._leaders.values())
+
+    def learn_target(
+        self, announcement: messages.Announcement, envelope: wire.Envelope
+    ) -> bool:
+        """Takes over an announcement.
+
+        Returns:
+            Whether the target is new or its agent restarted.
+        """
+        known = self._targets.get(announcement.name)
+        now = self._clock.now()
+        if known is not None and known.incarnation == envelope.incarnation:
+            known.announcement = announcement
+            known.seen = now
+            return False
+        self._targets[announcement.name] = Target(
+            envelope.reply_to, envelope.incarnation, announcement, now
+        )
+        return True
+
+    def targets(self) -> tuple[Target, ...]:
+        """Returns all targets heard of in the last minute."""
+        horizon = self._clock.now() - TARGET_EXPIRY_S
+        for name, target in list(self._targets.items()):
+            if target.seen < horizon and not target.outstanding:
+                del self._targets[name]
+        return tuple(self._targets.values())
+
+    def serves(self, service: str) -> bool:
+        """Returns whether any known minion serves a service."""
+        return any(
+            t.announcement.service == service for t in self._targets.values()
+        )
+
+    def candidates(self, service: str) -> tuple[Target, ...]:
+        """Returns the minions of a service that may get new work."""
+        horizon = self._clock.now() - self._silent_s
+        return tuple(
+            target
+            for target in self._targets.values()
+            if target.announcement.service == service
+            and target.announcement.state is messages.TargetState.READY
+            and target.seen >= horizon
+        )
--- /dev/null
+++ b/pomelostair/events.py
@@ -0,0 +1,56 @@
+"""Catalogue of the numbered events that the programs log.
+
+docs/EVENTS.md lists the same events; a test compares the two.
+"""
+
+import enum
+import logging
+
+import attrs
+
+
+@attrs.frozen
+class Event:
+    """One kind of log line.
+
+    Attributes:
+        number: Number that never changes and is never reused.
+        level: Level of the logging module.
+        text: Message of the log line.
+    """
+
+    number: int
+    level: int
+    text: str
+
+
+class Events(enum.Enum):
+    """All events, by name."""
+
+    STARTED = Event(100, logging.INFO, "process started")
+    STOPPED = Event(101, logging.INFO, "process stopped")
+    DRAINING = Event(102, logging.INFO, "process is draining")
+    PLUGIN_CRASHED = Event(110, logging.ERROR, "plug-in crashed; restarting")
+    HANDLER_CRASHED = Event(111, logging.ERROR, "message handler crashed")
+    MESSAGE_DROPPED = Event(120, logging.WARNING, "message dropped")
+    HTTP_FAILED = Event(130, logging.ERROR, "HTTP handler failed")
+    PEER_JOINED = Event(140, logging.INFO, "process joined")
+    TARGET_UP = Event(200, logging.INFO, "target announced itself")
+    TARGET_SILENT = Event(201, logging.WARNING, "target is silent")
+    TARGET_LEFT = Event(202, logging.INFO, "target left")
+    TARGET_EJECTED = Event(203, logging.WARNING, "target ejected")
+    TARGET_RESTORED = Event(204, logging.INFO, "target restored")
+    LEASE_ACQUIRED = Event(300, logging.INFO, "cell lease acquired")
+    LEASE_LOST = Event(301, logging.WARNING, "cell lease lost")
+    LEASE_RENEWAL_FAILED = Event(302, logging.WARNING, "lease not renewed")
+    CELL_RECOVERED = Event(303, logging.INFO, "cell state recovered")
+    COMMIT_UNKNOWN = Event(304, logging.WARNING, "commit outcome unknown")
+    TASK_STARTED = Event(400, logging.INFO, "task started")
+    TASK_ENDED = Event(401, logging.INFO, "task ended")
+    TASK_EVICTED = Event(402, logging.INFO, "task evicted")
+    TASK_LOST = Event(403, logging.WARNING, "task lost with its worker")
+    WORKER_SILENT = Event(410, logging.WARNING, "worker is silent")
+    WORKER_QUARANTINED = Event(411, logging.WARNING, "worker quarantined")
+    CONFIG_APPLIED = Event(500, logging.INFO, "configuration in force")
+    CONFIG_REFUSED = Event(501, logging.WARNING, "configuration refused")
+    COMMAND_RUN = Event(502, logging.INFO, "operator command run")
--- /dev/null
+++ b/pomelostair/httpclient.py
@@ -0,0 +1,207 @@
+"""An HTTP/1.1 client for one server, with a bounded set of connections."""
+
+import contextlib
+import select
+import socket
+
+import curio
+import h11
+
+from pomelostair import errors
+from pomelostair import http
+
+CONNECT_TIMEOUT_S = 1.0
+_RECEIVE_BYTES = 64 * 1024
+
+
+class Client:
+    """Sends requests to one server.
+
+    Args:
+        address: `IP:PORT` of the server.
+        max_connections: Most connections open at once; further requests wait.
+    """
+
+    def __init__(self, address: str, max_connections: int = 64):
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._free = curio.Semaphore(max_connections)
+        self._idle: list[_Connection] = []
+
+    async def request(
+        self, request: http.Request, timeout_s: float
+    ) -> http.Response:
+        """Sends one request, once, and returns the whole response.
+
+        Args:
+            request: What to send; framing headers are added here.
+            timeout_s: Longest time for everything.
+
+        Raises:
+            NotSentError: The request certainly did not reach the server.
+            AnswerLostError: It may have; no whole response came.
+        """
+        progress = _Progress()
+        try:
+            return await curio.timeout_after(
+                timeout_s, self._limited_exchange, request, progress
+            )
+        except curio.TaskTimeout as error:
+            raise progress.failure("timeout") from error
+        except (OSError, h11.ProtocolError) as error:
+            raise progress.failure(str(error)) from error
+
+    async def close(self) -> None:
+        """Closes all idle connections."""
+        while self._idle:
+            await self._idle.pop().close()
+
+    async def _limited_exchange(
+        self, request: http.Request, progress: "_Progress"
+    ) -> http.Response:
+        async with self._free:
+            return await self._exchange(request, progress)
+
+    async def _exchange(
+        self, request: http.Request, progress: "_Progress"
+    ) -> http.Response:
+        connection = await self._connect()
+        try:
+            response = await connection.exchange(request, progress)
+        except BaseException:
+            await connection.close()
+            raise
+        if connection.reusable:
+            self._idle.append(connection)
+        else:
+            await connection.close()
+        return response
+
+    async def _connect(self) -> "_Connection":
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.alive:
+                return connection
+            await connection.close()
+        stream = await self._open()
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return _Connection(stream, f"{self._host}:{self._port}")
+
+    async def _open(self):
+        try:
+            return await curio.timeout_after(
+                CONNECT_TIMEOUT_S, curio.open_connection, self._host, self._port
+            )
+        except curio.TaskTimeout as error:
+            raise OSError("connect timeout") from error
+
+
+class _Progress:
+    """How far an exchange got."""
+
+    def __init__(self):
+        self.sending = False
+
+    def failure(self, reason: str) -> errors.PomelostairError:
+        if self.sending:
+            return errors.AnswerLostError(reason)
+        return errors.NotSentError(reason)
+
+
+class _Connection:
+    """One connection to the server."""
+
+    def __init__(self, stream, host: str):
+        self._stream = stream
+        self._host = host
+        self._protocol = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=http.MAX_HEADER_BYTES
+        )
+        self._reusable = False
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may follow."""
+        return self._reusable
+
+    @property
+    def alive(self) -> bool:
+        """Whether the server has neither closed nor written."""
+        readable, _, _ = select.select([self._stream.fileno()], [], [], 0)
+        return not readable
+
+    async def exchange(
+        self, request: http.Request, progress: _Progress
+    ) -> http.Response:
+        """Sends a request and reads its whole response."""
+        data = self._encode(request)
+        progress.sending = True
+        await self._stream.sendall(data)
+        status, headers = await self._read_head()
+        body = await self._read_body()
+        self._reusable = self._finish()
+        return http.Response(status, headers, body)
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        with contextlib.suppress(OSError):
+            await self._stream.close()
+
+    def _encode(self, request: http.Request) -> bytes:
+        headers = [
+            (name, value)
+            for name, value in request.headers
+            if name.lower() not in http.HOP_HEADERS
+        ]
+        headers.append(("host", self._host))
+        headers.append(("content-length", str(len(request.body))))
+        data = self._protocol.send(
+            h11.Request(
+                method=request.method, target=request.target, headers=headers
+            )
+        )
+        if request.body:
+            data += self._protocol.send(h11.Data(data=request.body))
+        return data + self._protocol.send(h11.EndOfMessage())
+
+    async def _read_head(self) -> tuple[int, http.Headers]:
+        event = await self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event()
+        if not isinstance(event, h11.Response):
+            raise OSError("connection ended before a response")
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in event.headers
+        )
+        return event.status_code, headers
+
+    async def _read_body(self) -> bytes:
+        parts = []
+        size = 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if not isinstance(event, h11.Data):
+                raise OSError("connection ended inside a response")
+            size += len(event.data)
+            if size > http.MAX_BODY_BYTES:
+                raise OSError("response over the size limit")
+            parts.append(bytes(event.data))
+
+    async def _next_event(self):
+        while True:
+            event = self._protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self._stream.recv(_RECEIVE_BYTES)
+            self._protocol.receive_data(data)
+
+    def _finish(self) -> bool:
+        done = (self._protocol.our_state, self._protocol.their_state)
+        if done != (h11.DONE, h11.DONE):
+            return False
+        self._protocol.start_next_cycle()
+        return True
--- /dev/null
+++ b/pomelostair/ingress.py
@@ -0,0 +1,146 @@
+"""The HTTP server of an entry; plug-ins add their routes to it."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import msgspec
+
+from pomelostair import errors
+from pomelostair import events
+from pomelostair import http
+from pomelostair import httpserver
+from pomelostair import kernel
+from pomelostair import log
+from pomelostair import membership
+from pomelostair import messages
+from pomelostair import outcome
+from pomelostair import settings as settings_module
+
+RAN_HEADER = "pomelostair-ran"
+
+Route = Callable[[http.Request], Awaitable[http.Response]]
+
+_STATUS = {
+    outcome.Kind.BAD_REQUEST: 400,
+    outcome.Kind.UNKNOWN_SERVICE: 404,
+    outcome.Kind.UNKNOWN_JOB: 404,
+    outcome.Kind.CONFLICT: 409,
+    outcome.Kind.DUPLICATE: 409,
+    outcome.Kind.NEVER_FITS: 422,
+    outcome.Kind.LIMITED: 429,
+    outcome.Kind.QUOTA: 429,
+    outcome.Kind.QUEUE_FULL: 503,
+    outcome.Kind.INTERNAL: 500,
+    outcome.Kind.TARGET_FAILED: 502,
+    outcome.Kind.ANSWER_LOST: 504,
+    outcome.Kind.DEADLINE: 504,
+}
+_DEFAULT_STATUS = 503
+
+
+def refusal(
+    refused: outcome.Refused, status: int | None = None
+) -> http.Response:
+    """Returns a refusal as the JSON that callers get."""
+    if status is None:
+        status = _STATUS.get(refused.kind, _DEFAULT_STATUS)
+    headers = ((RAN_HEADER, refused.ran.value),)
+    return http.json_response(status, refused, headers)
+
+
+def error_page(error: errors.HttpError) -> http.Response:
+    """Returns a malformed request's answer as the JSON that callers get."""
+    ran = outcome.Ran.NO
+    if error.status >= 500:
+        ran = outcome.Ran.UNKNOWN
+    refused = outcome.Refused(outcome.Kind(error.kind), str(error), ran)
+    return refusal(refused, error.status)
+
+
+@kernel.plugin(settings_module.Role.ENTRY)
+class Ingress(kernel.Plugin):
+    """Serves callers, operators and joining processes."""
+
+    requires = (membership.Membership,)
+
+    def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
+        super().__init__(parts, host)
+        self._directory = host.get(membership.Membership).directory
+        self._routes: dict[str, Route] = {}
+        self._draining = False
+        address, _, port = parts.settings.http.rpartition(":")
+        self._server = httpserver.Server(
+            address, int(port), self._answer, error_page
+        )
+        self._address = f"{address}:{self._server.port}"
+        self._own_entry = messages.EntryAddress(
+            parts.settings.name, parts.bus.address, self._address, 0
+        )
+        host.get(membership.Membership).present(self._own_entry)
+        self._parts.bus.handle(messages.Announcement, self._on_announcement)
+        self.route("/healthz", self._healthz)
+        self.route("/readyz", self._readyz)
+        self.route("/metrics", self._metrics)
+        self.route(membership.JOIN_TARGET, self._join)
+        parts.metrics.gauge(
+            "open_connections", lambda: self._server.open_connections
+        )
+
+    @property
+    def draining(self) -> bool:
+        """Whether this entry is stopping."""
+        return self._draining
+
+    def route(self, prefix: str, handler: Route) -> None:
+        """Sends requests whose path starts with `prefix` to a handler."""
+        self._routes[prefix] = handler
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        await self._server.run()
+
+    async def drain(self, timeout_s: float) -> None:
+        """Takes no new connections and answers the open requests."""
+        self._draining = True
+        await self._server.drain(timeout_s)
+
+    async def _answer(self, request: http.Request) -> http.Response:
+        path = request.target.partition("?")[0]
+        for prefix, handler in self._routes.items():
+            if path == prefix or path.startswith(prefix + "/"):
+                return await handler(request)
+        known = ", ".join(self._routes)
+        raise errors.HttpError(404, "bad-request", f"use one of {known}")
+
+    async def _on_announcement(self, message, envelope) -> None:
+        if self._directory.learn_target(message, envelope):
+            log.emit(events.Events.TARGET_UP, target=message.name)
+        if message.leader is not None:
+            self._directory.learn_leader(message.leader)
+
+    async def _healthz(self, _request: http.Request) -> http.Response:
+        return http.json_response(200, {"state": "alive"})
+
+    async def _readyz(self, _request: http.Request) -> http.Response:
+        if self._draining:
+            return http.json_response(503, {"state": "draining"})
+        return http.json_response(200, {"state": "ready"})
+
+    async def _metrics(self, _request: http.Request) -> http.Response:
+        headers = (("content-type", "text/plain; version=0.0.4"),)
+        return http.Response(200, headers, self._parts.metrics.exposition())
+
+    async def _join(self, request: http.Request) -> http.Response:
+        try:
+            join = msgspec.json.decode(request.body, type=messages.JoinRequest)
+        except msgspec.MsgspecError as error:
+            text = f"send a join request as JSON: {error}"
+            raise errors.HttpError(400, "bad-request", text) from error
+        if join.entry is not None:
+            self._directory.learn_entry(join.entry)
+        if not self._draining:
+            self._directory.learn_entry(self._own_entry)
+        reply = messages.JoinReply(
+            self._directory.entries(), self._directory.leaders()
+        )
+        return http.json_response(200, reply)
--- /dev/null
+++ b/pomelostair/jobapi.py
@@ -0,0 +1,145 @@
+"""Jobs over HTTP at an entry: submit, read and cancel, through the leader."""
+
+import re
+import uuid
+
+import attrs
+import msgspec
+
+from pomelostair import bus as bus_module
+from pomelostair import errors
+from pomelostair import http
+from pomelostair import ingress
+from pomelostair import kernel
+from pomelostair import membership
+from pomelostair import messages
+from pomelostair import outcome
+from pomelostair import settings as settings_module
+
+LEADER_TIMEOUT_S = 10.0
+MAX_TASKS = 10_000
+MAX_ID_CHARACTERS = 128
+_PREFIX = "/v1/jobs"
+_ID = re.compile(r"[A-Za-z0-9._-]+")
+
+
+@attrs.frozen
+class Submission:
+    """A job as callers write it; the id is made up when it is empty."""
+
+    kind: str
+    id: str = ""
+    team: str = "default"
+    urgency: str = "batch"
+    tasks: int = 1
+    size: messages.Size = attrs.field(factory=messages.Size)
+    run_s: float = 1.0
+    once: bool = False
+    survive: bool = False
+    max_failures: int = 3
+
+
+@kernel.plugin(settings_module.Role.ENTRY)
+class JobApi(kernel.Plugin):
+    """Passes jobs on to the leader of the cell."""
+
+    requires = (ingress.Ingress, membership.Membership)
+
+    def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
+        super().__init__(parts, host)
+        self._directory = host.get(membership.Membership).directory
+        host.get(ingress.Ingress).route(_PREFIX, self._serve)
+
+    async def _serve(self, request: http.Request) -> http.Response:
+        path = request.target.partition("?")[0]
+        job_id = path[len(_PREFIX) :].strip("/")
+        match request.method:
+            case "POST" if not job_id:
+                spec = parse(request.body)
+                return await self._ask(messages.SubmitJob(spec), 202)
+            case "GET" if job_id:
+                return await self._ask(messages.ShowJob(job_id), 200)
+            case "DELETE" if job_id:
+                return await self._ask(messages.CancelJob(job_id), 200)
+        text = "use POST /v1/jobs, or GET or DELETE /v1/jobs/ID"
+        raise errors.HttpError(405, "bad-request", text)
+
+    async def _ask(self, message: object, status: int) -> http.Response:
+        result = await self.ask_leader(message)
+        if isinstance(result, outcome.Refused):
+            self._parts.metrics.count("jobs_refused", reason=result.kind.value)
+            return ingress.refusal(result)
+        return http.json_response(status, result)
+
+    async def ask_leader(self, message: object) -> object:
+        """Returns the leader's answer, or a refusal that says why none came.
+
+        Args:
+            message: A registered message that the leader handles.
+        """
+        leader = self._directory.leader(self._parts.settings.cell)
+        if leader is None:
+            return outcome.Refused(
+                outcome.Kind.NO_LEADER,
+                "repeat later with the same id; the cell has no leader yet",
+            )
+        result = await self._parts.bus.call(
+            leader.bus, message, LEADER_TIMEOUT_S
+        )
+        match result:
+            case bus_module.Answered(message=answer):
+                return answer
+            case bus_module.NotSent():
+                return outcome.Refused(
+                    outcome.Kind.NO_LEADER,
+                    "repeat later with the same id; the leader is away",
+                )
+            case _:
+                return outcome.Refused(
+                    outcome.Kind.ANSWER_LOST,
+                    "repeat with the same id; it is never accepted twice",
+                    outcome.Ran.UNKNOWN,
+                )
+
+
+def parse(body: bytes) -> messages.JobSpec:
+    """Returns a submitted job.
+
+    Raises:
+        HttpError: The body is not a usable job.
+    """
+    try:
+        given = msgspec.json.decode(body, type=Submission)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise errors.HttpError(
+            400, "bad-request", f"send a job as JSON: {error}"
+        ) from error
+    job_id = given.id or uuid.uuid4().hex
+    _require(
+        _ID.fullmatch(job_id) and len(job_id) <= MAX_ID_CHARACTERS,
+        "use letters, digits, '.', '_' and '-' in id",
+    )
+    _require(given.kind, "name the kind of work in kind")
+    _require(0 < given.tasks <= MAX_TASKS, f"set tasks to 1 up to {MAX_TASKS}")
+    _require(given.run_s >= 0, "set run_s to 0 or more seconds")
+    _require(given.max_failures > 0, "set max_failures to 1 or more")
+    _require(_is_positive(given.size), "set the size to amounts above 0")
+    fields = attrs.asdict(given, recurse=False)
+    fields["id"] = job_id
+    fields["urgency"] = _urgency(given.urgency)
+    return messages.JobSpec(**fields)
+
+
+def _is_positive(size: messages.Size) -> bool:
+    return size.cores > 0 and size.memory_mb > 0 and size.accelerators >= 0
+
+
+def _urgency(text: str) -> messages.Urgency:
+    known = {urgency.name.lower(): urgency for urgency in messages.Urgency}
+    _require(text in known, f"set urgency to one of {', '.join(known)}")
+    return known[text]
+
+
+def _require(condition: object, remedy: str) -> None:
+    if not condition:
+        raise errors.HttpError(400, "bad-request", remedy)
--- /dev/null
+++ b/pomelostair/kernel.py
@@ -0,0 +1,161 @@
+"""The kernel: plug-ins, their life cycle and the supervision of their tasks.
+
+Plug-ins register themselves for a role when their module is imported. The
+composition root imports the modules and hands the kernel the shared parts.
+"""
+
+from collections.abc import Callable
+import random
+import typing
+
+import attrs
+import curio
+
+from pomelostair import bus as bus_module
+from pomelostair import clock as clock_module
+from pomelostair import errors
+from pomelostair import events
+from pomelostair import log
+from pomelostair import metrics as metrics_module
+from pomelostair import settings as settings_module
+from pomelostair import store
+
+RESTART_MIN_S = 0.1
+RESTART_MAX_S = 5.0
+
+_P = typing.TypeVar("_P", bound="Plugin")
+
+
+@attrs.frozen
+class Parts:
+    """What the composition root wires for every plug-in."""
+
+    settings: settings_module.Settings
+    clock: clock_module.Clock
+    bus: bus_module.Bus
+    table: store.Table
+    objects: store.Objects
+    metrics: metrics_module.Metrics
+    random: random.Random
+
+
+class Plugin:
+    """A part of a program with a life cycle of its own.
+
+    Args:
+        parts: The shared parts.
+        host: Finds the other plug-ins.
+    """
+
+    requires: typing.ClassVar[tuple[type, ...]] = ()
+
+    def __init__(self, parts: Parts, host: "Kernel"):
+        self._parts = parts
+        self._host = host
+
+    async def run(self) -> None:
+        """Works until cancelled; a crash is logged and run again."""
+
+    async def drain(self, timeout_s: float) -> None:
+        """Finishes accepted work, taking at most `timeout_s`."""
+
+
+_registry: dict[settings_module.Role, list[type[Plugin]]] = {
+    role: [] for role in settings_module.Role
+}
+
+
+def plugin(*roles: settings_module.Role) -> Callable[[type[_P]], type[_P]]:
+    """Registers a plug-in class for the given roles."""
+
+    def register(cls: type[_P]) -> type[_P]:
+        for role in roles:
+            _registry[role].append(cls)
+        return cls
+
+    return register
+
+
+class Kernel:
+    """Runs the plug-ins of one role.
+
+    Args:
+        parts: The shared parts.
+    """
+
+    def __init__(self, parts: Parts):
+        self._parts = parts
+        self._plugins: dict[type[Plugin], Plugin] = {}
+        self._stop = curio.Event()
+        for cls in _ordered(_registry[parts.settings.role]):
+            self._plugins[cls] = cls(parts, self)
+
+    def get(self, cls: type[_P]) -> _P:
+        """Returns the plug-in of a class that the caller requires."""
+        try:
+            return typing.cast(_P, self._plugins[cls])
+        except KeyError as error:
+            text = f"name {cls.__name__} in the plug-in's `requires`"
+            raise errors.PluginError(text) from error
+
+    async def stop(self) -> None:
+        """Makes `run` drain the plug-ins and return."""
+        await self._stop.set()
+
+    async def run(self) -> None:
+        """Runs all plug-ins until `stop`, then drains them in reverse."""
+        tasks = [await curio.spawn(self._parts.bus.run, daemon=True)]
+        for instance in self._plugins.values():
+            task = await curio.spawn(self._supervise, instance, daemon=True)
+            tasks.append(task)
+        log.emit(events.Events.STARTED, role=self._parts.settings.role.value)
+        await self._stop.wait()
+        log.emit(events.Events.DRAINING)
+        await self._drain()
+        for task in reversed(tasks):
+            await task.cancel()
+        self._parts.bus.close()
+        log.emit(events.Events.STOPPED)
+
+    async def _drain(self) -> None:
+        deadline = self._parts.clock.now() + self._parts.settings.timing.drain_s
+        for instance in reversed(self._plugins.values()):
+            left = max(0.0, deadline - self._parts.clock.now())
+            try:
+                await instance.drain(left)
+            except Exception:  # noqa: BLE001 - the other plug-ins still drain
+                log.emit(
+                    events.Events.PLUGIN_CRASHED,
+                    exc_info=True,
+                    plugin=type(instance).__name__,
+                )
+
+    async def _supervise(self, instance: Plugin) -> None:
+        delay = RESTART_MIN_S
+        while True:
+            try:
+                await instance.run()
+                return
+            except (Exception, curio.TaskTimeout):  # noqa: BLE001 - supervised
+                name = type(instance).__name__
+                self._parts.metrics.count("plugin_crashes", plugin=name)
+                log.emit(
+                    events.Events.PLUGIN_CRASHED, exc_info=True, plugin=name
+                )
+            await curio.sleep(delay)
+            delay = min(delay * 2, RESTART_MAX_S)
+
+
+def _ordered(classes: list[type[Plugin]]) -> list[type[Plugin]]:
+    ordered: list[type[Plugin]] = []
+    pending = list(classes)
+    while pending:
+        ready = [c for c in pending if set(c.requires) <= set(ordered)]
+        if not ready:
+            names = ", ".join(c.__name__ for c in pending)
+            raise errors.PluginError(
+                f"break the cycle or register what is missing among {names}"
+            )
+        ordered.extend(ready)
+        pending = [c for c in pending if c not in ready]
+    return ordered
--- /dev/null
+++ b/pomelostair/membership.py
@@ -0,0 +1,78 @@
+"""How processes find each other: through the balancer, then by messages.
+
+Every process asks the balancer's address at intervals; whichever entry
+answers tells the entries and leaders that it knows. Agents then announce
+their targets to each entry directly. Nothing of this needs the platform.
+"""
+
+import curio
+import msgspec
+
+from pomelostair import directory as directory_module
+from pomelostair import errors
+from pomelostair import events
+from pomelostair import http
+from pomelostair import httpclient
+from pomelostair import kernel
+from pomelostair import log
+from pomelostair import messages
+from pomelostair import settings as settings_module
+
+JOIN_TIMEOUT_S = 1.0
+JOIN_TARGET = "/v1/join"
+
+
+@kernel.plugin(settings_module.Role.ENTRY, settings_module.Role.AGENT)
+class Membership(kernel.Plugin):
+    """Keeps the directory up to date through the balancer."""
+
+    def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
+        super().__init__(parts, host)
+        timing = parts.settings.timing
+        self._directory = directory_module.Directory(
+            parts.clock, timing.silent_ms / 1000
+        )
+        self._own_entry: messages.EntryAddress | None = None
+        self._balancer = httpclient.Client(parts.settings.balancer, 1)
+
+    @property
+    def directory(self) -> directory_module.Directory:
+        """What this process knows of the others."""
+        return self._directory
+
+    def present(self, entry: messages.EntryAddress) -> None:
+        """Makes this process tell others that it is the given entry."""
+        self._own_entry = entry
+
+    async def run(self) -> None:
+        """Joins again and again, over a new connection each time.
+
+        The balancer may hand each connection to another entry.
+        """
+        interval_s = self._parts.settings.timing.join_ms / 1000
+        while True:
+            joined = await self._join()
+            await curio.sleep(interval_s if joined else interval_s / 8)
+
+    async def _join(self) -> bool:
+        body = msgspec.json.encode(messages.JoinRequest(self._own_entry))
+        request = http.Request("POST", JOIN_TARGET, (), body)
+        try:
+            response = await self._balancer.request(request, JOIN_TIMEOUT_S)
+            await self._balancer.close()
+            reply = msgspec.json.decode(response.body, type=messages.JoinReply)
+        except (errors.PomelostairError, msgspec.MsgspecError):
+            self._parts.metrics.count("joins_failed")
+            return False
+        self.learn(reply)
+        return True
+
+    def learn(self, reply: messages.JoinReply) -> None:
+        """Takes over the entries and leaders that an entry told."""
+        known = {entry.name for entry in self._directory.entries()}
+        for entry in reply.entries:
+            self._directory.learn_entry(entry)
+            if entry.name not in known:
+                log.emit(events.Events.PEER_JOINED, peer=entry.name)
+        for leader in reply.leaders:
+            self._directory.learn_leader(leader)
--- /dev/null
+++ b/pomelostair/messages.py
@@ -0,0 +1,404 @@
+"""Typed messages between the system's processes."""
+
+import enum
+
+import attrs
+
+from pomelostair import outcome
+from pomelostair import wire
+
+wire.message("refused")(outcome.Refused)
+
+
+class TargetState(enum.Enum):
+    """Whether a target takes new work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@attrs.frozen
+class EntryAddress:
+    """Where an entry is reached.
+
+    Attributes:
+        name: Name of the entry.
+        bus: Bus URL.
+        http: HTTP address.
+        age_s: Seconds since the entry was last heard of.
+    """
+
+    name: str
+    bus: str
+    http: str
+    age_s: float
+
+
+@attrs.frozen
+class LeaderAddress:
+    """Who leads a cell.
+
+    Attributes:
+        cell: Name of the cell.
+        epoch: Epoch of the leader's lease; a higher one is newer.
+        name: Name of the leading agent.
+        bus: Its bus URL.
+    """
+
+    cell: str
+    epoch: int
+    name: str
+    bus: str
+
+
+@attrs.frozen
+class JoinRequest:
+    """A process that joins; an entry tells where it is reached."""
+
+    entry: EntryAddress | None = None
+
+
+@attrs.frozen
+class JoinReply:
+    """Answer of an entry to a process that joins through the balancer."""
+
+    entries: tuple[EntryAddress, ...]
+    leaders: tuple[LeaderAddress, ...]
+
+
+@wire.message("announcement")
+@attrs.frozen
+class Announcement:
+    """What an agent tells the entries about its target.
+
+    Attributes:
+        name: Name of the agent.
+        zone: Its availability zone.
+        cell: Its cell.
+        state: Whether the target takes new work.
+        service: Service of a minion, empty for a worker.
+        slots: Slots of a minion.
+        running: Requests that hold a slot.
+        queued: Requests that wait for one.
+        service_ms: Recent mean time that a request holds a slot.
+        leader: The leader of the cell, as far as the agent knows.
+    """
+
+    name: str
+    zone: str
+    cell: str
+    state: TargetState
+    service: str = ""
+    slots: int = 0
+    running: int = 0
+    queued: int = 0
+    service_ms: float = 0.0
+    leader: LeaderAddress | None = None
+
+
+class Urgency(enum.IntEnum):
+    """Urgency classes; a lower number goes first and yields last."""
+
+    CRITICAL = 0
+    URGENT = 1
+    NORMAL = 2
+    BATCH = 3
+
+
+@wire.message("serve")
+@attrs.frozen
+class Serve:
+    """One request of a caller for a minion.
+
+    Attributes:
+        request_id: Id that the minion sees too.
+        method: HTTP method.
+        target: Path and query within the service.
+        headers: Headers of the caller that are passed on.
+        body: Whole body.
+        urgency: Urgency class.
+        team: Team that the request counts for.
+        budget_ms: Time left until the caller's deadline.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    urgency: Urgency
+    team: str
+    budget_ms: float
+
+
+@wire.message("served")
+@attrs.frozen
+class Served:
+    """The whole answer of a minion."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@attrs.frozen
+class Size:
+    """Resources of a task or worker.
+
+    Attributes:
+        cores: Processor cores.
+        memory_mb: Memory in megabytes.
+        accelerators: Whole accelerators.
+    """
+
+    cores: float = 1.0
+    memory_mb: int = 256
+    accelerators: int = 0
+
+
+@attrs.frozen
+class JobSpec:
+    """A job as its caller declares it.
+
+    Attributes:
+        id: Id of the job; the same id again is the same job.
+        kind: Kind of work, for estimates and interference.
+        team: Team whose quota it counts for.
+        urgency: Urgency class.
+        tasks: Number of equal tasks.
+        size: Declared size of each task.
+        run_s: Declared run time of each task; 0 for a service task that runs
+            until it is stopped.
+        once: Whether a task must never run again after it may have completed.
+        survive: Whether it must survive load shedding as long as possible.
+        max_failures: Failures of one task after which the job fails.
+    """
+
+    id: str
+    kind: str
+    team: str = "default"
+    urgency: Urgency = Urgency.BATCH
+    tasks: int = 1
+    size: Size = attrs.field(factory=Size)
+    run_s: float = 1.0
+    once: bool = False
+    survive: bool = False
+    max_failures: int = 3
+
+
+@wire.message("submit-job")
+@attrs.frozen
+class SubmitJob:
+    """Entry to leader: accept a job durably."""
+
+    spec: JobSpec
+
+
+@wire.message("job-accepted")
+@attrs.frozen
+class JobAccepted:
+    """Leader to entry: the job is durable."""
+
+    id: str
+    created: bool
+
+
+@wire.message("show-job")
+@attrs.frozen
+class ShowJob:
+    """Entry to leader: report a job."""
+
+    id: str
+
+
+@wire.message("cancel-job")
+@attrs.frozen
+class CancelJob:
+    """Entry to leader: cancel a job; answered by its view after commit."""
+
+    id: str
+
+
+@attrs.frozen
+class TaskView:
+    """A task as callers and operators see it.
+
+    Attributes:
+        id: Id of the task, `JOB/INDEX`.
+        state: Name of its state.
+        attempt: Number of its latest start, 0 before the first.
+        worker: Agent of the worker that runs it, empty for none.
+        reason: Why it is in this state.
+    """
+
+    id: str
+    state: str
+    attempt: int
+    worker: str
+    reason: str
+
+
+@wire.message("job-view")
+@attrs.frozen
+class JobView:
+    """Leader to entry: a job as its caller sees it."""
+
+    spec: JobSpec
+    state: str
+    reason: str
+    tasks: tuple[TaskView, ...]
+
+
+class TaskEnd(enum.Enum):
+    """How an attempt of a task ended at its worker."""
+
+    COMPLETED = "completed"
+    FAILED = "failed"
+    EVICTED = "evicted"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    REFUSED = "refused"
+
+
+@attrs.frozen
+class TaskEnded:
+    """An attempt that ended; reported until the leader acknowledges it.
+
+    Attributes:
+        task: Id of the task.
+        attempt: Number of the attempt.
+        end: How it ended.
+        detail: Reason, for operators.
+        checkpoint: Key of the checkpoint object, empty for none.
+    """
+
+    task: str
+    attempt: int
+    end: TaskEnd
+    detail: str = ""
+    checkpoint: str = ""
+
+
+@attrs.frozen
+class TaskUsage:
+    """What a worker reported of a running attempt; lags behind the truth.
+
+    Attributes:
+        task: Id of the task.
+        attempt: Number of the attempt.
+        used: Resources in use.
+        progress: Share of the work that is done, 0 to 1.
+        slowdown: Run time over the run time when alone; 1 is undisturbed.
+    """
+
+    task: str
+    attempt: int
+    used: Size
+    progress: float
+    slowdown: float
+
+
+@wire.message("heartbeat")
+@attrs.frozen
+class Heartbeat:
+    """Agent of a worker to the leader, before each renewal of leases.
+
+    Attributes:
+        worker: Name of the agent.
+        zone: Availability zone.
+        rack: Rack of the worker.
+        capacity: What tasks may use.
+        state: Whether the worker takes new tasks.
+        usage: The attempts that run on the worker.
+        ended: Attempts whose end is not acknowledged yet.
+    """
+
+    worker: str
+    zone: str
+    rack: str
+    capacity: Size
+    state: TargetState
+    usage: tuple[TaskUsage, ...]
+    ended: tuple[TaskEnded, ...]
+
+
+@attrs.frozen
+class StartOrder:
+    """Run an attempt of a task; idempotent by task and attempt.
+
+    Attributes:
+        task: Id of the task.
+        attempt: Number of the attempt.
+        kind: Kind of work.
+        urgency: Urgency class.
+        size: Declared size.
+        run_s: Declared run time, 0 for a service task.
+        checkpoint: Key of the checkpoint to resume from, empty for none.
+        once: Whether the outcome object guards against a second run.
+    """
+
+    task: str
+    attempt: int
+    kind: str
+    urgency: Urgency
+    size: Size
+    run_s: float
+    checkpoint: str
+    once: bool
+
+
+@attrs.frozen
+class StopOrder:
+    """End an attempt of a task.
+
+    Attributes:
+        task: Id of the task.
+        attempt: Number of the attempt.
+        checkpoint: Whether to checkpoint it first, so that it can resume.
+    """
+
+    task: str
+    attempt: int
+    checkpoint: bool
+
+
+@attrs.frozen
+class ThrottleOrder:
+    """Slow an attempt down to a share of its speed, 1 for full speed."""
+
+    task: str
+    attempt: int
+    share: float
+
+
+@wire.message("heartbeat-ack")
+@attrs.frozen
+class HeartbeatAck:
+    """Leader to agent: renews the leases of the attempts that it names.
+
+    A lease runs from the worker's clock reading taken before the heartbeat
+    was sent, so that delays of this message only shorten it.
+
+    Attributes:
+        epoch: Epoch of the leader; agents refuse older ones.
+        renew: Attempts, as task id and number, whose leases go on.
+        start: Attempts to start.
+        stop: Attempts to end.
+        throttle: Attempts to slow down or speed up.
+        acknowledged: Ends that are durable and need no further report.
+    """
+
+    epoch: int
+    renew: tuple[tuple[str, int], ...] = ()
+    start: tuple[StartOrder, ...] = ()
+    stop: tuple[StopOrder, ...] = ()
+    throttle: tuple[ThrottleOrder, ...] = ()
+    acknowledged: tuple[tuple[str, int], ...] = ()
+
+
+@wire.message("nudge")
+@attrs.frozen
+class Nudge:
+    """Leader to agent: send a heartbeat now, since orders wait for it."""
+
+    epoch: int
--- /dev/null
+++ b/pomelostair/wire.py
@@ -0,0 +1,128 @@
+"""Encoding of typed messages between the system's processes.
+
+A message is an attrs class registered under a tag. On the wire it is a
+MessagePack map: the envelope with the tag and the raw body of the message.
+"""
+
+from collections.abc import Callable
+import typing
+
+import attrs
+import msgspec
+
+from pomelostair import errors
+
+MAX_MESSAGE_BYTES = 17 * 1024 * 1024
+
+_T = typing.TypeVar("_T")
+_types: dict[str, type] = {}
+_tags: dict[type, str] = {}
+_decoders: dict[str, msgspec.msgpack.Decoder] = {}
+_encoder = msgspec.msgpack.Encoder()
+
+
+@attrs.frozen
+class Envelope:
+    """What surrounds each message.
+
+    Attributes:
+        tag: Registered tag of the message's type.
+        sender: Name of the sending process.
+        incarnation: Random id of the sending process's lifetime.
+        reply_to: Bus address at which the sender receives.
+        correlation: Id of the call that the message opens or answers; empty
+            for one-way messages.
+        answer: Whether the message answers a call of the receiver's.
+        body: Encoded message.
+    """
+
+    tag: str
+    sender: str
+    incarnation: str
+    reply_to: str
+    correlation: str
+    answer: bool
+    body: msgspec.Raw
+
+
+_envelope_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def message(tag: str) -> Callable[[type[_T]], type[_T]]:
+    """Registers an attrs or data class as the message type of `tag`.
+
+    Args:
+        tag: Name of the type on the wire; unique in the program.
+
+    Returns:
+        A class decorator that returns its class unchanged.
+    """
+
+    def register(cls: type[_T]) -> type[_T]:
+        known = _types.setdefault(tag, cls)
+        if known is not cls and known.__qualname__ != cls.__qualname__:
+            raise errors.MessageError(f"tag {tag} names two message types")
+        _types[tag] = cls
+        _tags[cls] = tag
+        _decoders[tag] = msgspec.msgpack.Decoder(cls)
+        return cls
+
+    return register
+
+
+def encode_body(body: object) -> bytes:
+    """Returns a registered message's body as MessagePack."""
+    return _encoder.encode(body)
+
+
+def tag_of(body: object) -> str:
+    """Returns the tag of a message.
+
+    Raises:
+        MessageError: Its type was never registered.
+    """
+    tag = _tags.get(type(body))
+    if tag is None:
+        raise errors.MessageError(f"register {type(body)} with wire.message")
+    return tag
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Returns an envelope as bytes for the wire."""
+    return _encoder.encode(envelope)
+
+
+def decode(data: bytes) -> tuple[Envelope, object]:
+    """Decodes bytes from a peer.
+
+    Returns:
+        The envelope and the typed message in it.
+
+    Raises:
+        MessageError: The bytes are malformed or of an unknown type.
+    """
+    try:
+        envelope = _envelope_decoder.decode(data)
+        return envelope, decode_body(envelope.tag, envelope.body)
+    except (msgspec.MsgspecError, ValueError, TypeError) as error:
+        raise errors.MessageError(f"malformed message: {error}") from error
+
+
+def decode_body(tag: str, body: bytes | msgspec.Raw) -> object:
+    """Decodes one message by its tag.
+
+    Raises:
+        MessageError: The tag is unknown or the body does not fit it.
+    """
+    decoder = _decoders.get(tag)
+    if decoder is None:
+        raise errors.MessageError(f"no message type has the tag {tag!r}")
+    try:
+        return decoder.decode(body)
+    except (msgspec.MsgspecError, ValueError, TypeError) as error:
+        raise errors.MessageError(f"malformed {tag}: {error}") from error
+
+
+def tags() -> tuple[str, ...]:
+    """Returns all registered tags in order."""
+    return tuple(sorted(_types))
--- /dev/null
+++ b/pomelostair_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems that pomelostair meets."""
--- /dev/null
+++ b/pomelostair_standins/minion.py
@@ -0,0 +1,94 @@
+"""Stand-in for a minion: runs requests in slots and counts what it ran."""
+
+import collections
+import hashlib
+import random
+
+import attrs
+import curio
+
+from pomelostair import http
+from pomelostair_standins import service
+
+REQUEST_ID_HEADER = "pomelostair-request-id"
+
+
+@attrs.define
+class Stats:
+    """What a minion ran.
+
+    Attributes:
+        runs: Number of runs by request id.
+        running: Requests that run now.
+        most_running: Most requests that ever ran at once.
+        over_slots: Requests that were begun beyond the slots.
+    """
+
+    runs: collections.Counter = attrs.field(factory=collections.Counter)
+    running: int = 0
+    most_running: int = 0
+    over_slots: int = 0
+
+
+class Minion(service.Service):
+    """Answers with the digest of the body after a service time.
+
+    The header `x-service-ms` sets the service time of a request,
+    `x-answer-bytes` makes the answer that long.
+
+    Args:
+        slots: Requests that it can run at once.
+        service_ms: Mean service time.
+        seed: Seed of the service times, which are exponential.
+    """
+
+    def __init__(self, slots: int, service_ms: float, seed: int):
+        super().__init__()
+        self._slots = slots
+        self._service_ms = service_ms
+        self._random = random.Random(seed)
+        self._stats = Stats()
+
+    async def handle(self, request: http.Request) -> http.Response:
+        """Runs one request."""
+        if request.target == "/stats":
+            return http.json_response(200, attrs.asdict(self._stats))
+        stats = self._stats
+        request_id = request.header(REQUEST_ID_HEADER) or ""
+        stats.runs[request_id] += 1
+        stats.running += 1
+        stats.most_running = max(stats.most_running, stats.running)
+        stats.over_slots += stats.running > self._slots
+        try:
+            await curio.sleep(self._duration_ms(request) / 1000)
+        finally:
+            stats.running -= 1
+        return self._respond(request)
+
+    def _duration_ms(self, request: http.Request) -> float:
+        given = request.header("x-service-ms")
+        if given is not None:
+            return float(given)
+        return self._random.expovariate(1 / self._service_ms)
+
+    def _respond(self, request: http.Request) -> http.Response:
+        digest = hashlib.sha256(request.body).hexdigest()
+        headers = (("x-body-sha256", digest),)
+        length = int(request.header("x-answer-bytes") or 0)
+        body = f"{request.method} {request.target} {digest}\n".encode()
+        return http.Response(200, headers, body + b"." * length)
+
+
+def main() -> None:
+    """Runs the stand-in until it is ended."""
+    parser = service.parser(__doc__)
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--service-ms", type=float, default=20.0)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    minion = Minion(options.slots, options.service_ms, options.seed)
+    curio.run(service.serve, minion, options.listen)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/pomelostair_standins/site.py
@@ -0,0 +1,318 @@
+"""Starts a whole site as processes on loopback and keeps it up.
+
+Prints one JSON line first: each process with role, name, pid and addresses.
+"""
+
+import argparse
+import contextlib
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import attrs
+
+HOST = "127.0.0.1"
+PORTS = (10_000, 32_000)
+STOP_TIMEOUT_S = 15.0
+READY_TIMEOUT_S = 30.0
+WORKERS_PER_RACK = 3
+
+
+@attrs.frozen
+class Shape:
+    """How many processes of each kind a site has.
+
+    Attributes:
+        service: Name of the service that the minions serve.
+        zones: Availability zones, filled in turn.
+        entries: Number of entries.
+        minions: Number of minions, each with an agent.
+        workers: Number of workers, each with an agent.
+        slots: Slots of each minion.
+        service_ms: Mean service time of the minions.
+        timing: Overrides of the settings' `timing`.
+    """
+
+    service: str = "clapper-desk"
+    zones: tuple[str, ...] = ("patan", "bhaktapur", "kirtipur")
+    entries: int = 2
+    minions: int = 3
+    workers: int = 3
+    slots: int = 8
+    service_ms: float = 20.0
+    timing: dict = attrs.field(factory=dict)
+
+
+@attrs.define
+class Process:
+    """One process of a site.
+
+    Attributes:
+        role: Its role.
+        name: Its name.
+        addresses: Its addresses by use.
+        arguments: Command line that starts it again.
+        popen: The running process.
+    """
+
+    role: str
+    name: str
+    addresses: dict[str, str]
+    arguments: list[str]
+    popen: subprocess.Popen
+
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self.popen.pid
+
+    def describe(self) -> dict:
+        """Returns the process as the first line of a site shows it."""
+        return {
+            "role": self.role,
+            "name": self.name,
+            "pid": self.pid,
+            "addresses": self.addresses,
+        }
+
+
+class Site:
+    """The processes of one site.
+
+    Args:
+        shape: How many of each kind.
+        directory: Where settings and logs are written.
+    """
+
+    def __init__(self, shape: Shape, directory: str):
+        self._shape = shape
+        self._directory = pathlib.Path(directory)
+        self._processes: dict[str, Process] = {}
+        self._entries = [free_address() for _ in range(shape.entries)]
+        self._balancer = free_address()
+        self._platform = free_address()
+
+    @property
+    def processes(self) -> dict[str, Process]:
+        """All processes by name, in the order of their start."""
+        return self._processes
+
+    @property
+    def entries(self) -> list[str]:
+        """HTTP addresses of the entries."""
+        return list(self._entries)
+
+    @property
+    def balancer(self) -> str:
+        """HTTP address of the balancer."""
+        return self._balancer
+
+    @property
+    def platform(self) -> str:
+        """HTTP address of the platform."""
+        return self._platform
+
+    def start(self) -> None:
+        """Starts every process."""
+        self._start_platform()
+        for index, address in enumerate(self._entries):
+            self._start_entry(index, address)
+        for index in range(self._shape.minions):
+            self._start_minion(index)
+        for index in range(self._shape.workers):
+            self._start_worker(index)
+
+    def stop(self) -> None:
+        """Stops every process in order: agents, entries, stand-ins."""
+        ranks = {"agent": 0, "entry": 1}
+        groups: dict[int, list[Process]] = {}
+        for process in self._processes.values():
+            groups.setdefault(ranks.get(process.role, 2), []).append(process)
+        for rank in sorted(groups):
+            for process in groups[rank]:
+                _signal(process, signal.SIGCONT)
+                _signal(process, signal.SIGTERM)
+            for process in groups[rank]:
+                _wait(process)
+
+    def kill(self, name: str) -> None:
+        """Ends a process at once, as a host's failure would."""
+        process = self._processes[name]
+        _signal(process, signal.SIGKILL)
+        process.popen.wait()
+
+    def freeze(self, name: str) -> None:
+        """Stops a process without ending it."""
+        _signal(self._processes[name], signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Lets a frozen process go on."""
+        _signal(self._processes[name], signal.SIGCONT)
+
+    def restart(self, name: str) -> None:
+        """Starts an ended process again, with the same settings."""
+        process = self._processes[name]
+        process.popen = self._spawn(name, process.arguments)
+
+    def describe(self) -> dict:
+        """Returns the first line of a site."""
+        rows = [process.describe() for process in self._processes.values()]
+        return {"balancer": self._balancer, "processes": rows}
+
+    def log(self, name: str) -> str:
+        """Returns what a process logged so far."""
+        return (self._directory / f"{name}.log").read_text()
+
+    def _start_platform(self) -> None:
+        self._launch(
+            "platform",
+            "platform",
+            {"http": self._platform},
+            ["-m", "pomelostair_standins.platform", "--listen", self._platform],
+        )
+        self._launch(
+            "balancer",
+            "balancer",
+            {"http": self._balancer},
+            [
+                "-m",
+                "pomelostair_standins.balancer",
+                "--listen",
+                self._balancer,
+                *self._entries,
+            ],
+        )
+
+    def _start_entry(self, index: int, address: str) -> None:
+        self._launch_daemon("entry", f"entry-{index + 1}", index, http=address)
+
+    def _start_minion(self, index: int) -> None:
+        address = free_address()
+        name = f"minion-{index + 1}"
+        arguments = ["-m", "pomelostair_standins.minion", "--listen", address]
+        arguments += ["--slots", str(self._shape.slots)]
+        arguments += ["--service-ms", str(self._shape.service_ms)]
+        arguments += ["--seed", str(index + 1)]
+        self._launch("minion", name, {"http": address}, arguments)
+        target = {
+            "kind": "minion",
+            "address": address,
+            "service": self._shape.service,
+            "slots": self._shape.slots,
+        }
+        self._launch_daemon("agent", f"agent-{name}", index, target=target)
+
+    def _start_worker(self, index: int) -> None:
+        address = free_address()
+        name = f"worker-{index + 1}"
+        arguments = ["-m", "pomelostair_standins.worker", "--listen", address]
+        self._launch("worker", name, {"http": address}, arguments)
+        rack = f"rack-{index // WORKERS_PER_RACK + 1}"
+        target = {"kind": "worker", "address": address, "rack": rack}
+        self._launch_daemon("agent", f"agent-{name}", index, target=target)
+
+    def _launch_daemon(
+        self, role: str, name: str, index: int, **extra: object
+    ) -> None:
+        bus = free_address()
+        settings = {
+            "role": role,
+            "name": name,
+            "zone": self._shape.zones[index % len(self._shape.zones)],
+            "bus": bus,
+            "balancer": self._balancer,
+            "platform": {"address": self._platform},
+            "timing": self._shape.timing,
+            **extra,
+        }
+        path = self._directory / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        addresses = {"bus": f"tcp://{bus}"}
+        if "http" in extra:
+            addresses["http"] = str(extra["http"])
+        arguments = ["-m", "pomelostair.daemon", "--settings", str(path)]
+        self._launch(role, name, addresses, arguments)
+
+    def _launch(
+        self, role: str, name: str, addresses: dict, arguments: list[str]
+    ) -> None:
+        popen = self._spawn(name, arguments)
+        self._processes[name] = Process(role, name, addresses, arguments, popen)
+
+    def _spawn(self, name: str, arguments: list[str]) -> subprocess.Popen:
+        with open(self._directory / f"{name}.log", "ab") as output:
+            return subprocess.Popen(
+                [sys.executable, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+
+
+def free_address() -> str:
+    """Returns a loopback address whose port is free now.
+
+    The ports lie below those that the system gives to outgoing connections.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return f"{HOST}:{port}"
+
+
+@contextlib.contextmanager
+def running(shape: Shape):
+    """Keeps a site up for the length of a block."""
+    with tempfile.TemporaryDirectory(prefix="pomelostair-") as directory:
+        site = Site(shape, directory)
+        try:
+            site.start()
+            yield site
+        finally:
+            site.stop()
+
+
+def _signal(process: Process, number: signal.Signals) -> None:
+    if process.popen.poll() is None:
+        os.kill(process.pid, number)
+
+
+def _wait(process: Process) -> None:
+    try:
+        process.popen.wait(STOP_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        process.popen.kill()
+        process.popen.wait()
+
+
+def main() -> None:
+    """Keeps a site up until it is interrupted."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--entries", type=int, default=2)
+    parser.add_argument("--minions", type=int, default=3)
+    parser.add_argument("--workers", type=int, default=3)
+    parser.add_argument("--service", default="clapper-desk")
+    options = parser.parse_args()
+    shape = Shape(
+        service=options.service,
+        entries=options.entries,
+        minions=options.minions,
+        workers=options.workers,
+    )
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    with contextlib.suppress(KeyboardInterrupt), running(shape) as site:
+        print(json.dumps(site.describe()), flush=True)
+        while True:
+            time.sleep(1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_site.py
@@ -0,0 +1,79 @@
+"""End-to-end tests over separate processes."""
+
+import hashlib
+
+import pytest
+
+from pomelostair_standins import site
+from tests import caller
+
+FIT = "/services/clapper-desk/fit"
+
+
+@pytest.fixture(scope="module")
+def running_site():
+    with site.running(site.Shape(minions=2, workers=2)) as running:
+        for entry in running.entries:
+            assert caller.eventually(
+                lambda entry=entry: caller.call(entry, "GET", FIT).status == 200
+            )
+        yield running
+
+
+class TestRequest:
+    @pytest.mark.parametrize("size", [0, 1, 70_000, 3_000_000])
+    def test_whole_body_goes_and_comes_back(self, running_site, size):
+        body = b"z" * size
+        answer = caller.call(
+            running_site.balancer,
+            "POST",
+            FIT,
+            body,
+            {"x-answer-bytes": str(size), "x-service-ms": "1"},
+        )
+        digest = hashlib.sha256(body).hexdigest()
+        assert answer.status == 200
+        assert answer.body == f"POST /fit {digest}\n".encode() + b"." * size
+
+    def test_unknown_service_is_refused(self, running_site):
+        answer = caller.call(running_site.balancer, "GET", "/services/none/x")
+        assert answer.status == 404
+        assert answer.json()["kind"] == "unknown-service"
+        assert answer.json()["ran"] == "no"
+        assert answer.headers["pomelostair-ran"] == "no"
+
+    @pytest.mark.parametrize("value", ["0", "-1", "soon", "9999999999999"])
+    def test_bad_deadline_is_refused(self, running_site, value):
+        headers = {"Pomelostair-Timeout-Ms": value}
+        answer = caller.call(running_site.balancer, "GET", FIT, headers=headers)
+        assert answer.status == 400
+        assert "Pomelostair-Timeout-Ms" in answer.json()["message"]
+
+
+class TestJob:
+    def test_job_is_accepted_once_and_completes(self, running_site):
+        job = {"id": "casting-7", "kind": "wear-watch", "tasks": 3}
+
+        def submitted():
+            answer = caller.call(running_site.balancer, "POST", "/v1/jobs", job)
+            return answer if answer.status == 202 else None
+
+        first = caller.eventually(submitted)
+        assert first.json() == {"id": "casting-7", "created": True}
+        again = caller.call(running_site.balancer, "POST", "/v1/jobs", job)
+        assert again.json() == {"id": "casting-7", "created": False}
+
+        def completed():
+            answer = caller.call(
+                running_site.balancer, "GET", "/v1/jobs/casting-7"
+            )
+            return answer.json()["state"] == "completed" and answer.json()
+
+        view = caller.eventually(completed)
+        assert [task["attempt"] for task in view["tasks"]] == [1, 1, 1]
+
+    def test_bad_job_is_refused(self, running_site):
+        job = {"kind": "wear-watch", "tasks": "many"}
+        answer = caller.call(running_site.balancer, "POST", "/v1/jobs", job)
+        assert answer.status == 400
+        assert "tasks" in answer.json()["message"]
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,55 @@
+from hypothesis import given
+from hypothesis import strategies
+import msgspec
+import pytest
+
+from pomelostair import errors
+from pomelostair import messages
+from pomelostair import wire
+
+
+def seal(message, tag=None):
+    return wire.encode(
+        wire.Envelope(
+            tag=tag or wire.tag_of(message),
+            sender="a",
+            incarnation="1",
+            reply_to="tcp://127.0.0.1:1",
+            correlation="c",
+            answer=False,
+            body=msgspec.Raw(wire.encode_body(message)),
+        )
+    )
+
+
+class TestDecode:
+    def test_round_trip(self):
+        message = messages.Served(200, (("a", "b"),), b"\x00body")
+        envelope, decoded = wire.decode(seal(message))
+        assert decoded == message
+        assert envelope.sender == "a"
+
+    def test_unknown_tag(self):
+        with pytest.raises(errors.MessageError, match="tag"):
+            wire.decode(seal(messages.Nudge(1), tag="none"))
+
+    @given(strategies.binary())
+    def test_any_bytes_are_a_message_or_an_error(self, data):
+        with pytest.raises(errors.MessageError):
+            wire.decode(data)
+
+    @given(strategies.data())
+    def test_damaged_messages_never_crash(self, data):
+        sealed = bytearray(seal(messages.Nudge(7)))
+        index = data.draw(strategies.integers(0, len(sealed) - 1))
+        sealed[index] = data.draw(strategies.integers(0, 255))
+        try:
+            wire.decode(bytes(sealed))
+        except errors.MessageError:
+            return
+
+
+class TestMessage:
+    def test_a_tag_names_one_type(self):
+        with pytest.raises(errors.MessageError):
+            wire.message("nudge")(messages.Served)
