Requests: fair queue, slot ledger, routing, health, retry budget, intents

Cause: the agent had a first-come queue and forgot after a time-out or a restart what its minion still ran; the entry chose at random and ran a repeated Idempotency-Key again.

Change: the agent keeps slots as doubtful until the minion or the longest run time proves them free, dates requests by its own monotonic clock (no wall clocks), shares slot time between classes and teams by weight, and refuses early. The entry routes by expected time from two random minions here and two elsewhere, ejects and probes, retries within a budget, and creates intents before dispatch.

Ruled out: plain urgency order with a queue for each class, since a flood of the most urgent class would take all slots.

Each decision is compared with a naive version by hypothesis.

--- a/pomelostair/announcer.py
+++ b/pomelostair/announcer.py
@@ -8,6 +8,8 @@
 from pomelostair import messages
 from pomelostair import settings as settings_module
 
+LEAVE_TIMEOUT_S = 2.0
+
 
 @kernel.plugin(settings_module.Role.AGENT)
 class Announcer(kernel.Plugin):
@@ -29,10 +31,19 @@
             await curio.sleep(interval_s)
 
     async def drain(self, timeout_s: float) -> None:
-        """Tells the entries at once that the target is leaving."""
+        """Tells the entries at once that the target is leaving.
+
+        Once an entry has acknowledged it, no request of that entry is on its
+        way here any more. An entry that is silent does not hold up the stop.
+        """
         self._state = messages.TargetState.DRAINING
-        async with curio.ignore_after(timeout_s):
-            await self.announce()
+        longest_s = min(timeout_s, LEAVE_TIMEOUT_S)
+        announcement = self._announcement()
+        async with curio.TaskGroup() as group:
+            for entry in self._directory.entries():
+                await group.spawn(
+                    self._parts.bus.call, entry.bus, announcement, longest_s
+                )
 
     async def announce(self) -> None:
         """Sends one announcement to each known entry."""
@@ -54,4 +65,6 @@
             queued=self._gate.queued,
             service_ms=self._gate.service_ms,
             leader=self._directory.leader(settings.cell),
+            clock_ms=self._parts.clock.now() * 1000,
+            waits_ms=self._gate.waits_ms(),
         )
--- a/pomelostair/declaration.py
+++ b/pomelostair/declaration.py
@@ -45,6 +45,7 @@
 
     Attributes:
         queue_per_slot: Requests that may wait for each slot of a minion.
+        queue_bytes: Bytes of requests that may wait at each minion.
         retry_share: Retries allowed as a share of recent requests.
         class_weights: Shares of the urgency classes, most urgent first.
         batch_share: Most of the cell's cores that batch tasks may hold,
@@ -52,6 +53,7 @@
     """
 
     queue_per_slot: int = 16
+    queue_bytes: int = 64 * 1024 * 1024
     retry_share: float = 0.1
     class_weights: tuple[float, ...] = (8.0, 4.0, 2.0, 1.0)
     batch_share: float = 1.0
--- a/pomelostair/directory.py
+++ b/pomelostair/directory.py
@@ -8,6 +8,7 @@
 
 ENTRY_EXPIRY_S = 10.0
 TARGET_EXPIRY_S = 60.0
+CLOCK_DRIFT = 0.001
 
 
 @attrs.define
@@ -18,15 +19,39 @@
         bus: Bus URL of its agent.
         incarnation: Incarnation of its agent.
         announcement: The latest announcement.
-        seen: Monotonic seconds of that announcement.
-        outstanding: Requests of this process that are not answered yet.
+        seen: Monotonic seconds at which it was sent, or a little later.
+        ahead_s: Lower bound of how far the agent's clock is ahead of this
+            process's.
+        outstanding: Requests of this process that are not answered yet, by
+            urgency class.
+        counted: The same when the announcement came.
     """
 
     bus: str
     incarnation: str
     announcement: messages.Announcement
     seen: float
-    outstanding: int = 0
+    ahead_s: float
+    outstanding: list[int] = attrs.field(
+        factory=lambda: [0] * len(messages.Urgency)
+    )
+    counted: tuple[int, ...] = (0,) * len(messages.Urgency)
+
+    def update(
+        self, announcement: messages.Announcement, ahead_s: float, now: float
+    ) -> None:
+        """Takes over a further announcement of the same incarnation.
+
+        An announcement that was delayed only lowers its bound of the clock,
+        so the best one is kept, less what the clocks may have drifted. It
+        also tells by the agent's clock how old the announcement is: a process
+        that was frozen does not take its old messages for news.
+        """
+        drift_s = CLOCK_DRIFT * (now - self.seen)
+        self.ahead_s = max(ahead_s, self.ahead_s - drift_s)
+        self.announcement = announcement
+        self.seen = min(now, announcement.clock_ms / 1000 - self.ahead_s)
+        self.counted = tuple(self.outstanding)
 
 
 class Directory:
@@ -84,12 +109,13 @@
         """
         known = self._targets.get(announcement.name)
         now = self._clock.now()
+        ahead_s = announcement.clock_ms / 1000 - now
         if known is not None and known.incarnation == envelope.incarnation:
-            known.announcement = announcement
-            known.seen = now
+            if announcement.clock_ms >= known.announcement.clock_ms:
+                known.update(announcement, ahead_s, now)
             return False
         self._targets[announcement.name] = Target(
-            envelope.reply_to, envelope.incarnation, announcement, now
+            envelope.reply_to, envelope.incarnation, announcement, now, ahead_s
         )
         return True
 
@@ -97,7 +123,7 @@
         """Returns all targets heard of in the last minute."""
         horizon = self._clock.now() - TARGET_EXPIRY_S
         for name, target in list(self._targets.items()):
-            if target.seen < horizon and not target.outstanding:
+            if target.seen < horizon and not any(target.outstanding):
                 del self._targets[name]
         return tuple(self._targets.values())
 
--- a/pomelostair/dispatch.py
+++ b/pomelostair/dispatch.py
@@ -1,18 +1,27 @@
 """Requests of callers at an entry: from HTTP to a minion and back."""
 
 import re
-import time
 import uuid
 
+import attrs
+
 from pomelostair import bus as bus_module
+from pomelostair import configuration
+from pomelostair import declaration
 from pomelostair import directory as directory_module
 from pomelostair import errors
+from pomelostair import events
+from pomelostair import health
 from pomelostair import http
+from pomelostair import idempotency
 from pomelostair import ingress
 from pomelostair import kernel
+from pomelostair import log
 from pomelostair import membership
 from pomelostair import messages
 from pomelostair import outcome
+from pomelostair import retry
+from pomelostair import routing
 from pomelostair import settings as settings_module
 
 DEFAULT_TIMEOUT_MS = 10_000
@@ -26,102 +35,166 @@
 class Dispatch(kernel.Plugin):
     """Sends each request to one minion of its service."""
 
-    requires = (ingress.Ingress, membership.Membership)
+    requires = (
+        ingress.Ingress,
+        membership.Membership,
+        configuration.Configuration,
+        idempotency.Intents,
+    )
 
     def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
         super().__init__(parts, host)
         self._ingress = host.get(ingress.Ingress)
         self._directory = host.get(membership.Membership).directory
+        self._configuration = host.get(configuration.Configuration)
+        self._intents = host.get(idempotency.Intents)
+        self._health = health.Health(parts.clock)
+        self._budget = retry.Budget()
+        self._started = parts.clock.now()
         self._ingress.route(_PREFIX, self._serve)
 
     async def _serve(self, request: http.Request) -> http.Response:
+        started = self._parts.clock.now()
         service, serve = parse(request)
-        started = time.monotonic()
-        result = await self._attempt(service, serve, started)
-        labels = {"service": service, "urgency": serve.urgency.name.lower()}
-        self._parts.metrics.record(
-            "request_seconds", time.monotonic() - started, **labels
+        deadline = started + serve.budget_ms / 1000
+
+        async def run() -> messages.Served | outcome.Refused:
+            return await self._attempt(service, serve, deadline)
+
+        key = request.header(idempotency.KEY_HEADER)
+        if key is None:
+            result = await run()
+        else:
+            intent = idempotency.intent_of(service, key, serve)
+            result = await self._intents.once(intent, run, deadline)
+        return self._respond(service, serve, started, result)
+
+    def _respond(
+        self,
+        service: str,
+        serve: messages.Serve,
+        started: float,
+        result: messages.Served | outcome.Refused,
+    ) -> http.Response:
+        metrics = self._parts.metrics
+        urgency = serve.urgency.name.lower()
+        took_s = self._parts.clock.now() - started
+        metrics.record(
+            "request_seconds", took_s, service=service, urgency=urgency
         )
         if isinstance(result, messages.Served):
-            self._parts.metrics.count("requests_served", **labels)
             return http.Response(result.status, result.headers, result.body)
-        self._parts.metrics.count(
-            "requests_refused", reason=result.kind.value, **labels
+        metrics.count(
+            "requests_refused",
+            reason=result.kind.value,
+            service=service,
+            urgency=urgency,
         )
         return ingress.refusal(result)
 
     async def _attempt(
-        self, service: str, serve: messages.Serve, started: float
+        self, service: str, serve: messages.Serve, deadline: float
     ) -> messages.Served | outcome.Refused:
         result = self._no_target(service)
+        self._budget.deposit(self._declarations().limits.retry_share)
         tried: set[str] = set()
         for _ in range(MAX_ATTEMPTS):
-            left_ms = serve.budget_ms - (time.monotonic() - started) * 1000
-            if left_ms <= 0:
+            if self._parts.clock.now() >= deadline:
                 return _too_late()
-            target = self._choose(service, tried)
+            target = self._choose(service, serve, tried)
             if target is None:
                 return result
             tried.add(target.announcement.name)
-            result = await self._send(target, serve, left_ms)
-            if not _may_retry(result):
+            result = await self._send(target, serve, deadline)
+            self._record(target, result)
+            if not retry.allowed(result):
+                return result
+            if not self._budget.withdraw(result):
+                self._parts.metrics.count("retries_over_budget")
                 return result
             self._parts.metrics.count("retries", reason=result.kind.value)
         return result
 
     def _choose(
-        self, service: str, tried: set[str]
+        self, service: str, serve: messages.Serve, tried: set[str]
     ) -> directory_module.Target | None:
         candidates = [
             target
             for target in self._directory.candidates(service)
             if target.announcement.name not in tried
         ]
-        if not candidates:
-            return None
-        return self._parts.random.choice(candidates)
+        may_probe = serve.urgency >= messages.Urgency.NORMAL and not tried
+        return routing.choose(
+            self._health.eligible(candidates, may_probe),
+            serve.urgency,
+            self._parts.settings.zone,
+            self._parts.random,
+        )
 
     async def _send(
         self,
         target: directory_module.Target,
         serve: messages.Serve,
-        left_ms: float,
+        deadline: float,
     ) -> messages.Served | outcome.Refused:
-        target.outstanding += 1
+        now = self._parts.clock.now()
+        dated = attrs.evolve(
+            serve,
+            budget_ms=(deadline - now) * 1000,
+            sent_ms=(now + target.ahead_s) * 1000,
+            incarnation=target.incarnation,
+        )
+        target.outstanding[serve.urgency] += 1
         try:
             result = await self._parts.bus.call(
-                target.bus, serve, left_ms / 1000
+                target.bus, dated, deadline - now
             )
         finally:
-            target.outstanding -= 1
-        match result:
-            case bus_module.Answered(
-                message=(messages.Served() | outcome.Refused()) as answer
-            ):
-                return answer
-            case bus_module.NotSent(reason=reason):
-                return outcome.Refused(
-                    outcome.Kind.NOT_SENT,
-                    f"repeat the request; its target was not reached: {reason}",
-                )
-            case _:
-                return outcome.Refused(
-                    outcome.Kind.ANSWER_LOST,
-                    "check whether it ran before repeating; no answer came",
-                    outcome.Ran.UNKNOWN,
-                )
+            target.outstanding[serve.urgency] -= 1
+        return _result_of(result)
+
+    def _record(
+        self,
+        target: directory_module.Target,
+        result: messages.Served | outcome.Refused,
+    ) -> None:
+        if not self._health.record(target, result):
+            return
+        event = events.Events.TARGET_RESTORED
+        if self._health.ejected(target):
+            event = events.Events.TARGET_EJECTED
+        name = target.announcement.name
+        self._parts.metrics.count("ejections", event=event.name.lower())
+        log.emit(event, target=name)
 
     def _no_target(self, service: str) -> outcome.Refused:
-        if not self._directory.serves(service):
+        if self._directory.serves(service) or self._declared(service):
+            return outcome.Refused(
+                outcome.Kind.NO_TARGET,
+                "repeat later; every minion of the service is silent or "
+                "draining",
+            )
+        if self._parts.clock.now() - self._started < self._settle_s():
             return outcome.Refused(
-                outcome.Kind.UNKNOWN_SERVICE,
-                f"name a service that has minions; none serves {service}",
+                outcome.Kind.NOT_READY,
+                "repeat; this entry has just started and hears of targets yet",
             )
         return outcome.Refused(
-            outcome.Kind.NO_TARGET,
-            "repeat later; every minion of the service is silent or draining",
+            outcome.Kind.UNKNOWN_SERVICE,
+            f"name a service that has minions; none serves {service}",
         )
 
+    def _declared(self, service: str) -> bool:
+        return any(s.name == service for s in self._declarations().services)
+
+    def _settle_s(self) -> float:
+        """Returns the time in which every target announces itself here."""
+        timing = self._parts.settings.timing
+        return (2 * timing.join_ms + 2 * timing.announce_ms) / 1000
+
+    def _declarations(self) -> declaration.Declarations:
+        return self._configuration.in_force.declarations
+
 
 def parse(request: http.Request) -> tuple[str, messages.Serve]:
     """Returns a caller's request as its service and typed message.
@@ -147,6 +220,8 @@
         urgency=_urgency(request),
         team=request.header("pomelostair-team") or "default",
         budget_ms=_timeout_ms(request),
+        sent_ms=0.0,
+        incarnation="",
     )
     return match_.group(1), serve
 
@@ -174,14 +249,23 @@
     return value
 
 
-def _may_retry(result: messages.Served | outcome.Refused) -> bool:
-    if isinstance(result, messages.Served):
-        return False
-    return result.ran is outcome.Ran.NO and result.kind in (
-        outcome.Kind.NOT_SENT,
-        outcome.Kind.DRAINING,
-        outcome.Kind.QUEUE_FULL,
-    )
+def _result_of(call: bus_module.Call) -> messages.Served | outcome.Refused:
+    match call:
+        case bus_module.Answered(
+            message=(messages.Served() | outcome.Refused()) as answer
+        ):
+            return answer
+        case bus_module.NotSent(reason=reason):
+            return outcome.Refused(
+                outcome.Kind.NOT_SENT,
+                f"repeat the request; its target was not reached: {reason}",
+            )
+        case _:
+            return outcome.Refused(
+                outcome.Kind.ANSWER_LOST,
+                "check whether it ran before repeating; no answer came",
+                outcome.Ran.UNKNOWN,
+            )
 
 
 def _too_late() -> outcome.Refused:
--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -40,6 +40,8 @@
     TARGET_LEFT = Event(202, logging.INFO, "target left")
     TARGET_EJECTED = Event(203, logging.WARNING, "target ejected")
     TARGET_RESTORED = Event(204, logging.INFO, "target restored")
+    MINION_GONE = Event(205, logging.WARNING, "minion does not listen")
+    INTENT_UNKNOWN = Event(206, logging.WARNING, "intent outcome unknown")
     LEASE_ACQUIRED = Event(300, logging.INFO, "cell lease acquired")
     LEASE_LOST = Event(301, logging.WARNING, "cell lease lost")
     LEASE_RENEWAL_FAILED = Event(302, logging.WARNING, "lease not renewed")
--- a/pomelostair/ingress.py
+++ b/pomelostair/ingress.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import curio
 import msgspec
 
 from pomelostair import errors
@@ -117,6 +118,11 @@
             log.emit(events.Events.TARGET_UP, target=message.name)
         if message.leader is not None:
             self._directory.learn_leader(message.leader)
+        if envelope.correlation:
+            seen = messages.AnnouncementSeen()
+            await curio.spawn(
+                self._parts.bus.reply, envelope, seen, daemon=True
+            )
 
     async def _healthz(self, _request: http.Request) -> http.Response:
         return http.json_response(200, {"state": "alive"})
--- a/pomelostair/messages.py
+++ b/pomelostair/messages.py
@@ -82,6 +82,8 @@
         queued: Requests that wait for one.
         service_ms: Recent mean time that a request holds a slot.
         leader: The leader of the cell, as far as the agent knows.
+        clock_ms: The agent's monotonic clock; entries date requests by it.
+        waits_ms: Expected wait of a new request by urgency class.
     """
 
     name: str
@@ -94,6 +96,17 @@
     queued: int = 0
     service_ms: float = 0.0
     leader: LeaderAddress | None = None
+    clock_ms: float = 0.0
+    waits_ms: tuple[float, ...] = ()
+
+
+@wire.message("announcement-seen")
+@attrs.frozen
+class AnnouncementSeen:
+    """Entry to agent: the announcement is in force at the entry.
+
+    It follows all requests that the entry sent before on the same connection.
+    """
 
 
 class Urgency(enum.IntEnum):
@@ -119,6 +132,9 @@
         urgency: Urgency class.
         team: Team that the request counts for.
         budget_ms: Time left until the caller's deadline.
+        sent_ms: Lower bound of the agent's monotonic clock when `budget_ms`
+            was read, so that a delayed message still ends in time.
+        incarnation: Incarnation of the agent that it is meant for.
     """
 
     request_id: str
@@ -129,6 +145,8 @@
     urgency: Urgency
     team: str
     budget_ms: float
+    sent_ms: float
+    incarnation: str
 
 
 @wire.message("served")
--- a/pomelostair/outcome.py
+++ b/pomelostair/outcome.py
@@ -18,6 +18,7 @@
     UNKNOWN_SERVICE = "unknown-service"
     UNKNOWN_JOB = "unknown-job"
     NO_TARGET = "no-target"
+    NOT_READY = "not-ready"
     NO_LEADER = "no-leader"
     NOT_LEADER = "not-leader"
     NOT_SENT = "not-sent"
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -67,12 +67,18 @@
         service: The service it serves.
         slots: Most requests that it runs at once.
         connections: Most connections that it takes.
+        status_path: Path at which it tells in JSON how many requests are
+            `running`; empty if it can't.
+        longest_run_ms: Longest time that it works on one request, also one
+            whose connection is gone.
     """
 
     address: str = _endpoint()
     service: str = _name()
     slots: int = _positive(8)
     connections: int = _positive(64)
+    status_path: str = ""
+    longest_run_ms: int = _positive(30_000)
 
 
 @attrs.frozen
--- a/pomelostair_standins/site.py
+++ b/pomelostair_standins/site.py
@@ -37,6 +37,7 @@
         workers: Number of workers, each with an agent.
         slots: Slots of each minion.
         service_ms: Mean service time of the minions.
+        longest_run_ms: Longest time that a minion works on one request.
         timing: Overrides of the settings' `timing`.
     """
 
@@ -47,6 +48,7 @@
     workers: int = 3
     slots: int = 8
     service_ms: float = 20.0
+    longest_run_ms: int = 30_000
     timing: dict = attrs.field(factory=dict)
 
 
@@ -206,6 +208,8 @@
             "address": address,
             "service": self._shape.service,
             "slots": self._shape.slots,
+            "status_path": "/stats",
+            "longest_run_ms": self._shape.longest_run_ms,
         }
         self._launch_daemon("agent", f"agent-{name}", index, target=target)
 
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,82 @@
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pomelostair import messages
+from pomelostair import routing
+from tests import targets
+
+NORMAL = messages.Urgency.NORMAL
+LOADS = st.lists(
+    st.tuples(st.integers(0, 8), st.integers(0, 30), st.integers(1, 40)),
+    min_size=1,
+    max_size=8,
+)
+
+
+def loaded(index, zone, running, queued, service_ms):
+    return targets.minion(
+        f"m{index}",
+        zone,
+        service_ms,
+        running=running,
+        queued=queued,
+        waits_ms=(queued * service_ms / 8,) * 4,
+    )
+
+
+def pick(candidates, seed=1):
+    return routing.choose(candidates, NORMAL, "patan", random.Random(seed))
+
+
+class TestChoose:
+    def test_none(self):
+        assert pick([]) is None
+
+    @given(LOADS, st.integers(0, 99))
+    def test_never_the_worst_of_three_or_more(self, loads, seed):
+        candidates = [loaded(i, "patan", *load) for i, load in enumerate(loads)]
+        chosen = pick(candidates, seed)
+        scores = [routing.expected_ms(t, NORMAL, "patan") for t in candidates]
+        worse = [
+            s
+            for s in scores
+            if s >= routing.expected_ms(chosen, NORMAL, "patan")
+        ]
+        assert len(worse) >= min(2, len(candidates))
+
+    @given(LOADS)
+    def test_up_to_two_here_and_two_elsewhere_is_a_full_search(self, loads):
+        zones = ["patan", "patan", "kirtipur", "kirtipur"]
+        candidates = [
+            loaded(i, zones[i], *load) for i, load in enumerate(loads[:4])
+        ]
+        naive = min(routing.expected_ms(t, NORMAL, "patan") for t in candidates)
+        chosen = routing.expected_ms(pick(candidates), NORMAL, "patan")
+        assert chosen == naive
+
+    def test_the_own_zone_first_among_equals(self):
+        candidates = [targets.minion("far", "kirtipur"), targets.minion("near")]
+        assert pick(candidates).announcement.name == "near"
+
+    def test_another_zone_when_the_own_is_busier_than_the_hop(self):
+        near = targets.minion("near", running=8, waits_ms=(9.0,) * 4)
+        far = targets.minion("far", "kirtipur")
+        assert pick([near, far]) is far
+
+
+class TestExpectedMs:
+    def test_own_requests_since_the_announcement_count(self):
+        target = targets.minion("m", running=8, waits_ms=(0.0,) * 4)
+        before = routing.expected_ms(target, NORMAL, "patan")
+        target.outstanding[NORMAL] = 8
+        after = routing.expected_ms(target, NORMAL, "patan")
+        assert after >= before + target.announcement.service_ms
+
+    def test_less_urgent_requests_do_not_delay_the_urgent(self):
+        target = targets.minion("m", running=8, waits_ms=(0.0,) * 4)
+        target.outstanding[messages.Urgency.BATCH] = 80
+        wait = routing.expected_ms(target, messages.Urgency.CRITICAL, "patan")
+        other = routing.expected_ms(target, messages.Urgency.BATCH, "patan")
+        assert wait < other
