List tasks and workers at the leader, page by page

Cause: the command language needs rows of tasks and workers, and the leader only showed single jobs. Change: messages ListTasks, ListWorkers and their rows; listing.py makes the views from the committed state. Ruled out: filtering only at the entry, since whole cells would cross the bus for one task.

--- a/pomelostair/leader.py
+++ b/pomelostair/leader.py
@@ -14,6 +14,7 @@
 from pomelostair import events
 from pomelostair import kernel
 from pomelostair import ledger
+from pomelostair import listing
 from pomelostair import log
 from pomelostair import membership
 from pomelostair import messages
@@ -75,6 +76,8 @@
         parts.bus.handle(messages.SubmitJob, self._on_submit)
         parts.bus.handle(messages.ShowJob, self._on_show)
         parts.bus.handle(messages.CancelJob, self._on_cancel)
+        parts.bus.handle(messages.ListTasks, self._on_list_tasks)
+        parts.bus.handle(messages.ListWorkers, self._on_list_workers)
         parts.bus.handle(messages.Heartbeat, self._on_heartbeat)
 
     async def run(self) -> None:
@@ -231,6 +234,32 @@
         self._waiters.append(Waiter(envelope, cell_module.view(job)))
         await self._log_event(cell_module.JobCancelled(message.id))
 
+    async def _on_list_tasks(
+        self, message: messages.ListTasks, envelope
+    ) -> None:
+        if await self._lead_or_refuse(envelope):
+            rows = listing.tasks(self._state, message)
+            await self._parts.bus.reply(envelope, rows)
+
+    async def _on_list_workers(
+        self, _message: messages.ListWorkers, envelope
+    ) -> None:
+        if await self._lead_or_refuse(envelope):
+            rows = listing.workers(self._state, self._seen())
+            await self._parts.bus.reply(envelope, rows)
+
+    def _seen(self) -> dict[str, listing.Seen]:
+        now = self._parts.clock.now()
+        silent_s = self._timing.silent_ms / 1000
+        return {
+            name: listing.Seen(
+                worker.heartbeat,
+                now - worker.granted,
+                now - worker.granted > silent_s,
+            )
+            for name, worker in self._workers.items()
+        }
+
     async def _lead_or_refuse(self, envelope) -> bool:
         if self._leading and self._log.held:
             return True
--- a/pomelostair/messages.py
+++ b/pomelostair/messages.py
@@ -402,3 +402,145 @@
     """Leader to agent: send a heartbeat now, since orders wait for it."""
 
     epoch: int
+
+
+@wire.message("list-tasks")
+@attrs.frozen
+class ListTasks:
+    """Entry to leader: report tasks in order of their ids, page by page.
+
+    Empty filters match everything.
+
+    Attributes:
+        after: Id of the last task of the previous page, empty for the first.
+        limit: Most rows to return; the leader may return fewer.
+        job: Only tasks of this job.
+        kind: Only tasks of this kind.
+        team: Only tasks of this team.
+        state: Only tasks in the state of this name.
+        worker: Only tasks on this worker.
+    """
+
+    after: str = ""
+    limit: int = 1000
+    job: str = ""
+    kind: str = ""
+    team: str = ""
+    state: str = ""
+    worker: str = ""
+
+
+@attrs.frozen
+class TaskRow:
+    """A task as operators list it.
+
+    Attributes:
+        id: Id of the task, `JOB/INDEX`.
+        job: Id of its job.
+        kind: Kind of work.
+        team: Team that it counts for.
+        urgency: Urgency class.
+        state: Name of its state.
+        reason: Why it is in this state.
+        attempt: Number of its latest start, 0 before the first.
+        worker: Agent of the worker that runs it, empty for none.
+        size: Declared size.
+        failures: Failed attempts.
+        checkpoint: Key of the latest checkpoint, empty for none.
+        once: Whether it must never run again after it may have completed.
+        survive: Whether it is to survive load shedding.
+    """
+
+    id: str
+    job: str
+    kind: str
+    team: str
+    urgency: Urgency
+    state: str
+    reason: str
+    attempt: int
+    worker: str
+    size: Size
+    failures: int = 0
+    checkpoint: str = ""
+    once: bool = False
+    survive: bool = False
+
+
+@wire.message("task-list")
+@attrs.frozen
+class TaskList:
+    """Leader to entry: one page of tasks; `more` tells that others follow."""
+
+    rows: tuple[TaskRow, ...]
+    more: bool
+
+
+@wire.message("list-workers")
+@attrs.frozen
+class ListWorkers:
+    """Entry to leader: report all workers of the cell."""
+
+
+@attrs.frozen
+class WorkerRow:
+    """A worker as operators list it.
+
+    Attributes:
+        name: Name of its agent.
+        zone: Availability zone.
+        rack: Rack.
+        state: `ready`, `draining`, `silent` or `dead`.
+        reason: Why it is in this state.
+        capacity: What tasks may use.
+        assigned: Sum of the declared sizes of the tasks placed on it.
+        tasks: Number of these tasks.
+        silent_s: Seconds since its latest heartbeat; negative when this
+            leader has had none.
+    """
+
+    name: str
+    zone: str
+    rack: str
+    state: str
+    reason: str
+    capacity: Size
+    assigned: Size
+    tasks: int
+    silent_s: float
+
+
+@wire.message("worker-list")
+@attrs.frozen
+class WorkerList:
+    """Leader to entry: the workers of the cell by name."""
+
+    rows: tuple[WorkerRow, ...]
+
+
+@wire.message("declare-worker-dead")
+@attrs.frozen
+class DeclareWorkerDead:
+    """Entry to leader: an operator vouches that a worker runs nothing.
+
+    Its tasks restart elsewhere at once. Idempotent; answered after commit.
+
+    Attributes:
+        worker: Name of the worker's agent.
+    """
+
+    worker: str
+
+
+@wire.message("worker-declared-dead")
+@attrs.frozen
+class WorkerDeclaredDead:
+    """Leader to entry: the declaration is durable.
+
+    Attributes:
+        worker: Name of the worker's agent.
+        tasks: Ids of the tasks that the declaration freed.
+    """
+
+    worker: str
+    tasks: tuple[str, ...]
