scheduler split: decisions leave the leader

Cause: scheduling, heartbeat answers and the lease log stood in one module, so that two people could not work on them. New: event TaskParked sets the reason of a waiting task; ExplainTask is answered by Explanation.

--- a/pomelostair/cell.py
+++ b/pomelostair/cell.py
@@ -69,7 +69,16 @@
     checkpoint: str = ""
 
 
-Event = JobSubmitted | JobCancelled | TaskPlaced | TaskEnded
+@wire.message("event-task-parked")
+@attrs.frozen
+class TaskParked:
+    """A waiting task can't be placed for now, and why."""
+
+    task: str
+    reason: str
+
+
+Event = JobSubmitted | JobCancelled | TaskPlaced | TaskEnded | TaskParked
 
 
 @attrs.define
@@ -143,6 +152,8 @@
                 self._place(event)
             case TaskEnded():
                 self._end(event)
+            case TaskParked():
+                self._park(event)
 
     def _submit(self, spec: messages.JobSpec) -> None:
         if spec.id in self._jobs:
@@ -172,6 +183,11 @@
         task.worker = event.worker
         task.reason = f"placed on {event.worker}"
 
+    def _park(self, event: TaskParked) -> None:
+        task = self._tasks.get(event.task)
+        if task is not None and task.state is TaskState.WAITING:
+            task.reason = event.reason
+
     def _end(self, event: TaskEnded) -> None:
         task = self._tasks.get(event.task)
         if task is None or task.state is not TaskState.PLACED:
--- a/pomelostair/leader.py
+++ b/pomelostair/leader.py
@@ -11,35 +11,20 @@
 from pomelostair import bus as bus_module
 from pomelostair import cell as cell_module
 from pomelostair import celllog
+from pomelostair import configuration
 from pomelostair import events
 from pomelostair import kernel
-from pomelostair import ledger
 from pomelostair import log
 from pomelostair import membership
 from pomelostair import messages
 from pomelostair import outcome
-from pomelostair import placement
+from pomelostair import scheduler
 from pomelostair import settings as settings_module
 from pomelostair import wire
 
 RENEWALS_PER_LEASE = 3
 
 
-@attrs.define
-class Worker:
-    """A worker as the leader knows it.
-
-    Attributes:
-        bus: Bus URL of its agent.
-        heartbeat: The latest heartbeat.
-        granted: Monotonic seconds of the latest heartbeat that was granted.
-    """
-
-    bus: str
-    heartbeat: messages.Heartbeat
-    granted: float
-
-
 @attrs.define
 class Waiter:
     """A caller that waits for a commit."""
@@ -52,7 +37,7 @@
 class Leader(kernel.Plugin):
     """Campaigns for the cell's lease and schedules the cell under it."""
 
-    requires = (membership.Membership,)
+    requires = (membership.Membership, configuration.Configuration)
 
     def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
         super().__init__(parts, host)
@@ -66,9 +51,11 @@
             parts.bus.address,
             self._timing.cell_lease_ms / 1000,
         )
+        self._configuration = host.get(configuration.Configuration)
+        self._scheduler = self._new_scheduler()
         self._leading = False
         self._state = cell_module.State()
-        self._workers: dict[str, Worker] = {}
+        self._workers: dict[str, scheduler.Worker] = {}
         self._pending: list[cell_module.Event] = []
         self._waiters: list[Waiter] = []
         self._work = curio.Event()
@@ -76,6 +63,7 @@
         parts.bus.handle(messages.ShowJob, self._on_show)
         parts.bus.handle(messages.CancelJob, self._on_cancel)
         parts.bus.handle(messages.Heartbeat, self._on_heartbeat)
+        parts.bus.handle(messages.ExplainTask, self._on_explain)
 
     async def run(self) -> None:
         """Campaigns and leads until cancelled."""
@@ -146,6 +134,7 @@
         self._pending = []
         self._waiters = []
         self._workers = {}
+        self._scheduler = self._new_scheduler()
         for event in replayed:
             self._state.apply(event)
         log.emit(events.Events.CELL_RECOVERED, events=len(replayed))
@@ -231,6 +220,14 @@
         self._waiters.append(Waiter(envelope, cell_module.view(job)))
         await self._log_event(cell_module.JobCancelled(message.id))
 
+    async def _on_explain(
+        self, message: messages.ExplainTask, envelope
+    ) -> None:
+        if not await self._lead_or_refuse(envelope):
+            return
+        answer = self._scheduler.explain(message.task, self._state)
+        await self._parts.bus.reply(envelope, answer)
+
     async def _lead_or_refuse(self, envelope) -> bool:
         if self._leading and self._log.held:
             return True
@@ -246,10 +243,19 @@
         if not self._leading:
             return
         now = self._parts.clock.now()
-        self._workers[message.worker] = Worker(envelope.reply_to, message, now)
+        self._workers[message.worker] = scheduler.Worker(
+            envelope.reply_to, message, now
+        )
+        self._scheduler.observe(message, self._state, now)
         for ended in message.ended:
             await self._on_ended(ended)
-        await self._parts.bus.reply(envelope, self._grant(message))
+        grant = self._scheduler.grant(
+            message, self._state, self._log.epoch, now
+        )
+        for event in grant.events:
+            if event not in self._pending:
+                await self._log_event(event)
+        await self._parts.bus.reply(envelope, grant.ack)
 
     async def _on_ended(self, ended: messages.TaskEnded) -> None:
         task = self._state.tasks.get(ended.task)
@@ -271,91 +277,26 @@
             and task.attempt == attempt
         )
 
-    def _grant(self, heartbeat: messages.Heartbeat) -> messages.HeartbeatAck:
-        running = {(u.task, u.attempt) for u in heartbeat.usage}
-        ended = {(e.task, e.attempt) for e in heartbeat.ended}
-        mine = {
-            (task.id, task.attempt): task
-            for task in self._state.placed()
-            if task.worker == heartbeat.worker
-        }
-        cancelled = {
-            key for key, task in mine.items() if self._is_cancelled(task)
-        }
-        wanted = mine.keys() - cancelled
-        stop = (running - mine.keys()) | (running & cancelled)
-        never_started = cancelled - running - ended
-        for task_id, attempt in never_started:
-            self._pending.append(
-                cell_module.TaskEnded(
-                    task_id, attempt, messages.TaskEnd.STOPPED
-                )
-            )
-        return messages.HeartbeatAck(
-            epoch=self._log.epoch,
-            renew=tuple(sorted(wanted & running)),
-            start=tuple(
-                _start_order(mine[key])
-                for key in sorted(wanted - running - ended)
-            ),
-            stop=tuple(
-                messages.StopOrder(task, attempt, checkpoint=False)
-                for task, attempt in sorted(stop)
-            ),
-            acknowledged=tuple(sorted(ended - mine.keys())),
-        )
-
-    def _is_cancelled(self, task: cell_module.Task) -> bool:
-        job = self._state.jobs[task.spec.id]
-        return job.state is not cell_module.JobState.ACTIVE
-
     async def _schedule(self) -> None:
-        accounts = self._accounts()
-        nudged: set[str] = set()
-        waiting = sorted(
-            self._state.waiting(), key=lambda task: task.spec.urgency
-        )
-        pending = {
-            event.task
-            for event in self._pending
-            if isinstance(event, cell_module.TaskPlaced)
-        }
-        for task in waiting:
-            if task.id in pending:
-                continue
-            account = placement.choose(task.spec.size, accounts.values())
-            if account is None:
-                continue
-            account.assigned[task.id] = task.spec.size
-            nudged.add(account.worker)
-            self._pending.append(
-                cell_module.TaskPlaced(
-                    task.id, task.attempt + 1, account.worker
-                )
+        plan = self._scheduler.plan(
+            scheduler.Round(
+                self._state,
+                tuple(self._pending),
+                self._workers,
+                self._configuration.in_force.declarations,
+                self._parts.clock.now(),
             )
-        if not nudged:
-            return
-        await self._commit()
-        for worker in nudged:
+        )
+        self._pending.extend(plan.events)
+        if plan.events:
+            await self._commit()
+        for worker in plan.nudges:
             await self._nudge(worker)
 
-    def _accounts(self) -> dict[str, ledger.Account]:
-        horizon = self._parts.clock.now() - self._timing.silent_ms / 1000
-        accounts = {
-            name: ledger.Account(
-                name,
-                worker.heartbeat.zone,
-                worker.heartbeat.rack,
-                worker.heartbeat.capacity,
-            )
-            for name, worker in self._workers.items()
-            if worker.granted >= horizon
-            and worker.heartbeat.state is messages.TargetState.READY
-        }
-        for task in self._state.placed():
-            if task.worker in accounts:
-                accounts[task.worker].assigned[task.id] = task.spec.size
-        return accounts
+    def _new_scheduler(self) -> scheduler.Scheduler:
+        return scheduler.Scheduler(
+            self._timing, self._parts.metrics, self._parts.clock.now()
+        )
 
     async def _nudge(self, worker: str) -> bus_module.Send:
         return await self._parts.bus.send(
@@ -363,19 +304,6 @@
         )
 
 
-def _start_order(task: cell_module.Task) -> messages.StartOrder:
-    return messages.StartOrder(
-        task=task.id,
-        attempt=task.attempt,
-        kind=task.spec.kind,
-        urgency=task.spec.urgency,
-        size=task.spec.size,
-        run_s=task.spec.run_s,
-        checkpoint=task.checkpoint,
-        once=task.spec.once,
-    )
-
-
 def _unknown_job(job_id: str) -> outcome.Refused:
     return outcome.Refused(
         outcome.Kind.UNKNOWN_JOB, f"name an existing job; {job_id} is not"
--- a/pomelostair/messages.py
+++ b/pomelostair/messages.py
@@ -402,3 +402,25 @@
     """Leader to agent: send a heartbeat now, since orders wait for it."""
 
     epoch: int
+
+
+@wire.message("explain-task")
+@attrs.frozen
+class ExplainTask:
+    """Entry to leader: why a task is where it is."""
+
+    task: str
+
+
+@wire.message("explanation")
+@attrs.frozen
+class Explanation:
+    """Leader to entry: what was decided about a task, oldest first.
+
+    Attributes:
+        task: Id of the task.
+        rows: One line of text for each recorded decision.
+    """
+
+    task: str
+    rows: tuple[str, ...]
