--- a/pomelostair/messages.py
+++ b/pomelostair/messages.py
@@ -544,3 +544,25 @@
 
     worker: str
     tasks: tuple[str, ...]
+
+
+@wire.message("explain-task")
+@attrs.frozen
+class ExplainTask:
+    """Entry to leader: why a task is where it is."""
+
+    task: str
+
+
+@wire.message("explanation")
+@attrs.frozen
+class Explanation:
+    """Leader to entry: what was decided about a task, oldest first.
+
+    Attributes:
+        task: Id of the task.
+        rows: One line of text for each recorded decision.
+    """
+
+    task: str
+    rows: tuple[str, ...]
