--- a/pomelostair/errors.py
+++ b/pomelostair/errors.py
@@ -21,6 +21,23 @@
         self.remedy = remedy
 
 
+class CommandError(PomelostairError):
+    """A sentence of the command language can't be used.
+
+    Args:
+        word: The offending word, empty for the end of the sentence.
+        column: Its first character, counted from 1.
+        remedy: What to write there, as a sentence.
+    """
+
+    def __init__(self, word: str, column: int, remedy: str):
+        place = f"at {word!r}" if word else "at the end"
+        super().__init__(f"column {column}, {place}: {remedy}")
+        self.word = word
+        self.column = column
+        self.remedy = remedy
+
+
 class MessageError(PomelostairError):
     """Bytes from a peer are not a message of a known type."""
 
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -13,6 +13,8 @@
 
 MAX_PORT = 65535
 
+_T = typing.TypeVar("_T")
+
 
 class Role(enum.Enum):
     """What a daemon does."""
@@ -225,6 +227,19 @@
     Args:
         data: A JSON document.
 
+    Raises:
+        SettingsError: Names the first bad key, its value and the remedy.
+    """
+    return structure(data, Settings)
+
+
+def structure(data: bytes, cls: type[_T]) -> _T:
+    """Checks a JSON document against an attrs class and returns it.
+
+    Args:
+        data: A JSON document.
+        cls: Class of the whole document; unknown keys are refused.
+
     Raises:
         SettingsError: Names the first bad key, its value and the remedy.
     """
@@ -234,7 +249,7 @@
         text = f"write one JSON document: {error}"
         raise errors.SettingsError("$", data[:40], text) from error
     try:
-        return _CONVERTER.structure(document, Settings)
+        return _CONVERTER.structure(document, cls)
     except (cattrs_errors.BaseValidationError, ValueError) as error:
         raise _explain(error, "$", document) from error
 
