Configuration: one row by compare-and-set, spread by version

Cause: declarations and orders have to survive any death and never revert. Change: configtable accepts a change by compare-and-set with an expected version; a write whose answer was lost is repeated under the same condition and found by its token. Entries poll the row, push a newer version to each other and to the agents that reported to them; each process reports its version to one entry at a time, and the higher of the two sends its document. Ruled out: polling by every process (26,000 at 2 a second are 52,000 reads a second, the table gives 2,000); trusting the table's newest answer.

--- a/pomelostair/configuration.py
+++ b/pomelostair/configuration.py
@@ -1,19 +1,293 @@
-"""The configuration that a process has in force."""
+"""The configuration that a process has in force, and how it spreads.
 
+Entries poll the platform's table and push a newer configuration to each other
+and to the agents that reported to them. Every process reports its version to
+an entry at intervals; whoever of the two runs the higher version sends it to
+the other. Only a higher version is ever applied.
+"""
+
+import attrs
+import curio
+
+from pomelostair import configtable
 from pomelostair import declaration
+from pomelostair import events
 from pomelostair import kernel
+from pomelostair import log
+from pomelostair import membership
+from pomelostair import outcome
 from pomelostair import settings as settings_module
+from pomelostair import wire
+
+POLL_S = 0.5
+REPORT_S = 0.7
+FIRST_REPORT_S = 0.1
+UNKNOWN_GRACE_S = 3.0
+PUSH_HORIZON_S = 3 * REPORT_S
+STATUS_TIMEOUT_S = 1.0
+STATUS_EXPIRY_S = 300.0
+
+
+@wire.message("config-version")
+@attrs.frozen
+class ConfigVersion:
+    """Tells which version a process runs; the receiver sends a higher one.
+
+    Attributes:
+        role: Role of the process.
+        version: Version that it has in force.
+        known: Whether it has learned the accepted version since its start.
+    """
+
+    role: str
+    version: int
+    known: bool
+
+
+@wire.message("config-document")
+@attrs.frozen
+class ConfigDocument:
+    """A whole configuration as JSON."""
+
+    document: bytes
+
+
+@wire.message("config-status-query")
+@attrs.frozen
+class ConfigStatusQuery:
+    """Entry to entry: list the versions that were reported to you."""
+
+
+@attrs.frozen
+class ProcessStatus:
+    """Which version a process runs.
+
+    Attributes:
+        name: Name of the process.
+        role: Its role.
+        version: Version that it reported last.
+        age_s: Seconds since that report.
+    """
+
+    name: str
+    role: str
+    version: int
+    age_s: float
+
+
+@wire.message("config-status")
+@attrs.frozen
+class ConfigStatus:
+    """Answer to `ConfigStatusQuery`."""
+
+    processes: tuple[ProcessStatus, ...]
+
+
+@attrs.frozen
+class _Report:
+    role: str
+    bus: str
+    version: int
+    seen: float
 
 
 @kernel.plugin(settings_module.Role.ENTRY, settings_module.Role.AGENT)
 class Configuration(kernel.Plugin):
-    """Keeps the newest accepted declarations in force."""
+    """Keeps the newest accepted configuration in force."""
+
+    requires = (membership.Membership,)
 
     def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
         super().__init__(parts, host)
+        self._directory = host.get(membership.Membership).directory
+        self._role = parts.settings.role
         self._in_force = declaration.InForce()
+        self._known = False
+        self._started = parts.clock.now()
+        self._reports: dict[str, _Report] = {}
+        self._table = configtable.ConfigTable(parts.table)
+        parts.bus.handle(ConfigVersion, self._on_version)
+        parts.bus.handle(ConfigDocument, self._on_document)
+        parts.bus.handle(ConfigStatusQuery, self._on_status_query)
+        parts.metrics.gauge("config_version", lambda: self._in_force.version)
 
     @property
     def in_force(self) -> declaration.InForce:
-        """The declarations in force; read it again for each decision."""
+        """The configuration in force; read it again for each decision."""
         return self._in_force
+
+    @property
+    def known(self) -> bool:
+        """Whether the accepted version was learned since the start.
+
+        It also counts as learned when nobody told it for the grace period.
+        """
+        if not self._known:
+            waited_s = self._parts.clock.now() - self._started
+            self._known = waited_s > UNKNOWN_GRACE_S
+        return self._known
+
+    async def run(self) -> None:
+        """Polls and reports until cancelled."""
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._report_at_intervals)
+            if self._role is settings_module.Role.ENTRY:
+                await group.spawn(self._poll_at_intervals)
+        _ = group.result
+
+    async def change(
+        self, edit: configtable.Edit, expected: int | None = None
+    ) -> configtable.Accepted | outcome.Refused:
+        """Changes the accepted configuration and puts it in force here.
+
+        Args:
+            edit: Returns the edited configuration, or refuses.
+            expected: Version that must be changed, None for any.
+        """
+        result = await self._table.change(
+            edit, self._in_force.version, expected
+        )
+        match result:
+            case configtable.Accepted(after=after):
+                await self.offer(after)
+            case outcome.Refused(kind=kind):
+                self._parts.metrics.count(
+                    "config_changes_refused", reason=kind.value
+                )
+        return result
+
+    async def offer(self, document: declaration.InForce) -> bool:
+        """Puts a configuration in force if its version is higher.
+
+        Returns:
+            Whether it was put in force.
+        """
+        self._known = True
+        if document.version <= self._in_force.version:
+            return False
+        self._in_force = document
+        log.emit(events.Events.CONFIG_APPLIED, version=document.version)
+        if self._role is settings_module.Role.ENTRY:
+            await self._push()
+        return True
+
+    async def status(self) -> tuple[ProcessStatus, ...]:
+        """Returns what every process reported last, asking all entries."""
+        found = {status.name: status for status in self._own_status()}
+        others = [
+            entry.bus
+            for entry in self._directory.entries()
+            if entry.bus != self._parts.bus.address
+        ]
+        async with curio.TaskGroup() as group:
+            for address in others:
+                await group.spawn(self._ask_status, address)
+        for statuses in group.results:
+            for status in statuses:
+                known = found.get(status.name)
+                if known is None or status.age_s < known.age_s:
+                    found[status.name] = status
+        return tuple(found[name] for name in sorted(found))
+
+    async def _ask_status(self, address: str) -> tuple[ProcessStatus, ...]:
+        result = await self._parts.bus.call(
+            address, ConfigStatusQuery(), STATUS_TIMEOUT_S
+        )
+        match getattr(result, "message", None):
+            case ConfigStatus(processes=processes):
+                return processes
+        return ()
+
+    def _own_status(self) -> tuple[ProcessStatus, ...]:
+        now = self._parts.clock.now()
+        own = ProcessStatus(
+            self._parts.settings.name,
+            self._role.value,
+            self._in_force.version,
+            0.0,
+        )
+        for name, report in list(self._reports.items()):
+            if now - report.seen > STATUS_EXPIRY_S:
+                del self._reports[name]
+        reported = tuple(
+            ProcessStatus(name, r.role, r.version, now - r.seen)
+            for name, r in self._reports.items()
+        )
+        return (own, *reported)
+
+    async def _poll_at_intervals(self) -> None:
+        while True:
+            document = await self._table.read()
+            if isinstance(document, outcome.Unavailable):
+                self._parts.metrics.count("config_reads_failed")
+            elif document.version < self._in_force.version:
+                self._parts.metrics.count("config_reads_stale")
+            else:
+                await self.offer(document)
+            await curio.sleep(POLL_S)
+
+    async def _report_at_intervals(self) -> None:
+        while True:
+            await self._report_to_one()
+            await curio.sleep(REPORT_S if self._known else FIRST_REPORT_S)
+
+    async def _report_to_one(self) -> None:
+        entries = [
+            entry.bus
+            for entry in self._directory.entries()
+            if entry.bus != self._parts.bus.address
+        ]
+        if entries:
+            await self._spawn_send(
+                self._parts.random.choice(entries), self._own_version()
+            )
+
+    def _own_version(self) -> ConfigVersion:
+        return ConfigVersion(
+            self._role.value, self._in_force.version, self._known
+        )
+
+    async def _push(self) -> None:
+        horizon = self._parts.clock.now() - PUSH_HORIZON_S
+        addresses = {
+            report.bus
+            for report in self._reports.values()
+            if report.seen >= horizon
+            and report.version < self._in_force.version
+        }
+        addresses |= {entry.bus for entry in self._directory.entries()}
+        addresses.discard(self._parts.bus.address)
+        document = ConfigDocument(configtable.encode(self._in_force))
+        for address in addresses:
+            await self._spawn_send(address, document)
+
+    async def _on_version(self, message: ConfigVersion, envelope) -> None:
+        self._reports[envelope.sender] = _Report(
+            message.role,
+            envelope.reply_to,
+            message.version,
+            self._parts.clock.now(),
+        )
+        own = self._in_force.version
+        if message.version < own:
+            document = ConfigDocument(configtable.encode(self._in_force))
+            await self._spawn_send(envelope.reply_to, document)
+        elif message.version > own or (self._known and not message.known):
+            await self._spawn_send(envelope.reply_to, self._own_version())
+        elif message.known and message.version == own:
+            self._known = True
+
+    async def _on_document(self, message: ConfigDocument, envelope) -> None:
+        document = configtable.decode(message.document)
+        if isinstance(document, outcome.Unavailable):
+            log.emit(events.Events.CONFIG_REFUSED, reason=document.reason)
+            return
+        if await self.offer(document):
+            await self._spawn_send(envelope.reply_to, self._own_version())
+
+    async def _on_status_query(self, _message, envelope) -> None:
+        status = ConfigStatus(self._own_status())
+        await curio.spawn(self._parts.bus.reply, envelope, status, daemon=True)
+
+    async def _spawn_send(self, address: str, message: object) -> None:
+        await curio.spawn(self._parts.bus.send, address, message, daemon=True)
--- /dev/null
+++ b/tests/faultytable.py
@@ -0,0 +1,67 @@
+"""A table that answers late, stale or not at all, for tests of races."""
+
+import curio
+
+from pomelostair import outcome
+from pomelostair import store
+
+
+class FaultyTable(store.Table):
+    """A memory table under random faults.
+
+    Args:
+        random: Decides about every fault.
+        rate: Share of the operations that meet a fault.
+    """
+
+    def __init__(self, random, rate=0.3):
+        self._table = store.MemoryTable()
+        self._random = random
+        self._rate = rate
+        self._history = [store.Absent()]
+
+    async def read(self, key):
+        await self._wait()
+        if self._random.random() < self._rate / 3:
+            return outcome.Unavailable("down")
+        if self._random.random() < self._rate:
+            return self._random.choice(self._history)
+        return await self._table.read(key)
+
+    async def scan(self, prefix, after="", limit=500):
+        raise NotImplementedError
+
+    async def commit(self, transaction):
+        await self._wait()
+        fault = self._random.random()
+        if fault < self._rate / 4:
+            return outcome.Unavailable("down")
+        if fault < self._rate / 2:
+            return outcome.Unknown("lost before the write")
+        if fault < self._rate * 3 / 4:
+            await self._apply(transaction)
+            return outcome.Unknown("lost after the write")
+        if fault < self._rate:
+            await curio.spawn(self._apply_late, transaction, daemon=True)
+            return outcome.Unknown("written late")
+        return await self._apply(transaction)
+
+    async def newest(self, key):
+        """Reads without faults."""
+        return await self._table.read(key)
+
+    async def _apply(self, transaction):
+        result = await self._table.commit(transaction)
+        if isinstance(result, outcome.Committed):
+            key = transaction.puts[0].key
+            self._history.append(await self._table.read(key))
+        return result
+
+    async def _apply_late(self, transaction):
+        for _ in range(self._random.randrange(1, 30)):
+            await curio.sleep(0)
+        await self._apply(transaction)
+
+    async def _wait(self):
+        for _ in range(self._random.randrange(4)):
+            await curio.sleep(0)
