--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,8 @@
 
 site: setup
 	$(BIN)/python -m pomelostair_standins.site
+
+bench: setup
+	for bench in bench/*_bench.py bench/*_cost.py; do \
+	  test ! -e $$bench || $(BIN)/python $$bench || exit 1; \
+	done
--- a/pomelostair_standins/site.py
+++ b/pomelostair_standins/site.py
@@ -23,6 +23,7 @@
 STOP_TIMEOUT_S = 15.0
 READY_TIMEOUT_S = 30.0
 WORKERS_PER_RACK = 3
+DAEMON_ROLES = ("entry", "agent")
 
 
 @attrs.frozen
@@ -253,6 +254,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
+                start_new_session=True,
             )
 
 
