--- a/pomelostair/gate.py
+++ b/pomelostair/gate.py
@@ -4,8 +4,6 @@
 refused while that is still certain not to have run.
 """
 
-import functools
-
 import attrs
 import curio
 import msgspec
@@ -63,6 +61,8 @@
     def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
         super().__init__(parts, host)
         self._configuration = host.get(configuration.Configuration)
+        self._declared = self._declarations()
+        self._declared_shares = queueing.Shares.of(self._declared)
         self._draining = False
         self._queue = queueing.FairQueue()
         self._service_s = 0.0
@@ -326,17 +326,16 @@
         return self._configuration.in_force.declarations
 
     def _shares(self) -> queueing.Shares:
-        return _shares_of(self._declarations())
+        declarations = self._declarations()
+        if declarations is not self._declared:
+            self._declared = declarations
+            self._declared_shares = queueing.Shares.of(declarations)
+        return self._declared_shares
 
     def _now(self) -> float:
         return self._parts.clock.now()
 
 
-@functools.lru_cache(maxsize=2)
-def _shares_of(declarations: declaration.Declarations) -> queueing.Shares:
-    return queueing.Shares.of(declarations)
-
-
 def _too_late() -> outcome.Refused:
     return outcome.Refused(
         outcome.Kind.TOO_LATE,
--- a/pomelostair/httpclient.py
+++ b/pomelostair/httpclient.py
@@ -128,8 +128,9 @@
     @property
     def alive(self) -> bool:
         """Whether the server has neither closed nor written."""
-        readable, _, _ = select.select([self._stream.fileno()], [], [], 0)
-        return not readable
+        poll = select.poll()
+        poll.register(self._stream.fileno(), select.POLLIN)
+        return not poll.poll(0)
 
     async def exchange(
         self, request: http.Request, progress: _Progress
--- a/pomelostair/httpserver.py
+++ b/pomelostair/httpserver.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import select
 import socket
 
 import curio
@@ -14,6 +15,7 @@
 
 _RECEIVE_BYTES = 64 * 1024
 _MAX_CONNECTIONS = 2048
+LEAVE_S = 1.0
 
 Handler = Callable[[http.Request], Awaitable[http.Response]]
 ErrorPage = Callable[[errors.HttpError], http.Response]
@@ -70,16 +72,24 @@
     async def _accept(self) -> None:
         while True:
             client, _ = await self._socket.accept()
-            if len(self._connections) >= self._max_connections:
-                await client.close()
-                continue
-            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = _Connection(client, self._handler, self._error_page)
-            task = await curio.spawn(self._serve, connection, daemon=True)
-            self._connections[connection] = task
+            await self._open(client)
+
+    async def _open(self, client) -> None:
+        if len(self._connections) >= self._max_connections:
+            await client.close()
+            return
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = _Connection(client, self._handler, self._error_page)
+        if self._draining:
+            connection.close_after_response()
+        task = await curio.spawn(self._serve, connection, daemon=True)
+        self._connections[connection] = task
 
     async def drain(self, timeout_s: float) -> bool:
-        """Stops accepting and waits until all open requests are answered.
+        """Takes leave of the callers and answers all open requests.
+
+        For a while each response asks its caller to close the connection.
+        Then connections that stay idle are closed, and no more are accepted.
 
         Args:
             timeout_s: Longest wait.
@@ -88,20 +98,31 @@
             Whether every open request was answered.
         """
         self._draining = True
-        if self._accepting is not None:
-            # Closing a socket that a task waits for breaks the event loop.
-            await self._accepting.cancel()
-        await self._socket.close()
         for connection in list(self._connections):
             connection.close_after_response()
-        idle = [c for c in self._connections if c.idle]
-        for connection in idle:
-            await self._connections[connection].cancel()
         async with curio.ignore_after(timeout_s):
+            await curio.sleep(LEAVE_S)
+            await self._close_socket()
             while self._connections:
+                await self._close_idle()
                 await curio.sleep(0.01)
         return not self._connections
 
+    async def _close_socket(self) -> None:
+        """Accepts the connections that callers have opened, then no more."""
+        if self._accepting is not None:
+            # Closing a socket that a task waits for breaks the event loop.
+            await self._accepting.cancel()
+        while _readable(self._socket):
+            client, _ = await self._socket.accept()
+            await self._open(client)
+        await self._socket.close()
+
+    async def _close_idle(self) -> None:
+        for connection, task in list(self._connections.items()):
+            if connection.idle and not connection.readable:
+                await task.cancel()
+
     async def _serve(self, connection: "_Connection") -> None:
         try:
             await connection.run()
@@ -127,6 +148,11 @@
         """Whether no request is being read or answered."""
         return self._idle
 
+    @property
+    def readable(self) -> bool:
+        """Whether the caller has sent what is not read yet."""
+        return _readable(self._client)
+
     def close_after_response(self) -> None:
         """Makes the current response the last one."""
         self._closing = True
@@ -242,6 +268,12 @@
         await self._client.sendall(self._protocol.send(event))
 
 
+def _readable(stream) -> bool:
+    poll = select.poll()
+    poll.register(stream.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _malformed(error: h11.RemoteProtocolError) -> errors.HttpError:
     status = error.error_status_hint
     if status == 431:
--- a/pomelostair_standins/site.py
+++ b/pomelostair_standins/site.py
@@ -23,6 +23,7 @@
 STOP_TIMEOUT_S = 15.0
 READY_TIMEOUT_S = 30.0
 WORKERS_PER_RACK = 3
+DAEMON_ROLES = ("entry", "agent")
 
 
 @attrs.frozen
@@ -172,6 +173,16 @@
         """Returns what a process logged so far."""
         return (self._directory / f"{name}.log").read_text()
 
+    def journal(self, name: str) -> pathlib.Path:
+        """Returns the file in which a minion writes what it ran."""
+        return self._directory / f"{name}.journal"
+
+    def terminate(self, name: str) -> None:
+        """Asks a process to stop gracefully and waits until it has."""
+        process = self._processes[name]
+        _signal(process, signal.SIGTERM)
+        _wait(process)
+
     def _start_platform(self) -> None:
         self._launch(
             "platform",
@@ -202,6 +213,7 @@
         arguments += ["--slots", str(self._shape.slots)]
         arguments += ["--service-ms", str(self._shape.service_ms)]
         arguments += ["--seed", str(index + 1)]
+        arguments += ["--journal", str(self.journal(name))]
         self._launch("minion", name, {"http": address}, arguments)
         target = {
             "kind": "minion",
@@ -257,6 +269,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
+                start_new_session=True,
             )
 
 
