Make the HTTP server, the bus and the daemon survive bad peers and callers

Causes found by reading and by the new tests: - Closing the listening socket while a task waited in accept left a dead file descriptor in curio's selector.

Change: the server has limits for each phase, answers 408, 413, 431 and 503 with ran: no, reads on for a moment after a refusal, serves its backlog and a last request on idle connections before it closes. The bus replies without waiting, waits at most once for a peer that is away, yields after 64 messages, refuses messages over the limit and foreign addresses as not sent, and flushes before it closes. The kernel supervises the bus as well, bounds each drain, and lingers 0.3 s. Stand-ins: paused, late writes, and an answer is lost by http.NoResponse in place of a raised TaskCancelled. Agents show metrics at the optional setting metrics; each Metrics has its own registry.

--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -25,6 +25,11 @@
 from pomelostair import wire
 
 CONNECT_TIMEOUT_S = 0.5
+FLUSH_TIMEOUT_S = 1.0
+SLOW_HANDLER_S = 0.05
+MAX_WAITING_REPLIES = 1024
+RECEIVE_BURST = 64
+_SCHEME = "tcp://"
 SEND_BUFFER_MESSAGES = 128
 RECEIVE_BUFFER_MESSAGES = 1024
 PEER_IDLE_S = 60.0
@@ -81,6 +86,7 @@
         self._handlers: dict[type, Handler] = {}
         self._calls: dict[str, curio.Queue] = {}
         self._next_call = 0
+        self._waiting_replies = 0
 
     @property
     def address(self) -> str:
@@ -111,10 +117,28 @@
             address, self._seal(message, correlation="", answer=False)
         )
 
-    async def reply(self, envelope: wire.Envelope, message: object) -> Send:
-        """Answers the call that came in `envelope`."""
+    async def reply(self, envelope: wire.Envelope, message: object) -> None:
+        """Answers the call that came in `envelope`, without waiting.
+
+        While the caller's connection is not ready, a task of its own goes on
+        trying, so that one caller holds up neither the receiving task nor the
+        answers to others.
+        """
+        address = envelope.reply_to
         sealed = self._seal(message, envelope.correlation, answer=True)
-        return await self._transmit(envelope.reply_to, sealed)
+        if await self._try_transmit(address, sealed) is not None:
+            return
+        if self._waiting_replies >= MAX_WAITING_REPLIES:
+            self._count_not_sent("too-many-waiting")
+            return
+        self._waiting_replies += 1
+        await curio.spawn(self._reply_later, address, sealed, daemon=True)
+
+    async def _reply_later(self, address: str, sealed: bytes) -> None:
+        try:
+            await self._transmit(address, sealed)
+        finally:
+            self._waiting_replies -= 1
 
     async def call(
         self, address: str, message: object, timeout_s: float
@@ -155,13 +179,16 @@
         if handler is None:
             self._drop("unhandled", envelope.tag)
             return
+        started = _now()
         try:
             await handler(message, envelope)
-        except Exception:  # noqa: BLE001 - one bad message must not end a process
+        except (Exception, curio.TaskTimeout):  # noqa: BLE001 - one bad message must not end a process
             self._metrics.count("messages_dropped", reason="handler-crashed")
             log.emit(
                 events.Events.HANDLER_CRASHED, exc_info=True, tag=envelope.tag
             )
+        if _now() - started > SLOW_HANDLER_S:
+            self._metrics.count("slow_handlers", tag=envelope.tag)
 
     async def _accept_answer(
         self, envelope: wire.Envelope, message: object
@@ -176,6 +203,9 @@
         self._metrics.count("messages_dropped", reason=reason)
         log.emit(events.Events.MESSAGE_DROPPED, reason=reason, detail=detail)
 
+    def _count_not_sent(self, reason: str) -> None:
+        self._metrics.count("messages_not_sent", reason=reason)
+
     def _seal(self, message: object, correlation: str, answer: bool) -> bytes:
         return wire.encode(
             wire.Envelope(
@@ -193,6 +223,14 @@
     async def _transmit(self, address: str, data: bytes) -> Send:
         """Sends bytes to the process at `address`."""
 
+    @abc.abstractmethod
+    async def _try_transmit(self, address: str, data: bytes) -> Send | None:
+        """Sends bytes if that needs no waiting, otherwise returns None."""
+
+    @abc.abstractmethod
+    async def flush(self) -> None:
+        """Waits until what was sent has left this process."""
+
     @abc.abstractmethod
     async def run(self) -> None:
         """Receives until cancelled."""
@@ -224,13 +262,26 @@
 
     async def run(self) -> None:
         """Receives until cancelled."""
+        burst = 0
         while True:
             try:
                 data = self._inbox.recv(block=False)
             except pynng.TryAgain:
+                burst = 0
                 await traps._read_wait(self._inbox.recv_fd)
                 continue
             await self.receive(data)
+            burst += 1
+            if burst % RECEIVE_BURST == 0:
+                await curio.sleep(0)
+
+    async def flush(self) -> None:
+        """Waits until what was sent has left this process."""
+        async with curio.ignore_after(FLUSH_TIMEOUT_S):
+            while self._waiting_replies:
+                await curio.sleep(0.01)
+        for peer in self._peers.values():
+            await peer.flush()
 
     def close(self) -> None:
         """Closes all sockets."""
@@ -239,19 +290,37 @@
             peer.close()
 
     async def _transmit(self, address: str, data: bytes) -> Send:
-        peer = self._peers.get(address)
-        if peer is None:
-            self._close_idle_peers()
-            try:
-                peer = _Peer(address)
-            except pynng.NNGException as error:
-                return NotSent(f"address {address}: {error}")
-            self._peers[address] = peer
-        sent = await peer.send(data)
+        peer = self._peer(address, data)
+        if isinstance(peer, NotSent):
+            sent = peer
+        else:
+            sent = peer.try_send(data) or await peer.send(data)
         if isinstance(sent, NotSent):
-            self._metrics.count("messages_not_sent", reason=sent.reason)
+            self._count_not_sent(sent.reason)
         return sent
 
+    async def _try_transmit(self, address: str, data: bytes) -> Send | None:
+        peer = self._peer(address, data)
+        sent = peer if isinstance(peer, NotSent) else peer.try_send(data)
+        if isinstance(sent, NotSent):
+            self._count_not_sent(sent.reason)
+        return sent
+
+    def _peer(self, address: str, data: bytes) -> "_Peer | NotSent":
+        if len(data) > wire.MAX_MESSAGE_BYTES:
+            return NotSent("too-large")
+        peer = self._peers.get(address)
+        if peer is not None:
+            return peer
+        if not address.startswith(_SCHEME):
+            return NotSent("bad-address")
+        self._close_idle_peers()
+        try:
+            peer = self._peers[address] = _Peer(address)
+        except (pynng.NNGException, ValueError):
+            return NotSent("bad-address")
+        return peer
+
     def _close_idle_peers(self) -> None:
         horizon = _now() - PEER_IDLE_S
         idle = [a for a, peer in self._peers.items() if peer.used < horizon]
@@ -260,7 +329,12 @@
 
 
 class _Peer:
-    """The connection to one peer."""
+    """The connection to one peer.
+
+    A send waits only within `CONNECT_TIMEOUT_S` of the dial or of the last
+    message that left. After that the peer counts as away, and sends return at
+    once until the connection is back.
+    """
 
     def __init__(self, address: str):
         self._socket = pynng.Push0(
@@ -270,35 +344,59 @@
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
+        self._turn = curio.Lock()
         self._used = _now()
+        self._proven = self._used
 
     @property
     def used(self) -> float:
         """Monotonic seconds of the last send."""
         return self._used
 
+    def try_send(self, data: bytes) -> Send | None:
+        """Sends bytes if that needs no waiting, otherwise returns None."""
+        if self._turn.locked():
+            return None
+        return self._send_now(data)
+
     async def send(self, data: bytes) -> Send:
         """Sends bytes, or returns that they certainly did not leave."""
-        self._used = _now()
-        deadline = self._used + CONNECT_TIMEOUT_S
-        while True:
-            try:
-                self._socket.send(data, block=False)
-                return Sent()
-            except pynng.TryAgain:
-                left = deadline - _now()
-            except pynng.NNGException as error:
-                return NotSent(type(error).__name__)
-            if left <= 0:
-                return NotSent("no-connection")
-            await curio.ignore_after(
-                left, traps._read_wait, self._socket.send_fd
-            )
+        async with self._turn:
+            while True:
+                sent = self._send_now(data)
+                if sent is not None:
+                    return sent
+                left = self._proven + CONNECT_TIMEOUT_S - _now()
+                if left <= 0:
+                    return NotSent("no-connection")
+                await self._wait_until_writable(left)
+
+    async def flush(self) -> None:
+        """Waits until the last message has left this process."""
+        async with self._turn:
+            if _now() - self._proven < FLUSH_TIMEOUT_S:
+                await self._wait_until_writable(FLUSH_TIMEOUT_S)
 
     def close(self) -> None:
         """Closes the connection."""
         self._socket.close()
 
+    async def _wait_until_writable(self, timeout_s: float) -> None:
+        await curio.ignore_after(
+            timeout_s, traps._read_wait, self._socket.send_fd
+        )
+
+    def _send_now(self, data: bytes) -> Send | None:
+        self._used = _now()
+        try:
+            self._socket.send(data, block=False)
+        except pynng.TryAgain:
+            return None
+        except pynng.NNGException as error:
+            return NotSent(type(error).__name__)
+        self._proven = self._used
+        return Sent()
+
 
 class MemoryNetwork:
     """Addresses of the memory-backed buses of one test."""
@@ -353,6 +451,9 @@
         while True:
             await self.receive(await self._inbox.get())
 
+    async def flush(self) -> None:
+        """Does nothing: messages arrive at once."""
+
     def close(self) -> None:
         """Does nothing: there are no sockets."""
 
@@ -363,6 +464,9 @@
         await peer._inbox.put(data)
         return Sent()
 
+    async def _try_transmit(self, address: str, data: bytes) -> Send | None:
+        return await self._transmit(address, data)
+
 
 def _now() -> float:
     return time.monotonic()
--- a/pomelostair/compose.py
+++ b/pomelostair/compose.py
@@ -2,12 +2,16 @@
 
 import random
 
+import pynng
+
 from pomelostair import announcer as _announcer  # noqa: F401
 from pomelostair import bus
 from pomelostair import clock
 from pomelostair import configuration as _configuration  # noqa: F401
 from pomelostair import dispatch as _dispatch  # noqa: F401
+from pomelostair import errors
 from pomelostair import executor as _executor  # noqa: F401
+from pomelostair import exporter as _exporter  # noqa: F401
 from pomelostair import gate as _gate  # noqa: F401
 from pomelostair import httpclient
 from pomelostair import ingress as _ingress  # noqa: F401
@@ -23,17 +27,38 @@
 
 
 def build(settings: settings_module.Settings) -> kernel.Kernel:
-    """Returns the wired kernel of one daemon."""
+    """Returns the wired kernel of one daemon.
+
+    Raises:
+        StartError: An address of the settings can't be listened at.
+    """
     metrics = metrics_module.Metrics()
     client = httpclient.Client(settings.platform.address, PLATFORM_CONNECTIONS)
     timeout_s = settings.platform.timeout_ms / 1000
     parts = kernel.Parts(
         settings=settings,
         clock=clock.MonotonicClock(),
-        bus=bus.NngBus(settings.name, f"tcp://{settings.bus}", metrics),
+        bus=_listen(settings, metrics),
         table=platform.HttpTable(client, metrics, timeout_s),
         objects=platform.HttpObjects(client, timeout_s),
         metrics=metrics,
         random=random.Random(),
     )
-    return kernel.Kernel(parts)
+    try:
+        return kernel.Kernel(parts)
+    except OSError as error:
+        address = settings.http
+        if settings.role is settings_module.Role.AGENT:
+            address = str(settings.metrics)
+        text = f"{address}: set a free address of this host: {error}"
+        raise errors.StartError(text) from error
+
+
+def _listen(
+    settings: settings_module.Settings, metrics: metrics_module.Metrics
+) -> bus.NngBus:
+    try:
+        return bus.NngBus(settings.name, f"tcp://{settings.bus}", metrics)
+    except pynng.NNGException as error:
+        text = f"set bus to a free address of this host: {error}"
+        raise errors.StartError(f"{settings.bus}: {text}") from error
--- a/pomelostair/errors.py
+++ b/pomelostair/errors.py
@@ -48,5 +48,9 @@
     """A request may have reached its server, but no whole answer came."""
 
 
+class StartError(PomelostairError):
+    """A daemon can't start with its settings on this host."""
+
+
 class PluginError(PomelostairError):
     """The plug-ins of a program can't be wired together."""
--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -30,6 +30,8 @@
     STARTED = Event(100, logging.INFO, "process started")
     STOPPED = Event(101, logging.INFO, "process stopped")
     DRAINING = Event(102, logging.INFO, "process is draining")
+    DRAIN_CUT_SHORT = Event(103, logging.WARNING, "plug-in drained too long")
+    STOPPED_AT_ONCE = Event(104, logging.WARNING, "second signal; stopping now")
     PLUGIN_CRASHED = Event(110, logging.ERROR, "plug-in crashed; restarting")
     HANDLER_CRASHED = Event(111, logging.ERROR, "message handler crashed")
     MESSAGE_DROPPED = Event(120, logging.WARNING, "message dropped")
--- /dev/null
+++ b/pomelostair/exporter.py
@@ -0,0 +1,49 @@
+"""Metrics and liveness of an agent over HTTP, where its settings ask for it."""
+
+from pomelostair import errors
+from pomelostair import http
+from pomelostair import httpserver
+from pomelostair import ingress
+from pomelostair import kernel
+from pomelostair import settings as settings_module
+
+MAX_CONNECTIONS = 16
+MAX_BODY_BYTES = 1024
+
+
+@kernel.plugin(settings_module.Role.AGENT)
+class Exporter(kernel.Plugin):
+    """Serves `/metrics` and `/healthz` of an agent."""
+
+    def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
+        super().__init__(parts, host)
+        self._server: httpserver.Server | None = None
+        if parts.settings.metrics is not None:
+            address, _, port = parts.settings.metrics.rpartition(":")
+            self._server = httpserver.Server(
+                address,
+                int(port),
+                self._answer,
+                ingress.error_page,
+                http.Limits(
+                    connections=MAX_CONNECTIONS, body_bytes=MAX_BODY_BYTES
+                ),
+            )
+
+    @property
+    def port(self) -> int | None:
+        """TCP port of the server, None without one."""
+        return None if self._server is None else self._server.port
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        if self._server is not None:
+            await self._server.run()
+
+    async def _answer(self, request: http.Request) -> http.Response:
+        match request.target.partition("?")[0]:
+            case "/metrics":
+                return ingress.exposition(self._parts)
+            case "/healthz":
+                return http.json_response(200, {"state": "alive"})
+        raise errors.HttpError(404, "bad-request", "use /metrics or /healthz")
--- a/pomelostair/httpclient.py
+++ b/pomelostair/httpclient.py
@@ -128,8 +128,9 @@
     @property
     def alive(self) -> bool:
         """Whether the server has neither closed nor written."""
-        readable, _, _ = select.select([self._stream.fileno()], [], [], 0)
-        return not readable
+        poll = select.poll()
+        poll.register(self._stream.fileno(), select.POLLIN)
+        return not poll.poll(0)
 
     async def exchange(
         self, request: http.Request, progress: _Progress
@@ -140,6 +141,7 @@
         await self._stream.sendall(data)
         status, headers = await self._read_head()
         body = await self._read_body()
+        _check_framing(status, headers, body)
         self._reusable = self._finish()
         return http.Response(status, headers, body)
 
@@ -201,7 +203,17 @@
 
     def _finish(self) -> bool:
         done = (self._protocol.our_state, self._protocol.their_state)
-        if done != (h11.DONE, h11.DONE):
+        if done != (h11.DONE, h11.DONE) or self._protocol.trailing_data[0]:
             return False
         self._protocol.start_next_cycle()
         return True
+
+
+def _check_framing(status: int, headers: http.Headers, body: bytes) -> None:
+    """Refuses a body that only the end of the connection delimits.
+
+    Such a body can't be told from a truncated one.
+    """
+    names = {name for name, _ in headers}
+    if body and not names & {"content-length", "transfer-encoding"}:
+        raise OSError(f"response {status} does not tell its length")
--- a/pomelostair/httpserver.py
+++ b/pomelostair/httpserver.py
@@ -13,9 +13,12 @@
 from pomelostair import log
 
 _RECEIVE_BYTES = 64 * 1024
-_MAX_CONNECTIONS = 2048
+_BACKLOG = 1024
+_MAX_REJECTING = 64
+_ACCEPT_RETRY_S = 0.05
+_DRAIN_POLL_S = 0.01
 
-Handler = Callable[[http.Request], Awaitable[http.Response]]
+Handler = Callable[[http.Request], Awaitable[http.Response | http.NoResponse]]
 ErrorPage = Callable[[errors.HttpError], http.Response]
 
 
@@ -27,7 +30,7 @@
         port: TCP port, 0 for any free one.
         handler: Answers one request.
         error_page: Answers a malformed request or a crash of the handler.
-        max_connections: Connections beyond this number are closed at once.
+        limits: What callers are allowed.
     """
 
     def __init__(
@@ -36,16 +39,18 @@
         port: int,
         handler: Handler,
         error_page: ErrorPage,
-        max_connections: int = _MAX_CONNECTIONS,
+        limits: http.Limits | None = None,
     ):
         self._socket = curio.tcp_server_socket(
-            host, port, backlog=1024, reuse_address=True
+            host, port, backlog=_BACKLOG, reuse_address=True
         )
         self._handler = handler
         self._error_page = error_page
-        self._max_connections = max_connections
+        self._limits = limits or http.Limits()
         self._connections: dict[_Connection, curio.Task] = {}
-        self._draining = False
+        self._rejecting = 0
+        self._acceptor: curio.Task | None = None
+        self._stopped = curio.Event()
 
     @property
     def port(self) -> int:
@@ -58,52 +63,106 @@
         return len(self._connections)
 
     async def run(self) -> None:
-        """Accepts connections until cancelled."""
-        while True:
-            client, _ = await self._socket.accept()
-            if len(self._connections) >= self._max_connections:
-                await client.close()
-                continue
-            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = _Connection(client, self._handler, self._error_page)
-            task = await curio.spawn(self._serve, connection, daemon=True)
-            self._connections[connection] = task
+        """Accepts connections until cancelled or drained."""
+        self._acceptor = await curio.spawn(self._accept, daemon=True)
+        try:
+            await self._stopped.wait()
+        finally:
+            await self._acceptor.cancel()
 
     async def drain(self, timeout_s: float) -> bool:
         """Stops accepting and waits until all open requests are answered.
 
+        Connections that are already in the system's queue are still served.
+        Idle ones may send one more request within `drain_idle_s`; every
+        response from now on tells its caller to close the connection.
+
         Args:
             timeout_s: Longest wait.
 
         Returns:
             Whether every open request was answered.
         """
-        self._draining = True
-        await self._socket.close()
         for connection in list(self._connections):
             connection.close_after_response()
-        idle = [c for c in self._connections if c.idle]
-        for connection in idle:
+        async with curio.ignore_after(timeout_s):
+            await self._wait_for_callers(self._limits.drain_idle_s)
+        await self._stop_accepting()
+        for connection in [c for c in self._connections if c.idle]:
             await self._connections[connection].cancel()
         async with curio.ignore_after(timeout_s):
             while self._connections:
-                await curio.sleep(0.01)
+                await curio.sleep(_DRAIN_POLL_S)
         return not self._connections
 
+    async def _accept(self) -> None:
+        while True:
+            try:
+                client, _ = await self._socket.accept()
+            except OSError:
+                await curio.sleep(_ACCEPT_RETRY_S)
+                continue
+            await self._admit(client)
+
+    async def _stop_accepting(self) -> None:
+        """Closes the listening socket, once no task waits at it."""
+        if self._acceptor is not None:
+            await self._acceptor.cancel()
+        await self._stopped.set()
+        await self._socket.close()
+
+    async def _wait_for_callers(self, seconds: float) -> None:
+        async with curio.ignore_after(seconds):
+            while True:
+                for connection in list(self._connections):
+                    connection.close_after_response()
+                await curio.sleep(_DRAIN_POLL_S)
+
+    async def _admit(self, client) -> None:
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = _Connection(
+            client, self._handler, self._error_page, self._limits
+        )
+        if len(self._connections) < self._limits.connections:
+            task = await curio.spawn(self._serve, connection, daemon=True)
+            self._connections[connection] = task
+        elif self._rejecting < _MAX_REJECTING:
+            self._rejecting += 1
+            await curio.spawn(self._reject, connection, daemon=True)
+        else:
+            await client.close()
+
     async def _serve(self, connection: "_Connection") -> None:
         try:
             await connection.run()
         finally:
             self._connections.pop(connection, None)
 
+    async def _reject(self, connection: "_Connection") -> None:
+        try:
+            await connection.reject(
+                errors.HttpError(
+                    503, "limited", "repeat later; too many open connections"
+                )
+            )
+        finally:
+            self._rejecting -= 1
+
 
 class _Connection:
     """One connection of a caller."""
 
-    def __init__(self, client, handler: Handler, error_page: ErrorPage):
+    def __init__(
+        self,
+        client,
+        handler: Handler,
+        error_page: ErrorPage,
+        limits: http.Limits,
+    ):
         self._client = client
         self._handler = handler
         self._error_page = error_page
+        self._limits = limits
         self._closing = False
         self._idle = True
         self._protocol = h11.Connection(
@@ -122,16 +181,25 @@
     async def run(self) -> None:
         """Serves requests until the connection ends."""
         try:
-            while not self._closing and await self._serve_one():
+            while await self._serve_one() and not self._closing:
                 self._idle = True
                 self._protocol.start_next_cycle()
-        except (OSError, curio.TaskTimeout):
+        except OSError:
             pass
         except h11.LocalProtocolError:
             log.emit(events.Events.HTTP_FAILED, exc_info=True)
         finally:
             await self._client.close()
 
+    async def reject(self, error: errors.HttpError) -> None:
+        """Refuses whatever the caller sends, and closes the connection."""
+        try:
+            await self._refuse(error)
+        except OSError:
+            pass
+        finally:
+            await self._client.close()
+
     async def _serve_one(self) -> bool:
         try:
             request = await self._read_request()
@@ -144,17 +212,21 @@
         if request is None:
             return False
         response = await self._answer(request)
+        if isinstance(response, http.NoResponse):
+            return False
         await self._write(response, head=request.method == "HEAD")
         return self._protocol.our_state is h11.DONE and (
             self._protocol.their_state is h11.DONE
         )
 
-    async def _answer(self, request: http.Request) -> http.Response:
+    async def _answer(
+        self, request: http.Request
+    ) -> http.Response | http.NoResponse:
         try:
             return await self._handler(request)
         except errors.HttpError as error:
             return self._error_page(error)
-        except Exception:  # noqa: BLE001 - one bad request must not end a process
+        except (Exception, curio.TaskTimeout):  # noqa: BLE001 - one bad request must not end a process
             log.emit(
                 events.Events.HTTP_FAILED, exc_info=True, target=request.target
             )
@@ -162,24 +234,51 @@
             return self._error_page(errors.HttpError(500, "internal", message))
 
     async def _read_request(self) -> http.Request | None:
-        head = await curio.timeout_after(http.IDLE_TIMEOUT_S, self._next_event)
+        head = await self._read_head()
         if not isinstance(head, h11.Request):
             return None
         self._idle = False
-        if self._protocol.they_are_waiting_for_100_continue:
-            await self._send(h11.InformationalResponse(100, headers=[]))
-        body = await curio.timeout_after(http.BODY_TIMEOUT_S, self._read_body)
         headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in head.headers
         )
+        self._check_length(headers)
+        if self._protocol.they_are_waiting_for_100_continue:
+            proceed = h11.InformationalResponse(status_code=100, headers=[])
+            await self._send(self._protocol.send(proceed))
         return http.Request(
             head.method.decode("ascii"),
             head.target.decode("latin-1"),
             headers,
-            body,
+            await self._read_whole_body(),
         )
 
+    async def _read_head(self):
+        """Returns the head of a request, or None after too long an idleness."""
+        event = self._protocol.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        try:
+            await curio.timeout_after(self._limits.idle_s, self._receive)
+        except curio.TaskTimeout:
+            return None
+        try:
+            return await curio.timeout_after(
+                self._limits.head_s, self._next_event
+            )
+        except curio.TaskTimeout as error:
+            limit = f"send the headers within {self._limits.head_s} s"
+            raise errors.HttpError(408, "bad-request", limit) from error
+
+    async def _read_whole_body(self) -> bytes:
+        try:
+            return await curio.timeout_after(
+                self._limits.body_s, self._read_body
+            )
+        except curio.TaskTimeout as error:
+            limit = f"send the body within {self._limits.body_s} s"
+            raise errors.HttpError(408, "bad-request", limit) from error
+
     async def _read_body(self) -> bytes:
         parts = []
         size = 0
@@ -190,25 +289,44 @@
             if not isinstance(event, h11.Data):
                 raise OSError("connection ended inside a body")
             size += len(event.data)
-            if size > http.MAX_BODY_BYTES:
-                limit = f"keep the body under {http.MAX_BODY_BYTES} bytes"
-                raise errors.HttpError(413, "bad-request", limit)
+            if size > self._limits.body_bytes:
+                raise self._too_large()
             parts.append(bytes(event.data))
 
+    def _check_length(self, headers: http.Headers) -> None:
+        length = dict(headers).get("content-length", "0")
+        if int(length) > self._limits.body_bytes:
+            raise self._too_large()
+
+    def _too_large(self) -> errors.HttpError:
+        limit = f"keep the body under {self._limits.body_bytes} bytes"
+        return errors.HttpError(413, "bad-request", limit)
+
     async def _next_event(self):
         while True:
             event = self._protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = await self._client.recv(_RECEIVE_BYTES)
-            if data:
-                self._idle = False
-            self._protocol.receive_data(data)
+            await self._receive()
+
+    async def _receive(self) -> None:
+        data = await self._client.recv(_RECEIVE_BYTES)
+        if data:
+            self._idle = False
+        self._protocol.receive_data(data)
 
     async def _refuse(self, error: errors.HttpError) -> None:
         if self._protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._closing = True
             await self._write(self._error_page(error), head=False)
+            await self._linger()
+
+    async def _linger(self) -> None:
+        """Reads what the caller still sends, so that it gets the refusal."""
+        await self._client.shutdown(socket.SHUT_WR)
+        async with curio.ignore_after(self._limits.linger_s):
+            while await self._client.recv(_RECEIVE_BYTES):
+                pass
 
     async def _write(self, response: http.Response, head: bool) -> None:
         headers = [
@@ -224,10 +342,15 @@
         if response.body and not head:
             data += self._protocol.send(h11.Data(data=response.body))
         data += self._protocol.send(h11.EndOfMessage())
-        await self._client.sendall(data)
+        await self._send(data)
 
-    async def _send(self, event) -> None:
-        await self._client.sendall(self._protocol.send(event))
+    async def _send(self, data: bytes) -> None:
+        try:
+            await curio.timeout_after(
+                self._limits.write_s, self._client.sendall, data
+            )
+        except curio.TaskTimeout as error:
+            raise OSError("the caller does not take its response") from error
 
 
 def _malformed(error: h11.RemoteProtocolError) -> errors.HttpError:
--- a/pomelostair/ingress.py
+++ b/pomelostair/ingress.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import re
 
 import msgspec
 
@@ -36,6 +37,7 @@
     outcome.Kind.DEADLINE: 504,
 }
 _DEFAULT_STATUS = 503
+_BAD_ESCAPE = re.compile("%(?![0-9A-Fa-f]{2})")
 
 
 def refusal(
@@ -50,13 +52,20 @@
 
 def error_page(error: errors.HttpError) -> http.Response:
     """Returns a malformed request's answer as the JSON that callers get."""
+    kind = outcome.Kind(error.kind)
     ran = outcome.Ran.NO
-    if error.status >= 500:
+    if kind is outcome.Kind.INTERNAL:
         ran = outcome.Ran.UNKNOWN
-    refused = outcome.Refused(outcome.Kind(error.kind), str(error), ran)
+    refused = outcome.Refused(kind, str(error), ran)
     return refusal(refused, error.status)
 
 
+def exposition(parts: kernel.Parts) -> http.Response:
+    """Returns the metrics of a process in the Prometheus text format."""
+    headers = (("content-type", "text/plain; version=0.0.4"),)
+    return http.Response(200, headers, parts.metrics.exposition())
+
+
 @kernel.plugin(settings_module.Role.ENTRY)
 class Ingress(kernel.Plugin):
     """Serves callers, operators and joining processes."""
@@ -106,6 +115,9 @@
 
     async def _answer(self, request: http.Request) -> http.Response:
         path = request.target.partition("?")[0]
+        if _BAD_ESCAPE.search(path):
+            text = "write % in the path as %25, or as % and two hex digits"
+            raise errors.HttpError(400, "bad-request", text)
         for prefix, handler in self._routes.items():
             if path == prefix or path.startswith(prefix + "/"):
                 return await handler(request)
@@ -127,8 +139,7 @@
         return http.json_response(200, {"state": "ready"})
 
     async def _metrics(self, _request: http.Request) -> http.Response:
-        headers = (("content-type", "text/plain; version=0.0.4"),)
-        return http.Response(200, headers, self._parts.metrics.exposition())
+        return exposition(self._parts)
 
     async def _join(self, request: http.Request) -> http.Response:
         try:
--- a/pomelostair/kernel.py
+++ b/pomelostair/kernel.py
@@ -4,6 +4,7 @@
 composition root imports the modules and hands the kernel the shared parts.
 """
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import random
 import typing
@@ -22,6 +23,8 @@
 
 RESTART_MIN_S = 0.1
 RESTART_MAX_S = 5.0
+LINGER_S = 0.3
+DRAIN_SLACK_S = 0.5
 
 _P = typing.TypeVar("_P", bound="Plugin")
 
@@ -102,42 +105,66 @@
         """Makes `run` drain the plug-ins and return."""
         await self._stop.set()
 
-    async def run(self) -> None:
-        """Runs all plug-ins until `stop`, then drains them in reverse."""
-        tasks = [await curio.spawn(self._parts.bus.run, daemon=True)]
-        for instance in self._plugins.values():
-            task = await curio.spawn(self._supervise, instance, daemon=True)
-            tasks.append(task)
+    async def run(self) -> bool:
+        """Runs all plug-ins until `stop`, then drains them in reverse.
+
+        After the drain, the bus still answers for a moment those peers that
+        had not heard of it in time, and everything sent leaves the process.
+
+        Returns:
+            Whether every plug-in drained in time.
+        """
+        tasks = [await self._start("bus", self._parts.bus.run)]
+        for cls, instance in self._plugins.items():
+            tasks.append(await self._start(cls.__name__, instance.run))
         log.emit(events.Events.STARTED, role=self._parts.settings.role.value)
         await self._stop.wait()
         log.emit(events.Events.DRAINING)
-        await self._drain()
+        drained = await self._drain()
+        await curio.sleep(LINGER_S)
         for task in reversed(tasks):
             await task.cancel()
+        await self._parts.bus.flush()
         self._parts.bus.close()
-        log.emit(events.Events.STOPPED)
+        log.emit(events.Events.STOPPED, drained=drained)
+        return drained
 
-    async def _drain(self) -> None:
+    async def _start(
+        self, name: str, work: Callable[[], Awaitable[None]]
+    ) -> curio.Task:
+        return await curio.spawn(self._supervise, name, work, daemon=True)
+
+    async def _drain(self) -> bool:
         deadline = self._parts.clock.now() + self._parts.settings.timing.drain_s
+        drained = True
         for instance in reversed(self._plugins.values()):
             left = max(0.0, deadline - self._parts.clock.now())
-            try:
-                await instance.drain(left)
-            except Exception:  # noqa: BLE001 - the other plug-ins still drain
-                log.emit(
-                    events.Events.PLUGIN_CRASHED,
-                    exc_info=True,
-                    plugin=type(instance).__name__,
-                )
+            drained &= await self._drain_plugin(instance, left)
+        return drained and self._parts.clock.now() < deadline
 
-    async def _supervise(self, instance: Plugin) -> None:
+    async def _drain_plugin(self, instance: Plugin, left_s: float) -> bool:
+        name = type(instance).__name__
+        try:
+            await curio.timeout_after(
+                left_s + DRAIN_SLACK_S, instance.drain, left_s
+            )
+        except curio.TaskTimeout:
+            log.emit(events.Events.DRAIN_CUT_SHORT, plugin=name)
+            return False
+        except Exception:  # noqa: BLE001 - the other plug-ins still drain
+            log.emit(events.Events.PLUGIN_CRASHED, exc_info=True, plugin=name)
+            return False
+        return True
+
+    async def _supervise(
+        self, name: str, work: Callable[[], Awaitable[None]]
+    ) -> None:
         delay = RESTART_MIN_S
         while True:
             try:
-                await instance.run()
+                await work()
                 return
             except (Exception, curio.TaskTimeout):  # noqa: BLE001 - supervised
-                name = type(instance).__name__
                 self._parts.metrics.count("plugin_crashes", plugin=name)
                 log.emit(
                     events.Events.PLUGIN_CRASHED, exc_info=True, plugin=name
--- a/pomelostair/metrics.py
+++ b/pomelostair/metrics.py
@@ -29,10 +29,17 @@
     """The instruments of one process, made on first use."""
 
     def __init__(self):
-        self._registry = prometheus_client.REGISTRY
+        self._registry = prometheus_client.CollectorRegistry()
+        prometheus_client.ProcessCollector(registry=self._registry)
         bounds = view.ExplicitBucketHistogramAggregation(_LATENCY_BOUNDS_S)
         self._provider = sdk.MeterProvider(
-            metric_readers=[prometheus.PrometheusMetricReader()],
+            metric_readers=[
+                prometheus.PrometheusMetricReader(
+                    disable_target_info=True,
+                    scope_info_enabled=False,
+                    registry=self._registry,
+                )
+            ],
             views=[view.View(instrument_name="*_seconds", aggregation=bounds)],
             shutdown_on_exit=False,
         )
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -149,6 +149,8 @@
         balancer: HTTP address of the platform's balancer before the entries.
         platform: Where the table and the object store answer.
         http: HTTP address of an entry.
+        metrics: HTTP address at which an agent shows its metrics, None for
+            none; an entry shows them at its `http` address.
         cell: Cell that an agent belongs to.
         target: What stands beside an agent.
         timing: Intervals and leases.
@@ -162,6 +164,9 @@
     balancer: str = _endpoint()
     platform: Platform
     http: str = _endpoint(default="127.0.0.1:0")
+    metrics: str | None = attrs.field(
+        default=None, validator=attrs.validators.optional(_check_endpoint)
+    )
     cell: str = _name(default="main")
     target: Target | None = None
     timing: Timing = attrs.field(factory=Timing)
--- a/pomelostair_standins/service.py
+++ b/pomelostair_standins/service.py
@@ -21,13 +21,18 @@
 
     Attributes:
         down: Refuse everything with 503, having applied nothing.
-        slow_ms: Wait before each answer, in milliseconds.
+        slow_ms: Wait before each operation is applied, in milliseconds.
         lose_answers: Apply writes, then close without an answer.
+        late_write_ms: Close without an answer, and apply the write only that
+            many milliseconds later; 0 for never.
+        paused: Hold every operation until this is switched off again.
     """
 
     down: bool = False
     slow_ms: float = 0.0
     lose_answers: bool = False
+    late_write_ms: float = 0.0
+    paused: bool = False
 
 
 class Service(abc.ABC):
@@ -35,32 +40,67 @@
 
     def __init__(self):
         self._faults = Faults()
+        self._resumed = curio.Event()
 
     @property
     def faults(self) -> Faults:
         """The faults in force."""
         return self._faults
 
-    async def answer(self, request: http.Request) -> http.Response:
+    async def answer(
+        self, request: http.Request
+    ) -> http.Response | http.NoResponse:
         """Answers one request, under the faults in force."""
         if request.target == "/faults":
-            self._faults = msgspec.json.decode(request.body, type=Faults)
-            return http.json_response(200, {})
+            return await self._switch(request)
+        while self._faults.paused:
+            await self._resumed.wait()
         faults = self._faults
         if faults.slow_ms:
             await curio.sleep(faults.slow_ms / 1000)
         if faults.down:
             return http.json_response(503, {"error": "down"})
+        if faults.late_write_ms and request.method != "GET":
+            await curio.spawn(
+                self._apply_late, request, faults.late_write_ms, daemon=True
+            )
+            return http.NoResponse()
         response = await self.handle(request)
         if faults.lose_answers and request.method != "GET":
-            raise curio.TaskCancelled("answer lost")
+            return http.NoResponse()
         return response
 
+    async def _switch(self, request: http.Request) -> http.Response:
+        if request.method != "GET":
+            try:
+                faults = _parse(request.body)
+            except (msgspec.MsgspecError, TypeError) as error:
+                text = f"send the faults as JSON: {error}"
+                raise errors.HttpError(400, "bad-request", text) from error
+            await self._set_faults(faults)
+        return http.json_response(200, self._faults)
+
+    async def _set_faults(self, faults: Faults) -> None:
+        self._faults = faults
+        self._resumed.clear()
+        if not faults.paused:
+            await self._resumed.set()
+
+    async def _apply_late(self, request: http.Request, delay_ms: float) -> None:
+        await curio.sleep(delay_ms / 1000)
+        await self.handle(request)
+
     @abc.abstractmethod
     async def handle(self, request: http.Request) -> http.Response:
         """Answers one request without faults."""
 
 
+def _parse(body: bytes) -> Faults:
+    return msgspec.convert(
+        attrs.asdict(Faults(**msgspec.json.decode(body, type=dict))), Faults
+    )
+
+
 def error_page(error: errors.HttpError) -> http.Response:
     """Returns a stand-in's answer to a malformed request."""
     return http.json_response(error.status, {"error": str(error)})
--- a/pomelostair_standins/site.py
+++ b/pomelostair_standins/site.py
@@ -236,8 +236,11 @@
         path = self._directory / f"{name}.json"
         path.write_text(json.dumps(settings, indent=2))
         addresses = {"bus": f"tcp://{bus}"}
-        if "http" in extra:
-            addresses["http"] = str(extra["http"])
+        if role == "agent":
+            settings["metrics"] = free_address()
+        for use in ("http", "metrics"):
+            if use in settings:
+                addresses[use] = str(settings[use])
         arguments = ["-m", "pomelostair.daemon", "--settings", str(path)]
         self._launch(role, name, addresses, arguments)
 
--- /dev/null
+++ b/tests/test_httpserver.py
@@ -0,0 +1,280 @@
+import contextlib
+
+import curio
+from hypothesis import given
+from hypothesis import strategies
+import pytest
+
+from pomelostair import errors
+from pomelostair import http
+from pomelostair import httpserver
+from pomelostair import ingress
+
+REQUEST = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n"
+WAIT_S = 20.0
+
+
+async def echo(request):
+    if request.target == "/crash":
+        raise ValueError("crash")
+    if request.target == "/slow":
+        await curio.sleep(0.3)
+    if request.target == "/lost":
+        return http.NoResponse()
+    return http.Response(200, (), request.method.encode() + request.body)
+
+
+async def receive_all(client):
+    parts = []
+    with contextlib.suppress(ConnectionError):
+        while data := await client.recv(65536):
+            parts.append(data)
+    return b"".join(parts)
+
+
+class Harness:
+    def __init__(self, **limits):
+        self.server = httpserver.Server(
+            "127.0.0.1", 0, echo, ingress.error_page, http.Limits(**limits)
+        )
+
+    async def connect(self):
+        return await curio.open_connection("127.0.0.1", self.server.port)
+
+    async def exchange(self, *parts):
+        async with await self.connect() as client:
+            with contextlib.suppress(ConnectionError):
+                for part in parts:
+                    await client.sendall(part)
+            return await receive_all(client)
+
+    def run(self, body):
+        async def main():
+            task = await curio.spawn(self.server.run, daemon=True)
+            try:
+                return await curio.timeout_after(WAIT_S, body)
+            finally:
+                await task.cancel()
+
+        return curio.run(main)
+
+
+def exchange(*parts, **limits):
+    harness = Harness(**limits)
+    return harness.run(lambda: harness.exchange(*parts))
+
+
+def status(answer):
+    return int(answer.split(b" ", 2)[1])
+
+
+class TestServer:
+    def test_pipelined_requests_are_answered_in_order(self):
+        last = b"GET /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+        post = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nhi"
+        answer = exchange(post + last)
+        assert answer.count(b"HTTP/1.1 200") == 2
+        assert answer.index(b"POSThi") < answer.index(b"GET")
+
+    def test_head_has_no_body(self):
+        answer = exchange(
+            b"HEAD /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+        )
+        assert status(answer) == 200
+        assert answer.endswith(b"\r\n\r\n")
+
+    def test_expect_continue(self):
+        head = (
+            b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n"
+            b"connection: close\r\nexpect: 100-continue\r\n\r\n"
+        )
+        answer = exchange(head, b"hi")
+        assert answer.startswith(b"HTTP/1.1 100")
+        assert answer.endswith(b"POSThi")
+
+    def test_crash_of_the_handler_is_unknown(self):
+        answer = exchange(
+            b"GET /crash HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+        )
+        assert status(answer) == 500
+        assert b'"unknown"' in answer
+
+    def test_no_response_closes_the_connection(self):
+        assert exchange(b"GET /lost HTTP/1.1\r\nhost: a\r\n\r\n") == b""
+
+
+class TestRefusal:
+    @pytest.mark.parametrize(
+        ("data", "expected", "remedy"),
+        [
+            (b"nonsense\r\n\r\n", 400, b"well-formed"),
+            (b"GET / HTTP/1.1\r\n\r\n", 400, b"well-formed"),
+            (REQUEST[:-2] + b"x: " + b"y" * 40_000, 431, b"headers under"),
+            (
+                b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 11\r\n\r\n",
+                413,
+                b"body under 10",
+            ),
+            (
+                b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked"
+                b"\r\n\r\nb\r\n12345678901\r\n",
+                413,
+                b"body under 10",
+            ),
+            (
+                b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked"
+                b"\r\n\r\nzz\r\n",
+                400,
+                b"well-formed",
+            ),
+        ],
+    )
+    def test_bad_request_names_the_remedy(self, data, expected, remedy):
+        answer = exchange(data, body_bytes=10, linger_s=0.2)
+        assert status(answer) == expected
+        assert remedy in answer
+        assert b"pomelostair-ran: no" in answer.lower()
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"GET /x HTT",
+            b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nhal",
+        ],
+    )
+    def test_slow_caller_is_refused(self, data):
+        answer = exchange(data, head_s=0.1, body_s=0.1, linger_s=0.1)
+        assert status(answer) == 408
+        assert b"within 0.1 s" in answer
+
+    def test_idle_connection_is_closed(self):
+        assert exchange(idle_s=0.1) == b""
+
+    def test_refusal_arrives_while_the_caller_still_sends(self):
+        head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9000000\r\n\r\n"
+        answer = exchange(head, *([b"z" * 90_000] * 100), body_bytes=10)
+        assert status(answer) == 413
+
+    def test_too_many_connections(self):
+        harness = Harness(connections=1)
+
+        async def body():
+            async with await harness.connect() as first:
+                await first.sendall(REQUEST)
+                assert status(await first.recv(65536)) == 200
+                return await harness.exchange(REQUEST)
+
+        answer = harness.run(body)
+        assert status(answer) == 503
+        assert b'"no"' in answer
+        assert b"too many open connections" in answer
+
+    def test_caller_that_leaves_frees_its_connection(self):
+        harness = Harness()
+
+        async def body():
+            head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n"
+            async with await harness.connect() as client:
+                await client.sendall(head + b"ha")
+                await curio.sleep(0.05)
+            while harness.server.open_connections:
+                await curio.sleep(0.01)
+            return await harness.exchange(
+                b"GET /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+            )
+
+        assert status(harness.run(body)) == 200
+
+    def test_caller_that_never_reads_is_let_go(self):
+        harness = Harness(write_s=0.2, linger_s=0.1)
+        post = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9000000\r\n\r\n"
+
+        async def body():
+            async with await harness.connect() as client:
+                await client.sendall(post + b"z" * 9_000_000)
+                while harness.server.open_connections:
+                    await curio.sleep(0.01)
+
+        harness.run(body)
+
+
+class TestDrain:
+    def test_open_request_is_answered(self):
+        harness = Harness()
+
+        async def body():
+            async with await harness.connect() as client:
+                await client.sendall(b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n")
+                await curio.sleep(0.1)
+                drained = await harness.server.drain(10.0)
+                return drained, await receive_all(client)
+
+        drained, answer = harness.run(body)
+        assert drained
+        assert status(answer) == 200
+        assert b"connection: close" in answer.lower()
+
+    def test_connection_in_the_backlog_is_served(self):
+        harness = Harness()
+
+        async def body():
+            async with await harness.connect() as client:
+                await client.sendall(REQUEST)
+                await harness.server.drain(10.0)
+                return await receive_all(client)
+
+        answer = harness.run(body)
+        assert status(answer) == 200
+        assert b"connection: close" in answer.lower()
+
+    def test_idle_connection_may_send_a_last_request(self):
+        harness = Harness()
+
+        async def body():
+            async with await harness.connect() as client:
+                await client.sendall(REQUEST)
+                await client.recv(65536)
+                task = await curio.spawn(harness.server.drain, 10.0)
+                await curio.sleep(0.1)
+                await client.sendall(REQUEST)
+                answer = await receive_all(client)
+                await task.join()
+                return answer
+
+        assert status(harness.run(body)) == 200
+
+
+class TestFuzz:
+    def test_any_bytes_leave_the_server_serving(self):
+        harness = Harness(head_s=0.05, body_s=0.05, idle_s=0.05, linger_s=0.01)
+
+        @given(
+            strategies.sampled_from(
+                [b"", REQUEST, b"POST / HTTP/1.1\r\nhost: a\r\n"]
+            ),
+            strategies.binary(max_size=200),
+        )
+        def attack(start, data):
+            async def main():
+                task = await curio.spawn(harness.server.run, daemon=True)
+                try:
+                    await harness.exchange(start, data)
+                    return await harness.exchange(
+                        b"GET / HTTP/1.1\r\nhost: a\r\n"
+                        b"connection: close\r\n\r\n"
+                    )
+                finally:
+                    await task.cancel()
+
+            answer = curio.run(curio.timeout_after, WAIT_S, main)
+            assert status(answer) == 200
+
+        attack()
+
+
+class TestErrorPage:
+    def test_only_an_internal_failure_is_unknown(self):
+        limited = errors.HttpError(503, "limited", "repeat later")
+        assert b'"no"' in ingress.error_page(limited).body
+        crash = errors.HttpError(500, "internal", "report it")
+        assert b'"unknown"' in ingress.error_page(crash).body
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,27 @@
+from pomelostair import metrics
+
+
+class TestMetrics:
+    def test_exposition_shows_each_kind(self):
+        shown = metrics.Metrics()
+        shown.count("requests_refused", reason="no-target")
+        shown.count("requests_refused", 2, reason="no-target")
+        shown.record("request_seconds", 0.03, service="clapper-desk")
+        shown.gauge("open_connections", lambda: 7)
+        lines = shown.exposition().decode().splitlines()
+        assert (
+            'pomelostair_requests_refused_total{reason="no-target"} 3.0'
+            in lines
+        )
+        assert "pomelostair_open_connections 7.0" in lines
+        bucket = (
+            'pomelostair_request_seconds_bucket{le="0.05",'
+            'service="clapper-desk"} 1.0'
+        )
+        assert bucket in lines
+
+    def test_two_sets_are_apart(self):
+        first, second = metrics.Metrics(), metrics.Metrics()
+        first.count("retries", reason="draining")
+        assert b"retries" in first.exposition()
+        assert b"retries" not in second.exposition()
