--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -2,6 +2,7 @@
 
 import enum
 import ipaddress
+import math
 import typing
 
 import attrs
@@ -12,6 +13,8 @@
 from pomelostair import errors
 
 MAX_PORT = 65535
+MAX_NAME_CHARACTERS = 64
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 _T = typing.TypeVar("_T")
 
@@ -26,30 +29,59 @@
 def _check_endpoint(_instance, attribute: attrs.Attribute, value: str):
     host, separator, port = value.rpartition(":")
     remedy = "write it as IP:PORT, for example 127.0.0.1:8000"
-    if not separator or not port.isdecimal() or int(port) > MAX_PORT:
+    usable = separator and port.isascii() and port.isdecimal()
+    if not usable or int(port[:6]) > MAX_PORT:
         raise errors.SettingsError(attribute.name, value, remedy)
     try:
-        ipaddress.ip_address(host)
+        address = ipaddress.ip_address(host)
     except ValueError as error:
         raise errors.SettingsError(attribute.name, value, remedy) from error
+    if address.is_unspecified:
+        remedy = "name the one address at which others reach this process"
+        raise errors.SettingsError(attribute.name, value, remedy)
+
+
+def _check_fixed_endpoint(instance, attribute: attrs.Attribute, value: str):
+    _check_endpoint(instance, attribute, value)
+    if int(value.rpartition(":")[2]) == 0:
+        remedy = "name the port; others must know it"
+        raise errors.SettingsError(attribute.name, value, remedy)
 
 
 def _check_name(_instance, attribute: attrs.Attribute, value: str):
     plain = value.replace("-", "").replace("_", "").replace(".", "")
-    if not plain.isalnum() or not value.isascii():
-        remedy = "use letters, digits, '-', '_' and '.'"
+    usable = plain.isalnum() and value.isascii()
+    if not usable or len(value) > MAX_NAME_CHARACTERS:
+        remedy = (
+            f"use 1 up to {MAX_NAME_CHARACTERS} letters, digits, "
+            "'-', '_' and '.'"
+        )
         raise errors.SettingsError(attribute.name, value, remedy)
 
 
 def _check_positive(_instance, attribute: attrs.Attribute, value: float):
-    if not value > 0:
+    if not 0 < value < math.inf:
         raise errors.SettingsError(
             attribute.name, value, "use a number greater than 0"
         )
 
 
+def _check_not_negative(_instance, attribute: attrs.Attribute, value: int):
+    if value < 0:
+        raise errors.SettingsError(
+            attribute.name, value, "use 0 or a greater number"
+        )
+
+
+def _check_level(_instance, attribute: attrs.Attribute, value: str):
+    if value not in LOG_LEVELS:
+        raise errors.SettingsError(
+            attribute.name, value, f"use one of {', '.join(LOG_LEVELS)}"
+        )
+
+
 def _endpoint(**kwargs):
-    return attrs.field(validator=_check_endpoint, **kwargs)
+    return attrs.field(validator=_check_fixed_endpoint, **kwargs)
 
 
 def _name(**kwargs):
@@ -76,6 +108,12 @@
     slots: int = _positive(8)
     connections: int = _positive(64)
 
+    def __attrs_post_init__(self):
+        """Checks what spans several keys."""
+        if self.connections < self.slots:
+            remedy = f"give the {self.slots} slots a connection each"
+            raise errors.SettingsError("connections", self.connections, remedy)
+
 
 @attrs.frozen
 class WorkerTarget:
@@ -93,7 +131,7 @@
     rack: str = _name()
     cores: float = _positive(32.0)
     memory_mb: int = _positive(125_000)
-    accelerators: int = 0
+    accelerators: int = attrs.field(default=0, validator=_check_not_negative)
 
 
 Target = MinionTarget | WorkerTarget
@@ -138,6 +176,18 @@
     store_grace_s: float = _positive(600.0)
     drain_s: float = _positive(30.0)
 
+    def __attrs_post_init__(self):
+        """Checks what spans several keys."""
+        self._require_longer("silent_ms", "announce_ms")
+        self._require_longer("task_lease_ms", "announce_ms")
+        self._require_longer("cell_lease_ms", "commit_window_ms")
+
+    def _require_longer(self, key: str, other: str) -> None:
+        value = getattr(self, key)
+        if value <= getattr(self, other):
+            remedy = f"use more than {other}, which is {getattr(self, other)}"
+            raise errors.SettingsError(key, value, remedy)
+
 
 @attrs.frozen
 class Settings:
@@ -165,23 +215,23 @@
     bus: str = _endpoint()
     balancer: str = _endpoint()
     platform: Platform
-    http: str = _endpoint(default="127.0.0.1:0")
+    http: str = attrs.field(default="127.0.0.1:0", validator=_check_endpoint)
     metrics: str | None = attrs.field(
         default=None, validator=attrs.validators.optional(_check_endpoint)
     )
     cell: str = _name(default="main")
     target: Target | None = None
     timing: Timing = attrs.field(factory=Timing)
-    log_level: str = attrs.field(
-        default="INFO",
-        validator=attrs.validators.in_(("DEBUG", "INFO", "WARNING", "ERROR")),
-    )
+    log_level: str = attrs.field(default="INFO", validator=_check_level)
 
     def __attrs_post_init__(self):
         """Checks what spans several keys."""
         if self.role is Role.AGENT and self.target is None:
             remedy = "give an agent the minion or worker that it stands beside"
             raise errors.SettingsError("target", None, remedy)
+        if self.role is Role.ENTRY and self.target is not None:
+            remedy = "remove it; an entry stands beside no target"
+            raise errors.SettingsError("target", self.target, remedy)
 
 
 _TARGETS = {"minion": MinionTarget, "worker": WorkerTarget}
@@ -253,9 +303,17 @@
     except msgspec.DecodeError as error:
         text = f"write one JSON document: {error}"
         raise errors.SettingsError("$", data[:40], text) from error
+    if not isinstance(document, dict):
+        text = "write one JSON object with the settings as its keys"
+        raise errors.SettingsError("$", document, text)
     try:
         return _CONVERTER.structure(document, cls)
-    except (cattrs_errors.BaseValidationError, ValueError) as error:
+    except (
+        cattrs_errors.BaseValidationError,
+        errors.SettingsError,
+        ValueError,
+        TypeError,
+    ) as error:
         raise _explain(error, "$", document) from error
 
 
