--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -176,7 +176,7 @@
 
 
 class TestExamples:
-    @pytest.mark.parametrize("path", EXAMPLES, ids=lambda path: str(path))
+    @pytest.mark.parametrize("path", EXAMPLES, ids=str)
     def test_example_is_usable(self, path):
         assert settings.load(str(ROOT / path)).zone
 
