--- a/pomelostair_standins/demo.py
+++ b/pomelostair_standins/demo.py
@@ -47,9 +47,17 @@
             DemoError: A step failed.
         """
         self._list_processes()
+        self.run_work()
+        self._ask_operator_questions()
+
+    def run_work(self) -> None:
+        """Serves a request and runs a job.
+
+        Raises:
+            DemoError: A step failed.
+        """
         self._serve_request()
         self._run_job()
-        self._ask_operator_questions()
 
     def stop(self) -> None:
         """Stops the site and checks that every daemon drained by itself.
