--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -121,6 +121,7 @@
         silent_ms: Silence after which a target gets no new work.
         join_ms: Interval at which a process asks the balancer for entries.
         cell_lease_ms: Length of the cell lease.
+        campaign_ms: Mean interval at which an agent looks at the cell lease.
         task_lease_ms: Length of the lease under which a worker runs a task.
         lease_margin_ms: Added to a lease before its lapse is certain.
         commit_window_ms: Longest time that an event waits for a commit.
@@ -132,6 +133,7 @@
     silent_ms: int = _positive(2000)
     join_ms: int = _positive(2000)
     cell_lease_ms: int = _positive(3000)
+    campaign_ms: int = _positive(1000)
     task_lease_ms: int = _positive(5000)
     lease_margin_ms: int = _positive(1000)
     commit_window_ms: int = _positive(50)
