Entries ask again while the cell changes its leader

Cause: a submission during a takeover was refused or its answer lost, though every message to the leader is idempotent. Change: ask_leader repeats within one deadline; a refusal after a call that may have run is of unknown outcome.

--- a/pomelostair/jobapi.py
+++ b/pomelostair/jobapi.py
@@ -1,9 +1,11 @@
 """Jobs over HTTP at an entry: submit, read and cancel, through the leader."""
 
+import dataclasses
 import re
 import uuid
 
 import attrs
+import curio
 import msgspec
 
 from pomelostair import bus as bus_module
@@ -17,9 +19,13 @@
 from pomelostair import settings as settings_module
 
 LEADER_TIMEOUT_S = 10.0
+ATTEMPT_S = 3.0
+RETRY_S = 0.2
 MAX_TASKS = 10_000
 MAX_ID_CHARACTERS = 128
 _PREFIX = "/v1/jobs"
+_PASSING = (outcome.Kind.NO_LEADER, outcome.Kind.NOT_LEADER)
+_BEFORE_ANY_RUN = (outcome.Kind.UNKNOWN_JOB, outcome.Kind.CONFLICT)
 _ID = re.compile(r"[A-Za-z0-9._-]+")
 
 
@@ -71,35 +77,75 @@
             return ingress.refusal(result)
         return http.json_response(status, result)
 
-    async def ask_leader(self, message: object) -> object:
+    async def ask_leader(
+        self, message: object, timeout_s: float = LEADER_TIMEOUT_S
+    ) -> object:
         """Returns the leader's answer, or a refusal that says why none came.
 
+        Asks again while the cell changes its leader. Every message to the
+        leader is idempotent, so that a call without an answer is repeated
+        too; a refusal after such a call is of unknown outcome.
+
         Args:
             message: A registered message that the leader handles.
+            timeout_s: Longest time for all attempts.
         """
+        deadline = self._parts.clock.now() + timeout_s
+        refused = _no_leader()
+        maybe_ran = False
+        while True:
+            left_s = deadline - self._parts.clock.now()
+            if left_s <= 0:
+                return _outcome_of(refused, maybe_ran)
+            answer = await self._ask_once(message, min(left_s, ATTEMPT_S))
+            match answer:
+                case bus_module.NoAnswer():
+                    maybe_ran = True
+                    refused = _answer_lost()
+                case outcome.Refused(kind=kind) if kind in _PASSING:
+                    refused = answer
+                case outcome.Refused():
+                    return _outcome_of(answer, maybe_ran)
+                case _:
+                    return answer
+            self._parts.metrics.count(
+                "leader_calls_repeated", reason=refused.kind.value
+            )
+            await curio.sleep(RETRY_S)
+
+    async def _ask_once(self, message: object, timeout_s: float) -> object:
         leader = self._directory.leader(self._parts.settings.cell)
         if leader is None:
-            return outcome.Refused(
-                outcome.Kind.NO_LEADER,
-                "repeat later with the same id; the cell has no leader yet",
-            )
-        result = await self._parts.bus.call(
-            leader.bus, message, LEADER_TIMEOUT_S
-        )
+            return _no_leader()
+        result = await self._parts.bus.call(leader.bus, message, timeout_s)
         match result:
             case bus_module.Answered(message=answer):
                 return answer
             case bus_module.NotSent():
-                return outcome.Refused(
-                    outcome.Kind.NO_LEADER,
-                    "repeat later with the same id; the leader is away",
-                )
-            case _:
-                return outcome.Refused(
-                    outcome.Kind.ANSWER_LOST,
-                    "repeat with the same id; it is never accepted twice",
-                    outcome.Ran.UNKNOWN,
-                )
+                return _no_leader()
+        return result
+
+
+def _no_leader() -> outcome.Refused:
+    return outcome.Refused(
+        outcome.Kind.NO_LEADER,
+        "repeat later with the same id; the cell has no leader in reach",
+    )
+
+
+def _answer_lost() -> outcome.Refused:
+    return outcome.Refused(
+        outcome.Kind.ANSWER_LOST,
+        "repeat with the same id; it is never accepted twice",
+        outcome.Ran.UNKNOWN,
+    )
+
+
+def _outcome_of(refused: outcome.Refused, maybe_ran: bool) -> outcome.Refused:
+    """Returns a refusal that hides no earlier attempt that may have run."""
+    if not maybe_ran or refused.kind in _BEFORE_ANY_RUN:
+        return refused
+    return dataclasses.replace(refused, ran=outcome.Ran.UNKNOWN)
 
 
 def parse(body: bytes) -> messages.JobSpec:
--- a/pomelostair/leader.py
+++ b/pomelostair/leader.py
@@ -14,7 +14,6 @@
 from pomelostair import celllog
 from pomelostair import configuration
 from pomelostair import events
-from pomelostair import grants
 from pomelostair import journal as journal_module
 from pomelostair import kernel
 from pomelostair import lapse
@@ -497,12 +496,21 @@
         self, message: messages.Heartbeat, envelope, received: float
     ) -> None:
         """Keeps running work going while the table can't be reached."""
-        full = grants.answer(message, self._state, self._log.epoch)
-        ack = messages.HeartbeatAck(self._log.epoch, renew=full.ack.renew)
+        running = {(usage.task, usage.attempt) for usage in message.usage}
+        renew = tuple(
+            (task.id, task.attempt)
+            for task in self._state.placed_on(message.worker)
+            if (task.id, task.attempt) in running and self._is_active(task)
+        )
         self._leases.acknowledge(message.worker, received)
         self._parts.metrics.count("grace_renewals")
+        ack = messages.HeartbeatAck(self._log.epoch, renew=renew)
         await self._send_reply(envelope, ack)
 
+    def _is_active(self, task: cell_module.Task) -> bool:
+        job = self._state.jobs[task.spec.id]
+        return job.state is cell_module.JobState.ACTIVE
+
     async def _on_ended(self, ended: messages.TaskEnded) -> None:
         task = self._state.tasks.get(ended.task)
         if task is None or not self._current(task, ended.attempt):
