--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -2,6 +2,8 @@
 
 import enum
 
+import curio
+
 from pomelostair import outcome
 from pomelostair import store
 
@@ -26,11 +28,17 @@
         self.table = table or store.MemoryTable()
         self.faults = list(faults)
         self.down = False
+        self.frozen = False
         self.commits = 0
         self.bytes = 0
         self._delayed = []
 
+    async def thawed(self):
+        while self.frozen:
+            await curio.sleep(0.001)
+
     async def read(self, key):
+        await self.thawed()
         if self.down:
             return outcome.Unavailable("down")
         return await self.table.read(key)
@@ -41,6 +49,12 @@
         return await self.table.scan(prefix, after, limit)
 
     async def commit(self, transaction):
+        await self.thawed()
+        result = await self._commit(transaction)
+        await self.thawed()
+        return result
+
+    async def _commit(self, transaction):
         self.commits += 1
         self.bytes += sum(len(put.value) for put in transaction.puts)
         fault = self.faults.pop(0) if self.faults else Fault.NONE
--- /dev/null
+++ b/tests/leaders.py
@@ -0,0 +1,263 @@
+"""Leaders and workers of one cell inside a test, under a clock moved by hand.
+
+The leaders' loops run in real time, but every lease is measured on the
+manual clock, so that no verdict depends on the speed of the machine.
+"""
+
+import collections
+import random
+import time
+
+import attrs
+import curio
+
+from pomelostair import bus
+from pomelostair import celllog
+from pomelostair import clock as clock_module
+from pomelostair import configuration
+from pomelostair import declaration
+from pomelostair import directory
+from pomelostair import kernel
+from pomelostair import leader
+from pomelostair import membership
+from pomelostair import messages
+from pomelostair import settings
+from pomelostair import store
+from tests import faulty
+from tests import history
+
+TIMING = settings.Timing(
+    announce_ms=5,
+    silent_ms=50,
+    cell_lease_ms=60,
+    campaign_ms=4,
+    task_lease_ms=100,
+    lease_margin_ms=10,
+    commit_window_ms=1,
+    store_grace_s=1.0,
+)
+SIZE = messages.Size(32.0, 125_000, 0)
+
+
+class Counters:
+    def __init__(self):
+        self.counts = collections.Counter()
+
+    def count(self, name, amount=1, **labels):
+        self.counts[(name, *labels.values())] += amount
+
+    def record(self, name, value, **labels):
+        pass
+
+    def gauge(self, name, read):
+        pass
+
+
+class FreezableBus(bus.MemoryBus):
+    """A bus that neither sends nor receives while its process is frozen."""
+
+    frozen = False
+
+    async def run(self):
+        while True:
+            data = await self._inbox.get()
+            await self._thawed()
+            await self.receive(data)
+
+    async def _thawed(self):
+        while self.frozen:
+            await curio.sleep(0.001)
+
+    async def _transmit(self, address, data):
+        await self._thawed()
+        return await super()._transmit(address, data)
+
+
+@attrs.define
+class Host:
+    """Finds the plug-ins that a leader requires."""
+
+    directory: directory.Directory
+    in_force: declaration.InForce = attrs.field(factory=declaration.InForce)
+
+    def get(self, cls):
+        assert cls in (membership.Membership, configuration.Configuration)
+        return self
+
+
+class Member:
+    """One agent that campaigns."""
+
+    def __init__(self, cell, name):
+        self.name = name
+        self.cell = cell
+        self.table = faulty.FaultyTable(cell.table)
+        self.objects = faulty.FaultyObjects(cell.objects)
+        self.metrics = Counters()
+        self.host = Host(directory.Directory(cell.clock, 2.0))
+        self.bus = FreezableBus(name, name, self.metrics, cell.network)
+        address = "127.0.0.1:1"
+        parts = kernel.Parts(
+            settings=settings.Settings(
+                role=settings.Role.AGENT,
+                name=name,
+                zone="patan",
+                bus=address,
+                balancer=address,
+                platform=settings.Platform(address),
+                target=settings.MinionTarget(address, "clapper-desk"),
+                timing=cell.timing,
+            ),
+            clock=cell.clock,
+            bus=self.bus,
+            table=self.table,
+            objects=self.objects,
+            metrics=self.metrics,
+            random=random.Random(name),
+        )
+        self.leader = leader.Leader(parts, self.host)
+        self._tasks = []
+
+    async def start(self):
+        for run in (self.bus.run, self.leader.run):
+            self._tasks.append(await curio.spawn(run, daemon=True))
+        return self
+
+    async def kill(self):
+        self.cell.network.cut(self.name)
+        for task in self._tasks:
+            await task.cancel()
+
+    def freeze(self, frozen=True):
+        self.bus.frozen = self.table.frozen = frozen
+
+    @property
+    def leads(self):
+        return self.leader._leading and self.leader._log.held
+
+
+class Cell:
+    """The shared parts of a cell, and a client."""
+
+    def __init__(self, timing=TIMING):
+        self.timing = timing
+        self.clock = clock_module.ManualClock(start=1000.0)
+        self.network = bus.MemoryNetwork()
+        self.table = store.MemoryTable()
+        self.objects = store.MemoryObjects()
+        self.client = bus.MemoryBus(
+            "client", "client", Counters(), self.network
+        )
+        self.members = []
+
+    async def member(self, name):
+        if not self.members:
+            await curio.spawn(self.client.run, daemon=True)
+        member = Member(self, name)
+        self.members.append(member)
+        return await member.start()
+
+    async def leader(self, name):
+        """Starts a member and waits until it leads."""
+        member = await self.member(name)
+        assert await eventually(lambda: member.leads)
+        return member
+
+    async def ask(self, member, message, timeout_s=5.0):
+        result = await self.client.call(member.name, message, timeout_s)
+        return result.message if isinstance(result, bus.Answered) else result
+
+    async def submit(self, member, job, **fields):
+        spec = messages.JobSpec(job, "netting", **fields)
+        return await self.ask(member, messages.SubmitJob(spec))
+
+    async def events(self):
+        """Returns all events of the log, without a lease."""
+        reader = celllog.CellLog(
+            self.table, self.objects, self.clock, "main", "r", "r", 1.0
+        )
+        reader._row = (await reader.observe()).row
+        return list((await reader.replay()).events)
+
+
+class Worker:
+    """A worker with its agent: runs what it is given, under leases."""
+
+    def __init__(self, cell, name):
+        self.cell = cell
+        self.name = name
+        self.runs = []
+        self.leases = {}
+        self.ended = {}
+        self.epoch = 0
+
+    def expire(self):
+        now = self.cell.clock.now()
+        for key, ends in list(self.leases.items()):
+            if now >= ends:
+                self._end(key, messages.TaskEnd.LAPSED, ends)
+
+    def finish(self, end=messages.TaskEnd.COMPLETED):
+        """Ends everything that runs."""
+        self.expire()
+        for key in list(self.leases):
+            self._end(key, end, self.cell.clock.now())
+
+    def _end(self, key, end, at):
+        del self.leases[key]
+        self.ended[key] = end
+        for run in self.runs:
+            if (run.task, run.attempt) == key and run.end is None:
+                run.end = at
+
+    async def beat(self, member, timeout_s=5.0):
+        """Sends one heartbeat and obeys; returns the answer."""
+        self.expire()
+        read_at = self.cell.clock.now()
+        heartbeat = messages.Heartbeat(
+            worker=self.name,
+            zone="patan",
+            rack="rack-1",
+            capacity=SIZE,
+            state=messages.TargetState.READY,
+            usage=tuple(
+                messages.TaskUsage(*key, messages.Size(), 0.5, 1.0)
+                for key in self.leases
+            ),
+            ended=tuple(
+                messages.TaskEnded(*key, end) for key, end in self.ended.items()
+            ),
+        )
+        ack = await self.cell.ask(member, heartbeat, timeout_s)
+        if isinstance(ack, messages.HeartbeatAck) and ack.epoch >= self.epoch:
+            self.epoch = ack.epoch
+            self._obey(ack, read_at + self.cell.timing.task_lease_ms / 1000)
+        return ack
+
+    def _obey(self, ack, expires):
+        self.expire()
+        now = self.cell.clock.now()
+        for key in ack.renew:
+            if key in self.leases:
+                self.leases[key] = max(self.leases[key], expires)
+        for stop in ack.stop:
+            if (stop.task, stop.attempt) in self.leases:
+                key = (stop.task, stop.attempt)
+                self._end(key, messages.TaskEnd.STOPPED, now)
+        for start in ack.start:
+            key = (start.task, start.attempt)
+            if now < expires and key not in self.leases | self.ended:
+                self.leases[key] = expires
+                self.runs.append(history.Run(*key, self.name, now))
+        for key in ack.acknowledged:
+            self.ended.pop(key, None)
+
+
+async def eventually(condition, timeout_s=20.0):
+    """Waits until a condition holds, and returns its value."""
+    deadline = time.monotonic() + timeout_s
+    while True:
+        found = condition()
+        if found or time.monotonic() > deadline:
+            return found
+        await curio.sleep(0.002)
--- /dev/null
+++ b/tests/test_leader.py
@@ -0,0 +1,488 @@
+import random
+
+import curio
+import pytest
+
+from pomelostair import cell as cell_module
+from pomelostair import messages
+from pomelostair import outcome
+from tests import faulty
+from tests import history
+from tests import leaders
+
+F = faulty.Fault
+LAPSE_S = 0.111
+END = messages.TaskEnd
+
+
+async def _running_task(cell, member, worker, job="a"):
+    """Submits a job of one task and waits until the worker runs it."""
+    await worker.beat(member)
+    assert isinstance(await cell.submit(member, job), messages.JobAccepted)
+    for _ in range(2000):
+        await worker.beat(member)
+        if any(task == f"{job}/0" for task, _ in worker.leases):
+            return
+        await curio.sleep(0.002)
+    raise AssertionError("the task was not started")
+
+
+def _task(member, task="a/0"):
+    return member.leader._state.tasks[task]
+
+
+def _lapsed(member, task="a/0"):
+    return leaders.eventually(
+        lambda: _task(member, task).reason != f"placed on {'w1'}"
+    )
+
+
+async def _settle():
+    """Lets every loop go round several times."""
+    await curio.sleep(0.1)
+
+
+class TestSubmit:
+    def test_repeat_during_the_commit_is_the_same_job(self):
+        async def main():
+            cell = leaders.Cell()
+            member = await cell.leader("m1")
+            member.freeze()
+            calls = [
+                await curio.spawn(cell.submit, member, "a") for _ in range(5)
+            ]
+            other = await curio.spawn(cell.submit, member, "b")
+            await _settle()
+            member.freeze(False)
+            answers = [await call.join() for call in calls]
+            assert [a.created for a in answers].count(True) == 1
+            assert (await other.join()).created
+            assert not (await cell.submit(member, "a")).created
+            logged = [
+                event.spec.id
+                for event in await cell.events()
+                if isinstance(event, cell_module.JobSubmitted)
+            ]
+            assert sorted(logged) == ["a", "b"]
+
+        curio.run(main)
+
+    def test_same_id_with_another_specification_is_a_conflict(self):
+        async def main():
+            cell = leaders.Cell()
+            member = await cell.leader("m1")
+            await cell.submit(member, "a")
+            refused = await cell.submit(member, "a", tasks=2)
+            assert refused.kind is outcome.Kind.CONFLICT
+            assert refused.ran is outcome.Ran.NO
+
+        curio.run(main)
+
+    @pytest.mark.parametrize(
+        "fault", [F.LOST_ANSWER, F.LOST_REQUEST, F.DELAYED, F.UNAVAILABLE]
+    )
+    def test_answer_is_true_whatever_happens_to_the_write(self, fault):
+        async def main():
+            cell = leaders.Cell()
+            member = await cell.leader("m1")
+            member.table.faults = [F.NONE, fault, F.UNAVAILABLE, fault] * 3
+            answer = await cell.submit(member, "a")
+            await member.table.release()
+            await _settle()
+            logged = [
+                event.spec.id
+                for event in await cell.events()
+                if isinstance(event, cell_module.JobSubmitted)
+            ]
+            if isinstance(answer, outcome.Refused):
+                assert answer.ran is outcome.Ran.NO
+                assert logged == []
+            else:
+                assert logged == ["a"]
+
+        curio.run(main)
+
+    def test_outage_refuses_at_once_and_truly(self):
+        async def main():
+            cell = leaders.Cell()
+            member = await cell.leader("m1")
+            member.table.down = True
+            assert await leaders.eventually(lambda: member.leader._log.outage)
+            refused = await cell.submit(member, "a")
+            assert refused.kind is outcome.Kind.STORE_UNAVAILABLE
+            assert refused.ran is outcome.Ran.NO
+            member.table.down = False
+            assert await leaders.eventually(
+                lambda: not member.leader._log.outage
+            )
+            assert (await cell.submit(member, "a")).created
+
+        curio.run(main)
+
+
+class TestCancel:
+    def test_thousands_at_once_and_a_racing_completion(self):
+        async def main():
+            cell = leaders.Cell()
+            member = await cell.leader("m1")
+            worker = leaders.Worker(cell, "w1")
+            await _running_task(cell, member, worker)
+            jobs = [f"j{index}" for index in range(2000)]
+            submits = [
+                await curio.spawn(cell.submit, member, job) for job in jobs
+            ]
+            for call in submits:
+                assert (await call.join()).created
+            worker.finish()
+            calls = [
+                await curio.spawn(cell.ask, member, messages.CancelJob(job))
+                for job in [*jobs, "a"]
+            ]
+            await worker.beat(member)
+            views = [await call.join() for call in calls]
+            assert {view.state for view in views[:-1]} == {"cancelled"}
+            assert views[-1].state in ("cancelled", "completed")
+            again = await cell.ask(member, messages.CancelJob("a"))
+            assert again.state == views[-1].state
+
+        curio.run(main)
+
+
+class TestLapse:
+    def test_silent_worker_keeps_its_tasks_until_they_surely_lapsed(self):
+        async def main():
+            cell = leaders.Cell()
+            member = await cell.leader("m1")
+            worker = leaders.Worker(cell, "w1")
+            await _running_task(cell, member, worker)
+            granted = cell.clock.now()
+            for _ in range(5):
+                cell.clock.advance(0.02)
+                assert await leaders.eventually(lambda: member.leads)
+            cell.clock.advance(granted + 0.1095 - cell.clock.now())
+            await _settle()
+            assert _task(member).worker == "w1"
+            cell.clock.advance(0.001)
+            assert await _lapsed(member)
+            worker.expire()
+            assert not worker.leases
+            other = leaders.Worker(cell, "w2")
+            await leaders.eventually(lambda: member.leads)
+            for _ in range(200):
+                await other.beat(member)
+                await curio.sleep(0.002)
+                if other.runs:
+                    break
+            runs = worker.runs + other.runs
+            assert [run.attempt for run in runs] == [1, 2]
+            assert not history.violations(await cell.events(), runs, ["a"])
+
+        curio.run(main)
+
+    def test_no_start_leaves_while_the_lapse_is_being_logged(self):
+        async def main():
+            cell = leaders.Cell()
+            member = await cell.leader("m1")
+            worker = leaders.Worker(cell, "w1")
+            await _running_task(cell, member, worker)
+            member.table.down = True
+            assert await leaders.eventually(lambda: member.leader._log.outage)
+            cell.clock.advance(LAPSE_S)
+            assert await leaders.eventually(
+                lambda: member.leader._journal.lapsing
+            )
+            answer = await worker.beat(member, timeout_s=0.2)
+            assert not isinstance(answer, messages.HeartbeatAck)
+
+        curio.run(main)
+
+    def test_declared_dead_frees_tasks_at_once(self):
+        async def main():
+            cell = leaders.Cell()
+            member = await cell.leader("m1")
+            worker = leaders.Worker(cell, "w1")
+            await _running_task(cell, member, worker)
+            order = messages.DeclareWorkerDead("w1")
+            answer = await cell.ask(member, order)
+            assert answer == messages.WorkerDeclaredDead("w1", ("a/0",))
+            assert _task(member).state is cell_module.TaskState.WAITING
+            assert (await cell.ask(member, order)).tasks == ()
+
+        curio.run(main)
+
+
+class TestOutage:
+    def test_running_work_is_renewed_up_to_the_grace_and_no_further(self):
+        async def main():
+            cell = leaders.Cell()
+            member = await cell.leader("m1")
+            worker = leaders.Worker(cell, "w1")
+            await _running_task(cell, member, worker)
+            await cell.submit(member, "b")
+            member.table.down = True
+            assert await leaders.eventually(lambda: member.leader._log.outage)
+            cell.clock.advance(0.065)
+            for _ in range(18):
+                ack = await worker.beat(member)
+                assert ack.renew == (("a/0", 1),)
+                assert not (ack.start or ack.stop or ack.acknowledged)
+                cell.clock.advance(0.05)
+            cell.clock.advance(0.15)
+            late = await worker.beat(member, timeout_s=0.2)
+            assert not isinstance(late, messages.HeartbeatAck)
+            member.table.down = False
+            assert await leaders.eventually(lambda: member.leads)
+            assert member.leader._log.epoch == 1
+
+        curio.run(main)
+
+    async def _takeover(self, cell, reachable):
+        """Returns an old leader cut from the table, and its successor."""
+        old = await cell.leader("m1")
+        worker = leaders.Worker(cell, "w1")
+        await _running_task(cell, old, worker)
+        old.table.down = True
+        assert await leaders.eventually(lambda: old.leader._log.outage)
+        if not reachable:
+            cell.network.cut("m1")
+        new = await cell.member("m2")
+        await _settle()
+        cell.clock.advance(0.08)
+        assert await leaders.eventually(lambda: new.leads)
+        return old, new, worker
+
+    def test_successor_waits_out_the_grace_of_an_unreachable_leader(self):
+        async def main():
+            cell = leaders.Cell()
+            old, new, worker = await self._takeover(cell, reachable=False)
+            cell.network.heal("m1")
+            old.bus._handlers.pop(messages.StepDown)
+            for _ in range(17):
+                await worker.beat(old)
+                cell.clock.advance(0.05)
+                assert await leaders.eventually(lambda: new.leads)
+            await _settle()
+            assert worker.leases, "the old leader goes on renewing"
+            assert _task(new).worker == "w1"
+            for _ in range(8):
+                cell.clock.advance(0.05)
+                await worker.beat(old, timeout_s=0.05)
+                assert await leaders.eventually(lambda: new.leads)
+            assert await _lapsed(new)
+            worker.expire()
+            assert not worker.leases
+
+        curio.run(main)
+
+    def test_leader_that_steps_down_shortens_the_wait(self):
+        async def main():
+            cell = leaders.Cell()
+            old, new, worker = await self._takeover(cell, reachable=True)
+            grace = cell.clock.now() + 0.5
+            assert await leaders.eventually(
+                lambda: new.leader._leases.horizon < grace
+            )
+            answer = await worker.beat(old, timeout_s=0.2)
+            assert not isinstance(answer, messages.HeartbeatAck)
+            for _ in range(4):
+                cell.clock.advance(0.04)
+                assert await leaders.eventually(lambda: new.leads)
+            assert await _lapsed(new)
+            worker.expire()
+            assert not worker.leases
+
+        curio.run(main)
+
+
+class TestTwoLeaders:
+    def test_frozen_leader_that_wakes_neither_writes_nor_orders(self):
+        async def main():
+            cell = leaders.Cell()
+            old = await cell.leader("m1")
+            worker = leaders.Worker(cell, "w1")
+            await _running_task(cell, old, worker)
+            await cell.submit(old, "b")
+            old.freeze()
+            late = await curio.spawn(worker.beat, old)
+            stale = await curio.spawn(cell.submit, old, "stale")
+            new = await cell.member("m2")
+            await _settle()
+            cell.clock.advance(0.08)
+            assert await leaders.eventually(lambda: new.leads)
+            before = len(await cell.events())
+            old.freeze(False)
+            answer = await stale.join()
+            assert answer.kind in (
+                outcome.Kind.NOT_LEADER,
+                outcome.Kind.STORE_UNAVAILABLE,
+            )
+            assert answer.ran is outcome.Ran.NO
+            ack = await late.join()
+            assert not getattr(ack, "start", ())
+            await _settle()
+            fresh = (await cell.events())[before:]
+            assert not any(
+                isinstance(e, cell_module.JobSubmitted) for e in fresh
+            )
+
+        curio.run(main)
+
+
+class TestKilledLeader:
+    @pytest.mark.parametrize("step", range(6))
+    @pytest.mark.parametrize("fault", [F.LOST_ANSWER, F.LOST_REQUEST])
+    def test_before_and_after_each_commit(self, step, fault):
+        """The leader dies at its n-th commit from the submission on."""
+
+        async def main():
+            cell = leaders.Cell()
+            old = await cell.leader("m1")
+            workers = [leaders.Worker(cell, f"w{n}") for n in (1, 2)]
+            await _beat_all(workers, old)
+            old.table.faults = [F.NONE] * step + [fault] + [F.DELAYED] * 999
+            call = await curio.spawn(_submit_briefly, cell, old)
+            for _ in range(10):
+                await _beat_all(workers, old)
+                await curio.sleep(0.01)
+            answer = await call.join()
+            await old.kill()
+            new = await cell.member("m2")
+            await _settle()
+            cell.clock.advance(0.08)
+            assert await leaders.eventually(lambda: new.leads)
+            await old.table.release()
+            again = await cell.submit(new, "a", tasks=3)
+            accepted = isinstance(answer, messages.JobAccepted)
+            assert not (accepted and again.created)
+            await _finish(cell, new, workers)
+            runs = [run for worker in workers for run in worker.runs]
+            assert not history.violations(await cell.events(), runs, ["a"])
+            view = await cell.ask(new, messages.ShowJob("a"))
+            assert view.state == "completed"
+
+        curio.run(main)
+
+
+async def _submit_briefly(cell, member):
+    spec = messages.JobSpec("a", "netting", tasks=3)
+    return await cell.ask(member, messages.SubmitJob(spec), 0.3)
+
+
+async def _beat_all(workers, member):
+    for worker in workers:
+        await worker.beat(member, timeout_s=0.5)
+
+
+async def _finish(cell, member, workers):
+    """Works until every job has ended."""
+    for _ in range(500):
+        await _beat_all(workers, member)
+        for worker in workers:
+            worker.finish()
+        jobs = member.leader._state.jobs.values()
+        if all(job.state.value != "active" for job in jobs):
+            return
+        await curio.sleep(0.002)
+    raise AssertionError("jobs did not end")
+
+
+class TestHistories:
+    @pytest.mark.parametrize("seed", range(8))
+    def test_faults_at_every_step(self, seed):
+        """Leaders frozen, killed and cut off, writes lost, workers silent."""
+
+        async def main():
+            chance = random.Random(seed)
+            cell = leaders.Cell()
+            members = [await cell.member(f"m{n}") for n in (1, 2, 3)]
+            workers = [leaders.Worker(cell, f"w{n}") for n in (1, 2, 3)]
+            accepted, calls = [], []
+            for step in range(60):
+                await _misfortune(chance, cell, members)
+                leading = [member for member in members if member.leads]
+                target = chance.choice(leading or members)
+                if step % 6 == 0:
+                    job = f"j{chance.randrange(8)}"
+                    call = await curio.spawn(cell.submit, target, job)
+                    calls.append((job, call))
+                for worker in workers:
+                    if chance.random() < 0.7:
+                        await worker.beat(target, timeout_s=0.02)
+                    if chance.random() < 0.1:
+                        worker.finish(
+                            chance.choice([END.COMPLETED, END.FAILED])
+                        )
+                cell.clock.advance(chance.choice([0.0, 0.005, 0.02]))
+                await curio.sleep(0.002)
+            for member in members:
+                member.freeze(False)
+                member.table.down, member.table.faults = False, []
+                await member.table.release()
+            for job, call in calls:
+                if isinstance(await call.join(), messages.JobAccepted):
+                    accepted.append(job)
+            accepted.append(await _accepted_by_anyone(cell, members))
+            runs = await _quiet_end(cell, members, workers)
+            events = await cell.events()
+            assert not history.violations(events, runs, accepted)
+            assert runs, "the history is not empty"
+
+        curio.run(main)
+
+
+async def _accepted_by_anyone(cell, members):
+    """Returns the id of a job that was submitted until it was accepted."""
+    for _ in range(1000):
+        for member in members:
+            cell.network.heal(member.name)
+            answer = await cell.submit(member, "last")
+            if isinstance(answer, messages.JobAccepted):
+                return "last"
+        cell.clock.advance(0.01)
+        await curio.sleep(0.002)
+    raise AssertionError("no member came to lead")
+
+
+async def _misfortune(chance, cell, members):
+    member = chance.choice(members)
+    match chance.randrange(8):
+        case 0:
+            member.freeze(not member.table.frozen)
+        case 1:
+            member.table.down = not member.table.down
+        case 2:
+            member.table.faults = chance.choices(list(F), k=3)
+        case 3:
+            await member.table.release()
+        case 4:
+            cell.clock.advance(chance.choice([0.05, 0.08, 0.12]))
+        case 5:
+            cell.network.cut(member.name)
+        case _:
+            for other in members:
+                cell.network.heal(other.name)
+
+
+async def _quiet_end(cell, members, workers):
+    """Returns the runs after all faults ended and all jobs did."""
+    for member in members:
+        cell.network.heal(member.name)
+    for _ in range(3000):
+        leading = [member for member in members if member.leads]
+        for worker in workers:
+            worker.expire()
+            for member in leading:
+                await worker.beat(member, timeout_s=0.2)
+            worker.finish()
+        cell.clock.advance(0.002)
+        await curio.sleep(0.002)
+        if any(_all_ended(member) for member in leading):
+            break
+    else:
+        raise AssertionError("jobs did not end")
+    return [run for worker in workers for run in worker.runs]
+
+
+def _all_ended(member):
+    jobs = member.leader._state.jobs.values()
+    return all(job.state.value != "active" for job in jobs)
