Executor: lease ends, refusal over capacity, eviction, resume and once

Cause: the agent started what it was told, resumed nothing and guarded no task declared once. Change: leases end a lease length after the worker's clock reading that precedes the heartbeat; orders beyond the worker are refused with a REFUSED end; eviction checkpoints into the object store before it stops; a start reads its checkpoint; once.py claims and settles each attempt of a once task in an object of its own. Waits for the object store run beside heartbeats. Ruled out: one outcome object for each task, since a delayed write of an old attempt could hide what a later one wrote.

--- /dev/null
+++ b/pomelostair/checkpoints.py
@@ -0,0 +1,50 @@
+"""Checkpoints of evicted tasks in the object store."""
+
+import attrs
+import msgspec
+
+from pomelostair import outcome
+from pomelostair import store
+
+
+@attrs.frozen
+class Saved:
+    """Content of a checkpoint object.
+
+    Attributes:
+        task: Id of the task.
+        attempt: Attempt that was evicted.
+        progress: Share of the work that is done, 0 to 1.
+    """
+
+    task: str
+    attempt: int
+    progress: float
+
+
+def key(task: str, attempt: int) -> str:
+    """Returns the key of the checkpoint that an attempt leaves."""
+    return f"checkpoints/{task}/{attempt}"
+
+
+async def save(objects: store.Objects, saved: Saved) -> bool:
+    """Writes a checkpoint; False if it is not certainly stored."""
+    data = msgspec.json.encode(saved)
+    result = await objects.put(key(saved.task, saved.attempt), data)
+    return isinstance(result, store.Stored)
+
+
+async def load(
+    objects: store.Objects, checkpoint: str
+) -> Saved | store.Absent | outcome.Unavailable:
+    """Reads a checkpoint.
+
+    Args:
+        objects: The object store.
+        checkpoint: Key of the checkpoint.
+    """
+    match await objects.get(checkpoint):
+        case store.Object(data=data):
+            return msgspec.json.decode(data, type=Saved)
+        case other:
+            return other
--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -49,8 +49,19 @@
     TASK_ENDED = Event(401, logging.INFO, "task ended")
     TASK_EVICTED = Event(402, logging.INFO, "task evicted")
     TASK_LOST = Event(403, logging.WARNING, "task lost with its worker")
+    TASK_THROTTLED = Event(404, logging.INFO, "task throttled")
+    TASK_PARKED = Event(405, logging.INFO, "task parked")
+    TASK_REFUSED = Event(406, logging.WARNING, "task refused by its worker")
+    TASK_OUTCOME_UNKNOWN = Event(
+        407, logging.ERROR, "earlier attempt may have completed"
+    )
+    CHECKPOINT_FAILED = Event(408, logging.WARNING, "checkpoint not stored")
     WORKER_SILENT = Event(410, logging.WARNING, "worker is silent")
     WORKER_QUARANTINED = Event(411, logging.WARNING, "worker quarantined")
+    WORKER_RESTORED = Event(412, logging.INFO, "worker left quarantine")
+    WORKER_OVER_CAPACITY = Event(
+        413, logging.WARNING, "worker uses more than it has"
+    )
     CONFIG_APPLIED = Event(500, logging.INFO, "configuration in force")
     CONFIG_REFUSED = Event(501, logging.WARNING, "configuration refused")
     COMMAND_RUN = Event(502, logging.INFO, "operator command run")
--- a/pomelostair/executor.py
+++ b/pomelostair/executor.py
@@ -1,16 +1,31 @@
-"""Tasks at an agent: carries out the leader's orders on the worker."""
+"""Tasks at an agent: carries out the leader's orders on the worker.
+
+Each heartbeat reads the worker's clock first, and leases granted in the
+answer end a lease length after that reading. What waits for the object store
+runs beside the heartbeats, so that a slow store delays no renewal.
+"""
 
 import curio
 
 from pomelostair import bus as bus_module
+from pomelostair import checkpoints
 from pomelostair import errors
+from pomelostair import events
 from pomelostair import kernel
+from pomelostair import ledger
+from pomelostair import log
 from pomelostair import membership
 from pomelostair import messages
+from pomelostair import once
+from pomelostair import outcome
 from pomelostair import settings as settings_module
+from pomelostair import store
 from pomelostair import workerclient
 
 RUNNING = "running"
+DRAIN_POLL_S = 0.1
+
+Key = tuple[str, int]
 
 
 @kernel.plugin(settings_module.Role.AGENT)
@@ -25,6 +40,9 @@
         self._epoch = 0
         self._state = messages.TargetState.READY
         self._wake = curio.Event()
+        self._busy: dict[Key, messages.Size] = {}
+        self._settled: set[Key] = set()
+        self._own_ends: dict[Key, messages.TaskEnded] = {}
         self._worker: settings_module.WorkerTarget | None = None
         match parts.settings.target:
             case settings_module.WorkerTarget() as worker:
@@ -46,9 +64,21 @@
             self._wake.clear()
 
     async def drain(self, timeout_s: float) -> None:
-        """Tells the leader that the worker takes no new tasks."""
+        """Has the leader move the worker's tasks away, within the timeout."""
+        if self._worker is None:
+            return
         self._state = messages.TargetState.DRAINING
         await self._wake.set()
+        deadline = self._parts.clock.now() + timeout_s
+        while self._parts.clock.now() < deadline and await self._occupied():
+            await curio.sleep(DRAIN_POLL_S)
+
+    async def _occupied(self) -> bool:
+        try:
+            status = await self._client.status()
+        except errors.PomelostairError:
+            return False
+        return bool(status.tasks)
 
     async def _on_nudge(self, message: messages.Nudge, _envelope) -> None:
         if message.epoch >= self._epoch:
@@ -59,6 +89,7 @@
         if leader is None:
             return
         status = await self._client.status()
+        await self._settle(status)
         timeout_s = self._parts.settings.timing.silent_ms / 1000
         heartbeat = self._heartbeat(status)
         result = await self._parts.bus.call(leader.bus, heartbeat, timeout_s)
@@ -68,34 +99,64 @@
             case _:
                 self._parts.metrics.count("heartbeats_unanswered")
 
+    async def _settle(self, status: workerclient.Status) -> None:
+        shown = {(t.task, t.attempt) for t in status.tasks}
+        self._settled &= shown
+        for task in status.tasks:
+            key = (task.task, task.attempt)
+            if not task.order.once or task.state == RUNNING:
+                continue
+            if key not in self._settled and key not in self._busy:
+                await self._beside(key, self._settle_one, task, status.boot)
+
+    async def _settle_one(
+        self, task: workerclient.WorkerTask, boot: str
+    ) -> None:
+        end = messages.TaskEnd(task.state)
+        completed = end is messages.TaskEnd.COMPLETED
+        if await once.settle(
+            self._parts.objects, task.task, task.attempt, completed, boot
+        ):
+            self._settled.add((task.task, task.attempt))
+            await self._wake.set()
+        else:
+            self._parts.metrics.count("once_outcomes_unwritten")
+
     def _heartbeat(self, status: workerclient.Status) -> messages.Heartbeat:
         assert self._worker is not None
         return messages.Heartbeat(
             worker=self._parts.settings.name,
             zone=self._parts.settings.zone,
             rack=self._worker.rack,
-            capacity=messages.Size(
-                self._worker.cores,
-                self._worker.memory_mb,
-                self._worker.accelerators,
-            ),
+            capacity=self._capacity,
             state=self._state,
             usage=tuple(
-                messages.TaskUsage(
-                    t.task, t.attempt, t.used, t.progress, t.slowdown
-                )
-                for t in status.tasks
-                if t.state == RUNNING
+                _usage(task, status.now_ms)
+                for task in status.tasks
+                if task.state == RUNNING
             ),
-            ended=tuple(
-                messages.TaskEnded(
-                    t.task, t.attempt, messages.TaskEnd(t.state), t.detail
-                )
-                for t in status.tasks
-                if t.state != RUNNING
+            ended=(
+                *(
+                    _ended(task)
+                    for task in status.tasks
+                    if task.state != RUNNING and self._reportable(task)
+                ),
+                *self._own_ends.values(),
             ),
         )
 
+    def _reportable(self, task: workerclient.WorkerTask) -> bool:
+        return not task.order.once or (task.task, task.attempt) in self._settled
+
+    @property
+    def _capacity(self) -> messages.Size:
+        assert self._worker is not None
+        return messages.Size(
+            self._worker.cores,
+            self._worker.memory_mb,
+            self._worker.accelerators,
+        )
+
     async def _obey(
         self, ack: messages.HeartbeatAck, status: workerclient.Status
     ) -> None:
@@ -112,11 +173,178 @@
                     for task, attempt in ack.renew
                 )
             )
-        for stop in ack.stop:
-            await self._client.stop(
-                workerclient.Attempt(stop.task, stop.attempt)
+        await self._forget(ack.acknowledged)
+        for throttle in ack.throttle:
+            await self._client.throttle(
+                workerclient.Throttle(
+                    throttle.task, throttle.attempt, throttle.share
+                )
             )
-        for start in ack.start:
-            await self._client.start(workerclient.Start(start, 0.0, expires_ms))
-        for task, attempt in ack.acknowledged:
-            await self._client.forget(workerclient.Attempt(task, attempt))
+        for stop in ack.stop:
+            key = (stop.task, stop.attempt)
+            if key not in self._busy:
+                await self._beside(key, self._stop, stop)
+        await self._start_all(ack.start, status, expires_ms)
+
+    async def _forget(self, acknowledged: tuple[Key, ...]) -> None:
+        attempts = []
+        for key in acknowledged:
+            if self._own_ends.pop(key, None) is None:
+                attempts.append(workerclient.Attempt(*key))
+        if attempts:
+            await self._client.forget(tuple(attempts))
+
+    async def _stop(self, stop: messages.StopOrder) -> None:
+        attempt = workerclient.Attempt(stop.task, stop.attempt)
+        end, detail = messages.TaskEnd.STOPPED, "stopped by the leader"
+        if stop.checkpoint:
+            if not await self._checkpoint(attempt):
+                return
+            end = messages.TaskEnd.EVICTED
+            detail = checkpoints.key(stop.task, stop.attempt)
+        await self._client.stop(
+            workerclient.Stop(stop.task, stop.attempt, end, detail)
+        )
+        await self._wake.set()
+
+    async def _checkpoint(self, attempt: workerclient.Attempt) -> bool:
+        progress = (await self._client.checkpoint(attempt)).progress
+        saved = checkpoints.Saved(attempt.task, attempt.attempt, progress)
+        if await checkpoints.save(self._parts.objects, saved):
+            return True
+        self._parts.metrics.count("checkpoints_failed")
+        log.emit(
+            events.Events.CHECKPOINT_FAILED,
+            task=attempt.task,
+            attempt=attempt.attempt,
+        )
+        await self._client.throttle(
+            workerclient.Throttle(attempt.task, attempt.attempt, 1.0)
+        )
+        return False
+
+    async def _start_all(
+        self,
+        orders: tuple[messages.StartOrder, ...],
+        status: workerclient.Status,
+        expires_ms: float,
+    ) -> None:
+        shown = {(t.task, t.attempt) for t in status.tasks}
+        account = ledger.Account("", "", "", self._capacity)
+        for task in status.tasks:
+            if task.state == RUNNING:
+                account.assigned[task.task, task.attempt] = reserved(task.order)
+        account.assigned.update(self._busy)
+        for order in orders:
+            key = (order.task, order.attempt)
+            if key in shown or key in self._busy or key in self._own_ends:
+                continue
+            if not ledger.fits(reserved(order), account.free):
+                self._refuse(order, account.free)
+                continue
+            account.assigned[key] = reserved(order)
+            await self._beside(key, self._start, order, expires_ms, status.boot)
+
+    def _refuse(self, order: messages.StartOrder, free: messages.Size) -> None:
+        self._parts.metrics.count("orders_refused", reason="over-capacity")
+        log.emit(
+            events.Events.TASK_REFUSED, task=order.task, attempt=order.attempt
+        )
+        detail = f"the worker has only {free.cores:g} cores and "
+        detail += f"{free.memory_mb} MB free"
+        self._end_unstarted(order, messages.TaskEnd.REFUSED, detail)
+
+    def _end_unstarted(
+        self, order: messages.StartOrder, end: messages.TaskEnd, detail: str
+    ) -> None:
+        self._own_ends[order.task, order.attempt] = messages.TaskEnded(
+            order.task, order.attempt, end, detail, order.checkpoint
+        )
+
+    async def _start(
+        self, order: messages.StartOrder, expires_ms: float, boot: str
+    ) -> None:
+        progress = 0.0
+        if order.checkpoint:
+            match await checkpoints.load(self._parts.objects, order.checkpoint):
+                case checkpoints.Saved(progress=progress):
+                    pass
+                case store.Absent():
+                    self._parts.metrics.count("checkpoints_missing")
+                case outcome.Unavailable():
+                    self._parts.metrics.count(
+                        "starts_delayed", reason="checkpoint-unread"
+                    )
+                    return
+        if order.once and not await self._claim(order, boot):
+            return
+        await self._client.start(
+            workerclient.Start(order, progress, expires_ms)
+        )
+
+    async def _claim(self, order: messages.StartOrder, boot: str) -> bool:
+        verdict = await once.claim(
+            self._parts.objects, order.task, order.attempt, boot
+        )
+        match verdict:
+            case once.Verdict.START:
+                return True
+            case once.Verdict.WAIT:
+                self._parts.metrics.count(
+                    "starts_delayed", reason="outcome-unread"
+                )
+            case once.Verdict.COMPLETED:
+                self._end_unstarted(
+                    order, messages.TaskEnd.COMPLETED, "completed before"
+                )
+            case once.Verdict.UNKNOWN:
+                log.emit(events.Events.TASK_OUTCOME_UNKNOWN, task=order.task)
+                self._end_unstarted(
+                    order,
+                    messages.TaskEnd.FAILED,
+                    "an earlier attempt may have completed; look at its effect",
+                )
+        return False
+
+    async def _beside(self, key: Key, work, *arguments) -> None:
+        size = messages.Size(0.0, 0, 0)
+        match arguments[0]:
+            case messages.StartOrder() as order:
+                size = reserved(order)
+        self._busy[key] = size
+        await curio.spawn(self._guarded, key, work, *arguments, daemon=True)
+
+    async def _guarded(self, key: Key, work, *arguments) -> None:
+        try:
+            await work(*arguments)
+        except errors.PomelostairError:
+            self._parts.metrics.count("worker_calls_failed")
+        finally:
+            del self._busy[key]
+
+
+def reserved(order: messages.StartOrder) -> messages.Size:
+    """Returns the size that an order counts with at its worker."""
+    return order.reserved or order.size
+
+
+def _usage(task: workerclient.WorkerTask, now_ms: float) -> messages.TaskUsage:
+    age_s = None
+    if task.read_ms is not None:
+        age_s = max(0.0, now_ms - task.read_ms) / 1000
+    return messages.TaskUsage(
+        task.task,
+        task.attempt,
+        task.used,
+        task.progress,
+        task.slowdown,
+        age_s,
+    )
+
+
+def _ended(task: workerclient.WorkerTask) -> messages.TaskEnded:
+    end = messages.TaskEnd(task.state)
+    checkpoint = task.detail if end is messages.TaskEnd.EVICTED else ""
+    return messages.TaskEnded(
+        task.task, task.attempt, end, task.detail, checkpoint
+    )
--- a/pomelostair/ledger.py
+++ b/pomelostair/ledger.py
@@ -1,5 +1,7 @@
 """What each worker holds, so that none is given more than it can hold."""
 
+import typing
+
 import attrs
 
 from pomelostair import messages
@@ -14,14 +16,14 @@
         zone: Its availability zone.
         rack: Its rack.
         capacity: What tasks may use.
-        assigned: Sizes by task id.
+        assigned: Sizes by key of what is assigned.
     """
 
     worker: str
     zone: str
     rack: str
     capacity: messages.Size
-    assigned: dict[str, messages.Size] = attrs.field(factory=dict)
+    assigned: dict[typing.Hashable, messages.Size] = attrs.field(factory=dict)
 
     @property
     def free(self) -> messages.Size:
--- a/pomelostair/messages.py
+++ b/pomelostair/messages.py
@@ -289,6 +289,8 @@
         used: Resources in use.
         progress: Share of the work that is done, 0 to 1.
         slowdown: Run time over the run time when alone; 1 is undisturbed.
+        age_s: Seconds since `used` and `slowdown` were read at the worker;
+            None if they were not read yet.
     """
 
     task: str
@@ -296,6 +298,7 @@
     used: Size
     progress: float
     slowdown: float
+    age_s: float | None = None
 
 
 @wire.message("heartbeat")
@@ -335,6 +338,7 @@
         run_s: Declared run time, 0 for a service task.
         checkpoint: Key of the checkpoint to resume from, empty for none.
         once: Whether the outcome object guards against a second run.
+        reserved: Size that the leader planned with; None for the declared.
     """
 
     task: str
@@ -345,6 +349,7 @@
     run_s: float
     checkpoint: str
     once: bool
+    reserved: Size | None = None
 
 
 @attrs.frozen
--- a/pomelostair/workerclient.py
+++ b/pomelostair/workerclient.py
@@ -23,6 +23,9 @@
         progress: Share of the work that is done, 0 to 1.
         used: Resources in use, as of some time ago.
         slowdown: Run time over the run time when alone, as of then.
+        read_ms: When usage was read, on the worker's clock; None if it was
+            not read yet.
+        order: What started it.
     """
 
     task: str
@@ -32,6 +35,8 @@
     progress: float
     used: messages.Size
     slowdown: float
+    read_ms: float | None
+    order: messages.StartOrder
 
 
 @attrs.frozen
@@ -41,10 +46,12 @@
     Attributes:
         now_ms: Reading of the worker's clock in milliseconds.
         tasks: Its attempts, ended ones until they are forgotten.
+        boot: Id of this start of the worker; a new one forgot all attempts.
     """
 
     now_ms: float
     tasks: tuple[WorkerTask, ...]
+    boot: str
 
 
 @attrs.frozen
@@ -86,6 +93,30 @@
     attempt: int
 
 
+@attrs.frozen
+class Attempts:
+    """Names several attempts."""
+
+    attempts: tuple[Attempt, ...]
+
+
+@attrs.frozen
+class Stop:
+    """Ends an attempt, with a note that the worker shows afterwards.
+
+    Attributes:
+        task: Id of the task.
+        attempt: Number of the attempt.
+        end: How it counts as ended.
+        detail: Shown with it; the key of the checkpoint of an evicted one.
+    """
+
+    task: str
+    attempt: int
+    end: messages.TaskEnd
+    detail: str = ""
+
+
 @attrs.frozen
 class Throttle:
     """A new share of full speed for an attempt."""
@@ -136,13 +167,13 @@
         """Changes the speed of an attempt."""
         await self._ask("POST", "/throttle", throttle, None)
 
-    async def stop(self, attempt: Attempt) -> None:
+    async def stop(self, stop: Stop) -> None:
         """Ends an attempt; one that ended already stays as it is."""
-        await self._ask("POST", "/stop", attempt, None)
+        await self._ask("POST", "/stop", stop, None)
 
-    async def forget(self, attempt: Attempt) -> None:
-        """Makes the worker forget an ended attempt."""
-        await self._ask("POST", "/forget", attempt, None)
+    async def forget(self, attempts: tuple[Attempt, ...]) -> None:
+        """Makes the worker forget ended attempts."""
+        await self._ask("POST", "/forget", Attempts(attempts), None)
 
     async def _ask(
         self, method: str, target: str, body: object, answer: type | None
