Scheduling decisions: estimates, interference, relief, preemption, blame

Cause: placement went by declared size alone, nothing ever yielded, and a task that could not run waited without a reason. Change: rounds.py plans a bounded round from urgency, team turns, quotas and the starvation bound; placement.py scores by the work gained and by stranded capacity; estimates.py and interference.py learn from lagging reports; relief.py throttles and evicts on full or noisy workers; blame.py tells a bad task from a bad worker; decisions.py keeps what operators ask about. A job larger than every worker is refused, or parked with the reason.

--- /dev/null
+++ b/pomelostair/decisions.py
@@ -0,0 +1,34 @@
+"""Recent decisions about tasks, kept in bounded memory for operators."""
+
+import collections
+
+MAX_TASKS = 4000
+MAX_ROWS = 8
+
+
+class Decisions:
+    """The latest decisions about the latest tasks."""
+
+    def __init__(self):
+        self._rows: collections.OrderedDict[str, collections.deque[str]] = (
+            collections.OrderedDict()
+        )
+
+    def record(self, task: str, now: float, text: str) -> None:
+        """Keeps a decision; a repeated one only moves the task up.
+
+        Args:
+            task: Id of the task.
+            now: Monotonic seconds.
+            text: What was decided, and from what.
+        """
+        rows = self._rows.setdefault(task, collections.deque(maxlen=MAX_ROWS))
+        self._rows.move_to_end(task)
+        if not rows or rows[-1].partition(": ")[2] != text:
+            rows.append(f"{now:.3f} s: {text}")
+        if len(self._rows) > MAX_TASKS:
+            self._rows.popitem(last=False)
+
+    def rows(self, task: str) -> tuple[str, ...]:
+        """Returns the kept decisions about a task, oldest first."""
+        return tuple(self._rows.get(task, ()))
--- a/pomelostair/executor.py
+++ b/pomelostair/executor.py
@@ -131,9 +131,7 @@
             capacity=self._capacity,
             state=self._state,
             usage=tuple(
-                _usage(task, status.now_ms)
-                for task in status.tasks
-                if task.state == RUNNING
+                _usage(task) for task in status.tasks if task.state == RUNNING
             ),
             ended=(
                 *(
@@ -143,6 +141,7 @@
                 ),
                 *self._own_ends.values(),
             ),
+            now_ms=status.now_ms,
         )
 
     def _reportable(self, task: workerclient.WorkerTask) -> bool:
@@ -233,8 +232,10 @@
         account = ledger.Account("", "", "", self._capacity)
         for task in status.tasks:
             if task.state == RUNNING:
-                account.assigned[task.task, task.attempt] = reserved(task.order)
-        account.assigned.update(self._busy)
+                held = ledger.largest(reserved(task.order), task.used)
+                account.assign((task.task, task.attempt), held)
+        for key, size in self._busy.items():
+            account.assign(key, size)
         for order in orders:
             key = (order.task, order.attempt)
             if key in shown or key in self._busy or key in self._own_ends:
@@ -242,7 +243,7 @@
             if not ledger.fits(reserved(order), account.free):
                 self._refuse(order, account.free)
                 continue
-            account.assigned[key] = reserved(order)
+            account.assign(key, reserved(order))
             await self._beside(key, self._start, order, expires_ms, status.boot)
 
     def _refuse(self, order: messages.StartOrder, free: messages.Size) -> None:
@@ -328,17 +329,15 @@
     return order.reserved or order.size
 
 
-def _usage(task: workerclient.WorkerTask, now_ms: float) -> messages.TaskUsage:
-    age_s = None
-    if task.read_ms is not None:
-        age_s = max(0.0, now_ms - task.read_ms) / 1000
+def _usage(task: workerclient.WorkerTask) -> messages.TaskUsage:
     return messages.TaskUsage(
         task.task,
         task.attempt,
         task.used,
         task.progress,
         task.slowdown,
-        age_s,
+        task.read_ms,
+        reserved(task.order),
     )
 
 
--- a/pomelostair/leader.py
+++ b/pomelostair/leader.py
@@ -201,6 +201,12 @@
         if known:
             await self._parts.bus.reply(envelope, answer)
             return
+        refused = self._scheduler.admit(
+            message.spec, self._workers, self._parts.clock.now()
+        )
+        if refused is not None:
+            await self._parts.bus.reply(envelope, refused)
+            return
         self._waiters.append(Waiter(envelope, answer))
         await self._log_event(cell_module.JobSubmitted(message.spec))
 
@@ -277,7 +283,7 @@
         )
         self._scheduler.observe(message, self._state, now)
         for ended in message.ended:
-            await self._on_ended(ended)
+            await self._on_ended(self._scheduler.judged(ended))
         grant = self._scheduler.grant(
             message, self._state, self._log.epoch, now
         )
--- a/pomelostair/ledger.py
+++ b/pomelostair/ledger.py
@@ -6,6 +6,8 @@
 
 from pomelostair import messages
 
+_SLACK_CORES = 1e-6
+
 
 @attrs.define
 class Account:
@@ -16,30 +18,73 @@
         zone: Its availability zone.
         rack: Its rack.
         capacity: What tasks may use.
-        assigned: Sizes by key of what is assigned.
     """
 
     worker: str
     zone: str
     rack: str
     capacity: messages.Size
-    assigned: dict[typing.Hashable, messages.Size] = attrs.field(factory=dict)
+    _assigned: dict[typing.Hashable, messages.Size] = attrs.field(
+        factory=dict, init=False
+    )
+    _cores: float = attrs.field(default=0.0, init=False)
+    _memory_mb: int = attrs.field(default=0, init=False)
+    _accelerators: int = attrs.field(default=0, init=False)
+
+    @property
+    def assigned(self) -> typing.Mapping[typing.Hashable, messages.Size]:
+        """Sizes by key of what is assigned."""
+        return self._assigned
 
     @property
     def free(self) -> messages.Size:
-        """What is not assigned."""
-        sizes = self.assigned.values()
+        """What is not assigned; below zero for a worker over capacity."""
         return messages.Size(
-            self.capacity.cores - sum(s.cores for s in sizes),
-            self.capacity.memory_mb - sum(s.memory_mb for s in sizes),
-            self.capacity.accelerators - sum(s.accelerators for s in sizes),
+            self.capacity.cores - self._cores,
+            self.capacity.memory_mb - self._memory_mb,
+            self.capacity.accelerators - self._accelerators,
         )
 
+    def assign(self, key: typing.Hashable, size: messages.Size) -> None:
+        """Assigns a size under a key, in place of an earlier one."""
+        self.release(key)
+        self._assigned[key] = size
+        self._add(size, 1)
+
+    def release(self, key: typing.Hashable) -> None:
+        """Frees what is assigned under a key, if anything is."""
+        size = self._assigned.pop(key, None)
+        if size is not None:
+            self._add(size, -1)
+
+    def _add(self, size: messages.Size, sign: int) -> None:
+        self._cores += sign * size.cores
+        self._memory_mb += sign * size.memory_mb
+        self._accelerators += sign * size.accelerators
+
 
 def fits(size: messages.Size, free: messages.Size) -> bool:
     """Returns whether a size fits into what is free."""
     return (
-        size.cores <= free.cores
+        size.cores <= free.cores + _SLACK_CORES
         and size.memory_mb <= free.memory_mb
         and size.accelerators <= free.accelerators
     )
+
+
+def add(first: messages.Size, second: messages.Size) -> messages.Size:
+    """Returns the sum of two sizes."""
+    return messages.Size(
+        first.cores + second.cores,
+        first.memory_mb + second.memory_mb,
+        first.accelerators + second.accelerators,
+    )
+
+
+def largest(first: messages.Size, second: messages.Size) -> messages.Size:
+    """Returns the larger of two sizes in each resource."""
+    return messages.Size(
+        max(first.cores, second.cores),
+        max(first.memory_mb, second.memory_mb),
+        max(first.accelerators, second.accelerators),
+    )
--- a/pomelostair/messages.py
+++ b/pomelostair/messages.py
@@ -289,8 +289,9 @@
         used: Resources in use.
         progress: Share of the work that is done, 0 to 1.
         slowdown: Run time over the run time when alone; 1 is undisturbed.
-        age_s: Seconds since `used` and `slowdown` were read at the worker;
+        read_ms: When `used` and `slowdown` were read, on the worker's clock;
             None if they were not read yet.
+        reserved: Size that it counts with at its worker, None for unknown.
     """
 
     task: str
@@ -298,7 +299,8 @@
     used: Size
     progress: float
     slowdown: float
-    age_s: float | None = None
+    read_ms: float | None = None
+    reserved: Size | None = None
 
 
 @wire.message("heartbeat")
@@ -314,6 +316,7 @@
         state: Whether the worker takes new tasks.
         usage: The attempts that run on the worker.
         ended: Attempts whose end is not acknowledged yet.
+        now_ms: Reading of the worker's clock before this was sent.
     """
 
     worker: str
@@ -323,6 +326,7 @@
     state: TargetState
     usage: tuple[TaskUsage, ...]
     ended: tuple[TaskEnded, ...]
+    now_ms: float = 0.0
 
 
 @attrs.frozen
--- a/pomelostair/placement.py
+++ b/pomelostair/placement.py
@@ -1,21 +1,256 @@
-"""Choice of a worker for a task."""
+"""Choice of a worker for a task.
+
+Among the workers with room, the one wins where the task adds most to the work
+that the worker gets done, with little left stranded in one resource, far from
+the other tasks of a job that must survive. A worker where a latency-critical
+task would suffer takes no more batch.
+"""
 
 from collections.abc import Iterable
+import enum
+
+import attrs
 
+from pomelostair import interference as interference_module
 from pomelostair import ledger
 from pomelostair import messages
 
+CRITICAL_SLOWDOWN_LIMIT = 1.2
+MIN_GAIN = 0.25
+STRANDED_WEIGHT = 0.3
+FREE_WEIGHT = 0.1
+ZONE_WEIGHT = 2.0
+RACK_WEIGHT = 1.0
+WORKER_WEIGHT = 1.0
+
+
+class Refusal(enum.Enum):
+    """Why a worker is not chosen."""
+
+    NO_ROOM = "no room"
+    AVOIDED = "the task failed there"
+    CRITICAL_SUFFERS = "a latency-critical task would suffer"
+    NO_GAIN = "the tasks would slow each other down"
+
+
+@attrs.frozen
+class Request:
+    """A task that needs a worker.
+
+    Attributes:
+        task: Id of the task.
+        job: Id of its job.
+        kind: Its kind.
+        urgency: Its urgency class.
+        size: Size to plan with.
+        survive: Whether its job is spread over racks and zones.
+        avoided: Workers where it failed.
+        starved: Whether it waited so long that slowdown no longer counts.
+    """
+
+    task: str
+    job: str
+    kind: str
+    urgency: messages.Urgency
+    size: messages.Size
+    survive: bool = False
+    avoided: frozenset[str] = frozenset()
+    starved: bool = False
+
+    @property
+    def critical(self) -> bool:
+        """Whether it is latency-critical."""
+        return self.urgency is messages.Urgency.CRITICAL
+
+
+@attrs.define
+class Resident:
+    """All tasks of a kind on one worker.
+
+    Attributes:
+        cores: Cores that they hold.
+        count: Number of tasks.
+        critical: Number of latency-critical ones among them.
+    """
+
+    cores: float = 0.0
+    count: int = 0
+    critical: int = 0
+
+
+@attrs.define
+class Host:
+    """A worker that takes tasks, during one round.
+
+    Attributes:
+        account: What it holds.
+        residents: Its tasks by kind.
+        jobs: Number of its tasks by job, of jobs that must survive.
+    """
+
+    account: ledger.Account
+    residents: dict[str, Resident] = attrs.field(factory=dict)
+    jobs: dict[str, int] = attrs.field(factory=dict)
+
+    def add(self, request: Request) -> None:
+        """Takes a task in."""
+        self.account.assign(request.task, request.size)
+        resident = self.residents.setdefault(request.kind, Resident())
+        resident.cores += request.size.cores
+        resident.count += 1
+        resident.critical += request.critical
+        if request.survive:
+            self.jobs[request.job] = self.jobs.get(request.job, 0) + 1
 
-def choose(
-    size: messages.Size, accounts: Iterable[ledger.Account]
-) -> ledger.Account | None:
-    """Returns the account with the least free cores that still fits.
+    def loads(self, without: str = "") -> dict[str, float]:
+        """Returns shares of the cores by kind.
+
+        Args:
+            without: Kind of which one task is left out.
+        """
+        cores = self.account.capacity.cores
+        loads = {k: r.cores / cores for k, r in self.residents.items()}
+        if without in loads:
+            loads[without] *= 1 - 1 / self.residents[without].count
+        return loads
+
+
+@attrs.frozen
+class Scored:
+    """A worker with its score, lower is better, or why it has none."""
+
+    worker: str
+    score: float
+    refusal: Refusal | None = None
+
+
+@attrs.frozen
+class Choice:
+    """The chosen worker, None for none, and how all were scored."""
+
+    host: Host | None
+    scored: tuple[Scored, ...]
+
+
+class Placement:
+    """Chooses workers during one round.
 
     Args:
-        size: Size of the task.
-        accounts: The workers that take new tasks.
+        hosts: The workers that take new tasks.
+        interference: Learned factors.
+        now: Monotonic seconds.
     """
-    fitting = [a for a in accounts if ledger.fits(size, a.free)]
-    if not fitting:
+
+    def __init__(
+        self,
+        hosts: Iterable[Host],
+        interference: interference_module.Interference,
+        now: float,
+    ):
+        self._hosts = tuple(hosts)
+        self._interference = interference
+        self._now = now
+
+    @property
+    def hosts(self) -> tuple[Host, ...]:
+        """The workers that take new tasks."""
+        return self._hosts
+
+    def choose(self, request: Request) -> Choice:
+        """Returns the best worker for a task, which does not take it yet."""
+        spread = _spread(request, self._hosts)
+        best: Host | None = None
+        best_score = 0.0
+        scored = []
+        for host in self._hosts:
+            found = self._score(request, host, spread)
+            scored.append(found)
+            if found.refusal is None and (
+                best is None or found.score < best_score
+            ):
+                best, best_score = host, found.score
+        return Choice(best, tuple(scored))
+
+    def _score(
+        self, request: Request, host: Host, spread: dict[str, int]
+    ) -> Scored:
+        account = host.account
+        refusal = None
+        score = 0.0
+        if account.worker in request.avoided:
+            refusal = Refusal.AVOIDED
+        elif not ledger.fits(request.size, account.free):
+            refusal = Refusal.NO_ROOM
+        else:
+            gain, suffering = self._effect(request, host)
+            refusal = _objection(request, gain, suffering)
+            score = -gain + _stranded(request.size, account)
+            score += _crowding(host, request, spread)
+        return Scored(account.worker, score, refusal)
+
+    def _effect(self, request: Request, host: Host) -> tuple[float, bool]:
+        """Returns the work gained for each core, and whether any suffers."""
+        own = self._interference.slowdown(request.kind, host.loads(), self._now)
+        load = request.size.cores / host.account.capacity.cores
+        lost = 0.0
+        suffering = request.critical and own > CRITICAL_SLOWDOWN_LIMIT
+        for kind, resident in host.residents.items():
+            factor = self._interference.factor(kind, request.kind, self._now)
+            if factor <= 0:
+                continue
+            before = self._interference.slowdown(
+                kind, host.loads(kind), self._now
+            )
+            after = before + factor * load
+            lost += resident.cores * (1 / before - 1 / after)
+            if resident.critical and after > CRITICAL_SLOWDOWN_LIMIT:
+                suffering = True
+        gain = 1 / own - lost / max(request.size.cores, 1e-6)
+        return gain, suffering
+
+
+def _objection(
+    request: Request, gain: float, suffering: bool
+) -> Refusal | None:
+    if request.starved or request.urgency <= messages.Urgency.URGENT:
         return None
-    return min(fitting, key=lambda a: (a.free.cores, a.worker))
+    if suffering:
+        return Refusal.CRITICAL_SUFFERS
+    if gain < MIN_GAIN:
+        return Refusal.NO_GAIN
+    return None
+
+
+def _stranded(size: messages.Size, account: ledger.Account) -> float:
+    free = account.free
+    capacity = account.capacity
+    cores = (free.cores - size.cores) / capacity.cores
+    memory = (free.memory_mb - size.memory_mb) / capacity.memory_mb
+    stranded = STRANDED_WEIGHT * abs(cores - memory)
+    if not size.accelerators and free.accelerators > 0:
+        stranded += STRANDED_WEIGHT
+    return stranded + FREE_WEIGHT * (cores + memory)
+
+
+def _spread(request: Request, hosts: tuple[Host, ...]) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    if not request.survive:
+        return counts
+    for host in hosts:
+        held = host.jobs.get(request.job, 0)
+        if held:
+            account = host.account
+            for place in (account.zone, f"{account.zone}/{account.rack}"):
+                counts[place] = counts.get(place, 0) + held
+    return counts
+
+
+def _crowding(host: Host, request: Request, spread: dict[str, int]) -> float:
+    if not request.survive:
+        return 0.0
+    account = host.account
+    return (
+        ZONE_WEIGHT * spread.get(account.zone, 0)
+        + RACK_WEIGHT * spread.get(f"{account.zone}/{account.rack}", 0)
+        + WORKER_WEIGHT * host.jobs.get(request.job, 0)
+    )
--- /dev/null
+++ b/pomelostair/relief.py
@@ -0,0 +1,225 @@
+"""Throttling and eviction on workers that are too full or too noisy.
+
+A worker that by its reports uses more than it has throttles its least urgent
+tasks, then evicts them. A latency-critical task that reports a slowdown makes
+its worst less urgent neighbour throttle, then leave. After each step the
+worker is left alone until reports are newer than the step.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+
+import attrs
+
+from pomelostair import eviction
+from pomelostair import ledger
+from pomelostair import messages
+from pomelostair import reports
+
+SUFFERING_SLOWDOWN = 1.5
+CALM_SLOWDOWN = 1.2
+SUFFERING_READINGS = 2
+THROTTLE_FACTOR = 0.5
+MIN_SHARE = 0.25
+RESTORE_AFTER_S = 20.0
+OVER_CAPACITY = 1.02
+
+Key = tuple[str, int]
+
+
+@attrs.frozen
+class Throttled:
+    """An attempt gets a share of its full speed."""
+
+    key: Key
+    share: float
+    reason: str
+
+
+@attrs.frozen
+class Evicted:
+    """An attempt has to leave."""
+
+    key: Key
+    reason: str
+
+
+Step = Throttled | Evicted
+
+
+@attrs.frozen
+class Report:
+    """A reading of one attempt."""
+
+    key: Key
+    kind: str
+    urgency: messages.Urgency
+    slowdown: float
+    read_s: float
+
+
+@attrs.define
+class Relief:
+    """Relief on one worker.
+
+    Attributes:
+        capacity: What the worker's tasks may use.
+    """
+
+    capacity: messages.Size
+    _shares: dict[Key, float] = attrs.field(factory=dict, init=False)
+    _strikes: dict[Key, int] = attrs.field(factory=dict, init=False)
+    _suffering: dict[Key, int] = attrs.field(factory=dict, init=False)
+    _acted_s: float = attrs.field(default=float("-inf"), init=False)
+    _calm_s: float | None = attrs.field(default=None, init=False)
+
+    @property
+    def shares(self) -> Mapping[Key, float]:
+        """Shares of full speed of the attempts that were throttled."""
+        return self._shares
+
+    def keep(self, running: set[Key]) -> None:
+        """Forgets the attempts that run no more."""
+        for memory in (self._shares, self._strikes, self._suffering):
+            for key in memory.keys() - running:
+                del memory[key]
+
+    def unload(
+        self,
+        used: messages.Size,
+        read_s: float,
+        candidates: tuple[eviction.Candidate, ...],
+        now: float,
+    ) -> tuple[Step, ...]:
+        """Returns steps for a worker that may use more than it has.
+
+        Args:
+            used: Sum of the reported sizes.
+            read_s: Monotonic seconds when the oldest of them was read.
+            candidates: Attempts that may yield, with their reported sizes.
+            now: Monotonic seconds.
+        """
+        if read_s <= self._acted_s or not self._exceeds(used):
+            return ()
+        self._acted_s = now
+        reason = (
+            f"the worker uses {used.cores:.1f} of {self.capacity.cores:g} "
+            f"cores and {used.memory_mb} of {self.capacity.memory_mb} MB"
+        )
+        free = messages.Size(
+            self.capacity.cores - used.cores,
+            self.capacity.memory_mb - used.memory_mb,
+            self.capacity.accelerators - used.accelerators,
+        )
+        if free.memory_mb >= 0 and free.accelerators >= 0:
+            steps = self._throttle_down(free, candidates, reason)
+            if steps:
+                return steps
+        nothing = messages.Size(0.0, 0, 0)
+        chosen = eviction.choose(nothing, free, candidates)
+        if chosen is None:
+            chosen = tuple(eviction.order(candidates))
+        return tuple(Evicted((c.task, c.attempt), reason) for c in chosen)
+
+    def _exceeds(self, used: messages.Size) -> bool:
+        return (
+            used.cores > self.capacity.cores * OVER_CAPACITY
+            or used.memory_mb > self.capacity.memory_mb * OVER_CAPACITY
+            or used.accelerators > self.capacity.accelerators
+        )
+
+    def _throttle_down(
+        self,
+        free: messages.Size,
+        candidates: tuple[eviction.Candidate, ...],
+        reason: str,
+    ) -> tuple[Step, ...]:
+        steps: list[Step] = []
+        missing = -free.cores
+        for candidate in eviction.order(candidates):
+            key = (candidate.task, candidate.attempt)
+            if missing <= 0:
+                break
+            if key in self._shares:
+                continue
+            steps.append(self._throttle(key, THROTTLE_FACTOR, reason))
+            missing -= candidate.size.cores * (1 - THROTTLE_FACTOR)
+        return tuple(steps) if missing <= 0 else ()
+
+    def _throttle(self, key: Key, share: float, reason: str) -> Throttled:
+        self._shares[key] = share
+        return Throttled(key, share, reason)
+
+    def calm(
+        self,
+        found: tuple[Report, ...],
+        neighbours: Mapping[Key, reports.Resident],
+        harm: Callable[[Report, reports.Resident], tuple[float, float]],
+        now: float,
+    ) -> tuple[Step, ...]:
+        """Returns steps for the latency-critical tasks of the worker.
+
+        Args:
+            found: Fresh readings of latency-critical attempts.
+            neighbours: Less urgent attempts on the worker.
+            harm: Returns how much a neighbour slows the task of a reading.
+            now: Monotonic seconds.
+        """
+        for report in found:
+            if report.read_s <= self._acted_s:
+                continue
+            if report.slowdown <= SUFFERING_SLOWDOWN:
+                self._suffering.pop(report.key, None)
+                continue
+            self._suffering[report.key] = self._suffering.get(report.key, 0) + 1
+            if self._suffering[report.key] < SUFFERING_READINGS:
+                continue
+            worst = max(
+                neighbours,
+                key=lambda key: (harm(report, neighbours[key]), key),
+                default=None,
+            )
+            if worst is not None:
+                self._suffering.pop(report.key, None)
+                self._acted_s = now
+                self._calm_s = None
+                return (self._strike(worst, report),)
+        return self._restore(found, now)
+
+    def _strike(self, key: Key, report: Report) -> Step:
+        strikes = self._strikes.get(key, 0) + 1
+        self._strikes[key] = strikes
+        reason = (
+            f"{report.key[0]} reports a slowdown of {report.slowdown:.2f} "
+            "beside it"
+        )
+        share = THROTTLE_FACTOR**strikes
+        if share < MIN_SHARE:
+            return Evicted(key, reason)
+        return self._throttle(key, share, reason)
+
+    def _restore(
+        self, found: tuple[Report, ...], now: float
+    ) -> tuple[Step, ...]:
+        if any(report.slowdown > CALM_SLOWDOWN for report in found):
+            self._calm_s = None
+            return ()
+        if not self._shares:
+            self._calm_s = None
+            return ()
+        if self._calm_s is None:
+            self._calm_s = now
+        if now - self._calm_s < RESTORE_AFTER_S:
+            return ()
+        self._calm_s = now
+        key = min(self._shares, key=lambda k: (self._strikes.get(k, 0), k))
+        del self._shares[key]
+        return (Throttled(key, 1.0, "the worker is calm again"),)
+
+
+def total(sizes: list[messages.Size]) -> messages.Size:
+    """Returns the sum of sizes."""
+    result = messages.Size(0.0, 0, 0)
+    for size in sizes:
+        result = ledger.add(result, size)
+    return result
--- /dev/null
+++ b/pomelostair/reports.py
@@ -0,0 +1,105 @@
+"""What workers reported lately, and what ran there when it was read."""
+
+import collections
+from collections.abc import Mapping
+
+import attrs
+
+from pomelostair import messages
+
+MAX_SCENES = 128
+
+Key = tuple[str, int]
+
+
+@attrs.frozen
+class Resident:
+    """A running attempt as a heartbeat showed it.
+
+    Attributes:
+        kind: Kind of its task.
+        urgency: Urgency class.
+        used: Reported size, the planned one before the first report.
+        share: Share of full speed that it was given.
+    """
+
+    kind: str
+    urgency: messages.Urgency
+    used: messages.Size
+    share: float
+
+
+@attrs.frozen
+class Scene:
+    """What ran on a worker at some time."""
+
+    at_s: float
+    residents: Mapping[Key, Resident]
+
+
+class WorkerReports:
+    """Reports of one worker."""
+
+    def __init__(self):
+        self._scenes: collections.deque[Scene] = collections.deque(
+            maxlen=MAX_SCENES
+        )
+        self._read: dict[Key, float] = {}
+
+    def take(self, scene: Scene) -> None:
+        """Keeps what runs now and drops what does not."""
+        self._scenes.append(scene)
+        self._read = {
+            key: read_ms
+            for key, read_ms in self._read.items()
+            if key in scene.residents
+        }
+
+    @property
+    def latest(self) -> Scene | None:
+        """What ran last."""
+        return self._scenes[-1] if self._scenes else None
+
+    def fresh(self, key: Key, read_ms: float) -> bool:
+        """Returns whether a reading is newer than the last of the attempt.
+
+        Args:
+            key: The attempt.
+            read_ms: When it was read, on the worker's clock.
+        """
+        last = self._read.get(key)
+        if last is not None and read_ms <= last:
+            return False
+        self._read[key] = read_ms
+        return True
+
+    def at(self, at_s: float) -> Scene | None:
+        """Returns what ran when something was read, None if unknown.
+
+        A scene counts only if the next one shows the same attempts, since
+        the reading lies somewhere between the two.
+        """
+        for index in range(len(self._scenes) - 1, -1, -1):
+            if self._scenes[index].at_s <= at_s:
+                return self._settled(index)
+        return None
+
+    def _settled(self, index: int) -> Scene | None:
+        scene = self._scenes[index]
+        if index + 1 < len(self._scenes):
+            following = self._scenes[index + 1]
+            if following.residents.keys() != scene.residents.keys():
+                return None
+        return scene
+
+
+def loads(
+    scene: Scene, victim: Key, capacity: messages.Size
+) -> dict[str, float]:
+    """Returns shares of the cores by kind beside an attempt."""
+    found: dict[str, float] = {}
+    for key, resident in scene.residents.items():
+        if key != victim:
+            share = resident.used.cores / capacity.cores
+            found[resident.kind] = found.get(resident.kind, 0.0) + share
+    return found
--- a/pomelostair/scheduler.py
+++ b/pomelostair/scheduler.py
@@ -8,60 +8,27 @@
 import attrs
 
 from pomelostair import cell as cell_module
-from pomelostair import declaration
+from pomelostair import events
+from pomelostair import eviction
 from pomelostair import grants
 from pomelostair import ledger
+from pomelostair import log
 from pomelostair import messages
 from pomelostair import metrics as metrics_module
-from pomelostair import placement
+from pomelostair import outcome
+from pomelostair import relief
+from pomelostair import reports
+from pomelostair import rounds
 from pomelostair import settings as settings_module
+from pomelostair import term as term_module
 
+Worker = term_module.Worker
+Round = rounds.Round
+Plan = rounds.Plan
 
-@attrs.define
-class Worker:
-    """A worker as the leader knows it.
+REFUSE_AFTER_S = 10.0
 
-    Attributes:
-        bus: Bus URL of its agent.
-        heartbeat: The latest heartbeat.
-        granted: Monotonic seconds of the latest heartbeat that was granted.
-    """
-
-    bus: str
-    heartbeat: messages.Heartbeat
-    granted: float
-
-
-@attrs.frozen
-class Round:
-    """What one round decides from.
-
-    Attributes:
-        state: Committed state of the cell.
-        pending: Events that are not committed yet.
-        workers: Workers by name.
-        declarations: Declarations in force.
-        now: Monotonic seconds.
-    """
-
-    state: cell_module.State
-    pending: tuple[cell_module.Event, ...]
-    workers: dict[str, Worker]
-    declarations: declaration.Declarations
-    now: float
-
-
-@attrs.frozen
-class Plan:
-    """What one round decided.
-
-    Attributes:
-        events: Events to log.
-        nudges: Workers that have orders waiting after the commit.
-    """
-
-    events: tuple[cell_module.Event, ...] = ()
-    nudges: frozenset[str] = frozenset()
+Key = tuple[str, int]
 
 
 class Scheduler:
@@ -81,7 +48,14 @@
     ):
         self._timing = timing
         self._metrics = metrics
-        self._since = now
+        self._term = term_module.Term(now)
+        self._adopted = False
+        self._judged: dict[str, dict[Key, bool]] = {}
+
+    @property
+    def term(self) -> term_module.Term:
+        """What was learned and ordered in this term."""
+        return self._term
 
     def observe(
         self,
@@ -89,7 +63,37 @@
         state: cell_module.State,
         now: float,
     ) -> None:
-        """Learns from the reports of a heartbeat."""
+        """Learns from the reports of a heartbeat and relieves its worker."""
+        self._adopt(state, now)
+        self._judge_all(heartbeat, state, now)
+        found = self._reports(heartbeat.worker)
+        steps = self._relief(heartbeat)
+        steps.keep({(u.task, u.attempt) for u in heartbeat.usage})
+        found.take(self._scene(heartbeat, state, steps, now))
+        fresh = [
+            usage
+            for usage in heartbeat.usage
+            if usage.read_ms is not None
+            and found.fresh((usage.task, usage.attempt), usage.read_ms)
+        ]
+        self._learn(heartbeat, fresh, found, state, now)
+        self._unload(heartbeat, state, steps, now)
+        self._calm(heartbeat, fresh, found, steps, now)
+
+    def judged(self, ended: messages.TaskEnded) -> messages.TaskEnded:
+        """Returns an end with the blame that it deserves.
+
+        A failure on a worker that fails everything does not count against
+        the task.
+        """
+        for judged in self._judged.values():
+            if judged.get((ended.task, ended.attempt)):
+                return attrs.evolve(
+                    ended,
+                    end=messages.TaskEnd.REFUSED,
+                    detail=f"the worker is quarantined: {ended.detail}",
+                )
+        return ended
 
     def grant(
         self,
@@ -99,7 +103,52 @@
         now: float,
     ) -> grants.Grant:
         """Returns the answer to a heartbeat."""
-        return grants.answer(heartbeat, state, epoch)
+        self._adopt(state, now)
+
+        def unstarted(key: Key) -> bool:
+            return self._is_unstarted(key, now)
+
+        grant = grants.answer(
+            heartbeat,
+            state,
+            epoch,
+            grants.Orders(
+                self._term.evictions,
+                self._shares(heartbeat.worker),
+                self._term.planned,
+                unstarted,
+            ),
+        )
+        for order in grant.ack.start:
+            key = (order.task, order.attempt)
+            self._term.offered[key] = now
+            self._term.reserved.setdefault(key, order.reserved or order.size)
+        return grant
+
+    def admit(
+        self, spec: messages.JobSpec, workers: dict[str, Worker], now: float
+    ) -> outcome.Refused | None:
+        """Returns why a job can never run, or None if it can or may.
+
+        Args:
+            spec: The declared job.
+            workers: Workers by name.
+            now: Monotonic seconds.
+        """
+        if not workers or now - self._term.since < REFUSE_AFTER_S:
+            return None
+        capacities = [w.heartbeat.capacity for w in workers.values()]
+        if any(ledger.fits(spec.size, capacity) for capacity in capacities):
+            return None
+        most = capacities[0]
+        for capacity in capacities:
+            most = ledger.largest(most, capacity)
+        return outcome.Refused(
+            outcome.Kind.NEVER_FITS,
+            "declare smaller tasks; no worker has more than "
+            f"{most.cores:g} cores, {most.memory_mb} MB and "
+            f"{most.accelerators} accelerators",
+        )
 
     def explain(
         self, task: str, state: cell_module.State
@@ -108,50 +157,282 @@
         known = state.tasks.get(task)
         if known is None:
             return messages.Explanation(task, ())
-        return messages.Explanation(task, (known.reason,))
+        latest = f"{known.state.value}: {known.reason}"
+        return messages.Explanation(
+            task, (*self._term.decisions.rows(task), latest)
+        )
 
-    def plan(self, decided: Round) -> Plan:
+    def plan(self, decided: rounds.Round) -> rounds.Plan:
         """Returns the decisions of one round."""
-        accounts = self._accounts(decided)
-        nudges: set[str] = set()
-        placed: list[cell_module.Event] = []
-        waiting = sorted(
-            decided.state.waiting(), key=lambda task: task.spec.urgency
-        )
-        pending = {
-            event.task
-            for event in decided.pending
-            if isinstance(event, cell_module.TaskPlaced)
-        }
-        for task in waiting:
-            if task.id in pending:
+        self._adopt(decided.state, decided.now)
+        silent_s = self._timing.silent_ms / 1000
+        return rounds.Planner(self._term, decided, silent_s).plan()
+
+    def _adopt(self, state: cell_module.State, now: float) -> None:
+        if self._adopted:
+            return
+        self._adopted = True
+        for task in state.placed():
+            self._term.offered[task.id, task.attempt] = now
+
+    def _is_unstarted(self, key: Key, now: float) -> bool:
+        offered = self._term.offered.get(key)
+        if offered is None:
+            return True
+        lapse_ms = self._timing.task_lease_ms + self._timing.lease_margin_ms
+        return now - offered > lapse_ms / 1000
+
+    def _reports(self, worker: str) -> reports.WorkerReports:
+        return self._term.reports.setdefault(worker, reports.WorkerReports())
+
+    def _relief(self, heartbeat: messages.Heartbeat) -> relief.Relief:
+        found = self._term.relief.get(heartbeat.worker)
+        if found is None or found.capacity != heartbeat.capacity:
+            found = relief.Relief(heartbeat.capacity)
+            self._term.relief[heartbeat.worker] = found
+        return found
+
+    def _shares(self, worker: str) -> dict[Key, float]:
+        found = self._term.relief.get(worker)
+        return {} if found is None else dict(found.shares)
+
+    def _judge_all(
+        self,
+        heartbeat: messages.Heartbeat,
+        state: cell_module.State,
+        now: float,
+    ) -> None:
+        before = self._judged.get(heartbeat.worker, {})
+        judged: dict[Key, bool] = {}
+        for ended in heartbeat.ended:
+            key = (ended.task, ended.attempt)
+            if key not in before:
+                judged[key] = self._judge(heartbeat.worker, ended, state, now)
+            else:
+                judged[key] = before[key]
+        self._judged[heartbeat.worker] = judged
+
+    def _judge(
+        self,
+        worker: str,
+        ended: messages.TaskEnded,
+        state: cell_module.State,
+        now: float,
+    ) -> bool:
+        task = state.tasks.get(ended.task)
+        if task is None or task.attempt != ended.attempt:
+            return False
+        self._metrics.count("task_ends", end=ended.end.value)
+        match ended.end:
+            case messages.TaskEnd.COMPLETED:
+                if self._term.blame.complete(task.id, task.spec.kind, worker):
+                    log.emit(events.Events.WORKER_RESTORED, worker=worker)
+            case messages.TaskEnd.REFUSED:
+                self._term.refused[worker] = now
+            case messages.TaskEnd.FAILED:
+                blamed = self._term.blame.fail(
+                    task.id, task.spec.kind, worker, now
+                )
+                if blamed:
+                    log.emit(
+                        events.Events.WORKER_QUARANTINED,
+                        worker=worker,
+                        detail=ended.detail,
+                    )
+                return blamed
+        return False
+
+    def _scene(
+        self,
+        heartbeat: messages.Heartbeat,
+        state: cell_module.State,
+        steps: relief.Relief,
+        now: float,
+    ) -> reports.Scene:
+        residents: dict[Key, reports.Resident] = {}
+        for usage in heartbeat.usage:
+            key = (usage.task, usage.attempt)
+            task = state.tasks.get(usage.task)
+            if task is None:
                 continue
-            account = placement.choose(task.spec.size, accounts.values())
-            if account is None:
+            used = usage.used
+            if usage.read_ms is None:
+                used = self._term.planned(task)
+            residents[key] = reports.Resident(
+                task.spec.kind,
+                task.spec.urgency,
+                used,
+                steps.shares.get(key, 1.0),
+            )
+        return reports.Scene(now, residents)
+
+    def _learn(
+        self,
+        heartbeat: messages.Heartbeat,
+        fresh: list[messages.TaskUsage],
+        found: reports.WorkerReports,
+        state: cell_module.State,
+        now: float,
+    ) -> None:
+        scenes: dict[float, reports.Scene | None] = {}
+        for usage in fresh:
+            assert usage.read_ms is not None
+            age_s = max(0.0, heartbeat.now_ms - usage.read_ms) / 1000
+            if age_s not in scenes:
+                scenes[age_s] = found.at(now - age_s)
+            scene = scenes[age_s]
+            key = (usage.task, usage.attempt)
+            if (
+                scene is None
+                or key not in scene.residents
+                or usage.task not in state.tasks
+            ):
                 continue
-            account.assigned[task.id] = task.spec.size
-            nudges.add(account.worker)
-            placed.append(
-                cell_module.TaskPlaced(
-                    task.id, task.attempt + 1, account.worker
+            task = state.tasks[usage.task]
+            if scene.residents[key].share >= 1:
+                self._term.estimates.learn(
+                    task.spec.kind, key, task.spec.size, usage.used
                 )
+            self._learn_slowdown(heartbeat.capacity, usage, scene, now)
+
+    def _learn_slowdown(
+        self,
+        capacity: messages.Size,
+        usage: messages.TaskUsage,
+        scene: reports.Scene,
+        now: float,
+    ) -> None:
+        key = (usage.task, usage.attempt)
+        resident = scene.residents[key]
+        used = relief.total([r.used for r in scene.residents.values()])
+        if used.cores <= capacity.cores and used.memory_mb <= (
+            capacity.memory_mb
+        ):
+            self._term.interference.learn(
+                resident.kind,
+                reports.loads(scene, key, capacity),
+                usage.slowdown,
+                now,
             )
-        return Plan(tuple(placed), frozenset(nudges))
-
-    def _accounts(self, decided: Round) -> dict[str, ledger.Account]:
-        horizon = decided.now - self._timing.silent_ms / 1000
-        accounts = {
-            name: ledger.Account(
-                name,
-                worker.heartbeat.zone,
-                worker.heartbeat.rack,
-                worker.heartbeat.capacity,
+
+    def _unload(
+        self,
+        heartbeat: messages.Heartbeat,
+        state: cell_module.State,
+        steps: relief.Relief,
+        now: float,
+    ) -> None:
+        read = [u for u in heartbeat.usage if u.read_ms is not None]
+        if not read:
+            return
+        oldest_ms = min(u.read_ms for u in read if u.read_ms is not None)
+        candidates = tuple(
+            self._candidate(usage, state)
+            for usage in read
+            if self._may_yield(usage, state)
+        )
+        decided = steps.unload(
+            relief.total([usage.used for usage in read]),
+            now - max(0.0, heartbeat.now_ms - oldest_ms) / 1000,
+            candidates,
+            now,
+        )
+        if decided:
+            self._metrics.count("workers_over_capacity")
+            log.emit(
+                events.Events.WORKER_OVER_CAPACITY, worker=heartbeat.worker
+            )
+        self._carry_out(decided, now)
+
+    def _may_yield(
+        self, usage: messages.TaskUsage, state: cell_module.State
+    ) -> bool:
+        task = state.tasks.get(usage.task)
+        return (
+            task is not None
+            and task.attempt == usage.attempt
+            and (usage.task, usage.attempt) not in self._term.evictions
+        )
+
+    def _candidate(
+        self, usage: messages.TaskUsage, state: cell_module.State
+    ) -> eviction.Candidate:
+        spec = state.tasks[usage.task].spec
+        return eviction.Candidate(
+            usage.task,
+            usage.attempt,
+            spec.urgency,
+            spec.survive,
+            usage.progress,
+            usage.used,
+        )
+
+    def _calm(
+        self,
+        heartbeat: messages.Heartbeat,
+        fresh: list[messages.TaskUsage],
+        found: reports.WorkerReports,
+        steps: relief.Relief,
+        now: float,
+    ) -> None:
+        scene = found.latest
+        if scene is None:
+            return
+        readings = tuple(
+            reading
+            for reading in (
+                _reading(usage, heartbeat, scene, now) for usage in fresh
             )
-            for name, worker in decided.workers.items()
-            if worker.granted >= horizon
-            and worker.heartbeat.state is messages.TargetState.READY
+            if reading is not None
+            and reading.urgency is messages.Urgency.CRITICAL
+        )
+        neighbours = {
+            key: resident
+            for key, resident in scene.residents.items()
+            if resident.urgency > messages.Urgency.URGENT
+            and key not in self._term.evictions
         }
-        for task in decided.state.placed():
-            if task.worker in accounts:
-                accounts[task.worker].assigned[task.id] = task.spec.size
-        return accounts
+
+        def harm(
+            reading: relief.Report, neighbour: reports.Resident
+        ) -> tuple[float, float]:
+            factor = self._term.interference.factor(
+                reading.kind, neighbour.kind, now
+            )
+            return factor * neighbour.used.cores, neighbour.used.cores
+
+        self._carry_out(steps.calm(readings, neighbours, harm, now), now)
+
+    def _carry_out(self, steps: tuple[relief.Step, ...], now: float) -> None:
+        for step in steps:
+            match step:
+                case relief.Throttled(key=key, share=share, reason=reason):
+                    text = f"throttled to {share:g}: {reason}"
+                    log.emit(
+                        events.Events.TASK_THROTTLED, task=key[0], share=share
+                    )
+                    self._metrics.count("tasks_throttled")
+                case relief.Evicted(key=key, reason=reason):
+                    text = f"evicted: {reason}"
+                    self._term.evictions[key] = reason
+                    log.emit(
+                        events.Events.TASK_EVICTED, task=key[0], reason=reason
+                    )
+                    self._metrics.count("tasks_evicted", reason="relief")
+            self._term.decisions.record(key[0], now, text)
+
+
+def _reading(
+    usage: messages.TaskUsage,
+    heartbeat: messages.Heartbeat,
+    scene: reports.Scene,
+    now: float,
+) -> relief.Report | None:
+    key = (usage.task, usage.attempt)
+    resident = scene.residents.get(key)
+    if resident is None or usage.read_ms is None:
+        return None
+    age_s = max(0.0, heartbeat.now_ms - usage.read_ms) / 1000
+    return relief.Report(
+        key, resident.kind, resident.urgency, usage.slowdown, now - age_s
+    )
--- /dev/null
+++ b/pomelostair/term.py
@@ -0,0 +1,108 @@
+"""What a leader's scheduler remembers during one term."""
+
+import attrs
+
+from pomelostair import blame as blame_module
+from pomelostair import cell as cell_module
+from pomelostair import decisions as decisions_module
+from pomelostair import estimates as estimates_module
+from pomelostair import interference as interference_module
+from pomelostair import ledger
+from pomelostair import messages
+from pomelostair import relief as relief_module
+from pomelostair import reports as reports_module
+
+Key = tuple[str, int]
+
+
+@attrs.define
+class Worker:
+    """A worker as the leader knows it.
+
+    Attributes:
+        bus: Bus URL of its agent.
+        heartbeat: The latest heartbeat.
+        granted: Monotonic seconds of the latest heartbeat that was granted.
+    """
+
+    bus: str
+    heartbeat: messages.Heartbeat
+    granted: float
+
+
+@attrs.frozen
+class Reservation:
+    """Room that is kept on a worker for a waiting task.
+
+    Attributes:
+        worker: Name of the worker.
+        until: Monotonic seconds when the reservation ends.
+    """
+
+    worker: str
+    until: float
+
+
+@attrs.define
+class Term:
+    """Memory of one term; a new leader starts with an empty one.
+
+    Attributes:
+        since: Monotonic seconds at the start of the term.
+        estimates: Learned sizes.
+        interference: Learned slowdowns.
+        blame: Failures of tasks and workers.
+        decisions: Decisions for operators.
+        reports: Reports by worker.
+        relief: Throttling by worker.
+        evictions: Attempts that have to leave, with the reason.
+        offered: When an attempt was last ordered to start.
+        reserved: Size that an attempt was ordered with.
+        waiting: When a task was first seen waiting.
+        reservations: Room kept for waiting tasks.
+        protected: Until when a task is not preempted.
+        refused: When a worker last refused a start.
+        starved_turn: When a starved task last went first.
+    """
+
+    since: float
+    estimates: estimates_module.Estimates = attrs.field(
+        factory=estimates_module.Estimates
+    )
+    interference: interference_module.Interference = attrs.field(
+        factory=interference_module.Interference
+    )
+    blame: blame_module.Blame = attrs.field(factory=blame_module.Blame)
+    decisions: decisions_module.Decisions = attrs.field(
+        factory=decisions_module.Decisions
+    )
+    reports: dict[str, reports_module.WorkerReports] = attrs.field(factory=dict)
+    relief: dict[str, relief_module.Relief] = attrs.field(factory=dict)
+    evictions: dict[Key, str] = attrs.field(factory=dict)
+    offered: dict[Key, float] = attrs.field(factory=dict)
+    reserved: dict[Key, messages.Size] = attrs.field(factory=dict)
+    waiting: dict[str, float] = attrs.field(factory=dict)
+    reservations: dict[str, Reservation] = attrs.field(factory=dict)
+    protected: dict[str, float] = attrs.field(factory=dict)
+    refused: dict[str, float] = attrs.field(factory=dict)
+    starved_turn: float = float("-inf")
+
+    def planned(self, task: cell_module.Task) -> messages.Size:
+        """Returns the size that a task is planned with."""
+        ordered = self.reserved.get((task.id, task.attempt))
+        if ordered is not None:
+            return ordered
+        return self.estimates.size(task.spec.kind, task.spec.size)
+
+    def held(
+        self, task: cell_module.Task, usage: messages.TaskUsage | None
+    ) -> messages.Size:
+        """Returns what a placed task counts with at its worker.
+
+        Args:
+            task: A placed task.
+            usage: Latest report of its attempt, None for none.
+        """
+        if usage is None:
+            return self.planned(task)
+        return ledger.largest(usage.reserved or task.spec.size, usage.used)
