--- a/pomelostair/leader.py
+++ b/pomelostair/leader.py
@@ -320,11 +320,7 @@
         if spec.id in self._state.jobs:
             known = self._state.jobs[spec.id].spec
         if known is None:
-            return admission.check(
-                spec,
-                admission.Load(len(self._state.tasks)),
-                self._configuration.in_force.declarations,
-            )
+            return self._admit(spec)
         if known != spec:
             return outcome.Refused(
                 outcome.Kind.CONFLICT,
@@ -333,6 +329,14 @@
             )
         return None
 
+    def _admit(self, spec: messages.JobSpec) -> outcome.Refused | None:
+        load = admission.Load(len(self._state.tasks))
+        declarations = self._configuration.in_force.declarations
+        now = self._parts.clock.now()
+        return admission.check(
+            spec, load, declarations
+        ) or self._scheduler.admit(spec, self._workers, now)
+
     async def _on_show(self, message: messages.ShowJob, envelope) -> None:
         answer = self._refusal(writes=False) or self._view(message.id)
         await self._reply_under_lease(envelope, answer)
@@ -483,7 +487,7 @@
         )
         self._scheduler.observe(message, self._state, received)
         for ended in message.ended:
-            await self._on_ended(ended)
+            await self._on_ended(self._scheduler.judged(ended))
         grant = self._scheduler.grant(
             message, self._state, self._log.epoch, received
         )
