--- a/tests/history.py
+++ b/tests/history.py
@@ -1,166 +1,90 @@
-"""Checks what callers saw against what minions ran.
-
-An attempt is one call of a caller. Attempts of the same request share its
-`Idempotency-Key`. No request may safely run twice.
-"""
-
-import collections
-import hashlib
+"""Checks a history: what the log says joined with what workers started."""
 
 import attrs
-import msgspec
-
-from pomelostair_standins import minion
 
-LEAVE_S = 3.0
+from pomelostair import cell
+from pomelostair import messages
 
 
 @attrs.define
-class Attempt:
-    """One call as its caller saw it; status 0 for no whole answer.
-
-    Attributes:
-        id: Id that the minion's journal shows too.
-        request: Id of the request that it tries.
-        body: Body that was sent.
-        begun: Monotonic seconds of the call.
-        ended: Monotonic seconds of its result.
-        status: HTTP status.
-        ran: Value of the header that tells whether a refused one ran.
-        answer: Body that came back.
-    """
-
-    id: str
-    request: str
-    body: bytes = b""
-    begun: float = 0.0
-    ended: float = 0.0
-    status: int = 0
-    ran: str = ""
-    answer: bytes = b""
-
-    @property
-    def expected(self):
-        """The whole answer of a minion to this attempt's body."""
-        digest = hashlib.sha256(self.body).hexdigest()
-        return f"POST /fit {digest}\n".encode()
+class Run:
+    """One attempt as its worker ran it; `end` is None while it runs."""
 
+    task: str
+    attempt: int
+    worker: str
+    start: float
+    end: float | None = None
 
-@attrs.frozen
-class Left:
-    """A minion whose agent began to leave, or died, at a time."""
 
-    minion: str
-    at: float
-    until: float = float("inf")
+def violations(events, runs, accepted=()):
+    """Returns what is wrong with a history, as sentences.
 
-
-@attrs.define
-class History:
-    """All that was seen in one run.
-
-    Attributes:
-        slots: Slots of each minion.
-        attempts: What callers saw.
-        journals: What each minion ran, by its name.
-        left: Minions that left.
+    Args:
+        events: All events of the log, in order.
+        runs: What the workers started, on one clock.
+        accepted: Ids of jobs whose callers were told that they are accepted.
     """
-
-    slots: int
-    attempts: list[Attempt] = attrs.field(factory=list)
-    journals: dict[str, list[minion.Entry]] = attrs.field(factory=dict)
-    left: list[Left] = attrs.field(factory=list)
-
-    def read(self, name, path):
-        """Reads a minion's journal."""
-        lines = path.read_bytes().splitlines()
-        self.journals[name] = [
-            msgspec.json.decode(line, type=minion.Entry) for line in lines
-        ]
-
-    def begins(self):
-        """Returns the minion and line of each run of an attempt."""
-        return [
-            (name, entry)
-            for name, journal in self.journals.items()
-            for entry in journal
-            if entry.event == "begin" and entry.attempt
-        ]
-
-
-def check(history):
-    """Returns each violation as a text that begins with its kind."""
     return [
-        *_double_runs(history),
-        *_false_refusals(history),
-        *_wrong_answers(history),
-        *_over_slots(history),
-        *_work_on_left(history),
+        *_overlaps(runs),
+        *_unlogged_starts(events, runs),
+        *_repeated_starts(runs),
+        *_bad_logs(events),
+        *_lost_jobs(events, accepted),
     ]
 
 
-def cuts(history):
-    """Returns the attempts that got no clear result."""
-    return [
-        f"cut: {a.id} status {a.status} ran {a.ran}"
-        for a in history.attempts
-        if a.status != 200 and a.ran != "no"
-    ]
-
-
-def _double_runs(history):
-    request_of = {a.id: a.request for a in history.attempts}
-    runs = collections.Counter(
-        request_of.get(entry.attempt, entry.attempt)
-        for _, entry in history.begins()
-    )
-    return [f"double-run: {r} ran {n} times" for r, n in runs.items() if n > 1]
-
-
-def _false_refusals(history):
-    ran = {entry.attempt for _, entry in history.begins()}
-    return [
-        f"false-no: {a.id} ran"
-        for a in history.attempts
-        if a.ran == "no" and a.id in ran
-    ]
-
-
-def _wrong_answers(history):
-    request_of = {a.id: a.request for a in history.attempts}
-    ran = {request_of.get(e.attempt) for _, e in history.begins()}
-    found = []
-    for attempt in history.attempts:
-        if attempt.status != 200:
-            continue
-        if attempt.answer != attempt.expected:
-            found.append(f"wrong-answer: {attempt.id}")
-        if attempt.request not in ran:
-            found.append(f"answer-without-run: {attempt.id}")
-    return found
-
-
-def _over_slots(history):
-    found = []
-    for name, journal in history.journals.items():
-        running = 0
-        for entry in journal:
-            match entry.event:
-                case "open":
-                    running = 0
-                case "begin":
-                    running += 1
-                case "end":
-                    running -= 1
-            if running > history.slots:
-                found.append(f"over-slots: {name} ran {running}")
-    return found
-
-
-def _work_on_left(history):
-    return [
-        f"work-on-left: {name} began {entry.attempt}"
-        for name, entry in history.begins()
-        for left in history.left
-        if name == left.minion and left.at + LEAVE_S < entry.at < left.until
-    ]
+def _overlaps(runs):
+    by_task = {}
+    for run in sorted(runs, key=lambda run: run.start):
+        before = by_task.get(run.task)
+        if before and (before.end is None or before.end > run.start):
+            yield f"{run.task} ran in two places: {before} and {run}"
+        by_task[run.task] = run
+
+
+def _unlogged_starts(events, runs):
+    placed = {
+        (e.task, e.attempt, e.worker)
+        for e in events
+        if isinstance(e, cell.TaskPlaced)
+    }
+    for run in runs:
+        if (run.task, run.attempt, run.worker) not in placed:
+            yield f"{run} was started without a committed placement"
+
+
+def _repeated_starts(runs):
+    keys = [(run.task, run.attempt) for run in runs]
+    for key in {key for key in keys if keys.count(key) > 1}:
+        yield f"attempt {key} was started {keys.count(key)} times"
+
+
+def _bad_logs(events):
+    """Each attempt is placed once, in order, and ends at most once."""
+    open_attempts, last, done, jobs = {}, {}, set(), set()
+    for event in events:
+        match event:
+            case cell.JobSubmitted(spec=spec):
+                if spec.id in jobs:
+                    yield f"job {spec.id} was accepted twice"
+                jobs.add(spec.id)
+            case cell.TaskPlaced(task=task, attempt=attempt):
+                if task in open_attempts or task in done:
+                    yield f"{task} was placed while placed or done"
+                if attempt != last.get(task, 0) + 1:
+                    yield f"{task} went from {last.get(task)} to {attempt}"
+                open_attempts[task] = last[task] = attempt
+            case cell.TaskEnded(task=task, attempt=attempt, end=end):
+                if open_attempts.get(task) != attempt:
+                    continue
+                del open_attempts[task]
+                if end is messages.TaskEnd.COMPLETED:
+                    done.add(task)
+
+
+def _lost_jobs(events, accepted):
+    logged = {e.spec.id for e in events if isinstance(e, cell.JobSubmitted)}
+    for job in accepted:
+        if job not in logged:
+            yield f"job {job} was accepted but is not in the log"
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -1,110 +1,62 @@
 import pytest
 
-from pomelostair_standins import minion
+from pomelostair import cell
+from pomelostair import messages
 from tests import history
 
+END = messages.TaskEnd
+EVENTS = [
+    cell.JobSubmitted(messages.JobSpec("a", "netting")),
+    cell.TaskPlaced("a/0", 1, "w1"),
+    cell.TaskEnded("a/0", 1, END.EVICTED, "", "c1"),
+    cell.TaskPlaced("a/0", 2, "w2"),
+    cell.TaskEnded("a/0", 2, END.COMPLETED),
+]
+RUNS = [
+    history.Run("a/0", 1, "w1", 1.0, 2.0),
+    history.Run("a/0", 2, "w2", 2.0, 3.0),
+]
 
-def begin(attempt, at=1.0):
-    return minion.Entry("begin", at, f"r-{attempt}", attempt)
 
-
-def end(attempt, at=2.0):
-    return minion.Entry("end", at, f"r-{attempt}", attempt)
-
-
-def attempt(name, request=None, **seen):
-    made = history.Attempt(name, request or name, name.encode(), **seen)
-    if made.status == 200 and not made.answer:
-        made.answer = made.expected
-    return made
-
-
-def clean():
-    """A history with a repeat, a refusal and an unclear result."""
-    return history.History(
-        slots=2,
-        attempts=[
-            attempt("a", status=200),
-            attempt("b1", "b", status=503, ran="no"),
-            attempt("b2", "b", status=200),
-            attempt("c", status=504, ran="unknown"),
-        ],
-        journals={
-            "m1": [begin("a"), end("a"), begin("b2"), begin("c"), end("c")],
-            "m2": [minion.Entry("open", 0.0)],
-        },
-        left=[history.Left("m2", 5.0, 20.0)],
-    )
-
-
-def seed_double_run(seeded):
-    seeded.journals["m2"].append(begin("a"))
-
-
-def seed_double_run_under_one_key(seeded):
-    seeded.attempts[1].ran = "unknown"
-    seeded.journals["m2"].append(begin("b1"))
-
-
-def seed_false_no(seeded):
-    seeded.attempts[3].ran = "no"
-
-
-def seed_partial_answer(seeded):
-    seeded.attempts[0].answer = seeded.attempts[0].expected[:-1]
-
-
-def seed_crossed_answer(seeded):
-    seeded.attempts[0].answer = seeded.attempts[2].expected
-
-
-def seed_answer_without_run(seeded):
-    seeded.journals["m1"] = seeded.journals["m1"][2:]
-
-
-def seed_over_slots(seeded):
-    seeded.journals["m2"] += [begin(x) for x in "xyz"]
-
-
-def seed_work_on_left(seeded):
-    seeded.journals["m2"].append(begin("late", at=9.0))
-
-
-class TestCheck:
-    def test_a_clean_history(self):
-        assert history.check(clean()) == []
+class TestViolations:
+    def test_good_history_has_none(self):
+        assert history.violations(EVENTS, RUNS, ["a"]) == []
 
     @pytest.mark.parametrize(
-        ("seed", "kind"),
+        ("events", "runs", "accepted", "words"),
         [
-            (seed_double_run, "double-run"),
-            (seed_double_run_under_one_key, "double-run"),
-            (seed_false_no, "false-no"),
-            (seed_partial_answer, "wrong-answer"),
-            (seed_crossed_answer, "wrong-answer"),
-            (seed_answer_without_run, "answer-without-run"),
-            (seed_over_slots, "over-slots"),
-            (seed_work_on_left, "work-on-left"),
+            (
+                EVENTS,
+                [history.Run("a/0", 1, "w1", 1.0, 2.1), RUNS[1]],
+                [],
+                "two places",
+            ),
+            (
+                EVENTS,
+                [history.Run("a/0", 1, "w1", 1.0), RUNS[1]],
+                [],
+                "two places",
+            ),
+            (EVENTS[:3], RUNS, [], "without a committed placement"),
+            (
+                EVENTS,
+                [history.Run("a/0", 1, "w2", 1.0, 2.0)],
+                [],
+                "without a committed placement",
+            ),
+            (
+                EVENTS,
+                [*RUNS, history.Run("a/0", 2, "w2", 4.0, 5.0)],
+                [],
+                "started 2 times",
+            ),
+            (EVENTS, RUNS, ["a", "b"], "not in the log"),
+            ([EVENTS[0], *EVENTS], RUNS, [], "accepted twice"),
+            ([*EVENTS, EVENTS[1]], RUNS, [], "placed while placed or done"),
+            ([*EVENTS[:2], EVENTS[3]], RUNS, [], "placed while placed"),
+            ([*EVENTS[:3], EVENTS[1]], RUNS[:1], [], "went from 1 to 1"),
         ],
     )
-    def test_each_violation_is_caught(self, seed, kind):
-        seeded = clean()
-        seed(seeded)
-        found = history.check(seeded)
-        assert [text.partition(":")[0] for text in found] == [kind]
-
-    def test_a_restart_of_the_minion_frees_its_slots(self):
-        seeded = clean()
-        opened = minion.Entry("open", 3.0)
-        seeded.journals["m2"] += [begin("x"), begin("y"), opened, begin("z")]
-        assert history.check(seeded) == []
-
-    def test_work_after_the_return_is_allowed(self):
-        seeded = clean()
-        seeded.journals["m2"].append(begin("back", at=21.0))
-        assert history.check(seeded) == []
-
-
-class TestCuts:
-    def test_an_unclear_result_is_a_cut(self):
-        assert history.cuts(clean()) == ["cut: c status 504 ran unknown"]
+    def test_seeded_violation_is_caught(self, events, runs, accepted, words):
+        found = history.violations(events, runs, accepted)
+        assert any(words in sentence for sentence in found), found
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -7,7 +7,7 @@
 
 from pomelostair_standins import site as site_module
 from tests import caller
-from tests import history
+from tests import callhistory
 from tests import load
 
 FIT = "/services/clapper-desk/fit"
@@ -74,7 +74,7 @@
         ]
         plan = load.Plan(seconds=7.0, seed=seed)
         seen = load.play(site, plan, script)
-        assert history.check(seen) == []
+        assert callhistory.check(seen) == []
         served = sum(a.status == 200 for a in seen.attempts)
         assert served > 0.5 * plan.rate * plan.seconds
 
@@ -84,7 +84,7 @@
         left = []
 
         def drain_agent():
-            left.append(history.Left("minion-1", time.monotonic()))
+            left.append(callhistory.Left("minion-1", time.monotonic()))
             site.terminate("agent-minion-1")
 
         script = [
@@ -94,6 +94,6 @@
         plan = load.Plan(seconds=4.0, keyed_share=0.0, timeout_ms=5000)
         seen = load.play(site, plan, script, [site.balancer])
         seen.left = left
-        assert history.check(seen) == []
-        assert history.cuts(seen) == []
+        assert callhistory.check(seen) == []
+        assert callhistory.cuts(seen) == []
         assert all(a.status == 200 for a in seen.attempts)
