--- a/tests/leaders.py
+++ b/tests/leaders.py
@@ -24,7 +24,7 @@
 from pomelostair import settings
 from pomelostair import store
 from tests import faulty
-from tests import history
+from tests import loghistory
 
 TIMING = settings.Timing(
     announce_ms=5,
@@ -248,7 +248,7 @@
             key = (start.task, start.attempt)
             if now < expires and key not in self.leases | self.ended:
                 self.leases[key] = expires
-                self.runs.append(history.Run(*key, self.name, now))
+                self.runs.append(loghistory.Run(*key, self.name, now))
         for key in ack.acknowledged:
             self.ended.pop(key, None)
 
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -7,8 +7,8 @@
 from pomelostair import messages
 from pomelostair import outcome
 from tests import faulty
-from tests import history
 from tests import leaders
+from tests import loghistory
 
 F = faulty.Fault
 LAPSE_S = 0.111
@@ -175,7 +175,7 @@
                     break
             runs = worker.runs + other.runs
             assert [run.attempt for run in runs] == [1, 2]
-            assert not history.violations(await cell.events(), runs, ["a"])
+            assert not loghistory.violations(await cell.events(), runs, ["a"])
 
         curio.run(main)
 
@@ -356,7 +356,7 @@
             assert not (accepted and again.created)
             await _finish(cell, new, workers)
             runs = [run for worker in workers for run in worker.runs]
-            assert not history.violations(await cell.events(), runs, ["a"])
+            assert not loghistory.violations(await cell.events(), runs, ["a"])
             view = await cell.ask(new, messages.ShowJob("a"))
             assert view.state == "completed"
 
@@ -424,7 +424,7 @@
             accepted.append(await _accepted_by_anyone(cell, members))
             runs = await _quiet_end(cell, members, workers)
             events = await cell.events()
-            assert not history.violations(events, runs, accepted)
+            assert not loghistory.violations(events, runs, accepted)
             assert runs, "the history is not empty"
 
         curio.run(main)
--- a/tests/test_history.py
+++ b/tests/test_loghistory.py
@@ -2,7 +2,7 @@
 
 from pomelostair import cell
 from pomelostair import messages
-from tests import history
+from tests import loghistory
 
 END = messages.TaskEnd
 EVENTS = [
@@ -13,40 +13,40 @@
     cell.TaskEnded("a/0", 2, END.COMPLETED),
 ]
 RUNS = [
-    history.Run("a/0", 1, "w1", 1.0, 2.0),
-    history.Run("a/0", 2, "w2", 2.0, 3.0),
+    loghistory.Run("a/0", 1, "w1", 1.0, 2.0),
+    loghistory.Run("a/0", 2, "w2", 2.0, 3.0),
 ]
 
 
 class TestViolations:
     def test_good_history_has_none(self):
-        assert history.violations(EVENTS, RUNS, ["a"]) == []
+        assert loghistory.violations(EVENTS, RUNS, ["a"]) == []
 
     @pytest.mark.parametrize(
         ("events", "runs", "accepted", "words"),
         [
             (
                 EVENTS,
-                [history.Run("a/0", 1, "w1", 1.0, 2.1), RUNS[1]],
+                [loghistory.Run("a/0", 1, "w1", 1.0, 2.1), RUNS[1]],
                 [],
                 "two places",
             ),
             (
                 EVENTS,
-                [history.Run("a/0", 1, "w1", 1.0), RUNS[1]],
+                [loghistory.Run("a/0", 1, "w1", 1.0), RUNS[1]],
                 [],
                 "two places",
             ),
             (EVENTS[:3], RUNS, [], "without a committed placement"),
             (
                 EVENTS,
-                [history.Run("a/0", 1, "w2", 1.0, 2.0)],
+                [loghistory.Run("a/0", 1, "w2", 1.0, 2.0)],
                 [],
                 "without a committed placement",
             ),
             (
                 EVENTS,
-                [*RUNS, history.Run("a/0", 2, "w2", 4.0, 5.0)],
+                [*RUNS, loghistory.Run("a/0", 2, "w2", 4.0, 5.0)],
                 [],
                 "started 2 times",
             ),
@@ -58,5 +58,5 @@
         ],
     )
     def test_seeded_violation_is_caught(self, events, runs, accepted, words):
-        found = history.violations(events, runs, accepted)
+        found = loghistory.violations(events, runs, accepted)
         assert any(words in sentence for sentence in found), found
