History checks of tasks over real processes under faults

Cause: nothing proved that an evicted task resumes once, that no worker is overfilled and that no task runs in two places while agents die or freeze. Found by them, seen failing first: a task that had failed on the only trusted worker waited for ever, and a bad task was used to probe a worker ('the worker is quarantined: exit status 1' for 60 s, job still active). Now a task that failed probes nothing, and may return once all others failed it too.

--- a/pomelostair/rounds.py
+++ b/pomelostair/rounds.py
@@ -180,10 +180,24 @@
             task.spec.urgency,
             size,
             task.spec.survive,
-            self._term.blame.avoided(task.id),
+            self._avoided(task),
             self._is_starved(task),
         )
 
+    def _avoided(self, task: cell_module.Task) -> frozenset[str]:
+        """Returns where a task that failed must not go.
+
+        It proves nothing about a worker on probation, and it may return to
+        where it failed once it failed on all others.
+        """
+        failed = self._term.blame.avoided(task.id)
+        if not failed:
+            return failed
+        trusted = self._hosts.keys() - self._probes
+        if trusted <= failed:
+            return frozenset(self._probes)
+        return failed | self._probes
+
     def _is_starved(self, task: cell_module.Task) -> bool:
         since = self._term.waiting.get(task.id)
         return since is not None and self._now - since > STARVATION_S
--- /dev/null
+++ b/tests/test_executor.py
@@ -0,0 +1,185 @@
+"""Tasks over real processes under faults, judged by the workers' history."""
+
+import os
+import signal
+import time
+
+import pytest
+
+from pomelostair_standins import site
+from tests import caller
+from tests import history
+
+TIMING = {
+    "announce_ms": 200,
+    "silent_ms": 1000,
+    "join_ms": 500,
+    "cell_lease_ms": 1500,
+    "task_lease_ms": 2500,
+    "lease_margin_ms": 500,
+}
+
+
+@pytest.fixture(scope="module")
+def running_site():
+    shape = site.Shape(entries=1, minions=0, workers=2, timing=TIMING)
+    with site.running(shape) as running:
+        yield Tasks(running)
+
+
+class Tasks:
+    """Submits jobs to a site and reads what its workers did."""
+
+    def __init__(self, running):
+        self.site = running
+
+    def submit(self, job_id, **spec):
+        job = {"id": job_id, "kind": "wear-watch", **spec}
+
+        def accepted():
+            answer = caller.call(self.site.balancer, "POST", "/v1/jobs", job)
+            return answer.status == 202
+
+        assert caller.eventually(accepted, 40)
+
+    def view(self, job_id):
+        answer = caller.call(self.site.balancer, "GET", f"/v1/jobs/{job_id}")
+        return answer.json() if answer.status == 200 else {"state": "unread"}
+
+    def ends(self, job_id, state="completed"):
+        def ended():
+            view = self.view(job_id)
+            return view["state"] == state and view
+
+        found = caller.eventually(ended, 60)
+        assert found, self.view(job_id)
+        return found
+
+    def worker(self, name, target, body=None):
+        address = self.site.processes[name].addresses["http"]
+        method = "GET" if body is None else "POST"
+
+        def answered():
+            answer = caller.call(address, method, target, body)
+            return answer if answer.status == 200 else None
+
+        return caller.eventually(answered).json()
+
+    def history(self):
+        rows = []
+        for name in ("worker-1", "worker-2"):
+            rows += history.read(name, self.worker(name, "/history"))
+        return rows
+
+    def actions(self, action):
+        return [row for row in self.history() if row.action == action]
+
+    def started(self, job_id):
+        def found():
+            return [
+                row
+                for row in self.actions("start")
+                if row.task.startswith(f"{job_id}/")
+            ]
+
+        rows = caller.eventually(found, 40)
+        assert rows
+        return rows[0].worker
+
+    def restart(self, name):
+        self.site.kill(name)
+        self.site.restart(name)
+
+
+class TestEviction:
+    def test_urgent_work_evicts_and_each_eviction_resumes_once(
+        self, running_site
+    ):
+        running_site.submit(
+            "crowd", tasks=12, size={"cores": 8, "memory_mb": 1000}, run_s=3
+        )
+        running_site.started("crowd")
+        running_site.submit(
+            "urgent",
+            kind="fit-check",
+            urgency="urgent",
+            tasks=2,
+            size={"cores": 20, "memory_mb": 1000},
+            run_s=1,
+        )
+        running_site.ends("urgent")
+        running_site.ends("crowd")
+        evicted = running_site.actions("evicted")
+        assert evicted
+        assert all(row.task.startswith("crowd/") for row in evicted)
+        rows = running_site.history()
+        assert history.violations(rows) == []
+
+    def test_a_stopping_agent_hands_its_tasks_over(self, running_site):
+        running_site.submit("handed", tasks=4, run_s=4)
+        worker = running_site.started("handed")
+        agent = running_site.site.processes[f"agent-{worker}"]
+        os.kill(agent.pid, signal.SIGTERM)
+        running_site.ends("handed")
+        running_site.restart(f"agent-{worker}")
+        evicted = running_site.actions("evicted")
+        handed = [row for row in evicted if row.task.startswith("handed/")]
+        assert {row.worker for row in handed} == {worker}
+        assert history.violations(running_site.history()) == []
+
+
+class TestFaults:
+    def test_a_killed_agent_is_replaced_and_adopts(self, running_site):
+        running_site.submit("adopted", tasks=4, run_s=6)
+        worker = running_site.started("adopted")
+        running_site.restart(f"agent-{worker}")
+        running_site.ends("adopted")
+        assert history.violations(running_site.history()) == []
+
+    def test_an_agent_frozen_past_its_leases_never_doubles_a_task(
+        self, running_site
+    ):
+        running_site.submit("frozen", tasks=4, run_s=5)
+        agent = "agent-" + running_site.started("frozen")
+        running_site.site.freeze(agent)
+        assert caller.eventually(lambda: running_site.actions("lapsed"), 20)
+        running_site.site.thaw(agent)
+        running_site.ends("frozen")
+        assert history.violations(running_site.history()) == []
+
+    def test_lost_answers_of_worker_and_store_never_double_a_task(
+        self, running_site
+    ):
+        faults = {"lose_answers": True}
+        for name in ("worker-1", "worker-2"):
+            running_site.worker(name, "/faults", faults)
+        running_site.submit("lost", tasks=6, run_s=1, once=True)
+        running_site.started("lost")
+        platform = running_site.site.platform
+        caller.call(platform, "POST", "/faults", faults)
+        time.sleep(1)
+        caller.call(platform, "POST", "/faults", {"lose_answers": False})
+        for name in ("worker-1", "worker-2"):
+            running_site.worker(name, "/faults", {"lose_answers": False})
+        running_site.ends("lost")
+        assert history.violations(running_site.history()) == []
+
+
+class TestBlame:
+    def test_a_worker_that_fails_everything_fails_no_job(self, running_site):
+        running_site.worker("worker-1", "/behaviour", {"fail_all": True})
+        for number in range(4):
+            running_site.submit(f"job-{number}", kind=f"kind-{number}", tasks=2)
+        for number in range(4):
+            running_site.ends(f"job-{number}")
+        running_site.worker("worker-1", "/behaviour", {})
+
+    def test_a_task_that_always_fails_ends_as_failed(self, running_site):
+        for name in ("worker-1", "worker-2"):
+            body = {"kinds": {"bad": {"fails": True}}}
+            running_site.worker(name, "/behaviour", body)
+        running_site.submit("bad", kind="bad", max_failures=2)
+        view = running_site.ends("bad", "failed")
+        assert view["tasks"][0]["attempt"] == 2
+        running_site.submit("good", kind="good")
+        running_site.ends("good")
