--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each module is a program of its own."""
--- a/pomelostair_standins/minion.py
+++ b/pomelostair_standins/minion.py
@@ -86,6 +86,7 @@
         service_ms: Mean service time.
         seed: Seed of the service times, which are exponential.
         journal: Where runs are written.
+        slow_ms: Added to each service time, as of a host in trouble.
     """
 
     def __init__(
@@ -94,8 +95,10 @@
         service_ms: float,
         seed: int,
         journal: Journal | None = None,
+        slow_ms: float = 0.0,
     ):
         super().__init__()
+        self._slow_ms = slow_ms
         self._journal = journal or Journal("")
         self._slots = slots
         self._service_ms = service_ms
@@ -118,7 +121,8 @@
         }
         self._journal.write("begin", running=stats.running, **ids)
         try:
-            await curio.sleep(self._duration_ms(request) / 1000)
+            duration_ms = self._duration_ms(request) + self._slow_ms
+            await curio.sleep(duration_ms / 1000)
         finally:
             stats.running -= 1
             self._journal.write("end", running=stats.running, **ids)
@@ -145,9 +149,15 @@
     parser.add_argument("--service-ms", type=float, default=20.0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--journal", default="", help="file of what it ran")
+    parser.add_argument("--slow-ms", type=float, default=0.0)
     options = parser.parse_args()
-    journal = Journal(options.journal)
-    minion = Minion(options.slots, options.service_ms, options.seed, journal)
+    minion = Minion(
+        options.slots,
+        options.service_ms,
+        options.seed,
+        Journal(options.journal),
+        options.slow_ms,
+    )
     curio.run(service.serve, minion, options.listen)
 
 
--- a/tests/callhistory.py
+++ b/tests/callhistory.py
@@ -13,6 +13,7 @@
 from pomelostair_standins import minion
 
 LEAVE_S = 3.0
+STALE_S = 1.0
 
 
 @attrs.define
@@ -96,6 +97,7 @@
         *_wrong_answers(history),
         *_over_slots(history),
         *_work_on_left(history),
+        *_stale_runs(history),
     ]
 
 
@@ -164,3 +166,13 @@
         for left in history.left
         if name == left.minion and left.at + LEAVE_S < entry.at < left.until
     ]
+
+
+def _stale_runs(history):
+    """Finds runs that began long after their callers had a result."""
+    ended = {a.id: a.ended for a in history.attempts if a.ended}
+    return [
+        f"stale-run: {entry.attempt}"
+        for _, entry in history.begins()
+        if entry.at > ended.get(entry.attempt, entry.at) + STALE_S
+    ]
--- a/tests/test_callhistory.py
+++ b/tests/test_callhistory.py
@@ -70,6 +70,12 @@
     seeded.journals["m2"].append(begin("late", at=9.0))
 
 
+def seed_stale_run(seeded):
+    seeded.attempts[3].ended = 5.0
+    seeded.journals["m1"].pop()
+    seeded.journals["m1"][-1] = begin("c", at=6.5)
+
+
 class TestCheck:
     def test_a_clean_history(self):
         assert callhistory.check(clean()) == []
@@ -85,6 +91,7 @@
             (seed_answer_without_run, "answer-without-run"),
             (seed_over_slots, "over-slots"),
             (seed_work_on_left, "work-on-left"),
+            (seed_stale_run, "stale-run"),
         ],
     )
     def test_each_violation_is_caught(self, seed, kind):
