Refuse at the entry what full queues would shed; leave time for most runs

Half of the requests that were begun with their mean service time left ended too late, and each refused request cost an entry and an agent a message.

Change: a request is begun only while its mean service time plus twice the mean deviation is left; agents announce which class a full queue sheds, and entries refuse that class themselves until a tenth of the queue can have been served.

--- a/pomelostair/announcer.py
+++ b/pomelostair/announcer.py
@@ -67,4 +67,5 @@
             leader=self._directory.leader(settings.cell),
             clock_ms=self._parts.clock.now() * 1000,
             waits_ms=self._gate.waits_ms(),
+            sheds=self._gate.sheds(),
         )
--- a/pomelostair/dispatch.py
+++ b/pomelostair/dispatch.py
@@ -101,7 +101,10 @@
         for _ in range(MAX_ATTEMPTS):
             if self._parts.clock.now() >= deadline:
                 return _too_late()
-            target = self._choose(service, serve, tried)
+            candidates = self._candidates(service, tried)
+            if candidates and not self._has_room(candidates, serve.urgency):
+                return _full()
+            target = self._choose(candidates, serve, not tried)
             if target is None:
                 return result
             tried.add(target.announcement.name)
@@ -115,15 +118,33 @@
             self._parts.metrics.count("retries", reason=result.kind.value)
         return result
 
-    def _choose(
-        self, service: str, serve: messages.Serve, tried: set[str]
-    ) -> directory_module.Target | None:
-        candidates = [
+    def _candidates(
+        self, service: str, tried: set[str]
+    ) -> list[directory_module.Target]:
+        return [
             target
             for target in self._directory.candidates(service)
             if target.announcement.name not in tried
         ]
-        may_probe = serve.urgency >= messages.Urgency.NORMAL and not tried
+
+    def _has_room(
+        self,
+        candidates: list[directory_module.Target],
+        urgency: messages.Urgency,
+    ) -> bool:
+        now = self._parts.clock.now()
+        return any(
+            routing.has_room(target, urgency, now - target.seen)
+            for target in candidates
+        )
+
+    def _choose(
+        self,
+        candidates: list[directory_module.Target],
+        serve: messages.Serve,
+        first: bool,
+    ) -> directory_module.Target | None:
+        may_probe = first and serve.urgency >= messages.Urgency.NORMAL
         return routing.choose(
             self._health.eligible(candidates, may_probe),
             serve.urgency,
@@ -268,6 +289,13 @@
             )
 
 
+def _full() -> outcome.Refused:
+    return outcome.Refused(
+        outcome.Kind.QUEUE_FULL,
+        "repeat later; the queues of all minions are full of this class",
+    )
+
+
 def _too_late() -> outcome.Refused:
     return outcome.Refused(
         outcome.Kind.TOO_LATE,
--- a/pomelostair/gate.py
+++ b/pomelostair/gate.py
@@ -12,6 +12,7 @@
 from pomelostair import configuration
 from pomelostair import declaration
 from pomelostair import errors
+from pomelostair import estimate
 from pomelostair import events
 from pomelostair import http
 from pomelostair import httpclient
@@ -30,7 +31,7 @@
 PROBE_INTERVAL_S = 0.1
 PROBE_TIMEOUT_S = 1.0
 ANSWER_MARGIN_S = 0.005
-_SMOOTHING = 0.1
+FULL_SHARE = 0.9
 
 
 @attrs.frozen
@@ -65,7 +66,7 @@
         self._declared_shares = queueing.Shares.of(self._declared)
         self._draining = False
         self._queue = queueing.FairQueue()
-        self._service_s = 0.0
+        self._service = estimate.ServiceTime()
         self._ledger = slots_module.SlotLedger(0)
         self._minion: settings_module.MinionTarget | None = None
         match parts.settings.target:
@@ -101,7 +102,7 @@
     @property
     def service_ms(self) -> float:
         """Smoothed time that a request holds a slot, in milliseconds."""
-        return self._service_s * 1000
+        return self._service.mean_s * 1000
 
     def waits_ms(self) -> tuple[float, ...]:
         """Returns the expected wait of a new request of each class."""
@@ -115,6 +116,15 @@
             for urgency in messages.Urgency
         )
 
+    def sheds(self) -> messages.Urgency | None:
+        """Returns the class that yields next when the queue is full."""
+        if self._minion is None:
+            return None
+        limit = self._declarations().limits.queue_per_slot * self._ledger.slots
+        if self.queued < FULL_SHARE * limit:
+            return None
+        return messages.Urgency(self._queue.longest(self._shares()))
+
     async def run(self) -> None:
         """Refuses what became too late, and clears up doubtful slots."""
         if self._minion is None:
@@ -122,7 +132,7 @@
         await curio.spawn(self._probe_doubtful, daemon=True)
         while True:
             await curio.sleep(SWEEP_INTERVAL_S)
-            horizon = self._now() + self._service_s + ANSWER_MARGIN_S
+            horizon = self._now() + self._service.safe_s + ANSWER_MARGIN_S
             for waiting in self._queue.expire(horizon):
                 await self._refuse(waiting.item, _too_late())
             await self._pump()
@@ -175,10 +185,10 @@
         self, waiting: queueing.Waiting, shares: queueing.Shares
     ) -> bool:
         now = self._now()
-        needed_s = self._service_s
+        needed_s = self._service.safe_s
         if not self._ledger.free(now):
             turns = self._queue.turns_before(waiting, shares)
-            needed_s += turns * self._service_s / self._ledger.slots
+            needed_s += turns * self._service.mean_s / self._ledger.slots
         return now + needed_s + ANSWER_MARGIN_S > waiting.deadline
 
     async def _shed(self, shares: queueing.Shares) -> None:
@@ -198,16 +208,21 @@
 
     async def _pump(self) -> None:
         while len(self._queue) and self._ledger.free(self._now()):
-            waiting = self._queue.pop(self._shares(), self._service_s)
+            waiting = self._queue.pop(self._shares(), self._service.mean_s)
+            charged_s = self._service.mean_s
             left_s = waiting.deadline - self._now()
-            if left_s <= self._service_s + ANSWER_MARGIN_S:
-                self._settle(waiting, 0.0)
+            if left_s <= self._service.safe_s + ANSWER_MARGIN_S:
+                self._settle(waiting, charged_s, 0.0)
                 await self._refuse(waiting.item, _too_late())
                 continue
             self._ledger.take()
-            await curio.spawn(self._run, waiting, left_s, daemon=True)
+            await curio.spawn(
+                self._run, waiting, charged_s, left_s, daemon=True
+            )
 
-    async def _run(self, waiting: queueing.Waiting, left_s: float) -> None:
+    async def _run(
+        self, waiting: queueing.Waiting, charged_s: float, left_s: float
+    ) -> None:
         admitted: _Admitted = waiting.item
         started = self._now()
         try:
@@ -215,7 +230,7 @@
         except BaseException:
             self._ledger.doubt(started + self._longest_run_s)
             raise
-        self._settle(waiting, self._now() - started)
+        self._settle(waiting, charged_s, self._now() - started)
         await self._pump()
         await self._parts.bus.reply(admitted.envelope, result)
 
@@ -249,7 +264,7 @@
             )
         self._ledger.release()
         took_s = self._now() - started
-        self._service_s += _SMOOTHING * (took_s - self._service_s)
+        self._service.observe(took_s)
         headers = tuple(
             (name, value)
             for name, value in response.headers
@@ -257,13 +272,15 @@
         )
         return messages.Served(response.status, headers, response.body)
 
-    def _settle(self, waiting: queueing.Waiting, took_s: float) -> None:
+    def _settle(
+        self, waiting: queueing.Waiting, charged_s: float, took_s: float
+    ) -> None:
         """Replaces the expected slot time that was charged by the real one."""
         self._queue.charge(
             waiting.urgency,
             waiting.team,
             self._shares(),
-            took_s - self._service_s,
+            took_s - charged_s,
         )
 
     async def _refuse(
--- a/pomelostair/messages.py
+++ b/pomelostair/messages.py
@@ -66,6 +66,15 @@
     leaders: tuple[LeaderAddress, ...]
 
 
+class Urgency(enum.IntEnum):
+    """Urgency classes; a lower number goes first and yields last."""
+
+    CRITICAL = 0
+    URGENT = 1
+    NORMAL = 2
+    BATCH = 3
+
+
 @wire.message("announcement")
 @attrs.frozen
 class Announcement:
@@ -84,6 +93,7 @@
         leader: The leader of the cell, as far as the agent knows.
         clock_ms: The agent's monotonic clock; entries date requests by it.
         waits_ms: Expected wait of a new request by urgency class.
+        sheds: Class that yields next; None while the queue has room.
     """
 
     name: str
@@ -98,6 +108,7 @@
     leader: LeaderAddress | None = None
     clock_ms: float = 0.0
     waits_ms: tuple[float, ...] = ()
+    sheds: Urgency | None = None
 
 
 @wire.message("announcement-seen")
@@ -109,15 +120,6 @@
     """
 
 
-class Urgency(enum.IntEnum):
-    """Urgency classes; a lower number goes first and yields last."""
-
-    CRITICAL = 0
-    URGENT = 1
-    NORMAL = 2
-    BATCH = 3
-
-
 @wire.message("serve")
 @attrs.frozen
 class Serve:
--- a/pomelostair/queueing.py
+++ b/pomelostair/queueing.py
@@ -164,11 +164,7 @@
         """
         if not self._length:
             return None
-        urgency = max(
-            (u for u, c in self._classes.items() if c.length),
-            key=lambda u: (self._classes[u].length / shares.of_class(u), u),
-        )
-        class_ = self._classes[urgency]
+        class_ = self._classes[self.longest(shares)]
         _, flow = max(
             class_.busy().items(),
             key=lambda p: (len(p[1].heap) / shares.of_team(p[0]), p[0]),
@@ -179,6 +175,16 @@
         self._forget(class_, last[2])
         return last[2]
 
+    def longest(self, shares: Shares) -> int:
+        """Returns the class that waits for most in proportion to its weight.
+
+        The queue must not be empty.
+        """
+        return max(
+            (u for u, c in self._classes.items() if c.length),
+            key=lambda u: (self._classes[u].length / shares.of_class(u), u),
+        )
+
     def expire(self, horizon: float) -> list[Waiting]:
         """Removes the requests whose deadline lies before `horizon`."""
         expired = []
--- a/pomelostair/routing.py
+++ b/pomelostair/routing.py
@@ -9,6 +9,8 @@
 ZONE_HOP_MS = 3.0
 LOAD_WEIGHT = 0.25
 SAMPLE = 2
+ROOM_SHARE = 0.1
+MIN_SERVICE_MS = 0.1
 
 
 def expected_ms(
@@ -38,6 +40,27 @@
     return hop_ms + max(0.0, wait_ms) + run_ms
 
 
+def has_room(
+    target: directory.Target, urgency: messages.Urgency, age_s: float
+) -> bool:
+    """Returns whether a minion's queue probably takes a request.
+
+    A full queue has room again once a tenth of it is served.
+
+    Args:
+        target: An announced minion.
+        urgency: Urgency class of the request.
+        age_s: Age of the announcement in seconds.
+    """
+    announcement = target.announcement
+    if announcement.sheds is not urgency:
+        return True
+    sent = sum(target.outstanding) - sum(target.counted)
+    served = announcement.slots * age_s * 1000
+    served /= max(MIN_SERVICE_MS, announcement.service_ms)
+    return served - sent > ROOM_SHARE * announcement.queued
+
+
 def choose(
     candidates: Sequence[directory.Target],
     urgency: messages.Urgency,
--- /dev/null
+++ b/tests/test_estimate.py
@@ -0,0 +1,37 @@
+import random
+
+from pomelostair import estimate
+
+
+def observed(draw, count=2000):
+    time = estimate.ServiceTime()
+    generator = random.Random(1)
+    for _ in range(count):
+        time.observe(draw(generator))
+    return time
+
+
+class TestServiceTime:
+    def test_the_first_is_the_mean(self):
+        time = estimate.ServiceTime()
+        time.observe(0.2)
+        assert time.mean_s == 0.2
+
+    def test_constant_times_need_no_margin(self):
+        assert abs(observed(lambda _: 0.02).safe_s - 0.02) < 1e-9
+
+    def test_most_spread_times_are_within_the_safe_time(self):
+        generator = random.Random(2)
+        for draw in (
+            lambda g: g.expovariate(5),
+            lambda g: g.uniform(0.1, 0.3),
+        ):
+            safe_s = observed(draw).safe_s
+            within = sum(draw(generator) <= safe_s for _ in range(1000))
+            assert within > 800
+
+    def test_follows_a_minion_that_gets_slower(self):
+        time = observed(lambda _: 0.02)
+        for _ in range(50):
+            time.observe(0.2)
+        assert time.mean_s > 0.19
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -80,3 +80,22 @@
         wait = routing.expected_ms(target, messages.Urgency.CRITICAL, "patan")
         other = routing.expected_ms(target, messages.Urgency.BATCH, "patan")
         assert wait < other
+
+
+class TestHasRoom:
+    FULL = {"running": 8, "queued": 128, "sheds": messages.Urgency.BATCH}
+
+    def test_only_the_class_that_yields_is_refused(self):
+        full = targets.minion("m", **self.FULL)
+        assert not routing.has_room(full, messages.Urgency.BATCH, 0.0)
+        assert routing.has_room(full, messages.Urgency.CRITICAL, 0.0)
+
+    def test_a_queue_has_room_when_a_tenth_was_served(self):
+        full = targets.minion("m", **self.FULL)
+        assert not routing.has_room(full, messages.Urgency.BATCH, 0.03)
+        assert routing.has_room(full, messages.Urgency.BATCH, 0.04)
+
+    def test_what_was_sent_since_takes_the_room(self):
+        full = targets.minion("m", **self.FULL)
+        full.outstanding[messages.Urgency.BATCH] = 20
+        assert not routing.has_room(full, messages.Urgency.BATCH, 0.04)
