Operators over HTTP: sentences, declarations, drains and stop plans

Cause: operators had no way in. Standing drains and stops live under the configuration's version; stopplan decides purely what yields when, siteorders tells each process what they ask of it now. Found by the tests, failing first: - an agent met the same entry at every join, since joins in step with the balancer's turns keep their parity (entry-2 answered 404 unknown-service for 20 s); the join interval now varies. - with every answer of the table lost, an applied change was reported as unknown (504); the row is now read back before the write is repeated.

--- a/pomelostair/announcer.py
+++ b/pomelostair/announcer.py
@@ -7,18 +7,20 @@
 from pomelostair import membership
 from pomelostair import messages
 from pomelostair import settings as settings_module
+from pomelostair import siteorders
 
 
 @kernel.plugin(settings_module.Role.AGENT)
 class Announcer(kernel.Plugin):
     """Tells the entries about the target, at intervals and on changes."""
 
-    requires = (gate.Gate, membership.Membership)
+    requires = (gate.Gate, membership.Membership, siteorders.SiteOrders)
 
     def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
         super().__init__(parts, host)
         self._gate = host.get(gate.Gate)
         self._directory = host.get(membership.Membership).directory
+        self._orders = host.get(siteorders.SiteOrders)
         self._state = messages.TargetState.READY
 
     async def run(self) -> None:
@@ -42,12 +44,15 @@
 
     def _announcement(self) -> messages.Announcement:
         settings = self._parts.settings
+        state = self._state
+        if state is messages.TargetState.READY:
+            state = self._orders.state()
         minion = self._gate.minion
         return messages.Announcement(
             name=settings.name,
             zone=settings.zone,
             cell=settings.cell,
-            state=self._state,
+            state=state,
             service="" if minion is None else minion.service,
             slots=0 if minion is None else minion.slots,
             running=self._gate.running,
--- a/pomelostair/command.py
+++ b/pomelostair/command.py
@@ -55,9 +55,22 @@
         "state",
         "attempt",
         "worker",
+        "cores",
+        "survive",
         "reason",
     ),
-    Noun.JOBS: ("id", "kind", "team", "urgency", "state", "tasks", "reason"),
+    Noun.JOBS: (
+        "id",
+        "kind",
+        "team",
+        "urgency",
+        "tasks",
+        "waiting",
+        "placed",
+        "completed",
+        "failed",
+        "cancelled",
+    ),
     Noun.WORKERS: (
         "id",
         "zone",
@@ -68,6 +81,8 @@
         "memory_mb",
         "free_memory_mb",
         "tasks",
+        "silent_s",
+        "reason",
     ),
     Noun.MINIONS: (
         "id",
@@ -81,9 +96,9 @@
     ),
     Noun.TEAMS: ("id", "weight", "cores", "memory_mb", "accelerators"),
     Noun.LIMITS: ("id", "value"),
-    Noun.SERVICES: ("id", "idempotent"),
+    Noun.SERVICES: ("id", "idempotent", "survive"),
     Noun.URGENCIES: ("id", "urgency"),
-    Noun.DRAINS: ("id", "kind", "within_s"),
+    Noun.DRAINS: ("id", "kind", "within_s", "left"),
 }
 
 
--- a/pomelostair/compose.py
+++ b/pomelostair/compose.py
@@ -5,6 +5,7 @@
 from pomelostair import announcer as _announcer  # noqa: F401
 from pomelostair import bus
 from pomelostair import clock
+from pomelostair import commandapi as _commandapi  # noqa: F401
 from pomelostair import configuration as _configuration  # noqa: F401
 from pomelostair import dispatch as _dispatch  # noqa: F401
 from pomelostair import executor as _executor  # noqa: F401
--- a/pomelostair/configtable.py
+++ b/pomelostair/configtable.py
@@ -143,13 +143,12 @@
         self, transaction: store.Transaction, accepted: Accepted, token: str
     ) -> Accepted | outcome.Refused | _Raced:
         for _ in range(SETTLE_TRIES):
-            match await self._table.commit(transaction):
-                case outcome.Committed():
-                    return accepted
-                case outcome.Conflict():
-                    found = await self._find(accepted, token)
-                    if found is not None:
-                        return found
+            found = await self._find(accepted, token)
+            if found is not None:
+                return found
+            result = await self._table.commit(transaction)
+            if isinstance(result, outcome.Committed):
+                return accepted
             await curio.sleep(SETTLE_PAUSE_S)
         return outcome.Refused(
             outcome.Kind.ANSWER_LOST,
--- a/pomelostair/declaration.py
+++ b/pomelostair/declaration.py
@@ -73,10 +73,12 @@
     Attributes:
         name: Name of the service.
         idempotent: Whether every request may safely run twice.
+        survive: Whether its requests yield last when the site stops.
     """
 
     name: str = _name()
     idempotent: bool = False
+    survive: bool = False
 
 
 @attrs.frozen
--- /dev/null
+++ b/pomelostair/edits.py
@@ -0,0 +1,143 @@
+"""Edits of the configuration that sentences and files ask for. Pure."""
+
+import attrs
+
+from pomelostair import command
+from pomelostair import configtable
+from pomelostair import declaration
+from pomelostair import errors
+from pomelostair import outcome
+
+_SINGLE = 1
+
+
+def replace_declarations(
+    declarations: declaration.Declarations,
+) -> configtable.Edit:
+    """Returns the edit that puts a whole set of declarations in force."""
+
+    def edit(current: declaration.InForce) -> declaration.InForce:
+        return attrs.evolve(current, declarations=declarations)
+
+    return edit
+
+
+def set_limit(sentence: command.SetLimit) -> configtable.Edit:
+    """Returns the edit that changes one limit."""
+
+    def edit(
+        current: declaration.InForce,
+    ) -> declaration.InForce | outcome.Refused:
+        before = current.declarations.limits
+        try:
+            value = _limit_value(before, sentence)
+            limits = attrs.evolve(before, **{sentence.name: value})
+        except errors.SettingsError as error:
+            return _bad(f"write another value for {error.key}: {error.remedy}")
+        changed = attrs.evolve(current.declarations, limits=limits)
+        return attrs.evolve(current, declarations=changed)
+
+    return edit
+
+
+def _limit_value(
+    before: declaration.Limits, sentence: command.SetLimit
+) -> object:
+    present = getattr(before, sentence.name)
+    if isinstance(present, tuple):
+        return sentence.values
+    if len(sentence.values) != _SINGLE:
+        remedy = "write one number"
+        raise errors.SettingsError(sentence.name, sentence.values, remedy)
+    value = sentence.values[0]
+    if isinstance(present, int) and value != int(value):
+        remedy = "write a whole number"
+        raise errors.SettingsError(sentence.name, value, remedy)
+    return int(value) if isinstance(present, int) else value
+
+
+def set_urgency(sentence: command.SetUrgency) -> configtable.Edit:
+    """Returns the edit that changes the urgency class of a kind of work."""
+
+    def edit(
+        current: declaration.InForce,
+    ) -> declaration.InForce | outcome.Refused:
+        name = sentence.urgency.name.lower()
+        try:
+            entry = declaration.KindUrgency(sentence.kind, name)
+        except errors.SettingsError as error:
+            return _bad(f"write another kind of work: {error.remedy}")
+        others = tuple(
+            known
+            for known in current.declarations.urgencies
+            if known.kind != sentence.kind
+        )
+        changed = attrs.evolve(current.declarations, urgencies=(*others, entry))
+        return attrs.evolve(current, declarations=changed)
+
+    return edit
+
+
+def drain(sentence: command.Drain) -> configtable.Edit:
+    """Returns the edit that orders a drain."""
+
+    def edit(current: declaration.InForce) -> declaration.InForce:
+        entry = declaration.Drain(
+            sentence.kind, sentence.target, sentence.within_ms / 1000
+        )
+        others = _drains_without(current, sentence.target)
+        orders = attrs.evolve(current.orders, drains=(*others, entry))
+        return attrs.evolve(current, orders=orders)
+
+    return edit
+
+
+def undrain(sentence: command.Undrain) -> configtable.Edit:
+    """Returns the edit that ends a drain."""
+
+    def edit(current: declaration.InForce) -> declaration.InForce:
+        others = _drains_without(current, sentence.target)
+        orders = attrs.evolve(current.orders, drains=others)
+        return attrs.evolve(current, orders=orders)
+
+    return edit
+
+
+def stop(order: declaration.Stop, replaces: bool) -> configtable.Edit:
+    """Returns the edit that orders a stop or shed.
+
+    Args:
+        order: The order.
+        replaces: Whether it may replace a stop that stands.
+    """
+
+    def edit(
+        current: declaration.InForce,
+    ) -> declaration.InForce | outcome.Refused:
+        standing = current.orders.stop
+        if standing is not None and standing.keep_share == 0 and not replaces:
+            return outcome.Refused(
+                outcome.Kind.CONFLICT,
+                "resume the site first, or repeat with the expected version "
+                f"{current.version} to replace the stop that stands",
+            )
+        orders = attrs.evolve(current.orders, stop=order)
+        return attrs.evolve(current, orders=orders)
+
+    return edit
+
+
+def resume(current: declaration.InForce) -> declaration.InForce:
+    """Ends a stop or shed; does nothing if none stands."""
+    orders = attrs.evolve(current.orders, stop=None)
+    return attrs.evolve(current, orders=orders)
+
+
+def _drains_without(
+    current: declaration.InForce, target: str
+) -> tuple[declaration.Drain, ...]:
+    return tuple(d for d in current.orders.drains if d.target != target)
+
+
+def _bad(remedy: str) -> outcome.Refused:
+    return outcome.Refused(outcome.Kind.BAD_REQUEST, remedy)
--- a/pomelostair/executor.py
+++ b/pomelostair/executor.py
@@ -8,6 +8,7 @@
 from pomelostair import membership
 from pomelostair import messages
 from pomelostair import settings as settings_module
+from pomelostair import siteorders
 from pomelostair import workerclient
 
 RUNNING = "running"
@@ -17,11 +18,12 @@
 class Executor(kernel.Plugin):
     """Sends heartbeats to the leader and obeys what it answers."""
 
-    requires = (membership.Membership,)
+    requires = (membership.Membership, siteorders.SiteOrders)
 
     def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
         super().__init__(parts, host)
         self._directory = host.get(membership.Membership).directory
+        self._orders = host.get(siteorders.SiteOrders)
         self._epoch = 0
         self._state = messages.TargetState.READY
         self._wake = curio.Event()
@@ -70,6 +72,9 @@
 
     def _heartbeat(self, status: workerclient.Status) -> messages.Heartbeat:
         assert self._worker is not None
+        state = self._state
+        if state is messages.TargetState.READY:
+            state = self._orders.state()
         return messages.Heartbeat(
             worker=self._parts.settings.name,
             zone=self._parts.settings.zone,
@@ -79,7 +84,7 @@
                 self._worker.memory_mb,
                 self._worker.accelerators,
             ),
-            state=self._state,
+            state=state,
             usage=tuple(
                 messages.TaskUsage(
                     t.task, t.attempt, t.used, t.progress, t.slowdown
--- a/pomelostair/membership.py
+++ b/pomelostair/membership.py
@@ -47,12 +47,15 @@
     async def run(self) -> None:
         """Joins again and again, over a new connection each time.
 
-        The balancer may hand each connection to another entry.
+        The balancer may hand each connection to another entry. The intervals
+        vary, so that processes started together don't stay in step with the
+        balancer's turns and meet the same entry each time.
         """
         interval_s = self._parts.settings.timing.join_ms / 1000
         while True:
             joined = await self._join()
-            await curio.sleep(interval_s if joined else interval_s / 8)
+            pause_s = interval_s if joined else interval_s / 8
+            await curio.sleep(pause_s * self._parts.random.uniform(0.5, 1.0))
 
     async def _join(self) -> bool:
         body = msgspec.json.encode(messages.JoinRequest(self._own_entry))
--- a/pomelostair/outcome.py
+++ b/pomelostair/outcome.py
@@ -35,6 +35,7 @@
     OVER_CAPACITY = "over-capacity"
     QUOTA = "quota"
     NEVER_FITS = "never-fits"
+    SITE_STOPPING = "site-stopping"
     INTERNAL = "internal"
 
 
--- /dev/null
+++ b/pomelostair/queries.py
@@ -0,0 +1,252 @@
+"""Rows that the queries of operators list, at an entry."""
+
+import attrs
+
+from pomelostair import command
+from pomelostair import configuration
+from pomelostair import directory as directory_module
+from pomelostair import jobapi
+from pomelostair import kernel
+from pomelostair import membership
+from pomelostair import messages
+from pomelostair import outcome
+from pomelostair import settings as settings_module
+from pomelostair import stopplan
+
+MAX_TASKS = 50_000
+PLACED = "placed"
+_FILTERS = ("job", "kind", "team", "state", "worker")
+
+Row = dict[str, object]
+
+
+@kernel.plugin(settings_module.Role.ENTRY)
+class Queries(kernel.Plugin):
+    """Collects rows from the leader, the directory and the configuration."""
+
+    requires = (
+        configuration.Configuration,
+        jobapi.JobApi,
+        membership.Membership,
+    )
+
+    def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
+        super().__init__(parts, host)
+        self._configuration = host.get(configuration.Configuration)
+        self._jobs = host.get(jobapi.JobApi)
+        self._directory = host.get(membership.Membership).directory
+
+    async def rows(self, sentence: command.Show) -> list[Row] | outcome.Refused:
+        """Returns the rows of a query, or why they can't be had."""
+        rows = await self._all(sentence)
+        if isinstance(rows, outcome.Refused):
+            return rows
+        return command.select(rows, sentence.where)
+
+    async def works(self) -> tuple[stopplan.Work, ...] | outcome.Refused:
+        """Returns the tasks that run, with their urgency in force."""
+        tasks = await self.tasks(messages.ListTasks(state=PLACED))
+        if isinstance(tasks, outcome.Refused):
+            return tasks
+        declared = self._configuration.in_force.declarations
+        return tuple(
+            stopplan.Work(
+                task.id,
+                declared.urgency_of(task.kind, task.urgency),
+                task.survive,
+                task.size.cores,
+                task.worker,
+            )
+            for task in tasks
+        )
+
+    async def tasks(
+        self, query: messages.ListTasks
+    ) -> list[messages.TaskRow] | outcome.Refused:
+        """Returns all tasks that match a query, page by page."""
+        found: list[messages.TaskRow] = []
+        while len(found) < MAX_TASKS:
+            answer = await self._jobs.ask_leader(query)
+            match answer:
+                case messages.TaskList(rows=rows, more=more):
+                    found.extend(rows)
+                case outcome.Refused():
+                    return answer
+                case _:
+                    return _unexpected(answer)
+            if not more or not rows:
+                return found
+            query = attrs.evolve(query, after=rows[-1].id)
+        return outcome.Refused(
+            outcome.Kind.LIMITED,
+            f"narrow the query with where; it lists over {MAX_TASKS} tasks",
+        )
+
+    async def _all(self, sentence: command.Show) -> list[Row] | outcome.Refused:
+        declared = self._configuration.in_force.declarations
+        match sentence.noun:
+            case command.Noun.TASKS:
+                return await self._task_rows(sentence.where)
+            case command.Noun.JOBS:
+                return await self._job_rows()
+            case command.Noun.WORKERS:
+                return await self._worker_rows()
+            case command.Noun.MINIONS:
+                return self._minion_rows()
+            case command.Noun.TEAMS:
+                return [_named(team) for team in declared.teams]
+            case command.Noun.SERVICES:
+                return [_named(service) for service in declared.services]
+            case command.Noun.LIMITS:
+                limits = attrs.asdict(declared.limits, recurse=False)
+                return [{"id": k, "value": v} for k, v in limits.items()]
+            case command.Noun.URGENCIES:
+                return [
+                    {"id": entry.kind, "urgency": entry.urgency}
+                    for entry in declared.urgencies
+                ]
+            case command.Noun.DRAINS:
+                return await self._drain_rows()
+
+    async def _task_rows(
+        self, where: tuple[command.Condition, ...]
+    ) -> list[Row] | outcome.Refused:
+        filters = {
+            condition.column: condition.value
+            for condition in where
+            if condition.operator is command.Operator.EQUAL
+            and condition.column in _FILTERS
+        }
+        tasks = await self.tasks(messages.ListTasks(**filters))
+        if isinstance(tasks, outcome.Refused):
+            return tasks
+        return [self._task_row(task) for task in tasks]
+
+    def _task_row(self, task: messages.TaskRow) -> Row:
+        declared = self._configuration.in_force.declarations
+        urgency = declared.urgency_of(task.kind, task.urgency)
+        return {
+            "id": task.id,
+            "job": task.job,
+            "kind": task.kind,
+            "team": task.team,
+            "urgency": urgency.name.lower(),
+            "state": task.state,
+            "attempt": task.attempt,
+            "worker": task.worker,
+            "cores": task.size.cores,
+            "survive": task.survive,
+            "reason": task.reason,
+        }
+
+    async def _job_rows(self) -> list[Row] | outcome.Refused:
+        tasks = await self.tasks(messages.ListTasks())
+        if isinstance(tasks, outcome.Refused):
+            return tasks
+        jobs: dict[str, Row] = {}
+        states = ("waiting", "placed", "completed", "failed", "cancelled")
+        for task in tasks:
+            row = jobs.get(task.job)
+            if row is None:
+                shown = self._task_row(task)
+                row = {"id": task.job}
+                row |= {key: shown[key] for key in ("kind", "team", "urgency")}
+                row |= dict.fromkeys(("tasks", *states), 0)
+                jobs[task.job] = row
+            row["tasks"] += 1
+            row[task.state] = row.get(task.state, 0) + 1
+        return list(jobs.values())
+
+    async def _worker_rows(self) -> list[Row] | outcome.Refused:
+        answer = await self._jobs.ask_leader(messages.ListWorkers())
+        match answer:
+            case messages.WorkerList(rows=rows):
+                return [_worker_row(row) for row in rows]
+            case outcome.Refused():
+                return answer
+        return _unexpected(answer)
+
+    def _minion_rows(self) -> list[Row]:
+        now = self._parts.clock.now()
+        return [
+            _minion_row(target, now)
+            for target in self._directory.targets()
+            if target.announcement.service
+        ]
+
+    async def _drain_rows(self) -> list[Row] | outcome.Refused:
+        rows = []
+        for entry in self._configuration.in_force.orders.drains:
+            left = await self._left(entry.target)
+            if isinstance(left, outcome.Refused):
+                return left
+            rows.append(
+                {
+                    "id": entry.target,
+                    "kind": entry.kind.value,
+                    "within_s": entry.within_s,
+                    "left": left,
+                }
+            )
+        return rows
+
+    async def _left(self, name: str) -> int | outcome.Refused:
+        target = self.target(name)
+        if target is not None and target.announcement.service:
+            announced = target.announcement
+            return announced.running + announced.queued
+        tasks = await self.tasks(messages.ListTasks(state=PLACED, worker=name))
+        return tasks if isinstance(tasks, outcome.Refused) else len(tasks)
+
+    def target(self, name: str) -> directory_module.Target | None:
+        """Returns an announced target by its agent's name."""
+        return next(
+            (
+                target
+                for target in self._directory.targets()
+                if target.announcement.name == name
+            ),
+            None,
+        )
+
+
+def _named(item: object) -> Row:
+    fields = attrs.asdict(item, recurse=False)
+    return {"id": fields.pop("name"), **fields}
+
+
+def _worker_row(row: messages.WorkerRow) -> Row:
+    return {
+        "id": row.name,
+        "zone": row.zone,
+        "rack": row.rack,
+        "state": row.state,
+        "cores": row.capacity.cores,
+        "free_cores": row.capacity.cores - row.assigned.cores,
+        "memory_mb": row.capacity.memory_mb,
+        "free_memory_mb": row.capacity.memory_mb - row.assigned.memory_mb,
+        "tasks": row.tasks,
+        "silent_s": round(row.silent_s, 3),
+        "reason": row.reason,
+    }
+
+
+def _minion_row(target: directory_module.Target, now: float) -> Row:
+    announced = target.announcement
+    return {
+        "id": announced.name,
+        "service": announced.service,
+        "zone": announced.zone,
+        "state": announced.state.value,
+        "slots": announced.slots,
+        "running": announced.running,
+        "queued": announced.queued,
+        "silent_s": round(now - target.seen, 3),
+    }
+
+
+def _unexpected(answer: object) -> outcome.Refused:
+    return outcome.Refused(
+        outcome.Kind.INTERNAL,
+        f"upgrade this entry; the leader answered {type(answer).__name__}",
+    )
