--- a/pomelostair/commandapi.py
+++ b/pomelostair/commandapi.py
@@ -371,7 +371,8 @@
         capacity = sum(row["cores"] for row in workers)
         within_s = (sentence.within_ms or 0) / 1000
         order = declaration.Stop(uuid.uuid4().hex, time.time(), within_s, share)
-        chosen = stopplan.leaving(order, 0.0, works, capacity)
+        standing = stopplan.Standing(order)
+        chosen = stopplan.leaving(standing, works, capacity)
         rows = [{"id": task} for task in chosen]
         text = (
             f"{len(rows)} tasks leave so that tasks keep at most "
--- a/pomelostair/dispatch.py
+++ b/pomelostair/dispatch.py
@@ -23,6 +23,7 @@
 from pomelostair import retry
 from pomelostair import routing
 from pomelostair import settings as settings_module
+from pomelostair import siteorders
 
 DEFAULT_TIMEOUT_MS = 10_000
 MAX_TIMEOUT_MS = 300_000
@@ -40,6 +41,7 @@
         membership.Membership,
         configuration.Configuration,
         idempotency.Intents,
+        siteorders.SiteOrders,
     )
 
     def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
@@ -48,6 +50,7 @@
         self._directory = host.get(membership.Membership).directory
         self._configuration = host.get(configuration.Configuration)
         self._intents = host.get(idempotency.Intents)
+        self._orders = host.get(siteorders.SiteOrders)
         self._health = health.Health(parts.clock)
         self._budget = retry.Budget()
         self._started = parts.clock.now()
@@ -56,7 +59,7 @@
     async def _serve(self, request: http.Request) -> http.Response:
         started = self._parts.clock.now()
         service, serve = parse(request)
-        deadline = started + serve.budget_ms / 1000
+        deadline = self._orders.deadline(started + serve.budget_ms / 1000)
 
         async def run() -> messages.Served | outcome.Refused:
             return await self._attempt(service, serve, deadline)
@@ -95,6 +98,9 @@
     async def _attempt(
         self, service: str, serve: messages.Serve, deadline: float
     ) -> messages.Served | outcome.Refused:
+        refused = self._orders.refusal(service, serve.urgency)
+        if refused is not None:
+            return refused
         result = self._no_target(service)
         self._budget.deposit(self._declarations().limits.retry_share)
         tried: set[str] = set()
--- a/pomelostair/executor.py
+++ b/pomelostair/executor.py
@@ -20,6 +20,7 @@
 from pomelostair import outcome
 from pomelostair import settings as settings_module
 from pomelostair import siteorders
+from pomelostair import stopplan
 from pomelostair import store
 from pomelostair import workerclient
 
@@ -87,10 +88,11 @@
             await self._wake.set()
 
     async def _beat(self) -> None:
+        status = await self._client.status()
+        await self._yield_to_stop(status)
         leader = self._directory.leader(self._parts.settings.cell)
         if leader is None:
             return
-        status = await self._client.status()
         await self._settle(status)
         timeout_s = self._parts.settings.timing.silent_ms / 1000
         heartbeat = self._heartbeat(status)
@@ -101,6 +103,25 @@
             case _:
                 self._parts.metrics.count("heartbeats_unanswered")
 
+    async def _yield_to_stop(self, status: workerclient.Status) -> None:
+        """Ends what has to yield to a stop of the site.
+
+        This needs neither the leader nor the table: the order tells when each
+        class yields. The ends are reported until the leader has logged them.
+        """
+        for task in status.tasks:
+            key = (task.task, task.attempt)
+            if task.state != RUNNING or key in self._busy:
+                continue
+            yielding = self._orders.yielding(task.order)
+            if yielding is stopplan.Yielding.NOT:
+                continue
+            checkpoint = yielding is stopplan.Yielding.WITH_CHECKPOINT
+            self._parts.metrics.count("stop_yields", how=yielding.value)
+            await self._beside(
+                key, self._stop, messages.StopOrder(*key, checkpoint)
+            )
+
     async def _settle(self, status: workerclient.Status) -> None:
         shown = {(t.task, t.attempt) for t in status.tasks}
         self._settled &= shown
@@ -245,6 +266,11 @@
             key = (order.task, order.attempt)
             if key in shown or key in self._busy or key in self._own_ends:
                 continue
+            if self._orders.yielding(order) is not stopplan.Yielding.NOT:
+                self._end_unstarted(
+                    order, messages.TaskEnd.REFUSED, "the site is stopping"
+                )
+                continue
             if not ledger.fits(reserved(order), account.free):
                 self._refuse(order, account.free)
                 continue
--- a/pomelostair/grants.py
+++ b/pomelostair/grants.py
@@ -115,6 +115,7 @@
         run_s=task.spec.run_s,
         checkpoint=task.checkpoint,
         once=task.spec.once,
+        survive=task.spec.survive,
         reserved=reserved,
     )
 
--- a/pomelostair/leader.py
+++ b/pomelostair/leader.py
@@ -21,6 +21,7 @@
 from pomelostair import outcome
 from pomelostair import scheduler
 from pomelostair import settings as settings_module
+from pomelostair import siteorders
 from pomelostair import wire
 
 RENEWALS_PER_LEASE = 3
@@ -38,7 +39,11 @@
 class Leader(kernel.Plugin):
     """Campaigns for the cell's lease and schedules the cell under it."""
 
-    requires = (membership.Membership, configuration.Configuration)
+    requires = (
+        membership.Membership,
+        configuration.Configuration,
+        siteorders.SiteOrders,
+    )
 
     def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
         super().__init__(parts, host)
@@ -53,6 +58,7 @@
             self._timing.cell_lease_ms / 1000,
         )
         self._configuration = host.get(configuration.Configuration)
+        self._orders = host.get(siteorders.SiteOrders)
         self._scheduler = self._new_scheduler()
         self._leading = False
         self._state = cell_module.State()
@@ -201,7 +207,7 @@
         if known:
             await self._parts.bus.reply(envelope, answer)
             return
-        refused = self._scheduler.admit(
+        refused = self._orders.job_refusal() or self._scheduler.admit(
             message.spec, self._workers, self._parts.clock.now()
         )
         if refused is not None:
@@ -320,6 +326,7 @@
                 self._workers,
                 self._configuration.in_force.declarations,
                 self._parts.clock.now(),
+                self._orders.standing,
             )
         )
         self._pending.extend(plan.events)
--- a/pomelostair/messages.py
+++ b/pomelostair/messages.py
@@ -360,6 +360,7 @@
         run_s: Declared run time, 0 for a service task.
         checkpoint: Key of the checkpoint to resume from, empty for none.
         once: Whether the outcome object guards against a second run.
+        survive: Whether it yields last when the site stops.
         reserved: Size that the leader planned with; None for the declared.
     """
 
@@ -371,6 +372,7 @@
     run_s: float
     checkpoint: str
     once: bool
+    survive: bool = False
     reserved: Size | None = None
 
 
--- a/pomelostair/rounds.py
+++ b/pomelostair/rounds.py
@@ -16,6 +16,7 @@
 from pomelostair import ledger
 from pomelostair import messages
 from pomelostair import placement
+from pomelostair import stopplan
 from pomelostair import term as term_module
 
 MAX_CONSIDERED = 2000
@@ -41,6 +42,7 @@
         workers: Workers by name.
         declarations: Declarations in force.
         now: Monotonic seconds.
+        standing: The stop or shed that stands.
     """
 
     state: cell_module.State
@@ -48,6 +50,7 @@
     workers: dict[str, term_module.Worker]
     declarations: declaration.Declarations
     now: float
+    standing: stopplan.Standing = stopplan.Standing()
 
 
 @attrs.frozen
@@ -96,6 +99,7 @@
         self._survey()
         self._empty_draining()
         self._shed_batch()
+        self._shed_site()
         self._place_waiting()
         return Plan(tuple(self._events), frozenset(self._nudges))
 
@@ -195,10 +199,7 @@
                     self._evict(task, "the worker drains")
 
     def _shed_batch(self) -> None:
-        total = sum(
-            worker.heartbeat.capacity.cores
-            for worker in self._given.workers.values()
-        )
+        total = self._capacity_cores()
         share = self._given.declarations.limits.batch_share
         over = self._batch_cores - share * total
         if share >= 1 or over <= 0:
@@ -221,6 +222,31 @@
             self._evict(tasks[key], f"batch may hold {share:.0%} of the cores")
             over -= candidate.size.cores
 
+    def _shed_site(self) -> None:
+        tasks = {
+            task.id: task for held in self._running.values() for task in held
+        }
+        works = [
+            stopplan.Work(
+                task.id,
+                task.spec.urgency,
+                task.spec.survive,
+                self._held(task).cores,
+                task.worker,
+            )
+            for task in tasks.values()
+        ]
+        standing = self._given.standing
+        for name in stopplan.leaving(standing, works, self._capacity_cores()):
+            if self._evicted < MAX_EVICTED and tasks[name].attempt:
+                self._evict(tasks[name], "the site sheds work")
+
+    def _capacity_cores(self) -> float:
+        return sum(
+            worker.heartbeat.capacity.cores
+            for worker in self._given.workers.values()
+        )
+
     def _held(self, task: cell_module.Task) -> messages.Size:
         return self._term.held(task, self._usage.get((task.id, task.attempt)))
 
@@ -339,7 +365,12 @@
     def _limited(
         self, task: cell_module.Task, request: placement.Request
     ) -> bool:
-        reason = self._impossible(request)
+        reason = self._impossible(request) or stopplan.refuses_start(
+            self._given.standing,
+            request.size.cores,
+            sum(self._team_cores.values()),
+            self._capacity_cores(),
+        )
         if not reason and request.urgency is messages.Urgency.BATCH:
             reason = self._over_quota(task)
             if not reason and self._over_share(request):
@@ -379,10 +410,7 @@
         share = self._given.declarations.limits.batch_share
         if share >= 1:
             return False
-        total = sum(
-            worker.heartbeat.capacity.cores
-            for worker in self._given.workers.values()
-        )
+        total = self._capacity_cores()
         return self._batch_cores + request.size.cores > share * total
 
     def _park(self, task: cell_module.Task, reason: str) -> None:
--- a/pomelostair/siteorders.py
+++ b/pomelostair/siteorders.py
@@ -47,6 +47,11 @@
             self._elapsed_s = min(max(0.0, age_s), stop.within_s)
         return self._elapsed_s + now - self._learned
 
+    @property
+    def standing(self) -> stopplan.Standing:
+        """The stop or shed that stands, with its age."""
+        return stopplan.Standing(self.stop, self.elapsed_s)
+
     @property
     def stopping(self) -> bool:
         """Whether the site is to stop."""
@@ -80,6 +85,16 @@
             "repeat after the site has resumed; it is stopping",
         )
 
+    def yielding(self, order: messages.StartOrder) -> stopplan.Yielding:
+        """Returns how a task that runs here has to yield to a stop."""
+        declared = self._configuration.in_force.declarations
+        return stopplan.stop_order(
+            self.stop,
+            self.elapsed_s,
+            declared.urgency_of(order.kind, order.urgency),
+            order.survive,
+        )
+
     def job_refusal(self) -> outcome.Refused | None:
         """Returns why a new job is refused by a stop, if it is."""
         if not self.stopping:
--- a/pomelostair/stopplan.py
+++ b/pomelostair/stopplan.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+import enum
 
 import attrs
 
@@ -15,6 +16,8 @@
 TASK_STOP_S = 0.5
 STEP_S = 3.0
 RESERVE_SHARE = 0.2
+LAST_S = 5.0
+LAST_SHARE = 0.1
 
 ORDER = tuple(
     (urgency, survive)
@@ -23,6 +26,27 @@
 )
 
 
+class Yielding(enum.Enum):
+    """How a running task has to yield to a stop."""
+
+    NOT = "not"
+    WITH_CHECKPOINT = "with-checkpoint"
+    AT_ONCE = "at-once"
+
+
+@attrs.frozen
+class Standing:
+    """The stop or shed that stands, as a process follows it now.
+
+    Attributes:
+        stop: The order, if one stands.
+        elapsed_s: Seconds since it.
+    """
+
+    stop: declaration.Stop | None = None
+    elapsed_s: float = 0.0
+
+
 @attrs.frozen
 class Work:
     """A task that may have to yield.
@@ -131,6 +155,31 @@
     )
 
 
+def stop_order(
+    stop: declaration.Stop | None,
+    elapsed_s: float,
+    urgency: messages.Urgency,
+    survive: bool,
+) -> Yielding:
+    """Returns how a running task has to yield to a stop by now.
+
+    Checkpoints are given up shortly before the deadline, so that a store that
+    takes none does not hold up the stop.
+
+    Args:
+        stop: The order that stands, if any.
+        elapsed_s: Seconds since the order.
+        urgency: Urgency class of the task.
+        survive: Whether it is declared to survive as long as possible.
+    """
+    if stop is None or not has_yielded(stop, elapsed_s, urgency, survive):
+        return Yielding.NOT
+    last_s = min(LAST_S, LAST_SHARE * stop.within_s)
+    if elapsed_s >= stop.within_s - last_s:
+        return Yielding.AT_ONCE
+    return Yielding.WITH_CHECKPOINT
+
+
 def keep_yielded(
     stop: declaration.Stop, before: declaration.Stop | None, elapsed_s: float
 ) -> declaration.Stop:
@@ -153,28 +202,19 @@
 
 
 def leaving(
-    stop: declaration.Stop | None,
-    elapsed_s: float,
-    works: Iterable[Work],
-    capacity_cores: float,
+    standing: Standing, works: Iterable[Work], capacity_cores: float
 ) -> tuple[str, ...]:
-    """Returns the tasks that have to leave now, in the order of leaving.
+    """Returns the tasks that have to leave for a shed, in that order.
 
     Args:
-        stop: The order that stands, if any.
-        elapsed_s: Seconds since the order.
+        standing: The order that stands.
         works: The tasks that run.
         capacity_cores: Cores of all workers together.
     """
-    if stop is None:
+    stop = standing.stop
+    if stop is None or stop.keep_share == 0:
         return ()
     ordered = sorted(works, key=_rank)
-    if stop.keep_share == 0:
-        return tuple(
-            work.task
-            for work in ordered
-            if has_yielded(stop, elapsed_s, work.urgency, work.survive)
-        )
     excess = sum(work.cores for work in ordered)
     excess -= stop.keep_share * capacity_cores
     chosen = []
@@ -186,27 +226,31 @@
     return tuple(chosen)
 
 
-def admits(
-    stop: declaration.Stop | None,
-    elapsed_s: float,
-    work: Work,
+def refuses_start(
+    standing: Standing,
+    cores: float,
     held_cores: float,
     capacity_cores: float,
-) -> bool:
-    """Returns whether a task may be placed under the order that stands.
+) -> str:
+    """Returns why a task can't be placed under the order that stands.
 
     Args:
-        stop: The order, if any.
-        elapsed_s: Seconds since the order.
-        work: The task.
+        standing: The order that stands.
+        cores: Cores that the task needs.
         held_cores: Cores that tasks hold or are about to hold.
         capacity_cores: Cores of all workers together.
+
+    Returns:
+        The reason, empty if the task may be placed.
     """
+    stop = standing.stop
     if stop is None:
-        return True
+        return ""
     if stop.keep_share == 0:
-        return False
-    return held_cores + work.cores <= stop.keep_share * capacity_cores
+        return "the site is stopping; it waits until the site is resumed"
+    if held_cores + cores > stop.keep_share * capacity_cores:
+        return f"tasks may hold {stop.keep_share:.0%} of the cores; it waits"
+    return ""
 
 
 def _rank(work: Work) -> tuple[int, str]:
--- /dev/null
+++ b/tests/test_siteorders.py
@@ -0,0 +1,236 @@
+"""Stops, sheds and drains over separate processes under load."""
+
+import threading
+import time
+
+import attrs
+import pytest
+
+from pomelostair_standins import site
+from tests import caller
+
+FIT = "/services/clapper-desk/fit"
+SHAPE = site.Shape(minions=1, workers=2)
+URGENCIES = ("batch", "normal", "urgent", "critical")
+
+
+@attrs.frozen
+class Sent:
+    """A request and what came of it; times are monotonic seconds."""
+
+    urgency: str
+    begun: float
+    ended: float
+    answer: caller.Answer
+
+
+class Load:
+    """Callers of every urgency class, in threads of their own."""
+
+    def __init__(self, address):
+        self._address = address
+        self._ended = threading.Event()
+        self.sent = []
+        self._threads = [
+            threading.Thread(target=self._call, args=(urgency,))
+            for urgency in URGENCIES
+        ]
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self._ended.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _call(self, urgency):
+        headers = {"Pomelostair-Urgency": urgency, "x-service-ms": "50"}
+        while not self._ended.is_set():
+            begun = time.monotonic()
+            answer = caller.call(self._address, "GET", FIT, headers=headers)
+            self.sent.append(Sent(urgency, begun, time.monotonic(), answer))
+            self._ended.wait(0.05)
+
+    def first_refused(self, urgency, begun):
+        return min(
+            (
+                sent.begun
+                for sent in self.sent
+                if sent.urgency == urgency
+                and sent.begun >= begun
+                and sent.answer.status == 503
+                and sent.answer.json()["kind"] == "site-stopping"
+            ),
+            default=None,
+        )
+
+
+def run(address, sentence, expected=None):
+    body = {"command": sentence, "expected_version": expected}
+    return caller.call(address, "POST", "/v1/commands", body)
+
+
+def rows(address, sentence):
+    answer = run(address, sentence)
+    return answer.json()["rows"] if answer.status == 200 else []
+
+
+def submit(address, job, **fields):
+    body = {"id": job, "kind": job, "run_s": 600, **fields}
+    return caller.call(address, "POST", "/v1/jobs", body).status == 202
+
+
+def placed(address):
+    found = rows(address, "tasks where state = placed")
+    return {row["job"]: row for row in found}
+
+
+@pytest.fixture
+def running_site():
+    with site.running(SHAPE) as running:
+        for entry in running.entries:
+            assert caller.eventually(
+                lambda entry=entry: caller.call(entry, "GET", FIT).status == 200
+            )
+        assert caller.eventually(
+            lambda: len(rows(running.balancer, "workers")) == 2
+        )
+        yield running
+
+
+def submit_all(running):
+    """Submits one job of each class, and one batch job that is to survive."""
+    for urgency in URGENCIES:
+        assert caller.eventually(
+            lambda urgency=urgency: submit(
+                running.balancer, urgency, urgency=urgency
+            )
+        )
+    assert submit(running.balancer, "kept", survive=True)
+    names = {*URGENCIES, "kept"}
+    assert caller.eventually(lambda: placed(running.balancer).keys() == names)
+    time.sleep(1)
+
+
+def executed(running):
+    """Returns how often each attempt runs now, over all workers."""
+    counts = {}
+    for process in running.processes.values():
+        if process.role != "worker":
+            continue
+        address = process.addresses["http"]
+        answer = caller.call(address, "GET", "/status")
+        for task in answer.json()["tasks"] if answer.status == 200 else ():
+            if task["state"] == "running":
+                counts[task["task"]] = counts.get(task["task"], 0) + 1
+    return counts
+
+
+class TestStop:
+    def test_order_and_deadline_are_kept_with_outage_and_kill(
+        self, running_site
+    ):
+        submit_all(running_site)
+        planned = run(running_site.balancer, "plan stop within 20 s").json()
+        assert [row["tasks"] for row in planned["rows"]].count(1) == 5
+        assert "slack" in planned["message"]
+        assert placed(running_site.balancer).keys() >= {*URGENCIES}
+        with Load(running_site.balancer) as load:
+            time.sleep(0.5)
+            ordered = time.monotonic()
+            answer = run(running_site.entries[0], "stop site within 20 s")
+            assert answer.status == 200
+            time.sleep(2)
+            faults = {"down": True}
+            caller.call(running_site.platform, "POST", "/faults", faults)
+            running_site.kill("entry-1")
+            running_site.restart("entry-1")
+            left = dict.fromkeys((*URGENCIES, "kept"), ordered)
+
+            def stopped():
+                for task in executed(running_site):
+                    left[task.split("/")[0]] = time.monotonic()
+                return not executed(running_site)
+
+            assert caller.eventually(stopped, timeout_s=25, pause_s=0.2)
+            finished = time.monotonic()
+            caller.eventually(
+                lambda: load.first_refused("critical", ordered), timeout_s=25
+            )
+            time.sleep(max(0.0, ordered + 20 - time.monotonic()))
+        assert finished - ordered < 20
+        assert left["batch"] <= left["normal"] <= left["urgent"]
+        assert left["urgent"] <= left["critical"] <= left["kept"]
+        began = [load.first_refused(name, ordered) for name in URGENCIES]
+        assert None not in began
+        assert began == sorted(began)
+        for sent in load.sent:
+            if sent.answer.status in (200, 0):
+                continue
+            assert sent.answer.json()["ran"] == "no", sent
+        self._resume(running_site)
+
+    def _resume(self, running):
+        caller.call(running.platform, "POST", "/faults", {})
+        assert not submit(running.balancer, "late")
+        assert caller.eventually(
+            lambda: run(running.balancer, "resume site").status == 200
+        )
+        names = {*URGENCIES, "kept"}
+
+        def resumed():
+            return {name.split("/")[0] for name in executed(running)} == names
+
+        assert caller.eventually(resumed, timeout_s=40)
+        assert set(executed(running).values()) == {1}
+        assert caller.eventually(
+            lambda: caller.call(running.balancer, "GET", FIT).status == 200
+        )
+
+
+class TestShed:
+    def test_least_urgent_leave_and_come_back(self, running_site):
+        for name, urgency in (("a", "batch"), ("b", "normal")):
+            size = {"cores": 20.0}
+            assert caller.eventually(
+                lambda name=name, urgency=urgency, size=size: submit(
+                    running_site.balancer, name, urgency=urgency, size=size
+                )
+            )
+        assert caller.eventually(
+            lambda: placed(running_site.balancer).keys() == {"a", "b"}
+        )
+        planned = run(running_site.balancer, "plan shed to 40 %").json()
+        assert planned["rows"] == [{"id": "a/0"}]
+        assert run(running_site.balancer, "shed to 40 %").status == 200
+        assert caller.eventually(
+            lambda: executed(running_site).keys() == {"b/0"}
+        )
+        why = rows(running_site.balancer, "why a/0")
+        assert any("40%" in row["decision"] for row in why)
+        assert run(running_site.balancer, "resume site").status == 200
+        assert caller.eventually(
+            lambda: executed(running_site) == {"a/0": 1, "b/0": 1}
+        )
+
+
+class TestDrain:
+    def test_worker_drain_moves_its_task_once(self, running_site):
+        assert caller.eventually(lambda: submit(running_site.balancer, "a"))
+        assert caller.eventually(lambda: executed(running_site) == {"a/0": 1})
+        before = placed(running_site.balancer)["a"]
+        worker = before["worker"]
+        sentence = f"drain worker {worker} within 20 s"
+        assert run(running_site.balancer, sentence).status == 200
+
+        def moved():
+            task = placed(running_site.balancer).get("a")
+            return task and task["worker"] != worker and task
+
+        after = caller.eventually(moved)
+        assert after["attempt"] == before["attempt"] + 1
+        assert caller.eventually(lambda: executed(running_site) == {"a/0": 1})
+        assert rows(running_site.balancer, "drains")[0]["left"] == 0
