--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -271,6 +271,7 @@
             reconnect_time_max=RECONNECT_MAX_MS,
         )
         self._used = _now()
+        self._waiting = curio.Lock()
 
     @property
     def used(self) -> float:
@@ -291,9 +292,12 @@
                 return NotSent(type(error).__name__)
             if left <= 0:
                 return NotSent("no-connection")
-            await curio.ignore_after(
-                left, traps._read_wait, self._socket.send_fd
-            )
+            await curio.ignore_after(left, self._wait)
+
+    async def _wait(self) -> None:
+        """Waits until sending may work; one task at a time can wait."""
+        async with self._waiting:
+            await traps._read_wait(self._socket.send_fd)
 
     def close(self) -> None:
         """Closes the connection."""
