--- a/pomelostair/stopplan.py
+++ b/pomelostair/stopplan.py
@@ -163,8 +163,9 @@
 ) -> Yielding:
     """Returns how a running task has to yield to a stop by now.
 
-    Checkpoints are given up shortly before the deadline, so that a store that
-    takes none does not hold up the stop.
+    Checkpoints are given up when the next step begins, or shortly before the
+    deadline: a store that takes none neither holds up the stop nor lets less
+    urgent work run longer than more urgent work.
 
     Args:
         stop: The order that stands, if any.
@@ -174,12 +175,24 @@
     """
     if stop is None or not has_yielded(stop, elapsed_s, urgency, survive):
         return Yielding.NOT
-    last_s = min(LAST_S, LAST_SHARE * stop.within_s)
-    if elapsed_s >= stop.within_s - last_s:
+    if elapsed_s >= _checkpoints_until_s(stop, urgency, survive):
         return Yielding.AT_ONCE
     return Yielding.WITH_CHECKPOINT
 
 
+def _checkpoints_until_s(
+    stop: declaration.Stop, urgency: messages.Urgency, survive: bool
+) -> float:
+    last_s = stop.within_s - min(LAST_S, LAST_SHARE * stop.within_s)
+    rank = ORDER.index((urgency, survive))
+    later = [
+        step.offset_s
+        for step in stop.steps
+        if ORDER.index((step.urgency, step.survive)) > rank
+    ]
+    return min([last_s, *later])
+
+
 def keep_yielded(
     stop: declaration.Stop, before: declaration.Stop | None, elapsed_s: float
 ) -> declaration.Stop:
