--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -61,7 +61,7 @@
     )
     CHECKPOINT_FAILED = Event(408, logging.WARNING, "checkpoint not stored")
     WORKER_SILENT = Event(410, logging.WARNING, "worker is silent")
-    WORKER_DECLARED_DEAD = Event(412, logging.WARNING, "worker declared dead")
+    WORKER_DECLARED_DEAD = Event(414, logging.WARNING, "worker declared dead")
     WORKER_QUARANTINED = Event(411, logging.WARNING, "worker quarantined")
     WORKER_RESTORED = Event(412, logging.INFO, "worker left quarantine")
     WORKER_OVER_CAPACITY = Event(
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -8,7 +8,7 @@
 
 from pomelostair_standins import site
 from tests import caller
-from tests import history
+from tests import taskhistory
 
 TIMING = {
     "announce_ms": 200,
@@ -68,7 +68,7 @@
     def history(self):
         rows = []
         for name in ("worker-1", "worker-2"):
-            rows += history.read(name, self.worker(name, "/history"))
+            rows += taskhistory.read(name, self.worker(name, "/history"))
         return rows
 
     def actions(self, action):
@@ -113,7 +113,7 @@
         assert evicted
         assert all(row.task.startswith("crowd/") for row in evicted)
         rows = running_site.history()
-        assert history.violations(rows) == []
+        assert taskhistory.violations(rows) == []
 
     def test_a_stopping_agent_hands_its_tasks_over(self, running_site):
         running_site.submit("handed", tasks=4, run_s=4)
@@ -125,7 +125,7 @@
         evicted = running_site.actions("evicted")
         handed = [row for row in evicted if row.task.startswith("handed/")]
         assert {row.worker for row in handed} == {worker}
-        assert history.violations(running_site.history()) == []
+        assert taskhistory.violations(running_site.history()) == []
 
 
 class TestFaults:
@@ -134,7 +134,7 @@
         worker = running_site.started("adopted")
         running_site.restart(f"agent-{worker}")
         running_site.ends("adopted")
-        assert history.violations(running_site.history()) == []
+        assert taskhistory.violations(running_site.history()) == []
 
     def test_an_agent_frozen_past_its_leases_never_doubles_a_task(
         self, running_site
@@ -145,7 +145,7 @@
         assert caller.eventually(lambda: running_site.actions("lapsed"), 20)
         running_site.site.thaw(agent)
         running_site.ends("frozen")
-        assert history.violations(running_site.history()) == []
+        assert taskhistory.violations(running_site.history()) == []
 
     def test_lost_answers_of_worker_and_store_never_double_a_task(
         self, running_site
@@ -162,7 +162,7 @@
         for name in ("worker-1", "worker-2"):
             running_site.worker(name, "/faults", {"lose_answers": False})
         running_site.ends("lost")
-        assert history.violations(running_site.history()) == []
+        assert taskhistory.violations(running_site.history()) == []
 
 
 class TestBlame:
--- a/tests/test_history.py
+++ b/tests/test_taskhistory.py
@@ -1,10 +1,12 @@
 import pytest
 
-from tests import history
+from tests import taskhistory
 
 
 def row(at_s, action, attempt=1, worker="w1", task="j/0", progress=0.0, **size):
-    return history.Row(at_s, worker, action, task, attempt, progress, **size)
+    return taskhistory.Row(
+        at_s, worker, action, task, attempt, progress, **size
+    )
 
 
 GOOD = [
@@ -18,7 +20,7 @@
 
 class TestViolations:
     def test_a_good_history_has_none(self):
-        assert history.violations(GOOD) == []
+        assert taskhistory.violations(GOOD) == []
 
     @pytest.mark.parametrize(
         ("seeded", "text"),
@@ -32,7 +34,7 @@
         ],
     )
     def test_a_seeded_violation_is_caught(self, seeded, text):
-        found = history.violations([*GOOD, seeded])
+        found = taskhistory.violations([*GOOD, seeded])
         assert any(text in sentence for sentence in found)
 
     def test_a_lost_checkpoint_is_caught(self):
@@ -40,4 +42,4 @@
             *GOOD[:2],
             row(3, "start", 2, "w2", progress=0.0),
         ]
-        assert "not 0.4" in history.violations(forgotten)[0]
+        assert "not 0.4" in taskhistory.violations(forgotten)[0]
