--- a/pomelostair/declaration.py
+++ b/pomelostair/declaration.py
@@ -117,6 +117,7 @@
 
     Attributes:
         queue_per_slot: Requests that may wait for each slot of a minion.
+        queue_bytes: Bytes of requests that may wait at each minion.
         retry_share: Retries allowed as a share of recent requests.
         class_weights: Shares of the urgency classes, most urgent first.
         batch_share: Most of the cell's cores that batch tasks may hold,
@@ -124,6 +125,7 @@
     """
 
     queue_per_slot: int = _field(16, _check_not_negative)
+    queue_bytes: int = _field(64 * 1024 * 1024, _check_not_negative)
     retry_share: float = _field(0.1, _check_share)
     class_weights: tuple[float, ...] = _field(
         (8.0, 4.0, 2.0, 1.0), _check_weights
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,99 @@
+"""Requests over real processes, under load and faults."""
+
+import json
+import time
+
+import pytest
+
+from pomelostair_standins import site as site_module
+from tests import caller
+from tests import callhistory
+from tests import load
+
+FIT = "/services/clapper-desk/fit"
+SHAPE = site_module.Shape(minions=3, workers=0, longest_run_ms=3000)
+
+
+def faults(site, **fields):
+    body = json.dumps(fields).encode()
+    return lambda: caller.call(site.platform, "POST", "/faults", body)
+
+
+@pytest.fixture
+def site():
+    with site_module.running(SHAPE) as running:
+        for entry in running.entries:
+            for minion in range(SHAPE.minions):
+                assert caller.eventually(
+                    lambda entry=entry, minion=minion: (
+                        f"agent-minion-{minion + 1}" in heard(running, entry)
+                    )
+                )
+            assert caller.eventually(
+                lambda entry=entry: caller.call(entry, "GET", FIT).status == 200
+            )
+        yield running
+
+
+def heard(running, entry):
+    """Returns what the log of an entry says of targets."""
+    index = running.entries.index(entry) + 1
+    return running.log(f"entry-{index}")
+
+
+class TestFaults:
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_every_promise_holds_under_faults_together_and_twice(
+        self, site, seed
+    ):
+        died = []
+
+        def kill(name):
+            died.append(time.monotonic())
+            site.kill(name)
+
+        script = [
+            (0.5, lambda: site.freeze("agent-minion-2")),
+            (0.8, lambda: kill("agent-minion-1")),
+            (1.0, faults(site, lose_answers=True)),
+            (1.2, lambda: site.restart("agent-minion-1")),
+            (2.0, faults(site, down=True)),
+            (2.2, lambda: site.thaw("agent-minion-2")),
+            (2.5, lambda: site.freeze("entry-1")),
+            (2.8, faults(site, slow_ms=700)),
+            (3.4, lambda: kill("minion-3")),
+            (3.6, lambda: site.thaw("entry-1")),
+            (3.8, lambda: site.restart("minion-3")),
+            (4.0, lambda: site.kill("entry-2")),
+            (4.1, faults(site)),
+            (4.3, lambda: site.restart("entry-2")),
+            (4.5, lambda: site.freeze("minion-2")),
+            (4.6, lambda: site.kill("agent-minion-2")),
+            (4.8, lambda: site.restart("agent-minion-2")),
+            (5.5, lambda: site.thaw("minion-2")),
+        ]
+        plan = load.Plan(seconds=7.0, seed=seed)
+        seen = load.play(site, plan, script)
+        assert callhistory.check(seen) == []
+        served = sum(a.status == 200 for a in seen.attempts)
+        assert served > 0.5 * plan.rate * plan.seconds
+
+
+class TestDrain:
+    def test_leaving_processes_cut_no_request(self, site):
+        left = []
+
+        def drain_agent():
+            left.append(callhistory.Left("minion-1", time.monotonic()))
+            site.terminate("agent-minion-1")
+
+        script = [
+            (0.7, drain_agent),
+            (1.5, lambda: site.terminate("entry-1")),
+        ]
+        plan = load.Plan(seconds=4.0, keyed_share=0.0, timeout_ms=5000)
+        seen = load.play(site, plan, script, [site.balancer])
+        seen.left = left
+        assert callhistory.check(seen) == []
+        assert callhistory.cuts(seen) == []
+        assert all(a.status == 200 for a in seen.attempts)
