--- a/pomelostair/messages.py
+++ b/pomelostair/messages.py
@@ -289,6 +289,9 @@
         used: Resources in use.
         progress: Share of the work that is done, 0 to 1.
         slowdown: Run time over the run time when alone; 1 is undisturbed.
+        read_ms: When `used` and `slowdown` were read, on the worker's clock;
+            None if they were not read yet.
+        reserved: Size that it counts with at its worker, None for unknown.
     """
 
     task: str
@@ -296,6 +299,8 @@
     used: Size
     progress: float
     slowdown: float
+    read_ms: float | None = None
+    reserved: Size | None = None
 
 
 @wire.message("heartbeat")
@@ -311,6 +316,7 @@
         state: Whether the worker takes new tasks.
         usage: The attempts that run on the worker.
         ended: Attempts whose end is not acknowledged yet.
+        now_ms: Reading of the worker's clock before this was sent.
     """
 
     worker: str
@@ -320,6 +326,7 @@
     state: TargetState
     usage: tuple[TaskUsage, ...]
     ended: tuple[TaskEnded, ...]
+    now_ms: float = 0.0
 
 
 @attrs.frozen
@@ -335,6 +342,7 @@
         run_s: Declared run time, 0 for a service task.
         checkpoint: Key of the checkpoint to resume from, empty for none.
         once: Whether the outcome object guards against a second run.
+        reserved: Size that the leader planned with; None for the declared.
     """
 
     task: str
@@ -345,6 +353,7 @@
     run_s: float
     checkpoint: str
     once: bool
+    reserved: Size | None = None
 
 
 @attrs.frozen
