Cut and delay links of a site through a relay stand-in

Change: site.Shape(links=True) and make site put pomelostair_standins/relay.py into every link. A daemon's bus connections come from its own bus address, so the relay can tell the pair; the setting bus_public names the address at which others reach a bus behind address translation. Rules go to the relay over HTTP. The server waits under a time limit only for what has not arrived yet: before, 5 time-outs were set up for each request.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,10 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+ENTRIES ?= 2
+MINIONS ?= 3
+WORKERS ?= 3
+LINKS ?= --links
 STAMP := $(VENV)/.installed
 
 .PHONY: setup test demo site lint format bench
@@ -28,9 +32,10 @@
 	$(BIN)/python -m pomelostair_standins.demo
 
 site: setup
-	$(BIN)/python -m pomelostair_standins.site
+	$(BIN)/python -m pomelostair_standins.site --entries $(ENTRIES) \
+	  --minions $(MINIONS) --workers $(WORKERS) $(LINKS)
 
 bench: setup
 	for bench in bench/*_bench.py bench/*_cost.py; do \
-	  test ! -e $$bench || $(BIN)/python $$bench || exit 1; \
+	  test ! -e $$bench || PYTHONPATH=. $(BIN)/python $$bench || exit 1; \
 	done
--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -245,16 +245,24 @@
 
     Args:
         name: Name of this process.
-        address: URL to receive at, `tcp://IP:PORT`.
+        address: URL that peers send to, `tcp://IP:PORT`.
         metrics: Where drops are counted.
+        listen: URL to receive at, if it is not `address`. Connections to
+            peers come from its IP number.
     """
 
     def __init__(
-        self, name: str, address: str, metrics: metrics_module.Metrics
+        self,
+        name: str,
+        address: str,
+        metrics: metrics_module.Metrics,
+        listen: str | None = None,
     ):
         super().__init__(name, address, metrics)
+        listen = listen or address
+        self._source = listen.removeprefix(_SCHEME).rpartition(":")[0]
         self._inbox = pynng.Pull0(
-            listen=address,
+            listen=listen,
             recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
             recv_max_size=wire.MAX_MESSAGE_BYTES,
         )
@@ -316,7 +324,7 @@
             return NotSent("bad-address")
         self._close_idle_peers()
         try:
-            peer = self._peers[address] = _Peer(address)
+            peer = self._peers[address] = _Peer(address, self._source)
         except (pynng.NNGException, ValueError):
             return NotSent("bad-address")
         return peer
@@ -336,9 +344,10 @@
     once until the connection is back.
     """
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, source: str):
+        remote = address.removeprefix(_SCHEME)
         self._socket = pynng.Push0(
-            dial=address,
+            dial=f"{_SCHEME}{source};{remote}",
             block_on_dial=False,
             send_buffer_size=0,
             reconnect_time_min=RECONNECT_MIN_MS,
--- a/pomelostair/compose.py
+++ b/pomelostair/compose.py
@@ -58,7 +58,10 @@
     settings: settings_module.Settings, metrics: metrics_module.Metrics
 ) -> bus.NngBus:
     try:
-        return bus.NngBus(settings.name, f"tcp://{settings.bus}", metrics)
+        public = settings.bus_public or settings.bus
+        return bus.NngBus(
+            settings.name, f"tcp://{public}", metrics, f"tcp://{settings.bus}"
+        )
     except pynng.NNGException as error:
         text = f"set bus to a free address of this host: {error}"
         raise errors.StartError(f"{settings.bus}: {text}") from error
--- a/pomelostair/httpserver.py
+++ b/pomelostair/httpserver.py
@@ -165,6 +165,7 @@
         self._limits = limits
         self._closing = False
         self._idle = True
+        self._body_bytes = 0
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=http.MAX_HEADER_BYTES
         )
@@ -238,6 +239,7 @@
         if not isinstance(head, h11.Request):
             return None
         self._idle = False
+        self._body_bytes = 0
         headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in head.headers
@@ -262,6 +264,9 @@
             await curio.timeout_after(self._limits.idle_s, self._receive)
         except curio.TaskTimeout:
             return None
+        event = self._protocol.next_event()
+        if event is not h11.NEED_DATA:
+            return event
         try:
             return await curio.timeout_after(
                 self._limits.head_s, self._next_event
@@ -271,25 +276,34 @@
             raise errors.HttpError(408, "bad-request", limit) from error
 
     async def _read_whole_body(self) -> bytes:
+        parts: list[bytes] = []
+        if self._take_body(parts):
+            return b"".join(parts)
         try:
             return await curio.timeout_after(
-                self._limits.body_s, self._read_body
+                self._limits.body_s, self._read_body, parts
             )
         except curio.TaskTimeout as error:
             limit = f"send the body within {self._limits.body_s} s"
             raise errors.HttpError(408, "bad-request", limit) from error
 
-    async def _read_body(self) -> bytes:
-        parts = []
-        size = 0
+    async def _read_body(self, parts: list[bytes]) -> bytes:
+        while not self._take_body(parts):
+            await self._receive()
+        return b"".join(parts)
+
+    def _take_body(self, parts: list[bytes]) -> bool:
+        """Takes what has arrived of a body; returns whether that is all."""
         while True:
-            event = await self._next_event()
+            event = self._protocol.next_event()
+            if event is h11.NEED_DATA:
+                return False
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return True
             if not isinstance(event, h11.Data):
                 raise OSError("connection ended inside a body")
-            size += len(event.data)
-            if size > self._limits.body_bytes:
+            self._body_bytes += len(event.data)
+            if self._body_bytes > self._limits.body_bytes:
                 raise self._too_large()
             parts.append(bytes(event.data))
 
@@ -345,14 +359,25 @@
         await self._send(data)
 
     async def _send(self, data: bytes) -> None:
+        rest = memoryview(data)[_send_now(self._client, data) :]
+        if not rest:
+            return
         try:
             await curio.timeout_after(
-                self._limits.write_s, self._client.sendall, data
+                self._limits.write_s, self._client.sendall, rest
             )
         except curio.TaskTimeout as error:
             raise OSError("the caller does not take its response") from error
 
 
+def _send_now(client, data: bytes) -> int:
+    """Returns how many bytes the system took without any wait."""
+    try:
+        return client._socket.send(data)
+    except BlockingIOError:
+        return 0
+
+
 def _malformed(error: h11.RemoteProtocolError) -> errors.HttpError:
     status = error.error_status_hint
     if status == 431:
--- a/pomelostair/metrics.py
+++ b/pomelostair/metrics.py
@@ -44,16 +44,19 @@
             shutdown_on_exit=False,
         )
         self._meter = self._provider.get_meter("pomelostair")
-        self._counters: dict[str, otel.Counter] = {}
+        self._counters: dict[str, dict[tuple, int]] = {}
         self._histograms: dict[str, otel.Histogram] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Adds `amount` to the counter `name` under `labels`."""
         counter = self._counters.get(name)
         if counter is None:
-            counter = self._meter.create_counter(f"pomelostair_{name}")
-            self._counters[name] = counter
-        counter.add(amount, labels)
+            counter = self._counters[name] = {}
+            self._meter.create_observable_counter(
+                f"pomelostair_{name}", callbacks=[_observer(counter)]
+            )
+        key = tuple(sorted(labels.items()))
+        counter[key] = counter.get(key, 0) + amount
 
     def record(self, name: str, value: float, **labels: str) -> None:
         """Records `value` in the histogram `name` under `labels`."""
@@ -73,3 +76,15 @@
     def exposition(self) -> bytes:
         """Returns all values in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
+
+
+def _observer(counter: dict[tuple, int]):
+    """Returns a callback that reads the values of a counter."""
+
+    def observe(_options: otel.CallbackOptions) -> list[otel.Observation]:
+        return [
+            otel.Observation(value, dict(key))
+            for key, value in list(counter.items())
+        ]
+
+    return observe
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -197,7 +197,10 @@
         role: What the daemon does.
         name: Unique name of the process.
         zone: Its availability zone.
-        bus: Address at which it receives messages of other processes.
+        bus: Address at which it receives messages of other processes; its IP
+            number is also that of the connections to them.
+        bus_public: Address at which the others reach `bus`, where address
+            translation stands between; None for `bus` itself.
         balancer: HTTP address of the platform's balancer before the entries.
         platform: Where the table and the object store answer.
         http: HTTP address of an entry.
@@ -219,6 +222,9 @@
     metrics: str | None = attrs.field(
         default=None, validator=attrs.validators.optional(_check_endpoint)
     )
+    bus_public: str | None = attrs.field(
+        default=None, validator=attrs.validators.optional(_check_fixed_endpoint)
+    )
     cell: str = _name(default="main")
     target: Target | None = None
     timing: Timing = attrs.field(factory=Timing)
--- /dev/null
+++ b/pomelostair_standins/relay.py
@@ -0,0 +1,164 @@
+"""Stand-in for the network: relays TCP links that can be cut and delayed.
+
+`POST /rules` at the control address takes a JSON list of `Rule`, which
+replaces all earlier rules; `GET /rules` shows them. Bytes on a cut link are
+held back, as in a network that loses every packet, until the cut ends.
+"""
+
+import argparse
+
+import attrs
+import curio
+import msgspec
+
+from pomelostair import errors
+from pomelostair import http
+from pomelostair_standins import service
+
+ANY = "*"
+_RECEIVE_BYTES = 64 * 1024
+_POLL_S = 0.02
+
+
+@attrs.frozen
+class Link:
+    """One listening address of the relay.
+
+    Attributes:
+        listen: IP:PORT that the relay listens at.
+        forward: IP:PORT that it forwards to.
+        target: Name of the process there.
+        source: Name of the connecting process; empty if its IP number tells.
+    """
+
+    listen: str
+    forward: str
+    target: str
+    source: str = ""
+
+
+@attrs.frozen
+class Network:
+    """All links of a site.
+
+    Attributes:
+        links: The links.
+        sources: Names of processes by the IP number that they connect from.
+    """
+
+    links: tuple[Link, ...]
+    sources: dict[str, str]
+
+
+@attrs.frozen
+class Rule:
+    """What happens to connections that one process opens to another.
+
+    Attributes:
+        source: Name of the connecting process, `*` for any.
+        target: Name of the other one, `*` for any.
+        cut: Whether bytes are held back, both ways.
+        delay_ms: Delay of the bytes of each direction, in milliseconds.
+    """
+
+    source: str = ANY
+    target: str = ANY
+    cut: bool = False
+    delay_ms: float = 0.0
+
+    def applies(self, source: str, target: str) -> bool:
+        """Returns whether the rule is about a pair of processes."""
+        return self.source in (ANY, source) and self.target in (ANY, target)
+
+
+class Relay(service.Service):
+    """Forwards the connections of all links under the rules in force.
+
+    Args:
+        network: The links.
+    """
+
+    def __init__(self, network: Network):
+        super().__init__()
+        self._network = network
+        self._rules: tuple[Rule, ...] = ()
+
+    async def handle(self, request: http.Request) -> http.Response:
+        """Shows or replaces the rules."""
+        if request.method == "POST":
+            try:
+                self._rules = msgspec.json.decode(
+                    request.body, type=tuple[Rule, ...]
+                )
+            except msgspec.MsgspecError as error:
+                text = f"send a list of rules as JSON: {error}"
+                raise errors.HttpError(400, "bad-request", text) from error
+        return http.json_response(200, self._rules)
+
+    async def run(self) -> None:
+        """Starts listening on every link."""
+        for link in self._network.links:
+            host, _, port = link.listen.rpartition(":")
+            await curio.spawn(
+                curio.tcp_server,
+                host,
+                int(port),
+                self._forwarder(link),
+                daemon=True,
+            )
+
+    def _forwarder(self, link: Link):
+        async def forward(client, address) -> None:
+            source = link.source or self._network.sources.get(address[0], "")
+            await self._pass_cut(source, link.target)
+            host, _, port = link.forward.rpartition(":")
+            try:
+                upstream = await curio.open_connection(host, int(port))
+            except OSError:
+                return
+            async with upstream, curio.TaskGroup(wait=any) as group:
+                for ends in ((client, upstream), (upstream, client)):
+                    await group.spawn(self._pump, source, link.target, *ends)
+
+        return forward
+
+    async def _pump(self, source: str, target: str, reader, writer) -> None:
+        try:
+            while data := await reader.recv(_RECEIVE_BYTES):
+                await self._pass_cut(source, target)
+                await writer.sendall(data)
+        except OSError:
+            return
+
+    async def _pass_cut(self, source: str, target: str) -> None:
+        """Waits until the pair is not cut, then for its delay."""
+        while (rule := self._rule(source, target)).cut:
+            await curio.sleep(_POLL_S)
+        if rule.delay_ms:
+            await curio.sleep(rule.delay_ms / 1000)
+
+    def _rule(self, source: str, target: str) -> Rule:
+        for rule in self._rules:
+            if rule.applies(source, target):
+                return rule
+        return Rule()
+
+
+async def _serve(network: Network, listen: str) -> None:
+    relay = Relay(network)
+    await relay.run()
+    await service.serve(relay, listen)
+
+
+def main() -> None:
+    """Runs the stand-in until it is ended."""
+    parser: argparse.ArgumentParser = service.parser(__doc__)
+    parser.add_argument("--network", required=True, help="JSON file")
+    options = parser.parse_args()
+    with open(options.network, "rb") as file:
+        network = msgspec.json.decode(file.read(), type=Network)
+    curio.run(_serve, network, options.listen)
+
+
+if __name__ == "__main__":
+    main()
--- a/pomelostair_standins/site.py
+++ b/pomelostair_standins/site.py
@@ -15,12 +15,16 @@
 import sys
 import tempfile
 import time
+from urllib import request
 
 import attrs
 
+from pomelostair_standins import relay
+
 HOST = "127.0.0.1"
 PORTS = (10_000, 32_000)
 STOP_TIMEOUT_S = 15.0
+CONTROL_TIMEOUT_S = 5.0
 READY_TIMEOUT_S = 30.0
 WORKERS_PER_RACK = 3
 DAEMON_ROLES = ("entry", "agent")
@@ -39,6 +43,7 @@
         slots: Slots of each minion.
         service_ms: Mean service time of the minions.
         timing: Overrides of the settings' `timing`.
+        links: Whether a relay stands in every link, so that links can be cut.
     """
 
     service: str = "clapper-desk"
@@ -49,6 +54,7 @@
     slots: int = 8
     service_ms: float = 20.0
     timing: dict = attrs.field(factory=dict)
+    links: bool = False
 
 
 @attrs.define
@@ -99,6 +105,9 @@
         self._entries = [free_address() for _ in range(shape.entries)]
         self._balancer = free_address()
         self._platform = free_address()
+        self._relay = free_address()
+        self._links: list[relay.Link] = []
+        self._sources: dict[str, str] = {}
 
     @property
     def processes(self) -> dict[str, Process]:
@@ -129,6 +138,27 @@
             self._start_minion(index)
         for index in range(self._shape.workers):
             self._start_worker(index)
+        if self._shape.links:
+            self._start_relay()
+
+    def cut(self, source: str, target: str) -> None:
+        """Holds back what one process sends over its connections to another.
+
+        Args:
+            source: Name of the connecting process, `*` for any.
+            target: Name of the process that it connects to, `*` for any.
+        """
+        self._set_rules([relay.Rule(source, target, cut=True)])
+
+    def heal(self) -> None:
+        """Ends all cuts."""
+        self._set_rules([])
+
+    def _set_rules(self, rules: list[relay.Rule]) -> None:
+        data = json.dumps([attrs.asdict(rule) for rule in rules]).encode()
+        url = f"http://{self._relay}/rules"
+        with request.urlopen(url, data, timeout=CONTROL_TIMEOUT_S):
+            pass
 
     def stop(self) -> None:
         """Stops every process in order: agents, entries, stand-ins."""
@@ -165,7 +195,10 @@
     def describe(self) -> dict:
         """Returns the first line of a site."""
         rows = [process.describe() for process in self._processes.values()]
-        return {"balancer": self._balancer, "processes": rows}
+        line = {"balancer": self._balancer, "processes": rows}
+        if self._shape.links:
+            line["relay"] = self._relay
+        return line
 
     def log(self, name: str) -> str:
         """Returns what a process logged so far."""
@@ -233,17 +266,51 @@
             "timing": self._shape.timing,
             **extra,
         }
-        path = self._directory / f"{name}.json"
-        path.write_text(json.dumps(settings, indent=2))
-        addresses = {"bus": f"tcp://{bus}"}
         if role == "agent":
             settings["metrics"] = free_address()
+        if self._shape.links:
+            self._link(name, settings)
+        path = self._directory / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        addresses = {"bus": f"tcp://{settings['bus']}"}
         for use in ("http", "metrics"):
             if use in settings:
                 addresses[use] = str(settings[use])
         arguments = ["-m", "pomelostair.daemon", "--settings", str(path)]
         self._launch(role, name, addresses, arguments)
 
+    def _link(self, name: str, settings: dict) -> None:
+        """Puts the relay into every link of a daemon."""
+        host = f"127.1.0.{len(self._sources) + 1}"
+        self._sources[host] = name
+        settings["bus"] = free_address(host)
+        settings["bus_public"] = self._add_link(settings["bus"], name)
+        settings["balancer"] = self._add_link(self._balancer, "balancer", name)
+        settings["platform"] = {
+            "address": self._add_link(self._platform, "platform", name)
+        }
+        target = settings.get("target")
+        if target is not None:
+            settings["target"] = {
+                **target,
+                "address": self._add_link(
+                    target["address"], name.removeprefix("agent-"), name
+                ),
+            }
+
+    def _add_link(self, forward: str, target: str, source: str = "") -> str:
+        listen = free_address()
+        self._links.append(relay.Link(listen, forward, target, source))
+        return listen
+
+    def _start_relay(self) -> None:
+        path = self._directory / "network.json"
+        network = relay.Network(tuple(self._links), self._sources)
+        path.write_text(json.dumps(attrs.asdict(network)))
+        arguments = ["-m", "pomelostair_standins.relay"]
+        arguments += ["--listen", self._relay, "--network", str(path)]
+        self._launch("relay", "relay", {"http": self._relay}, arguments)
+
     def _launch(
         self, role: str, name: str, addresses: dict, arguments: list[str]
     ) -> None:
@@ -261,16 +328,19 @@
             )
 
 
-def free_address() -> str:
+def free_address(host: str = HOST) -> str:
     """Returns a loopback address whose port is free now.
 
     The ports lie below those that the system gives to outgoing connections.
+
+    Args:
+        host: IP number of the address.
     """
     while True:
         port = random.SystemRandom().randrange(*PORTS)
         with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((HOST, port))
-            return f"{HOST}:{port}"
+            probe.bind((host, port))
+            return f"{host}:{port}"
 
 
 @contextlib.contextmanager
@@ -305,12 +375,16 @@
     parser.add_argument("--minions", type=int, default=3)
     parser.add_argument("--workers", type=int, default=3)
     parser.add_argument("--service", default="clapper-desk")
+    parser.add_argument(
+        "--links", action="store_true", help="put a relay into every link"
+    )
     options = parser.parse_args()
     shape = Shape(
         service=options.service,
         entries=options.entries,
         minions=options.minions,
         workers=options.workers,
+        links=options.links,
     )
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     with contextlib.suppress(KeyboardInterrupt), running(shape) as site:
--- /dev/null
+++ b/tests/test_standin_site.py
@@ -0,0 +1,67 @@
+import json
+import signal
+import subprocess
+import sys
+
+from pomelostair_standins import site
+from tests import caller
+
+ROLES = {"platform", "balancer", "relay", "entry", "agent", "minion", "worker"}
+
+
+class TestMain:
+    def test_prints_its_processes_first_and_stops_when_interrupted(self):
+        command = [sys.executable, "-m", "pomelostair_standins.site"]
+        command += ["--entries", "1", "--minions", "1", "--workers", "1"]
+        launcher = subprocess.Popen(
+            [*command, "--links"], stdout=subprocess.PIPE, text=True
+        )
+        try:
+            line = json.loads(launcher.stdout.readline())
+            rows = line["processes"]
+            assert {row["role"] for row in rows} == ROLES
+            assert all(row["pid"] and row["addresses"] for row in rows)
+            fit = "/services/clapper-desk/fit"
+            assert caller.eventually(
+                lambda: caller.call(line["balancer"], "GET", fit).status == 200
+            )
+            agent = next(row for row in rows if row["role"] == "agent")
+            shown = caller.call(
+                agent["addresses"]["metrics"], "GET", "/metrics"
+            )
+            assert b"pomelostair_" in shown.body
+        finally:
+            launcher.send_signal(signal.SIGINT)
+            launcher.communicate(timeout=60)
+        assert launcher.returncode == 0
+        assert all(gone(row["addresses"]) for row in rows)
+
+
+def gone(addresses):
+    http = addresses.get("http")
+    return http is None or caller.call(http, "GET", "/healthz").status == 0
+
+
+class TestSite:
+    def test_frozen_entry_leaves_the_other_serving(self):
+        shape = site.Shape(entries=2, minions=1, workers=0)
+        fit = "/services/clapper-desk/fit"
+        with site.running(shape) as running:
+            for entry in running.entries:
+                assert caller.eventually(
+                    lambda entry=entry: (
+                        caller.call(entry, "GET", fit).status == 200
+                    )
+                )
+            running.freeze("entry-1")
+            statuses = [
+                caller.call(running.entries[1], "GET", fit).status
+                for _ in range(100)
+            ]
+            running.thaw("entry-1")
+            assert statuses == [200] * 100
+            assert caller.eventually(
+                lambda: (
+                    caller.call(running.entries[0], "GET", fit).status == 200
+                )
+            )
