--- a/pomelostair/grants.py
+++ b/pomelostair/grants.py
@@ -59,8 +59,7 @@
     ended = {(e.task, e.attempt) for e in heartbeat.ended}
     mine = {
         (task.id, task.attempt): task
-        for task in state.placed()
-        if task.worker == heartbeat.worker
+        for task in state.placed_on(heartbeat.worker)
     }
     over = {key for key, task in mine.items() if _is_over(task, state)}
     evicted = (mine.keys() & orders.evictions.keys()) - over
