--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -266,6 +266,7 @@
             recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
             recv_max_size=wire.MAX_MESSAGE_BYTES,
         )
+        self._inbox_fd = self._inbox.recv_fd
         self._peers: dict[str, _Peer] = {}
 
     async def run(self) -> None:
@@ -276,7 +277,7 @@
                 data = self._inbox.recv(block=False)
             except pynng.TryAgain:
                 burst = 0
-                await traps._read_wait(self._inbox.recv_fd)
+                await traps._read_wait(self._inbox_fd)
                 continue
             await self.receive(data)
             burst += 1
@@ -353,6 +354,7 @@
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
+        self._writable_fd = self._socket.send_fd
         self._turn = curio.Lock()
         self._used = _now()
         self._proven = self._used
@@ -391,9 +393,7 @@
         self._socket.close()
 
     async def _wait_until_writable(self, timeout_s: float) -> None:
-        await curio.ignore_after(
-            timeout_s, traps._read_wait, self._socket.send_fd
-        )
+        await curio.ignore_after(timeout_s, traps._read_wait, self._writable_fd)
 
     def _send_now(self, data: bytes) -> Send | None:
         self._used = _now()
--- a/pomelostair/daemon.py
+++ b/pomelostair/daemon.py
@@ -1,7 +1,6 @@
 """The daemon `pomelostaird`."""
 
 import argparse
-import gc
 import os
 import signal
 import sys
@@ -19,7 +18,6 @@
 EXIT_CANNOT_START = 3
 EXIT_CUT_SHORT = 4
 EXIT_SIGNAL_BASE = 128
-GC_THRESHOLD_OBJECTS = 20_000
 
 
 async def serve(settings: settings_module.Settings) -> int:
@@ -41,8 +39,6 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, _leave_to_wakeup_fd)
     kernel = compose.build(settings)
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD_OBJECTS)
     running = await curio.spawn(kernel.run)
     await curio.spawn(_obey_signals, wakeup, kernel, daemon=True)
     drained = await running.join()
