--- a/pomelostair_standins/minion.py
+++ b/pomelostair_standins/minion.py
@@ -2,15 +2,60 @@
 
 import collections
 import hashlib
+import os
 import random
+import time
 
 import attrs
 import curio
+import msgspec
 
 from pomelostair import http
 from pomelostair_standins import service
 
 REQUEST_ID_HEADER = "pomelostair-request-id"
+ATTEMPT_HEADER = "x-attempt-id"
+
+
+@attrs.frozen
+class Entry:
+    """One line of the journal.
+
+    Attributes:
+        event: `open` for a start of the minion, else `begin` or `end`.
+        request: Id that the system gave the request.
+        attempt: Id that the caller gave its call.
+        at: Monotonic seconds of the host.
+        running: Requests that run in the minion after it.
+    """
+
+    event: str
+    at: float
+    request: str = ""
+    attempt: str = ""
+    running: int = 0
+
+
+class Journal:
+    """A file of what a minion ran; outlives the minion's death.
+
+    Args:
+        path: File to append to, empty to keep none.
+    """
+
+    def __init__(self, path: str):
+        self._file = None
+        if path:
+            flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+            self._file = os.open(path, flags)
+        self.write("open")
+
+    def write(self, event: str, **fields: object) -> None:
+        """Appends one line."""
+        if self._file is None:
+            return
+        entry = Entry(event, time.monotonic(), **fields)
+        os.write(self._file, msgspec.json.encode(entry) + b"\n")
 
 
 @attrs.define
@@ -40,10 +85,18 @@
         slots: Requests that it can run at once.
         service_ms: Mean service time.
         seed: Seed of the service times, which are exponential.
+        journal: Where runs are written.
     """
 
-    def __init__(self, slots: int, service_ms: float, seed: int):
+    def __init__(
+        self,
+        slots: int,
+        service_ms: float,
+        seed: int,
+        journal: Journal | None = None,
+    ):
         super().__init__()
+        self._journal = journal or Journal("")
         self._slots = slots
         self._service_ms = service_ms
         self._random = random.Random(seed)
@@ -59,10 +112,16 @@
         stats.running += 1
         stats.most_running = max(stats.most_running, stats.running)
         stats.over_slots += stats.running > self._slots
+        ids = {
+            "request": request_id,
+            "attempt": request.header(ATTEMPT_HEADER) or "",
+        }
+        self._journal.write("begin", running=stats.running, **ids)
         try:
             await curio.sleep(self._duration_ms(request) / 1000)
         finally:
             stats.running -= 1
+            self._journal.write("end", running=stats.running, **ids)
         return self._respond(request)
 
     def _duration_ms(self, request: http.Request) -> float:
@@ -85,8 +144,10 @@
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--service-ms", type=float, default=20.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--journal", default="", help="file of what it ran")
     options = parser.parse_args()
-    minion = Minion(options.slots, options.service_ms, options.seed)
+    journal = Journal(options.journal)
+    minion = Minion(options.slots, options.service_ms, options.seed, journal)
     curio.run(service.serve, minion, options.listen)
 
 
--- a/pomelostair_standins/site.py
+++ b/pomelostair_standins/site.py
@@ -42,6 +42,7 @@
         workers: Number of workers, each with an agent.
         slots: Slots of each minion.
         service_ms: Mean service time of the minions.
+        longest_run_ms: Longest time that a minion works on one request.
         timing: Overrides of the settings' `timing`.
         links: Whether a relay stands in every link, so that links can be cut.
     """
@@ -53,6 +54,7 @@
     workers: int = 3
     slots: int = 8
     service_ms: float = 20.0
+    longest_run_ms: int = 30_000
     timing: dict = attrs.field(factory=dict)
     links: bool = False
 
@@ -204,6 +206,16 @@
         """Returns what a process logged so far."""
         return (self._directory / f"{name}.log").read_text()
 
+    def journal(self, name: str) -> pathlib.Path:
+        """Returns the file in which a minion writes what it ran."""
+        return self._directory / f"{name}.journal"
+
+    def terminate(self, name: str) -> None:
+        """Asks a process to stop gracefully and waits until it has."""
+        process = self._processes[name]
+        _signal(process, signal.SIGTERM)
+        _wait(process)
+
     def _start_platform(self) -> None:
         self._launch(
             "platform",
@@ -234,12 +246,15 @@
         arguments += ["--slots", str(self._shape.slots)]
         arguments += ["--service-ms", str(self._shape.service_ms)]
         arguments += ["--seed", str(index + 1)]
+        arguments += ["--journal", str(self.journal(name))]
         self._launch("minion", name, {"http": address}, arguments)
         target = {
             "kind": "minion",
             "address": address,
             "service": self._shape.service,
             "slots": self._shape.slots,
+            "status_path": "/stats",
+            "longest_run_ms": self._shape.longest_run_ms,
         }
         self._launch_daemon("agent", f"agent-{name}", index, target=target)
 
