--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks; each module is a program of its own."""
+"""Benchmarks: ratios against a target or a baseline of the same run."""
--- a/bench/requests_bench.py
+++ b/bench/requests_bench.py
@@ -9,6 +9,7 @@
 import contextlib
 import multiprocessing
 import random
+import signal
 import tempfile
 import time
 
@@ -286,6 +287,7 @@
     parser.add_argument("--policies", default=",".join(naive_daemon.POLICIES))
     parser.add_argument("--cases", default="")
     options = parser.parse_args()
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     shape = site_module.Shape(
         entries=options.entries, minions=options.minions, workers=0
     )
--- a/pomelostair/compose.py
+++ b/pomelostair/compose.py
@@ -7,6 +7,7 @@
 from pomelostair import announcer as _announcer  # noqa: F401
 from pomelostair import bus
 from pomelostair import clock
+from pomelostair import commandapi as _commandapi  # noqa: F401
 from pomelostair import configuration as _configuration  # noqa: F401
 from pomelostair import dispatch as _dispatch  # noqa: F401
 from pomelostair import errors
@@ -58,7 +59,10 @@
     settings: settings_module.Settings, metrics: metrics_module.Metrics
 ) -> bus.NngBus:
     try:
-        return bus.NngBus(settings.name, f"tcp://{settings.bus}", metrics)
+        public = settings.bus_public or settings.bus
+        return bus.NngBus(
+            settings.name, f"tcp://{public}", metrics, f"tcp://{settings.bus}"
+        )
     except pynng.NNGException as error:
         text = f"set bus to a free address of this host: {error}"
         raise errors.StartError(f"{settings.bus}: {text}") from error
