--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -1,8 +1,10 @@
 """Requests over real processes, under load and faults."""
 
+import contextlib
 import json
 import time
 
+import attrs
 import pytest
 
 from pomelostair_standins import site as site_module
@@ -21,7 +23,14 @@
 
 @pytest.fixture
 def site():
-    with site_module.running(SHAPE) as running:
+    with ready(SHAPE) as running:
+        yield running
+
+
+@contextlib.contextmanager
+def ready(shape):
+    """Keeps a site up whose entries all know all minions."""
+    with site_module.running(shape) as running:
         for entry in running.entries:
             for minion in range(SHAPE.minions):
                 assert caller.eventually(
@@ -78,6 +87,30 @@
         served = sum(a.status == 200 for a in seen.attempts)
         assert served > 0.5 * plan.rate * plan.seconds
 
+    def test_every_promise_holds_when_links_are_cut_and_messages_held(self):
+        shape = attrs.evolve(SHAPE, links=True)
+        with ready(shape) as site:
+
+            def cut(source, target):
+                return lambda: site.cut(source, target)
+
+            script = [
+                (0.5, cut("entry-1", "agent-minion-1")),
+                (2.5, site.heal),
+                (2.7, cut("agent-minion-2", "entry-2")),
+                (3.9, cut("agent-minion-3", "*")),
+                (4.3, lambda: site.kill("agent-minion-3")),
+                (4.5, lambda: site.restart("agent-minion-3")),
+                (5.0, site.heal),
+                (5.2, cut("entry-2", "platform")),
+                (6.4, site.heal),
+            ]
+            plan = load.Plan(seconds=7.0, seed=3)
+            seen = load.play(site, plan, script)
+            assert callhistory.check(seen) == []
+            served = sum(a.status == 200 for a in seen.attempts)
+            assert served > 0.5 * plan.rate * plan.seconds
+
 
 class TestDrain:
     def test_leaving_processes_cut_no_request(self, site):
