--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -1,7 +1,9 @@
+import attrs
 import curio
 import pytest
 
 from pomelostair import bus
+from pomelostair import declaration
 from pomelostair import gate
 from pomelostair import http
 from pomelostair import httpserver
@@ -16,6 +18,13 @@
 BATCH = messages.Urgency.BATCH
 
 
+@attrs.frozen
+class InForce:
+    """Stands for the configuration of the process."""
+
+    in_force: declaration.InForce
+
+
 class Bench:
     """A gate beside a minion in this process, and an entry's bus."""
 
@@ -44,6 +53,13 @@
         )
         self.gate = host.get(gate.Gate)
 
+    def limit(self, **changes):
+        """Puts other limits in force."""
+        declarations = declaration.Declarations(
+            limits=declaration.Limits(**changes)
+        )
+        self.gate._configuration = InForce(declaration.InForce(2, declarations))
+
     async def run_agent(self):
         await curio.spawn(self.agent.bus.run, daemon=True)
         await curio.spawn(self.gate.run, daemon=True)
@@ -189,6 +205,24 @@
 
         run(scenario, slots=1)
 
+    @pytest.mark.parametrize(
+        "limits", [{"queue_per_slot": 3}, {"queue_bytes": 3 * len(b"clapper")}]
+    )
+    def test_limits_change_while_running(self, limits):
+        async def scenario(bench):
+            first = await bench.spawn("first", 300)
+            await bench.until(lambda: bench.gate.running)
+            calls = [await bench.spawn(f"a{i}", 1) for i in range(8)]
+            await bench.until(lambda: bench.gate.queued == 8)
+            bench.limit(**limits)
+            calls.append(await bench.spawn("b", 1))
+            await bench.until(lambda: bench.gate.queued == 3)
+            kinds = [getattr(await c.join(), "kind", None) for c in calls]
+            assert kinds.count(outcome.Kind.QUEUE_FULL) == 6
+            assert (await first.join()).status == 200
+
+        run(scenario, slots=1)
+
     def test_a_draining_gate_refuses_and_finishes(self):
         async def scenario(bench):
             accepted = [await bench.spawn(f"a{i}", 50) for i in range(6)]
