--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -64,7 +64,9 @@
 
 def make(cls, name, network, table, seed=1):
     role = settings.Role.ENTRY if "entry" in name else settings.Role.AGENT
-    target = settings.WorkerTarget("127.0.0.1:1", "r")
+    target = None
+    if role is settings.Role.AGENT:
+        target = settings.WorkerTarget("127.0.0.1:1", "r")
     now = clock.MonotonicClock()
     counted = metrics.Metrics()
     parts = kernel.Parts(
