--- a/pomelostair/executor.py
+++ b/pomelostair/executor.py
@@ -131,11 +131,11 @@
             capacity=self._capacity,
             state=self._state,
             usage=tuple(
-                _usage(task) for task in status.tasks if task.state == RUNNING
+                usage_of(task) for task in status.tasks if task.state == RUNNING
             ),
             ended=(
                 *(
-                    _ended(task)
+                    ended_of(task)
                     for task in status.tasks
                     if task.state != RUNNING and self._reportable(task)
                 ),
@@ -232,8 +232,7 @@
         account = ledger.Account("", "", "", self._capacity)
         for task in status.tasks:
             if task.state == RUNNING:
-                held = ledger.largest(reserved(task.order), task.used)
-                account.assign((task.task, task.attempt), held)
+                account.assign((task.task, task.attempt), _held(task))
         for key, size in self._busy.items():
             account.assign(key, size)
         for order in orders:
@@ -329,7 +328,14 @@
     return order.reserved or order.size
 
 
-def _usage(task: workerclient.WorkerTask) -> messages.TaskUsage:
+def _held(task: workerclient.WorkerTask) -> messages.Size:
+    if task.read_ms is None:
+        return reserved(task.order)
+    return ledger.held(reserved(task.order), task.used)
+
+
+def usage_of(task: workerclient.WorkerTask) -> messages.TaskUsage:
+    """Returns what a heartbeat tells of a running attempt."""
     return messages.TaskUsage(
         task.task,
         task.attempt,
@@ -341,7 +347,8 @@
     )
 
 
-def _ended(task: workerclient.WorkerTask) -> messages.TaskEnded:
+def ended_of(task: workerclient.WorkerTask) -> messages.TaskEnded:
+    """Returns what a heartbeat tells of an ended attempt."""
     end = messages.TaskEnd(task.state)
     checkpoint = task.detail if end is messages.TaskEnd.EVICTED else ""
     return messages.TaskEnded(
--- a/pomelostair/ledger.py
+++ b/pomelostair/ledger.py
@@ -6,6 +6,7 @@
 
 from pomelostair import messages
 
+OBSERVED_HEADROOM = 1.1
 _SLACK_CORES = 1e-6
 
 
@@ -88,3 +89,37 @@
         max(first.memory_mb, second.memory_mb),
         max(first.accelerators, second.accelerators),
     )
+
+
+def smallest(first: messages.Size, second: messages.Size) -> messages.Size:
+    """Returns the smaller of two sizes in each resource."""
+    return messages.Size(
+        min(first.cores, second.cores),
+        min(first.memory_mb, second.memory_mb),
+        min(first.accelerators, second.accelerators),
+    )
+
+
+def held(
+    reserved: messages.Size,
+    used: messages.Size,
+    estimate: messages.Size | None = None,
+) -> messages.Size:
+    """Returns what an attempt counts with once its use was reported.
+
+    It counts with what it uses and some headroom, with no less than it uses
+    and with no more than was reserved for it.
+
+    Args:
+        reserved: Size that it was ordered with.
+        used: Reported size.
+        estimate: Size that its kind is expected to need, None for unknown.
+    """
+    needed = messages.Size(
+        used.cores * OBSERVED_HEADROOM,
+        round(used.memory_mb * OBSERVED_HEADROOM),
+        reserved.accelerators,
+    )
+    if estimate is not None:
+        needed = largest(needed, estimate)
+    return largest(used, smallest(reserved, needed))
--- a/pomelostair/placement.py
+++ b/pomelostair/placement.py
@@ -15,13 +15,15 @@
 from pomelostair import ledger
 from pomelostair import messages
 
-CRITICAL_SLOWDOWN_LIMIT = 1.2
+CRITICAL_SLOWDOWN_LIMIT = 1.1
+CRITICAL_WEIGHT = 4.0
+OPENING_WEIGHT = 0.3
 MIN_GAIN = 0.25
+GOOD_GAIN = 0.7
 STRANDED_WEIGHT = 0.3
 FREE_WEIGHT = 0.1
 ZONE_WEIGHT = 2.0
 RACK_WEIGHT = 1.0
-WORKER_WEIGHT = 1.0
 
 
 class Refusal(enum.Enum):
@@ -46,6 +48,7 @@
         survive: Whether its job is spread over racks and zones.
         avoided: Workers where it failed.
         starved: Whether it waited so long that slowdown no longer counts.
+        min_gain: Least work gained for each core that justifies a start.
     """
 
     task: str
@@ -56,6 +59,7 @@
     survive: bool = False
     avoided: frozenset[str] = frozenset()
     starved: bool = False
+    min_gain: float = MIN_GAIN
 
     @property
     def critical(self) -> bool:
@@ -102,6 +106,11 @@
         if request.survive:
             self.jobs[request.job] = self.jobs.get(request.job, 0) + 1
 
+    @property
+    def critical(self) -> bool:
+        """Whether a latency-critical task runs there."""
+        return any(r.critical for r in self.residents.values())
+
     def loads(self, without: str = "") -> dict[str, float]:
         """Returns shares of the cores by kind.
 
@@ -186,6 +195,8 @@
             refusal = _objection(request, gain, suffering)
             score = -gain + _stranded(request.size, account)
             score += _crowding(host, request, spread)
+            if request.critical and not host.critical:
+                score += OPENING_WEIGHT
         return Scored(account.worker, score, refusal)
 
     def _effect(self, request: Request, host: Host) -> tuple[float, bool]:
@@ -202,7 +213,8 @@
                 kind, host.loads(kind), self._now
             )
             after = before + factor * load
-            lost += resident.cores * (1 / before - 1 / after)
+            weight = CRITICAL_WEIGHT if resident.critical else 1.0
+            lost += weight * resident.cores * (1 / before - 1 / after)
             if resident.critical and after > CRITICAL_SLOWDOWN_LIMIT:
                 suffering = True
         gain = 1 / own - lost / max(request.size.cores, 1e-6)
@@ -212,11 +224,13 @@
 def _objection(
     request: Request, gain: float, suffering: bool
 ) -> Refusal | None:
-    if request.starved or request.urgency <= messages.Urgency.URGENT:
+    if request.starved:
         return None
-    if suffering:
+    if suffering and request.urgency is not messages.Urgency.URGENT:
         return Refusal.CRITICAL_SUFFERS
-    if gain < MIN_GAIN:
+    if request.urgency <= messages.Urgency.URGENT:
+        return None
+    if gain < request.min_gain:
         return Refusal.NO_GAIN
     return None
 
@@ -233,24 +247,31 @@
 
 
 def _spread(request: Request, hosts: tuple[Host, ...]) -> dict[str, int]:
-    counts: dict[str, int] = {}
+    """Returns the tasks of the job beyond the least, by zone and rack."""
+    zones: dict[str, int] = {}
+    racks: dict[str, int] = {}
     if not request.survive:
-        return counts
+        return {}
     for host in hosts:
         held = host.jobs.get(request.job, 0)
-        if held:
-            account = host.account
-            for place in (account.zone, f"{account.zone}/{account.rack}"):
-                counts[place] = counts.get(place, 0) + held
-    return counts
+        zone, rack = _places(host)
+        zones[zone] = zones.get(zone, 0) + held
+        racks[rack] = racks.get(rack, 0) + held
+    return {**_beyond_least(zones), **_beyond_least(racks)}
+
+
+def _places(host: Host) -> tuple[str, str]:
+    account = host.account
+    return f"zone {account.zone}", f"rack {account.zone}/{account.rack}"
+
+
+def _beyond_least(counts: dict[str, int]) -> dict[str, int]:
+    least = min(counts.values(), default=0)
+    return {place: count - least for place, count in counts.items()}
 
 
 def _crowding(host: Host, request: Request, spread: dict[str, int]) -> float:
     if not request.survive:
         return 0.0
-    account = host.account
-    return (
-        ZONE_WEIGHT * spread.get(account.zone, 0)
-        + RACK_WEIGHT * spread.get(f"{account.zone}/{account.rack}", 0)
-        + WORKER_WEIGHT * host.jobs.get(request.job, 0)
-    )
+    zone, rack = _places(host)
+    return ZONE_WEIGHT * spread[zone] + RACK_WEIGHT * spread[rack]
--- a/pomelostair/relief.py
+++ b/pomelostair/relief.py
@@ -20,8 +20,8 @@
 CALM_SLOWDOWN = 1.2
 SUFFERING_READINGS = 2
 THROTTLE_FACTOR = 0.5
-MIN_SHARE = 0.25
-RESTORE_AFTER_S = 20.0
+MIN_SHARE = 0.5
+DECIDE_AFTER_S = 5.0
 OVER_CAPACITY = 1.02
 
 Key = tuple[str, int]
@@ -71,7 +71,6 @@
     _strikes: dict[Key, int] = attrs.field(factory=dict, init=False)
     _suffering: dict[Key, int] = attrs.field(factory=dict, init=False)
     _acted_s: float = attrs.field(default=float("-inf"), init=False)
-    _calm_s: float | None = attrs.field(default=None, init=False)
 
     @property
     def shares(self) -> Mapping[Key, float]:
@@ -155,6 +154,7 @@
         found: tuple[Report, ...],
         neighbours: Mapping[Key, reports.Resident],
         harm: Callable[[Report, reports.Resident], tuple[float, float]],
+        bearable: Callable[[Key], bool],
         now: float,
     ) -> tuple[Step, ...]:
         """Returns steps for the latency-critical tasks of the worker.
@@ -163,6 +163,7 @@
             found: Fresh readings of latency-critical attempts.
             neighbours: Less urgent attempts on the worker.
             harm: Returns how much a neighbour slows the task of a reading.
+            bearable: Returns whether a neighbour may go at full speed again.
             now: Monotonic seconds.
         """
         for report in found:
@@ -182,9 +183,8 @@
             if worst is not None:
                 self._suffering.pop(report.key, None)
                 self._acted_s = now
-                self._calm_s = None
                 return (self._strike(worst, report),)
-        return self._restore(found, now)
+        return self._decide(bearable, now)
 
     def _strike(self, key: Key, report: Report) -> Step:
         strikes = self._strikes.get(key, 0) + 1
@@ -198,23 +198,21 @@
             return Evicted(key, reason)
         return self._throttle(key, share, reason)
 
-    def _restore(
-        self, found: tuple[Report, ...], now: float
+    def _decide(
+        self, bearable: Callable[[Key], bool], now: float
     ) -> tuple[Step, ...]:
-        if any(report.slowdown > CALM_SLOWDOWN for report in found):
-            self._calm_s = None
-            return ()
-        if not self._shares:
-            self._calm_s = None
-            return ()
-        if self._calm_s is None:
-            self._calm_s = now
-        if now - self._calm_s < RESTORE_AFTER_S:
+        """Lets a throttled attempt go at full speed or leave, after a while.
+
+        Throttled work holds its room, so it does not stay throttled.
+        """
+        if not self._shares or now - self._acted_s < DECIDE_AFTER_S:
             return ()
-        self._calm_s = now
-        key = min(self._shares, key=lambda k: (self._strikes.get(k, 0), k))
-        del self._shares[key]
-        return (Throttled(key, 1.0, "the worker is calm again"),)
+        self._acted_s = now
+        key = min(self._shares)
+        if bearable(key):
+            del self._shares[key]
+            return (Throttled(key, 1.0, "the worker is calm again"),)
+        return (Evicted(key, "at full speed it disturbs its neighbours"),)
 
 
 def total(sizes: list[messages.Size]) -> messages.Size:
--- a/pomelostair/rounds.py
+++ b/pomelostair/rounds.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterator
+import itertools
 
 import attrs
 
@@ -22,6 +23,7 @@
 MAX_PLACED = 256
 MAX_EVICTED = 64
 MAX_PARKED = 64
+MAX_NOISY = 8
 STARVATION_S = 120.0
 STARVED_TURN_S = 1.0
 PROTECTION_S = 60.0
@@ -81,6 +83,8 @@
         self._events: list[cell_module.Event] = []
         self._nudges: set[str] = set()
         self._evicted = 0
+        self._placed = 0
+        self._min_gain = placement.GOOD_GAIN
         self._parked = 0
         self._blocked: set[tuple] = set()
         self._usage: dict[Key, messages.TaskUsage] = {}
@@ -182,6 +186,7 @@
             task.spec.survive,
             self._avoided(task),
             self._is_starved(task),
+            self._min_gain,
         )
 
     def _avoided(self, task: cell_module.Task) -> frozenset[str]:
@@ -278,13 +283,28 @@
             for event in self._given.pending
             if isinstance(event, cell_module.TaskPlaced)
         }
-        placed = 0
-        for number, waiting in enumerate(self._ordered()):
-            if number >= MAX_CONSIDERED or placed >= MAX_PLACED:
-                return
-            if waiting.task not in pending:
-                task = self._given.state.tasks[waiting.task]
-                placed += self._consider(task)
+        considered = [
+            self._given.state.tasks[waiting.task]
+            for waiting in itertools.islice(self._ordered(), MAX_CONSIDERED)
+            if waiting.task not in pending
+        ]
+        for min_gain in (placement.GOOD_GAIN, placement.MIN_GAIN):
+            self._min_gain = min_gain
+            self._blocked.clear()
+            considered = self._place_all(considered)
+
+    def _place_all(
+        self, considered: list[cell_module.Task]
+    ) -> list[cell_module.Task]:
+        left = []
+        for task in considered:
+            if self._placed >= MAX_PLACED:
+                break
+            if self._consider(task):
+                self._placed += 1
+            else:
+                left.append(task)
+        return left
 
     def _ordered(self) -> Iterator[fairqueue.Waiting]:
         rows = []
@@ -459,10 +479,18 @@
         self, task: cell_module.Task, request: placement.Request
     ) -> None:
         if request.urgency <= messages.Urgency.URGENT:
-            self._preempt(task, request)
+            if not self._preempt(task, request) and request.critical:
+                self._settle_for_noise(task, request)
         elif request.starved and not self._keeps_for_starved():
             self._reserve(task, request, self._emptiest(request))
 
+    def _settle_for_noise(
+        self, task: cell_module.Task, request: placement.Request
+    ) -> None:
+        choice = self._placement.choose(attrs.evolve(request, starved=True))
+        if choice.host is not None:
+            self._put(task, request, choice.host, _summary(choice))
+
     def _keeps_for_starved(self) -> bool:
         return any(
             self._given.state.tasks[task].spec.urgency > messages.Urgency.URGENT
@@ -497,7 +525,7 @@
 
     def _preempt(
         self, task: cell_module.Task, request: placement.Request
-    ) -> None:
+    ) -> bool:
         best: tuple[eviction.Candidate, ...] | None = None
         best_host: placement.Host | None = None
         for host in self._hosts.values():
@@ -509,11 +537,12 @@
             ):
                 best, best_host = chosen, host
         if best is None or self._evicted + len(best) > MAX_EVICTED:
-            return
+            return False
         self._reserve(task, request, best_host)
         for candidate in best:
             victim = self._given.state.tasks[candidate.task]
             self._evict(victim, f"{task.id} is more urgent")
+        return True
 
     def _victims(
         self, request: placement.Request, host: placement.Host
@@ -530,7 +559,50 @@
             if task.spec.urgency > messages.Urgency.URGENT
             and self._term.protected.get(task.id, 0.0) <= self._now
         ]
-        return eviction.choose(request.size, free, self._candidates(yielding))
+        candidates = self._candidates(yielding)
+        noisy = self._noisy(request, host, candidates)
+        if noisy is None:
+            return None
+        for candidate in noisy:
+            free = ledger.add(free, candidate.size)
+        quiet = [c for c in candidates if c not in noisy]
+        chosen = eviction.choose(request.size, free, quiet)
+        return None if chosen is None else (*noisy, *chosen)
+
+    def _noisy(
+        self,
+        request: placement.Request,
+        host: placement.Host,
+        candidates: list[eviction.Candidate],
+    ) -> tuple[eviction.Candidate, ...] | None:
+        """Returns who must leave so that a latency-critical task is calm."""
+        if not request.critical:
+            return ()
+        loads = host.loads()
+        cores = host.account.capacity.cores
+        kinds = {
+            c.task: self._given.state.tasks[c.task].spec.kind
+            for c in candidates
+        }
+        harm = {
+            c.task: c.size.cores
+            * self._term.interference.factor(
+                request.kind, kinds[c.task], self._now
+            )
+            for c in candidates
+        }
+        chosen: list[eviction.Candidate] = []
+        for candidate in sorted(candidates, key=lambda c: -harm[c.task]):
+            slowdown = self._term.interference.slowdown(
+                request.kind, loads, self._now
+            )
+            if slowdown <= placement.CRITICAL_SLOWDOWN_LIMIT:
+                return tuple(chosen)
+            if len(chosen) >= MAX_NOISY or harm[candidate.task] <= 0:
+                return None
+            chosen.append(candidate)
+            loads[kinds[candidate.task]] -= candidate.size.cores / cores
+        return tuple(chosen)
 
 
 def _host(name: str, heartbeat: messages.Heartbeat) -> placement.Host:
--- a/pomelostair/scheduler.py
+++ b/pomelostair/scheduler.py
@@ -401,7 +401,36 @@
             )
             return factor * neighbour.used.cores, neighbour.used.cores
 
-        self._carry_out(steps.calm(readings, neighbours, harm, now), now)
+        def bearable(key: Key) -> bool:
+            return self._is_bearable(scene, key, heartbeat.capacity, now)
+
+        found_steps = steps.calm(readings, neighbours, harm, bearable, now)
+        self._carry_out(found_steps, now)
+
+    def _is_bearable(
+        self,
+        scene: reports.Scene,
+        key: Key,
+        capacity: messages.Size,
+        now: float,
+    ) -> bool:
+        """Returns whether an attempt at full speed disturbs nobody much."""
+        resident = scene.residents.get(key)
+        if resident is None:
+            return True
+        missing = resident.used.cores * (1 / resident.share - 1)
+        used = relief.total([r.used for r in scene.residents.values()])
+        if used.cores + missing > capacity.cores:
+            return False
+        for other, victim in scene.residents.items():
+            if victim.urgency is not messages.Urgency.CRITICAL:
+                continue
+            loads = reports.loads(scene, other, capacity)
+            loads[resident.kind] += missing / capacity.cores
+            slowdown = self._term.interference.slowdown(victim.kind, loads, now)
+            if slowdown > relief.CALM_SLOWDOWN:
+                return False
+        return True
 
     def _carry_out(self, steps: tuple[relief.Step, ...], now: float) -> None:
         for step in steps:
--- a/pomelostair/term.py
+++ b/pomelostair/term.py
@@ -105,4 +105,8 @@
         """
         if usage is None:
             return self.planned(task)
-        return ledger.largest(usage.reserved or task.spec.size, usage.used)
+        reserved = usage.reserved or task.spec.size
+        if usage.read_ms is None:
+            return reserved
+        estimate = self.estimates.size(task.spec.kind, task.spec.size)
+        return ledger.held(reserved, usage.used, estimate)
