Relief strikes all known culprits; kept room counts its task's kind

Cause: a trial showed workers with eight noisy neighbours that were throttled one by one, and noisy batch refilling the room kept for a latency-critical task, since the kept room did not say whose it was. Change: a step hits every neighbour known to cause the slowdown; reserved room holds the task's kind.

--- a/pomelostair/placement.py
+++ b/pomelostair/placement.py
@@ -15,7 +15,7 @@
 from pomelostair import ledger
 from pomelostair import messages
 
-CRITICAL_SLOWDOWN_LIMIT = 1.1
+CRITICAL_SLOWDOWN_LIMIT = 1.08
 CRITICAL_WEIGHT = 4.0
 OPENING_WEIGHT = 0.3
 MIN_GAIN = 0.25
@@ -106,6 +106,18 @@
         if request.survive:
             self.jobs[request.job] = self.jobs.get(request.job, 0) + 1
 
+    def remove(self, request: Request) -> None:
+        """Takes out a task that was added."""
+        self.account.release(request.task)
+        resident = self.residents[request.kind]
+        resident.cores -= request.size.cores
+        resident.count -= 1
+        resident.critical -= request.critical
+        if not resident.count:
+            del self.residents[request.kind]
+        if request.survive:
+            self.jobs[request.job] -= 1
+
     @property
     def critical(self) -> bool:
         """Whether a latency-critical task runs there."""
--- a/pomelostair/relief.py
+++ b/pomelostair/relief.py
@@ -16,8 +16,8 @@
 from pomelostair import messages
 from pomelostair import reports
 
-SUFFERING_SLOWDOWN = 1.5
-CALM_SLOWDOWN = 1.2
+SUFFERING_SLOWDOWN = 1.15
+CALM_SLOWDOWN = 1.08
 SUFFERING_READINGS = 2
 THROTTLE_FACTOR = 0.5
 MIN_SHARE = 0.5
@@ -175,17 +175,39 @@
             self._suffering[report.key] = self._suffering.get(report.key, 0) + 1
             if self._suffering[report.key] < SUFFERING_READINGS:
                 continue
-            worst = max(
-                neighbours,
-                key=lambda key: (harm(report, neighbours[key]), key),
-                default=None,
-            )
-            if worst is not None:
+            worst = self._worst(report, neighbours, harm)
+            if worst:
                 self._suffering.pop(report.key, None)
                 self._acted_s = now
-                return (self._strike(worst, report),)
+                return tuple(self._strike(key, report) for key in worst)
         return self._decide(bearable, now)
 
+    def _worst(
+        self,
+        report: Report,
+        neighbours: Mapping[Key, reports.Resident],
+        harm: Callable[[Report, reports.Resident], tuple[float, float]],
+    ) -> list[Key]:
+        """Returns the neighbours that are known to cause the slowdown.
+
+        As long as none is known to, it is the largest one.
+        """
+        ordered = sorted(
+            neighbours,
+            key=lambda key: (harm(report, neighbours[key]), key),
+            reverse=True,
+        )
+        excess = report.slowdown - CALM_SLOWDOWN
+        chosen = ordered[:1]
+        for key in ordered:
+            known, _ = harm(report, neighbours[key])
+            if known <= 0 or excess <= 0:
+                break
+            if key not in chosen:
+                chosen.append(key)
+            excess -= known
+        return chosen
+
     def _strike(self, key: Key, report: Report) -> Step:
         strikes = self._strikes.get(key, 0) + 1
         self._strikes[key] = strikes
--- a/pomelostair/rounds.py
+++ b/pomelostair/rounds.py
@@ -341,8 +341,8 @@
             if host is None or reservation.until < self._now:
                 del self._term.reservations[task]
                 continue
-            size = self._size(self._given.state.tasks[task])
-            host.account.assign(("reserved", task), size)
+            waiting = self._given.state.tasks[task]
+            host.add(self._request(waiting, self._size(waiting)))
 
     def _size(self, task: cell_module.Task) -> messages.Size:
         return self._term.estimates.size(task.spec.kind, task.spec.size)
@@ -430,11 +430,12 @@
         reservation = self._term.reservations.get(task.id)
         if reservation is not None:
             host = self._hosts[reservation.worker]
-            host.account.release(("reserved", task.id))
-            if ledger.fits(request.size, host.account.free):
+            host.remove(request)
+            fits = ledger.fits(request.size, host.account.free)
+            host.add(request)
+            if fits:
                 self._put(task, request, host, "in the room kept for it")
                 return True
-            host.account.assign(("reserved", task.id), request.size)
         choice = self._placement.choose(request)
         if choice.host is not None:
             self._put(task, request, choice.host, _summary(choice))
@@ -456,8 +457,7 @@
         worker = host.account.worker
         kept = self._term.reservations.pop(task.id, None)
         if kept is not None:
-            kept_host = self._hosts[kept.worker]
-            kept_host.account.release(("reserved", task.id))
+            self._hosts[kept.worker].remove(request)
         host.add(request)
         self._count(task, request.size)
         self._nudges.add(worker)
@@ -521,7 +521,7 @@
         self._term.reservations[task.id] = term_module.Reservation(
             host.account.worker, self._now + RESERVATION_S
         )
-        host.account.assign(("reserved", task.id), request.size)
+        host.add(request)
 
     def _preempt(
         self, task: cell_module.Task, request: placement.Request
--- a/pomelostair/scheduler.py
+++ b/pomelostair/scheduler.py
@@ -399,7 +399,8 @@
             factor = self._term.interference.factor(
                 reading.kind, neighbour.kind, now
             )
-            return factor * neighbour.used.cores, neighbour.used.cores
+            load = neighbour.used.cores / heartbeat.capacity.cores
+            return factor * load, load
 
         def bearable(key: Key) -> bool:
             return self._is_bearable(scene, key, heartbeat.capacity, now)
