--- a/pomelostair/announcer.py
+++ b/pomelostair/announcer.py
@@ -7,18 +7,22 @@
 from pomelostair import membership
 from pomelostair import messages
 from pomelostair import settings as settings_module
+from pomelostair import siteorders
+
+LEAVE_TIMEOUT_S = 2.0
 
 
 @kernel.plugin(settings_module.Role.AGENT)
 class Announcer(kernel.Plugin):
     """Tells the entries about the target, at intervals and on changes."""
 
-    requires = (gate.Gate, membership.Membership)
+    requires = (gate.Gate, membership.Membership, siteorders.SiteOrders)
 
     def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
         super().__init__(parts, host)
         self._gate = host.get(gate.Gate)
         self._directory = host.get(membership.Membership).directory
+        self._orders = host.get(siteorders.SiteOrders)
         self._state = messages.TargetState.READY
 
     async def run(self) -> None:
@@ -29,10 +33,19 @@
             await curio.sleep(interval_s)
 
     async def drain(self, timeout_s: float) -> None:
-        """Tells the entries at once that the target is leaving."""
+        """Tells the entries at once that the target is leaving.
+
+        Once an entry has acknowledged it, no request of that entry is on its
+        way here any more. An entry that is silent does not hold up the stop.
+        """
         self._state = messages.TargetState.DRAINING
-        async with curio.ignore_after(timeout_s):
-            await self.announce()
+        longest_s = min(timeout_s, LEAVE_TIMEOUT_S)
+        announcement = self._announcement()
+        async with curio.TaskGroup() as group:
+            for entry in self._directory.entries():
+                await group.spawn(
+                    self._parts.bus.call, entry.bus, announcement, longest_s
+                )
 
     async def announce(self) -> None:
         """Sends one announcement to each known entry."""
@@ -42,16 +55,21 @@
 
     def _announcement(self) -> messages.Announcement:
         settings = self._parts.settings
+        state = self._state
+        if state is messages.TargetState.READY:
+            state = self._orders.state()
         minion = self._gate.minion
         return messages.Announcement(
             name=settings.name,
             zone=settings.zone,
             cell=settings.cell,
-            state=self._state,
+            state=state,
             service="" if minion is None else minion.service,
             slots=0 if minion is None else minion.slots,
             running=self._gate.running,
             queued=self._gate.queued,
             service_ms=self._gate.service_ms,
             leader=self._directory.leader(settings.cell),
+            clock_ms=self._parts.clock.now() * 1000,
+            waits_ms=self._gate.waits_ms(),
         )
--- a/pomelostair/declaration.py
+++ b/pomelostair/declaration.py
@@ -73,10 +73,12 @@
     Attributes:
         name: Name of the service.
         idempotent: Whether every request may safely run twice.
+        survive: Whether its requests yield last when the site stops.
     """
 
     name: str = _name()
     idempotent: bool = False
+    survive: bool = False
 
 
 @attrs.frozen
@@ -117,6 +119,7 @@
 
     Attributes:
         queue_per_slot: Requests that may wait for each slot of a minion.
+        queue_bytes: Bytes of requests that may wait at each minion.
         retry_share: Retries allowed as a share of recent requests.
         class_weights: Shares of the urgency classes, most urgent first.
         batch_share: Most of the cell's cores that batch tasks may hold,
@@ -124,6 +127,7 @@
     """
 
     queue_per_slot: int = _field(16, _check_not_negative)
+    queue_bytes: int = _field(64 * 1024 * 1024, _check_not_negative)
     retry_share: float = _field(0.1, _check_share)
     class_weights: tuple[float, ...] = _field(
         (8.0, 4.0, 2.0, 1.0), _check_weights
--- a/pomelostair/metrics.py
+++ b/pomelostair/metrics.py
@@ -29,24 +29,34 @@
     """The instruments of one process, made on first use."""
 
     def __init__(self):
-        self._registry = prometheus_client.REGISTRY
+        self._registry = prometheus_client.CollectorRegistry()
+        prometheus_client.ProcessCollector(registry=self._registry)
         bounds = view.ExplicitBucketHistogramAggregation(_LATENCY_BOUNDS_S)
         self._provider = sdk.MeterProvider(
-            metric_readers=[prometheus.PrometheusMetricReader()],
+            metric_readers=[
+                prometheus.PrometheusMetricReader(
+                    disable_target_info=True,
+                    scope_info_enabled=False,
+                    registry=self._registry,
+                )
+            ],
             views=[view.View(instrument_name="*_seconds", aggregation=bounds)],
             shutdown_on_exit=False,
         )
         self._meter = self._provider.get_meter("pomelostair")
-        self._counters: dict[str, otel.Counter] = {}
+        self._counters: dict[str, dict[tuple, int]] = {}
         self._histograms: dict[str, otel.Histogram] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Adds `amount` to the counter `name` under `labels`."""
         counter = self._counters.get(name)
         if counter is None:
-            counter = self._meter.create_counter(f"pomelostair_{name}")
-            self._counters[name] = counter
-        counter.add(amount, labels)
+            counter = self._counters[name] = {}
+            self._meter.create_observable_counter(
+                f"pomelostair_{name}", callbacks=[_observer(counter)]
+            )
+        key = tuple(sorted(labels.items()))
+        counter[key] = counter.get(key, 0) + amount
 
     def record(self, name: str, value: float, **labels: str) -> None:
         """Records `value` in the histogram `name` under `labels`."""
@@ -66,3 +76,15 @@
     def exposition(self) -> bytes:
         """Returns all values in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
+
+
+def _observer(counter: dict[tuple, int]):
+    """Returns a callback that reads the values of a counter."""
+
+    def observe(_options: otel.CallbackOptions) -> list[otel.Observation]:
+        return [
+            otel.Observation(value, dict(key))
+            for key, value in list(counter.items())
+        ]
+
+    return observe
