--- a/pomelostair/scheduler.py
+++ b/pomelostair/scheduler.py
@@ -399,9 +399,41 @@
             factor = self._term.interference.factor(
                 reading.kind, neighbour.kind, now
             )
-            return factor * neighbour.used.cores, neighbour.used.cores
+            load = neighbour.used.cores / heartbeat.capacity.cores
+            return factor * load, load
 
-        self._carry_out(steps.calm(readings, neighbours, harm, now), now)
+        def bearable(keys: frozenset[Key]) -> bool:
+            return self._is_bearable(scene, keys, heartbeat.capacity, now)
+
+        found_steps = steps.calm(readings, neighbours, harm, bearable, now)
+        self._carry_out(found_steps, now)
+
+    def _is_bearable(
+        self,
+        scene: reports.Scene,
+        keys: frozenset[Key],
+        capacity: messages.Size,
+        now: float,
+    ) -> bool:
+        """Returns whether attempts at full speed disturb nobody much."""
+        missing: dict[str, float] = {}
+        for key in keys & scene.residents.keys():
+            resident = scene.residents[key]
+            cores = resident.used.cores * (1 / resident.share - 1)
+            missing[resident.kind] = missing.get(resident.kind, 0.0) + cores
+        used = relief.total([r.used for r in scene.residents.values()])
+        if used.cores + sum(missing.values()) > capacity.cores:
+            return False
+        for other, victim in scene.residents.items():
+            if victim.urgency is not messages.Urgency.CRITICAL:
+                continue
+            loads = reports.loads(scene, other, capacity)
+            for kind, cores in missing.items():
+                loads[kind] = loads.get(kind, 0.0) + cores / capacity.cores
+            slowdown = self._term.interference.slowdown(victim.kind, loads, now)
+            if slowdown > relief.CALM_SLOWDOWN:
+                return False
+        return True
 
     def _carry_out(self, steps: tuple[relief.Step, ...], now: float) -> None:
         for step in steps:
