--- a/pomelostair/celllog.py
+++ b/pomelostair/celllog.py
@@ -20,6 +20,8 @@
 
 from pomelostair import cell as cell_module
 from pomelostair import clock as clock_module
+from pomelostair import events
+from pomelostair import log
 from pomelostair import outcome
 from pomelostair import store
 from pomelostair import wire
@@ -336,6 +338,7 @@
         result = await self._table.commit(transaction)
         if isinstance(result, outcome.Unknown):
             self._outage = True
+            log.emit(events.Events.COMMIT_UNKNOWN, reason=result.reason)
             result = await self._resolve(transaction, row, bool(puts))
         self._outage = isinstance(result, outcome.Unavailable)
         match result:
--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -49,6 +49,7 @@
     COMMIT_UNKNOWN = Event(304, logging.WARNING, "commit outcome unknown")
     SNAPSHOT_WRITTEN = Event(305, logging.INFO, "snapshot written")
     LOG_DAMAGED = Event(306, logging.ERROR, "cell log misses a part")
+    WORKER_DECLARED_DEAD = Event(307, logging.WARNING, "worker declared dead")
     TASK_STARTED = Event(400, logging.INFO, "task started")
     TASK_ENDED = Event(401, logging.INFO, "task ended")
     TASK_EVICTED = Event(402, logging.INFO, "task evicted")
@@ -61,7 +62,6 @@
     )
     CHECKPOINT_FAILED = Event(408, logging.WARNING, "checkpoint not stored")
     WORKER_SILENT = Event(410, logging.WARNING, "worker is silent")
-    WORKER_DECLARED_DEAD = Event(412, logging.WARNING, "worker declared dead")
     WORKER_QUARANTINED = Event(411, logging.WARNING, "worker quarantined")
     WORKER_RESTORED = Event(412, logging.INFO, "worker left quarantine")
     WORKER_OVER_CAPACITY = Event(
