--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -243,6 +243,22 @@
 
         assert status(harness.run(body)) == 200
 
+    def test_sockets_opened_during_a_drain_work(self):
+        harness = Harness(drain_idle_s=0.05)
+
+        async def body():
+            other = curio.tcp_server_socket("127.0.0.1", 0)
+            await curio.sleep(0.05)
+            assert await harness.server.drain(1.0)
+            address = other.getsockname()
+            opened = [await curio.open_connection(*address) for _ in range(4)]
+            for stream in opened:
+                await stream.sendall(b"x")
+                await stream.close()
+            return len(opened)
+
+        assert harness.run(body) == 4
+
 
 class TestFuzz:
     def test_any_bytes_leave_the_server_serving(self):
