--- a/pomelostair/celllog.py
+++ b/pomelostair/celllog.py
@@ -362,11 +362,22 @@
     async def _resolve(
         self, transaction: store.Transaction, row: LeaseRow, logged: bool
     ) -> "outcome.Commit | _Superseded":
+        """Returns what became of a write whose answer was lost.
+
+        Reads it back, and repeats it only while the lease row is as before.
+        """
+        expected = transaction.checks[0].version
         pause_s = RETRY_MIN_S
         while True:
             await curio.sleep(pause_s)
             pause_s = min(pause_s * 2, RETRY_MAX_S)
-            result = await self._table.commit(transaction)
+            observed = await self.observe()
+            if isinstance(observed, outcome.Unavailable):
+                continue
+            if observed.version == expected:
+                result = await self._table.commit(transaction)
+            else:
+                result = outcome.Conflict(self._lease_key, observed.version)
             if isinstance(result, outcome.Conflict):
                 result = await self._read_back(result, row, logged)
             match result:
--- a/tests/test_celllog.py
+++ b/tests/test_celllog.py
@@ -63,6 +63,7 @@
             table.faults = list(faults)
             result = await log.append((_job("one"),))
             assert isinstance(result, outcome.Committed)
+            table.faults = []
             late = await table.release()
             assert not any(isinstance(r, outcome.Committed) for r in late)
             result = await log.append((_job("two"),))
@@ -71,6 +72,18 @@
 
         curio.run(main)
 
+    def test_write_is_read_back_though_every_answer_is_lost(self):
+        async def main():
+            table = faulty.FaultyTable()
+            clock = clock_module.ManualClock()
+            log = await _taken(table, clock)
+            table.faults = [F.LOST_ANSWER] * 1000
+            result = await curio.timeout_after(20.0, log.append, (_job("one"),))
+            assert isinstance(result, outcome.Committed)
+            assert await _events(table, clock) == [_job("one")]
+
+        curio.run(main)
+
     def test_refused_write_leaves_no_trace_and_may_be_repeated(self):
         async def main():
             table = faulty.FaultyTable()
