--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -245,19 +245,28 @@
 
     Args:
         name: Name of this process.
-        address: URL to receive at, `tcp://IP:PORT`.
+        address: URL that peers send to, `tcp://IP:PORT`.
         metrics: Where drops are counted.
+        listen: URL to receive at, if it is not `address`. Connections to
+            peers come from its IP number.
     """
 
     def __init__(
-        self, name: str, address: str, metrics: metrics_module.Metrics
+        self,
+        name: str,
+        address: str,
+        metrics: metrics_module.Metrics,
+        listen: str | None = None,
     ):
         super().__init__(name, address, metrics)
+        listen = listen or address
+        self._source = listen.removeprefix(_SCHEME).rpartition(":")[0]
         self._inbox = pynng.Pull0(
-            listen=address,
+            listen=listen,
             recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
             recv_max_size=wire.MAX_MESSAGE_BYTES,
         )
+        self._inbox_fd = self._inbox.recv_fd
         self._peers: dict[str, _Peer] = {}
 
     async def run(self) -> None:
@@ -268,7 +277,7 @@
                 data = self._inbox.recv(block=False)
             except pynng.TryAgain:
                 burst = 0
-                await traps._read_wait(self._inbox.recv_fd)
+                await traps._read_wait(self._inbox_fd)
                 continue
             await self.receive(data)
             burst += 1
@@ -316,7 +325,7 @@
             return NotSent("bad-address")
         self._close_idle_peers()
         try:
-            peer = self._peers[address] = _Peer(address)
+            peer = self._peers[address] = _Peer(address, self._source)
         except (pynng.NNGException, ValueError):
             return NotSent("bad-address")
         return peer
@@ -336,14 +345,16 @@
     once until the connection is back.
     """
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, source: str):
+        remote = address.removeprefix(_SCHEME)
         self._socket = pynng.Push0(
-            dial=address,
+            dial=f"{_SCHEME}{source};{remote}",
             block_on_dial=False,
             send_buffer_size=0,
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
+        self._writable_fd = self._socket.send_fd
         self._turn = curio.Lock()
         self._used = _now()
         self._proven = self._used
@@ -382,9 +393,7 @@
         self._socket.close()
 
     async def _wait_until_writable(self, timeout_s: float) -> None:
-        await curio.ignore_after(
-            timeout_s, traps._read_wait, self._socket.send_fd
-        )
+        await curio.ignore_after(timeout_s, traps._read_wait, self._writable_fd)
 
     def _send_now(self, data: bytes) -> Send | None:
         self._used = _now()
--- a/pomelostair/leader.py
+++ b/pomelostair/leader.py
@@ -25,6 +25,7 @@
 from pomelostair import retention
 from pomelostair import scheduler
 from pomelostair import settings as settings_module
+from pomelostair import siteorders
 from pomelostair import snapshot
 from pomelostair import store
 from pomelostair import succession
@@ -41,7 +42,11 @@
 class Leader(kernel.Plugin):
     """Campaigns for the cell's lease and schedules the cell under it."""
 
-    requires = (membership.Membership, configuration.Configuration)
+    requires = (
+        membership.Membership,
+        configuration.Configuration,
+        siteorders.SiteOrders,
+    )
 
     def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
         super().__init__(parts, host)
@@ -65,6 +70,7 @@
             self._announce,
         )
         self._configuration = host.get(configuration.Configuration)
+        self._orders = host.get(siteorders.SiteOrders)
         self._deposed_by = 0
         self._begin(succession.Term(parts.settings.cell, 0, None))
         for message_type, handler in (
@@ -337,9 +343,11 @@
         load = admission.Load(len(self._state.tasks))
         declarations = self._configuration.in_force.declarations
         now = self._parts.clock.now()
-        return admission.check(
-            spec, load, declarations
-        ) or self._scheduler.admit(spec, self._workers, now)
+        return (
+            self._orders.job_refusal()
+            or admission.check(spec, load, declarations)
+            or self._scheduler.admit(spec, self._workers, now)
+        )
 
     async def _on_show(self, message: messages.ShowJob, envelope) -> None:
         answer = self._refusal(writes=False) or self._view(message.id)
@@ -546,6 +554,7 @@
                 self._workers,
                 self._configuration.in_force.declarations,
                 self._parts.clock.now(),
+                self._orders.standing,
             )
         )
         for event in plan.events:
