--- a/bench/layer_cost.py
+++ b/bench/layer_cost.py
@@ -33,6 +33,8 @@
     urgency=messages.Urgency.NORMAL,
     team="default",
     budget_ms=10_000.0,
+    sent_ms=0.0,
+    incarnation="0" * 16,
 )
 SERVED = messages.Served(200, (("x-body-sha256", "0" * 64),), b"z" * 200)
 
