--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -75,7 +75,7 @@
             bus="127.0.0.1:1",
             balancer="127.0.0.1:1",
             platform=settings.Platform("127.0.0.1:1"),
-            target=target,
+            target=None if role is settings.Role.ENTRY else target,
         ),
         clock=now,
         bus=bus.MemoryBus(name, name, counted, network),
