Drain test waits for the drained state before it kills the agent

It now waits for the state and is stricter: for 2 s after the restart the target is never ready and no request is served.

--- a/tests/test_commandapi.py
+++ b/tests/test_commandapi.py
@@ -1,6 +1,7 @@
 """Operators over separate processes: sentences, versions and orders."""
 
 import json
+import time
 
 import pytest
 
@@ -165,15 +166,15 @@
         name = "agent-minion-1"
         assert run(entry, f"drain minion {name} within 5 s").status == 200
 
-        def refused():
-            answer = caller.call(entry, "GET", FIT)
-            return answer.status == 503 and answer.json()
-
-        assert caller.eventually(refused)["ran"] == "no"
+        assert caller.eventually(lambda: _states(entry)[name] == "draining")
         running_site.kill(name)
         running_site.restart(name)
-        assert caller.eventually(lambda: _states(entry).get(name) is not None)
-        assert _states(entry)[name] == "draining"
+        for _ in range(20):
+            assert _states(entry)[name] == "draining"
+            answer = caller.call(entry, "GET", FIT)
+            assert answer.status == 503
+            assert answer.json()["ran"] == "no"
+            time.sleep(0.1)
 
         def empty():
             rows = run(entry, "drains").json()["rows"]
