--- a/pomelostair/siteorders.py
+++ b/pomelostair/siteorders.py
@@ -74,6 +74,11 @@
         self, service: str, urgency: messages.Urgency
     ) -> outcome.Refused | None:
         """Returns why a new request is refused by a stop, if it is."""
+        if not self._configuration.known:
+            return outcome.Refused(
+                outcome.Kind.NOT_READY,
+                "repeat; this entry has just started and learns its orders yet",
+            )
         stop = self.stop
         if stop is None:
             return None
--- a/tests/test_siteorders.py
+++ b/tests/test_siteorders.py
@@ -11,6 +11,7 @@
 
 FIT = "/services/clapper-desk/fit"
 SHAPE = site.Shape(minions=1, workers=2, timing={"drain_s": 2.0})
+IN_FORCE_S = 3.0
 URGENCIES = ("batch", "normal", "urgent", "critical")
 
 
@@ -169,9 +170,11 @@
         assert None not in began
         assert began == sorted(began)
         for sent in load.sent:
-            if sent.answer.status in (200, 0):
-                continue
-            assert sent.answer.json()["ran"] == "no", sent
+            refused = load.first_refused(sent.urgency, ordered)
+            if sent.answer.status == 200:
+                assert sent.begun < refused + IN_FORCE_S, sent
+            elif sent.answer.status:
+                assert sent.answer.json()["ran"] == "no", sent
         self._resume(running_site)
 
     def _resume(self, running):
