--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -87,6 +87,18 @@
         self._calls: dict[str, curio.Queue] = {}
         self._next_call = 0
         self._waiting_replies = 0
+        self._sent_bytes = 0
+        self._received_bytes = 0
+
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of the messages that were sent so far."""
+        return self._sent_bytes
+
+    @property
+    def received_bytes(self) -> int:
+        """Bytes of the messages that were received so far."""
+        return self._received_bytes
 
     @property
     def address(self) -> str:
@@ -167,6 +179,7 @@
 
     async def receive(self, data: bytes) -> None:
         """Decodes and dispatches one message; bad ones are dropped."""
+        self._received_bytes += len(data)
         try:
             envelope, message = wire.decode(data)
         except errors.MessageError as error:
@@ -207,7 +220,7 @@
         self._metrics.count("messages_not_sent", reason=reason)
 
     def _seal(self, message: object, correlation: str, answer: bool) -> bytes:
-        return wire.encode(
+        sealed = wire.encode(
             wire.Envelope(
                 tag=wire.tag_of(message),
                 sender=self._name,
@@ -218,6 +231,8 @@
                 body=msgspec.Raw(wire.encode_body(message)),
             )
         )
+        self._sent_bytes += len(sealed)
+        return sealed
 
     @abc.abstractmethod
     async def _transmit(self, address: str, data: bytes) -> Send:
--- a/pomelostair/compose.py
+++ b/pomelostair/compose.py
@@ -44,6 +44,8 @@
         metrics=metrics,
         random=random.Random(),
     )
+    metrics.gauge("bus_sent_bytes", lambda: parts.bus.sent_bytes)
+    metrics.gauge("bus_received_bytes", lambda: parts.bus.received_bytes)
     try:
         return kernel.Kernel(parts)
     except OSError as error:
--- a/pomelostair/gate.py
+++ b/pomelostair/gate.py
@@ -27,6 +27,7 @@
 REQUEST_ID_HEADER = "pomelostair-request-id"
 TIMEOUT_HEADER = "pomelostair-timeout-ms"
 SWEEP_INTERVAL_S = 0.01
+IDLE_SWEEP_S = 0.5
 PROBE_INTERVAL_S = 0.1
 PROBE_TIMEOUT_S = 1.0
 ANSWER_MARGIN_S = 0.005
@@ -64,6 +65,7 @@
         self._declared = self._declarations()
         self._declared_shares = queueing.Shares.of(self._declared)
         self._draining = False
+        self._queued = curio.Event()
         self._queue = queueing.FairQueue()
         self._service_s = 0.0
         self._ledger = slots_module.SlotLedger(0)
@@ -121,12 +123,20 @@
             return
         await curio.spawn(self._probe_doubtful, daemon=True)
         while True:
-            await curio.sleep(SWEEP_INTERVAL_S)
+            await self._wait_for_sweep()
             horizon = self._now() + self._service_s + ANSWER_MARGIN_S
             for waiting in self._queue.expire(horizon):
                 await self._refuse(waiting.item, _too_late())
             await self._pump()
 
+    async def _wait_for_sweep(self) -> None:
+        """Waits one interval, and before it until something is queued."""
+        if not self.queued:
+            async with curio.ignore_after(IDLE_SWEEP_S):
+                await self._queued.wait()
+            self._queued.clear()
+        await curio.sleep(SWEEP_INTERVAL_S)
+
     async def drain(self, timeout_s: float) -> None:
         """Refuses new requests and finishes the accepted ones."""
         self._draining = True
@@ -159,6 +169,8 @@
         self._queue.push(waiting)
         await self._shed(shares)
         await self._pump()
+        if self.queued:
+            await self._queued.set()
 
     def _refusal(self, serve: messages.Serve) -> outcome.Refused | None:
         if self._draining:
--- a/pomelostair/wire.py
+++ b/pomelostair/wire.py
@@ -1,7 +1,8 @@
 """Encoding of typed messages between the system's processes.
 
 A message is an attrs class registered under a tag. On the wire it is a
-MessagePack map: the envelope with the tag and the raw body of the message.
+MessagePack array, the envelope's fields in order, with the tag and the raw
+body of the message among them.
 """
 
 from collections.abc import Callable
@@ -45,7 +46,9 @@
     body: msgspec.Raw
 
 
-_envelope_decoder = msgspec.msgpack.Decoder(Envelope)
+_envelope_decoder = msgspec.msgpack.Decoder(
+    tuple[str, str, str, str, str, bool, msgspec.Raw]
+)
 
 
 def message(tag: str) -> Callable[[type[_T]], type[_T]]:
@@ -89,7 +92,17 @@
 
 def encode(envelope: Envelope) -> bytes:
     """Returns an envelope as bytes for the wire."""
-    return _encoder.encode(envelope)
+    return _encoder.encode(
+        (
+            envelope.tag,
+            envelope.sender,
+            envelope.incarnation,
+            envelope.reply_to,
+            envelope.correlation,
+            envelope.answer,
+            envelope.body,
+        )
+    )
 
 
 def decode(data: bytes) -> tuple[Envelope, object]:
@@ -102,7 +115,7 @@
         MessageError: The bytes are malformed or of an unknown type.
     """
     try:
-        envelope = _envelope_decoder.decode(data)
+        envelope = Envelope(*_envelope_decoder.decode(data))
         return envelope, decode_body(envelope.tag, envelope.body)
     except (msgspec.MsgspecError, ValueError, TypeError) as error:
         raise errors.MessageError(f"malformed message: {error}") from error
