--- a/pomelostair/gate.py
+++ b/pomelostair/gate.py
@@ -68,6 +68,8 @@
         self._draining = False
         self._queued = curio.Event()
         self._queue = queueing.FairQueue()
+        self._filled = curio.Event()
+        self._doubted = curio.Event()
         self._service = estimate.ServiceTime()
         self._ledger = slots_module.SlotLedger(0)
         self._minion: settings_module.MinionTarget | None = None
@@ -177,6 +179,8 @@
             await self._refuse(admitted, _too_late())
             return
         self._queue.push(waiting)
+        if not self._filled.is_set():
+            await self._filled.set()
         await self._shed(shares)
         await self._pump()
         if self.queued:
@@ -269,6 +273,7 @@
             )
         except errors.AnswerLostError as error:
             self._ledger.doubt(started + self._longest_run_s)
+            await self._doubted.set()
             return outcome.Refused(
                 outcome.Kind.TARGET_FAILED,
                 f"check whether it ran before repeating: {error}",
@@ -313,7 +318,10 @@
             if self._ledger.doubtful:
                 await self._probe()
                 await self._pump()
-            await curio.sleep(PROBE_INTERVAL_S)
+                await curio.sleep(PROBE_INTERVAL_S)
+            else:
+                self._doubted.clear()
+                await self._doubted.wait()
 
     async def _probe(self) -> None:
         if await self._gone():
