--- a/pomelostair/directory.py
+++ b/pomelostair/directory.py
@@ -85,6 +85,12 @@
             if now - heard < ENTRY_EXPIRY_S
         )
 
+    def count_entries(self) -> int:
+        """Returns the number of entries heard of recently, at least one."""
+        horizon = self._clock.now() - ENTRY_EXPIRY_S
+        heard = sum(heard > horizon for _, heard in self._entries.values())
+        return max(1, heard)
+
     def learn_leader(self, leader: messages.LeaderAddress) -> None:
         """Takes over a leader of a newer epoch."""
         known = self._leaders.get(leader.cell)
--- a/pomelostair/dispatch.py
+++ b/pomelostair/dispatch.py
@@ -139,8 +139,9 @@
         urgency: messages.Urgency,
     ) -> bool:
         now = self._parts.clock.now()
+        entries = self._directory.count_entries()
         return any(
-            routing.has_room(target, urgency, now - target.seen)
+            routing.has_room(target, urgency, now - target.seen, entries)
             for target in candidates
         )
 
@@ -154,7 +155,9 @@
         return routing.choose(
             self._health.eligible(candidates, may_probe),
             serve.urgency,
-            self._parts.settings.zone,
+            routing.Viewpoint(
+                self._parts.settings.zone, self._directory.count_entries()
+            ),
             self._parts.random,
         )
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,6 +7,7 @@
 from pomelostair import routing
 from tests import targets
 
+HERE = routing.Viewpoint("patan")
 NORMAL = messages.Urgency.NORMAL
 LOADS = st.lists(
     st.tuples(st.integers(0, 8), st.integers(0, 30), st.integers(1, 40)),
@@ -27,7 +28,7 @@
 
 
 def pick(candidates, seed=1):
-    return routing.choose(candidates, NORMAL, "patan", random.Random(seed))
+    return routing.choose(candidates, NORMAL, HERE, random.Random(seed))
 
 
 class TestChoose:
@@ -38,11 +39,9 @@
     def test_never_the_worst_of_three_or_more(self, loads, seed):
         candidates = [loaded(i, "patan", *load) for i, load in enumerate(loads)]
         chosen = pick(candidates, seed)
-        scores = [routing.expected_ms(t, NORMAL, "patan") for t in candidates]
+        scores = [routing.expected_ms(t, NORMAL, HERE) for t in candidates]
         worse = [
-            s
-            for s in scores
-            if s >= routing.expected_ms(chosen, NORMAL, "patan")
+            s for s in scores if s >= routing.expected_ms(chosen, NORMAL, HERE)
         ]
         assert len(worse) >= min(2, len(candidates))
 
@@ -52,8 +51,8 @@
         candidates = [
             loaded(i, zones[i], *load) for i, load in enumerate(loads[:4])
         ]
-        naive = min(routing.expected_ms(t, NORMAL, "patan") for t in candidates)
-        chosen = routing.expected_ms(pick(candidates), NORMAL, "patan")
+        naive = min(routing.expected_ms(t, NORMAL, HERE) for t in candidates)
+        chosen = routing.expected_ms(pick(candidates), NORMAL, HERE)
         assert chosen == naive
 
     def test_the_own_zone_first_among_equals(self):
@@ -69,16 +68,26 @@
 class TestExpectedMs:
     def test_own_requests_since_the_announcement_count(self):
         target = targets.minion("m", running=8, waits_ms=(0.0,) * 4)
-        before = routing.expected_ms(target, NORMAL, "patan")
+        before = routing.expected_ms(target, NORMAL, HERE)
         target.outstanding[NORMAL] = 8
-        after = routing.expected_ms(target, NORMAL, "patan")
+        after = routing.expected_ms(target, NORMAL, HERE)
         assert after >= before + target.announcement.service_ms
 
+    def test_other_entries_are_taken_to_send_as_much(self):
+        target = targets.minion("m", running=8, waits_ms=(0.0,) * 4)
+        target.outstanding[NORMAL] = 4
+        alone = routing.expected_ms(target, NORMAL, HERE)
+        three = routing.Viewpoint("patan", entries=3)
+        target.outstanding[NORMAL] = 12
+        twelve = routing.expected_ms(target, NORMAL, HERE)
+        target.outstanding[NORMAL] = 4
+        assert routing.expected_ms(target, NORMAL, three) == twelve > alone
+
     def test_less_urgent_requests_do_not_delay_the_urgent(self):
         target = targets.minion("m", running=8, waits_ms=(0.0,) * 4)
         target.outstanding[messages.Urgency.BATCH] = 80
-        wait = routing.expected_ms(target, messages.Urgency.CRITICAL, "patan")
-        other = routing.expected_ms(target, messages.Urgency.BATCH, "patan")
+        wait = routing.expected_ms(target, messages.Urgency.CRITICAL, HERE)
+        other = routing.expected_ms(target, messages.Urgency.BATCH, HERE)
         assert wait < other
 
 
