An entry that was frozen takes what it finds for as old as the pause

Cause: requests wait in the sockets of a frozen entry, and their deadline began when it read them.

Change: an entry notices a gap in its own monotonic clock and dates the requests read just after it from the beginning of the gap; what is too late is refused with ran: no. The test passes.

--- a/pomelostair/dispatch.py
+++ b/pomelostair/dispatch.py
@@ -4,6 +4,7 @@
 import uuid
 
 import attrs
+import curio
 
 from pomelostair import bus as bus_module
 from pomelostair import configuration
@@ -20,6 +21,7 @@
 from pomelostair import membership
 from pomelostair import messages
 from pomelostair import outcome
+from pomelostair import pauses
 from pomelostair import retry
 from pomelostair import routing
 from pomelostair import settings as settings_module
@@ -53,11 +55,18 @@
         self._orders = host.get(siteorders.SiteOrders)
         self._health = health.Health(parts.clock)
         self._budget = retry.Budget()
+        self._pauses = pauses.PauseDetector(parts.clock)
         self._started = parts.clock.now()
         self._ingress.route(_PREFIX, self._serve)
 
+    async def run(self) -> None:
+        """Watches for pauses of the process until cancelled."""
+        while True:
+            self._pauses.tick()
+            await curio.sleep(pauses.TICK_S)
+
     async def _serve(self, request: http.Request) -> http.Response:
-        started = self._parts.clock.now()
+        started = self._pauses.arrival()
         service, serve = parse(request)
         deadline = self._orders.deadline(started + serve.budget_ms / 1000)
 
--- a/tests/load.py
+++ b/tests/load.py
@@ -132,7 +132,12 @@
 
     curio.run(main)
     seen = callhistory.History(slots=8, attempts=load.attempts)
+    read_journals(site, seen)
+    return seen
+
+
+def read_journals(site, seen):
+    """Reads what the minions have run so far."""
     for process in site.processes.values():
         if process.role == "minion":
             seen.read(process.name, site.journal(process.name))
-    return seen
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -111,6 +111,17 @@
             served = sum(a.status == 200 for a in seen.attempts)
             assert served > 0.5 * plan.rate * plan.seconds
 
+    def test_a_frozen_entry_drops_what_its_callers_gave_up(self, site):
+        script = [
+            (0.5, lambda: site.freeze("entry-1")),
+            (4.5, lambda: site.thaw("entry-1")),
+        ]
+        plan = load.Plan(seconds=1.5, timeout_ms=400, keyed_share=0.0)
+        seen = load.play(site, plan, script)
+        time.sleep(1.0)
+        load.read_journals(site, seen)
+        assert callhistory.check(seen) == []
+
 
 class TestDrain:
     def test_leaving_processes_cut_no_request(self, site):
