--- a/pomelostair/campaign.py
+++ b/pomelostair/campaign.py
@@ -37,7 +37,7 @@
 
     def remaining(self, now: float) -> float:
         """Returns the seconds until the lease has surely lapsed."""
-        if self.seen is None or self.seen.row is None:
+        if self.seen is None or self.seen.row is None or self.seen.row.vacated:
             return 0.0
         return self.lapse_s - (now - self.since)
 
--- a/pomelostair/celllog.py
+++ b/pomelostair/celllog.py
@@ -45,6 +45,7 @@
         snapshot: Key of the snapshot object, empty for none.
         covered: Number of the last log row that the snapshot covers.
         cut: Number up to which log rows were deleted.
+        vacated: Whether the holder has given the lease up.
     """
 
     epoch: int
@@ -56,6 +57,7 @@
     snapshot: str = ""
     covered: int = 0
     cut: int = 0
+    vacated: bool = False
 
 
 @attrs.frozen
@@ -202,6 +204,7 @@
             bus=self._bus,
             token=uuid.uuid4().hex,
             settled=observed.row is None,
+            vacated=False,
         )
         return await self._write(row, observed.version, (), ())
 
@@ -237,6 +240,12 @@
             puts = (store.Put(self._log_key(row.sequence), data),)
         return await self._write(row, self._version, puts, deletes)
 
+    async def vacate(self) -> outcome.Commit:
+        """Gives the lease up, so that a successor need not wait."""
+        assert self._row is not None
+        row = attrs.evolve(self._row, token=uuid.uuid4().hex, vacated=True)
+        return await self._write(row, self._version, (), ())
+
     def release(self) -> None:
         """Forgets the lease, after it was lost."""
         self._row = None
--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -51,6 +51,7 @@
     COMMIT_UNKNOWN = Event(304, logging.WARNING, "commit outcome unknown")
     SNAPSHOT_WRITTEN = Event(305, logging.INFO, "snapshot written")
     LOG_DAMAGED = Event(306, logging.ERROR, "cell log misses a part")
+    LEASE_GIVEN_UP = Event(307, logging.INFO, "cell lease given up")
     TASK_STARTED = Event(400, logging.INFO, "task started")
     TASK_ENDED = Event(401, logging.INFO, "task ended")
     TASK_EVICTED = Event(402, logging.INFO, "task evicted")
--- a/pomelostair/leader.py
+++ b/pomelostair/leader.py
@@ -72,6 +72,8 @@
         self._configuration = host.get(configuration.Configuration)
         self._orders = host.get(siteorders.SiteOrders)
         self._deposed_by = 0
+        self._draining = False
+        self._vacated = curio.Event()
         self._begin(succession.Term(parts.settings.cell, 0, None))
         for message_type, handler in (
             (messages.SubmitJob, self._on_submit),
@@ -94,9 +96,17 @@
     def _is_deposed(self) -> bool:
         return self._deposed_by > self._term.epoch
 
+    async def drain(self, timeout_s: float) -> None:
+        """Gives the lease up, so that another agent leads at once."""
+        self._draining = True
+        if not self._leading:
+            return
+        await self._work.set()
+        await curio.ignore_after(timeout_s, self._vacated.wait)
+
     async def run(self) -> None:
-        """Campaigns and leads until cancelled."""
-        while True:
+        """Campaigns and leads until cancelled or drained."""
+        while not self._draining:
             previous = await self._campaign.win()
             epoch = self._log.epoch
             cell = self._parts.settings.cell
@@ -141,10 +151,18 @@
         )
         try:
             while not self._is_deposed and await self._work_once():
-                pass
+                if self._draining:
+                    await self._vacate()
+                    return
         finally:
             await asking.cancel()
 
+    async def _vacate(self) -> None:
+        self._leading = False
+        if isinstance(await self._log.vacate(), outcome.Committed):
+            log.emit(events.Events.LEASE_GIVEN_UP, epoch=self._log.epoch)
+        await self._vacated.set()
+
     async def _work_once(self) -> bool:
         """Commits, schedules and waits; returns whether to go on."""
         self._collect_lapsed()
@@ -235,11 +253,11 @@
             case cell_module.TaskPlaced():
                 log.emit(events.Events.TASK_STARTED, **attrs.asdict(event))
             case cell_module.TaskEnded(task=task, attempt=attempt, end=end):
-                lapsed = end is messages.TaskEnd.LAPSED
+                event_type = events.Events.TASK_ENDED
+                if end is messages.TaskEnd.LAPSED:
+                    event_type = events.Events.TASK_LOST
                 log.emit(
-                    events.Events.TASK_LOST
-                    if lapsed
-                    else events.Events.TASK_ENDED,
+                    event_type,
                     task=task,
                     attempt=attempt,
                     end=end.value,
--- a/pomelostair/succession.py
+++ b/pomelostair/succession.py
@@ -52,6 +52,8 @@
     """
     if term.previous is None:
         return now
+    if term.previous.vacated and term.previous.settled:
+        return now + lease_s(timing)
     grace_s = max(timing.cell_lease_ms / 1000, timing.store_grace_s)
     return now + grace_s + lease_s(timing)
 
--- a/tests/leaders.py
+++ b/tests/leaders.py
@@ -14,14 +14,13 @@
 from pomelostair import bus
 from pomelostair import celllog
 from pomelostair import clock as clock_module
-from pomelostair import configuration
 from pomelostair import declaration
 from pomelostair import directory
 from pomelostair import kernel
 from pomelostair import leader
-from pomelostair import membership
 from pomelostair import messages
 from pomelostair import settings
+from pomelostair import stopplan
 from pomelostair import store
 from tests import faulty
 from tests import loghistory
@@ -79,11 +78,15 @@
 
     directory: directory.Directory
     in_force: declaration.InForce = attrs.field(factory=declaration.InForce)
+    standing: stopplan.Standing = attrs.field(factory=stopplan.Standing)
 
     def get(self, cls):
-        assert cls in (membership.Membership, configuration.Configuration)
+        assert cls in leader.Leader.requires
         return self
 
+    def job_refusal(self):
+        return None
+
 
 class Member:
     """One agent that campaigns."""
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -64,7 +64,12 @@
     def kill_or_freeze(self, fault):
         """Makes the leader fail; returns its name, once another one leads."""
         before = self.lease()
-        getattr(self.site, fault)(before.holder)
+        if fault == "terminate":
+            process = self.site.processes[before.holder].popen
+            process.terminate()
+            process.wait(30)
+        else:
+            getattr(self.site, fault)(before.holder)
 
         def taken():
             row = self.lease()
@@ -158,6 +163,16 @@
             observer.ended(job_id)
         assert observer.violations() == []
 
+    def test_stopped_leader_hands_over(self, observer):
+        with _stream(observer, "stopped") as ids:
+            caller.eventually(lambda: len(ids) > 3)
+            stopped = observer.kill_or_freeze("terminate")
+            observer.site.restart(stopped)
+        for job_id in ids:
+            observer.ended(job_id)
+        assert "cell lease given up" in observer.site.log(stopped)
+        assert observer.violations() == []
+
     def test_frozen_leader_that_wakes_changes_nothing(self, observer):
         with _stream(observer, "frozen") as ids:
             caller.eventually(lambda: len(ids) > 3)
--- /dev/null
+++ b/tests/test_jobapi.py
@@ -0,0 +1,108 @@
+import curio
+import pytest
+
+from pomelostair import bus
+from pomelostair import clock as clock_module
+from pomelostair import errors
+from pomelostair import jobapi
+from pomelostair import messages
+from pomelostair import outcome
+from tests import leaders
+
+NOT_LEADER = outcome.Refused(outcome.Kind.NOT_LEADER, "repeat")
+NO_STORE = outcome.Refused(outcome.Kind.STORE_UNAVAILABLE, "repeat later")
+QUERY = messages.ShowJob("a")
+VIEW = messages.JobAccepted("a", created=True)
+
+
+class Entry:
+    """The job API of an entry, with leaders that answer as told."""
+
+    def __init__(self, answers):
+        network = bus.MemoryNetwork()
+        self.counters = leaders.Counters()
+        self.bus = bus.MemoryBus("entry", "entry", self.counters, network)
+        self.leader_bus = bus.MemoryBus("m1", "m1", self.counters, network)
+        self.answers = list(answers)
+        self.asked = 0
+        self.leader_bus.handle(messages.ShowJob, self._answer)
+        self.known = True
+
+    async def _answer(self, _message, envelope):
+        self.asked += 1
+        answer = self.answers.pop(0) if len(self.answers) > 1 else None
+        answer = answer if answer is not None else self.answers[0]
+        if answer != "silence":
+            await self.leader_bus.reply(envelope, answer)
+
+    def leader(self, cell):
+        if not self.known:
+            return None
+        return messages.LeaderAddress(cell, 1, "m1", "m1")
+
+    async def ask(self, timeout_s):
+        for run in (self.bus.run, self.leader_bus.run):
+            await curio.spawn(run, daemon=True)
+        api = jobapi.JobApi.__new__(jobapi.JobApi)
+        api._parts = self
+        api._directory = self
+        self.clock = clock_module.MonotonicClock()
+        self.metrics = self.counters
+        self.settings = self
+        self.cell = "main"
+        return await api.ask_leader(QUERY, timeout_s)
+
+
+class TestAskLeader:
+    def test_repeats_until_a_leader_answers(self):
+        entry = Entry([NOT_LEADER, NOT_LEADER, VIEW])
+        assert curio.run(entry.ask, 20.0) == VIEW
+        assert entry.asked == 3
+
+    def test_a_definite_refusal_is_passed_on_at_once(self):
+        entry = Entry([NO_STORE])
+        assert curio.run(entry.ask, 20.0) == NO_STORE
+        assert entry.asked == 1
+
+    def test_gives_up_at_the_deadline(self):
+        entry = Entry([NOT_LEADER])
+        assert curio.run(entry.ask, 0.5) == NOT_LEADER
+
+    def test_without_a_leader_nothing_ran(self):
+        entry = Entry([VIEW])
+        entry.known = False
+        refused = curio.run(entry.ask, 0.3)
+        assert refused.kind is outcome.Kind.NO_LEADER
+        assert refused.ran is outcome.Ran.NO
+
+    @pytest.mark.parametrize("later", [NOT_LEADER, NO_STORE])
+    def test_refusal_after_a_lost_answer_hides_nothing(
+        self, monkeypatch, later
+    ):
+        monkeypatch.setattr(jobapi, "ATTEMPT_S", 0.2)
+        entry = Entry(["silence", later])
+        refused = curio.run(entry.ask, 1.5)
+        assert refused.kind is later.kind
+        assert refused.ran is outcome.Ran.UNKNOWN
+
+
+class TestParse:
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"{}",
+            b"[]",
+            b'{"kind": ""}',
+            b'{"kind": "k", "id": "a/b"}',
+            b'{"kind": "k", "tasks": 0}',
+            b'{"kind": "k", "run_s": -1}',
+            b'{"kind": "k", "size": {"cores": 0}}',
+            b'{"kind": "k", "urgency": "soon"}',
+            b'{"kind": "k", "max_failures": 0}',
+        ],
+    )
+    def test_unusable_job_is_refused_with_a_remedy(self, body):
+        with pytest.raises(errors.HttpError) as caught:
+            jobapi.parse(body)
+        assert caught.value.status == 400
+        assert str(caught.value)
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -4,11 +4,14 @@
 import pytest
 
 from pomelostair import cell as cell_module
+from pomelostair import leader
 from pomelostair import messages
 from pomelostair import outcome
+from pomelostair import retention
 from tests import faulty
 from tests import leaders
 from tests import loghistory
+from tests import test_cell
 
 F = faulty.Fault
 LAPSE_S = 0.111
@@ -294,6 +297,77 @@
         curio.run(main)
 
 
+class TestHandover:
+    def test_drained_leader_is_followed_at_once(self):
+        async def main():
+            cell = leaders.Cell()
+            old = await cell.leader("m1")
+            worker = leaders.Worker(cell, "w1")
+            await _running_task(cell, old, worker)
+            new = await cell.member("m2")
+            await old.leader.drain(20.0)
+            assert await leaders.eventually(lambda: new.leads)
+            assert not old.leads
+            ack = await worker.beat(new)
+            assert ack.renew == (("a/0", 1),)
+            horizon = new.leader._leases.horizon
+            assert horizon <= cell.clock.now() + 0.11
+
+        curio.run(main)
+
+
+class TestSnapshot:
+    def test_successor_recovers_from_snapshot_and_log(self, monkeypatch):
+        monkeypatch.setattr(leader, "SNAPSHOT_ROWS", 3)
+
+        async def main():
+            cell = leaders.Cell()
+            old = await cell.leader("m1")
+            worker = leaders.Worker(cell, "w1")
+            await _running_task(cell, old, worker)
+            for index in range(20):
+                await cell.submit(old, f"j{index}", tasks=2)
+            assert await leaders.eventually(lambda: old.leader._log.row.cut)
+            page = await cell.table.scan("cells/main/log/")
+            assert 0 < len(page.rows) < 20
+            expected = test_cell.facts(old.leader._state)
+            old.table.down = True
+            await old.kill()
+            new = await cell.member("m2")
+            new.objects.down = True
+            await _settle()
+            cell.clock.advance(0.08)
+            await _settle()
+            assert not new.leads, "without its snapshot nobody may lead"
+            new.objects.down = False
+            assert await leaders.eventually(lambda: new.leads)
+            assert test_cell.facts(new.leader._state) == expected
+
+        curio.run(main)
+
+    def test_ended_jobs_are_forgotten_after_the_retention(self):
+        async def main():
+            cell = leaders.Cell()
+            member = await cell.leader("m1")
+            worker = leaders.Worker(cell, "w1")
+            await _running_task(cell, member, worker)
+            worker.finish()
+            for _ in range(3):
+                await worker.beat(member)
+                await _settle()
+            assert list(member.leader._state.ended) == ["a"]
+            cell.clock.advance(retention.RETENTION_S - 1)
+            assert await leaders.eventually(lambda: member.leads)
+            await _settle()
+            assert "a" in member.leader._state.jobs
+            cell.clock.advance(2)
+            assert await leaders.eventually(
+                lambda: "a" not in member.leader._state.jobs
+            )
+
+        curio.run(main)
+
+
 class TestTwoLeaders:
     def test_frozen_leader_that_wakes_neither_writes_nor_orders(self):
         async def main():
