Hand the lease over after all plug-ins drained, not before

Cause: a leader that gave its lease up in its own drain left its worker's agent without a leader; a whole site then took 16.5 s to stop, waiting for acknowledgements (before: killed by the site at 15 s; log of agent-worker-2).

--- a/pomelostair/leader.py
+++ b/pomelostair/leader.py
@@ -36,6 +36,7 @@
 SNAPSHOT_ROWS = 500
 SNAPSHOT_EVENTS = 20_000
 RECOVERY_RETRY_S = 0.2
+VACATE_TIMEOUT_S = 2.0
 
 
 @kernel.plugin(settings_module.Role.AGENT)
@@ -72,8 +73,6 @@
         self._configuration = host.get(configuration.Configuration)
         self._orders = host.get(siteorders.SiteOrders)
         self._deposed_by = 0
-        self._draining = False
-        self._vacated = curio.Event()
         self._begin(succession.Term(parts.settings.cell, 0, None))
         for message_type, handler in (
             (messages.SubmitJob, self._on_submit),
@@ -96,23 +95,18 @@
     def _is_deposed(self) -> bool:
         return self._deposed_by > self._term.epoch
 
-    async def drain(self, timeout_s: float) -> None:
-        """Gives the lease up, so that another agent leads at once."""
-        self._draining = True
-        if not self._leading:
-            return
-        await self._work.set()
-        await curio.ignore_after(timeout_s, self._vacated.wait)
-
     async def run(self) -> None:
-        """Campaigns and leads until cancelled or drained."""
-        while not self._draining:
+        """Campaigns and leads until cancelled, then hands over."""
+        while True:
             previous = await self._campaign.win()
             epoch = self._log.epoch
             cell = self._parts.settings.cell
             log.emit(events.Events.LEASE_ACQUIRED, epoch=epoch)
             try:
                 await self._lead(succession.Term(cell, epoch, previous))
+            except curio.CancelledError:
+                await self._vacate()
+                raise
             finally:
                 self._leading = False
                 self._log.release()
@@ -151,17 +145,22 @@
         )
         try:
             while not self._is_deposed and await self._work_once():
-                if self._draining:
-                    await self._vacate()
-                    return
+                pass
         finally:
             await asking.cancel()
 
     async def _vacate(self) -> None:
+        """Gives the lease up, so that another agent leads at once.
+
+        This comes after all plug-ins have drained, so that the tasks of this
+        agent's own worker are moved away under its lease.
+        """
+        if not self._leading:
+            return
         self._leading = False
-        if isinstance(await self._log.vacate(), outcome.Committed):
+        result = await curio.ignore_after(VACATE_TIMEOUT_S, self._log.vacate)
+        if isinstance(result, outcome.Committed):
             log.emit(events.Events.LEASE_GIVEN_UP, epoch=self._log.epoch)
-        await self._vacated.set()
 
     async def _work_once(self) -> bool:
         """Commits, schedules and waits; returns whether to go on."""
--- a/tests/leaders.py
+++ b/tests/leaders.py
@@ -126,7 +126,13 @@
             self._tasks.append(await curio.spawn(run, daemon=True))
         return self
 
+    async def stop(self):
+        """Ends it as the kernel does, the table still in reach."""
+        for task in reversed(self._tasks):
+            await task.cancel()
+
     async def kill(self):
+        self.table.down = True
         self.cell.network.cut(self.name)
         for task in self._tasks:
             await task.cancel()
