--- a/pomelostair/relief.py
+++ b/pomelostair/relief.py
@@ -16,12 +16,12 @@
 from pomelostair import messages
 from pomelostair import reports
 
-SUFFERING_SLOWDOWN = 1.5
-CALM_SLOWDOWN = 1.2
+SUFFERING_SLOWDOWN = 1.15
+CALM_SLOWDOWN = 1.08
 SUFFERING_READINGS = 2
 THROTTLE_FACTOR = 0.5
-MIN_SHARE = 0.25
-RESTORE_AFTER_S = 20.0
+MIN_SHARE = 0.5
+DECIDE_AFTER_S = 5.0
 OVER_CAPACITY = 1.02
 
 Key = tuple[str, int]
@@ -71,11 +71,10 @@
     _strikes: dict[Key, int] = attrs.field(factory=dict, init=False)
     _suffering: dict[Key, int] = attrs.field(factory=dict, init=False)
     _acted_s: float = attrs.field(default=float("-inf"), init=False)
-    _calm_s: float | None = attrs.field(default=None, init=False)
 
     @property
     def shares(self) -> Mapping[Key, float]:
-        """Shares of full speed of the attempts that were throttled."""
+        """Shares of full speed of the attempts that were ever throttled."""
         return self._shares
 
     def keep(self, running: set[Key]) -> None:
@@ -140,7 +139,7 @@
             key = (candidate.task, candidate.attempt)
             if missing <= 0:
                 break
-            if key in self._shares:
+            if self._shares.get(key, 1.0) < 1:
                 continue
             steps.append(self._throttle(key, THROTTLE_FACTOR, reason))
             missing -= candidate.size.cores * (1 - THROTTLE_FACTOR)
@@ -155,6 +154,7 @@
         found: tuple[Report, ...],
         neighbours: Mapping[Key, reports.Resident],
         harm: Callable[[Report, reports.Resident], tuple[float, float]],
+        bearable: Callable[[frozenset[Key]], bool],
         now: float,
     ) -> tuple[Step, ...]:
         """Returns steps for the latency-critical tasks of the worker.
@@ -163,6 +163,7 @@
             found: Fresh readings of latency-critical attempts.
             neighbours: Less urgent attempts on the worker.
             harm: Returns how much a neighbour slows the task of a reading.
+            bearable: Returns whether neighbours may go at full speed again.
             now: Monotonic seconds.
         """
         for report in found:
@@ -174,17 +175,38 @@
             self._suffering[report.key] = self._suffering.get(report.key, 0) + 1
             if self._suffering[report.key] < SUFFERING_READINGS:
                 continue
-            worst = max(
-                neighbours,
-                key=lambda key: (harm(report, neighbours[key]), key),
-                default=None,
-            )
-            if worst is not None:
+            worst = self._worst(report, neighbours, harm)
+            if worst:
                 self._suffering.pop(report.key, None)
                 self._acted_s = now
-                self._calm_s = None
-                return (self._strike(worst, report),)
-        return self._restore(found, now)
+                return tuple(self._strike(key, report) for key in worst)
+        return self._decide(bearable, now)
+
+    def _worst(
+        self,
+        report: Report,
+        neighbours: Mapping[Key, reports.Resident],
+        harm: Callable[[Report, reports.Resident], tuple[float, float]],
+    ) -> list[Key]:
+        """Returns the neighbours that are known to cause the slowdown.
+
+        As long as none is known to, it is the largest one.
+        """
+        ordered = sorted(
+            neighbours,
+            key=lambda key: (harm(report, neighbours[key]), key),
+            reverse=True,
+        )
+        excess = report.slowdown - CALM_SLOWDOWN
+        chosen = ordered[:1]
+        for key in ordered:
+            known, _ = harm(report, neighbours[key])
+            if known <= 0 or excess <= 0:
+                break
+            if key not in chosen:
+                chosen.append(key)
+            excess -= known
+        return chosen
 
     def _strike(self, key: Key, report: Report) -> Step:
         strikes = self._strikes.get(key, 0) + 1
@@ -198,23 +220,28 @@
             return Evicted(key, reason)
         return self._throttle(key, share, reason)
 
-    def _restore(
-        self, found: tuple[Report, ...], now: float
+    def _decide(
+        self, bearable: Callable[[frozenset[Key]], bool], now: float
     ) -> tuple[Step, ...]:
-        if any(report.slowdown > CALM_SLOWDOWN for report in found):
-            self._calm_s = None
-            return ()
-        if not self._shares:
-            self._calm_s = None
-            return ()
-        if self._calm_s is None:
-            self._calm_s = now
-        if now - self._calm_s < RESTORE_AFTER_S:
+        """Lets throttled attempts go at full speed or leave, after a while.
+
+        Throttled work holds its room, so it does not stay throttled.
+        """
+        throttled = sorted(k for k, share in self._shares.items() if share < 1)
+        if not throttled or now - self._acted_s < DECIDE_AFTER_S:
             return ()
-        self._calm_s = now
-        key = min(self._shares, key=lambda k: (self._strikes.get(k, 0), k))
-        del self._shares[key]
-        return (Throttled(key, 1.0, "the worker is calm again"),)
+        self._acted_s = now
+        steps: list[Step] = []
+        restored: set[Key] = set()
+        for key in throttled:
+            if bearable(frozenset({*restored, key})):
+                restored.add(key)
+                steps.append(Throttled(key, 1.0, "the worker is calm again"))
+            else:
+                reason = "at full speed it disturbs its neighbours"
+                steps.append(Evicted(key, reason))
+        self._shares.update(dict.fromkeys(restored, 1.0))
+        return tuple(steps)
 
 
 def total(sizes: list[messages.Size]) -> messages.Size:
--- a/tests/leaders.py
+++ b/tests/leaders.py
@@ -14,13 +14,15 @@
 from pomelostair import bus
 from pomelostair import celllog
 from pomelostair import clock as clock_module
+from pomelostair import configuration
 from pomelostair import declaration
 from pomelostair import directory
 from pomelostair import kernel
 from pomelostair import leader
+from pomelostair import membership
 from pomelostair import messages
 from pomelostair import settings
-from pomelostair import stopplan
+from pomelostair import siteorders
 from pomelostair import store
 from tests import faulty
 from tests import loghistory
@@ -78,15 +80,15 @@
 
     directory: directory.Directory
     in_force: declaration.InForce = attrs.field(factory=declaration.InForce)
-    standing: stopplan.Standing = attrs.field(factory=stopplan.Standing)
+    known: bool = True
+    orders: siteorders.SiteOrders | None = None
 
     def get(self, cls):
-        assert cls in leader.Leader.requires
+        if cls is siteorders.SiteOrders:
+            return self.orders
+        assert cls in (membership.Membership, configuration.Configuration)
         return self
 
-    def job_refusal(self):
-        return None
-
 
 class Member:
     """One agent that campaigns."""
@@ -118,6 +120,7 @@
             metrics=self.metrics,
             random=random.Random(name),
         )
+        self.host.orders = siteorders.SiteOrders(parts, self.host)
         self.leader = leader.Leader(parts, self.host)
         self._tasks = []
 
