--- a/bench/cell_bench.py
+++ b/bench/cell_bench.py
@@ -7,7 +7,6 @@
 
 import contextlib
 import json
-import os
 import pathlib
 import subprocess
 import sys
@@ -39,7 +38,7 @@
 START_RATES = (10, 100, 1000)
 LOG_EVENTS = (1_000, 10_000, 50_000)
 EVENTS_PER_ROW = 20
-_TICKS = os.sysconf("SC_CLK_TCK")
+NS_PER_S = 1e9
 
 
 @attrs.define
@@ -157,10 +156,13 @@
 
     def processor_s(self) -> float:
         """Returns the processor time of the leader so far."""
-        pid = self._children[1].pid
-        text = pathlib.Path(f"/proc/{pid}/stat").read_text()
-        fields = text.rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / _TICKS
+        tasks = pathlib.Path(f"/proc/{self._children[1].pid}/task")
+        spent_ns = 0
+        for thread in tasks.iterdir():
+            with contextlib.suppress(FileNotFoundError):
+                text = (thread / "schedstat").read_text()
+                spent_ns += int(text.split()[0])
+        return spent_ns / NS_PER_S
 
     def commits(self) -> int:
         """Returns the transactions that the table got so far."""
--- /dev/null
+++ b/tests/test_succession.py
@@ -0,0 +1,55 @@
+import attrs
+import pytest
+
+from pomelostair import celllog
+from pomelostair import lapse
+from pomelostair import messages
+from pomelostair import settings
+from pomelostair import succession
+
+TIMING = settings.Timing()
+LEASE_S = 6.0
+OLD = celllog.LeaseRow(4, "m1", "bus-m1", "t", 9, settled=True)
+
+
+class TestHorizon:
+    @pytest.mark.parametrize(
+        ("previous", "wait_s"),
+        [
+            (None, 0.0),
+            (OLD, 600.0 + LEASE_S),
+            (attrs.evolve(OLD, vacated=True), LEASE_S),
+            (attrs.evolve(OLD, vacated=True, settled=False), 600.0 + LEASE_S),
+        ],
+    )
+    def test_first(self, previous, wait_s):
+        term = succession.Term("main", 5, previous)
+        assert succession.first_horizon(term, TIMING, 100.0) == 100.0 + wait_s
+
+    @pytest.mark.parametrize(
+        ("settled", "answer", "horizon"),
+        [
+            (True, messages.SteppedDown(True, 400.0), 100.0 + LEASE_S),
+            (True, messages.SteppedDown(False, 0.0), 100.0 + LEASE_S),
+            (False, messages.SteppedDown(True, 400.0), 500.0),
+            (False, messages.SteppedDown(True, 1.0), 100.0 + LEASE_S),
+            (False, messages.SteppedDown(False, 0.0), None),
+        ],
+    )
+    def test_after_an_answer(self, settled, answer, horizon):
+        previous = attrs.evolve(OLD, settled=settled)
+        found = succession.horizon_after(answer, previous, TIMING, 100.0)
+        assert found == horizon
+
+
+class TestLeases:
+    def test_nothing_lapses_before_the_horizon(self):
+        leases = lapse.Leases(LEASE_S, 700.0)
+        leases.acknowledge("w1", 100.0)
+        assert not leases.have_lapsed("w1", 699.0)
+        leases.lower_horizon(105.0)
+        assert not leases.have_lapsed("w1", 106.0)
+        assert leases.have_lapsed("w1", 106.1)
+        assert leases.have_lapsed("unheard", 105.1)
+        leases.lower_horizon(500.0)
+        assert leases.horizon == 105.0
