--- a/pomelostair/leader.py
+++ b/pomelostair/leader.py
@@ -36,6 +36,7 @@
 SNAPSHOT_ROWS = 500
 SNAPSHOT_EVENTS = 20_000
 RECOVERY_RETRY_S = 0.2
+VACATE_TIMEOUT_S = 2.0
 
 
 @kernel.plugin(settings_module.Role.AGENT)
@@ -95,7 +96,7 @@
         return self._deposed_by > self._term.epoch
 
     async def run(self) -> None:
-        """Campaigns and leads until cancelled."""
+        """Campaigns and leads until cancelled, then hands over."""
         while True:
             previous = await self._campaign.win()
             epoch = self._log.epoch
@@ -103,6 +104,9 @@
             log.emit(events.Events.LEASE_ACQUIRED, epoch=epoch)
             try:
                 await self._lead(succession.Term(cell, epoch, previous))
+            except curio.CancelledError:
+                await self._vacate()
+                raise
             finally:
                 self._leading = False
                 self._log.release()
@@ -145,6 +149,19 @@
         finally:
             await asking.cancel()
 
+    async def _vacate(self) -> None:
+        """Gives the lease up, so that another agent leads at once.
+
+        This comes after all plug-ins have drained, so that the tasks of this
+        agent's own worker are moved away under its lease.
+        """
+        if not self._leading:
+            return
+        self._leading = False
+        result = await curio.ignore_after(VACATE_TIMEOUT_S, self._log.vacate)
+        if isinstance(result, outcome.Committed):
+            log.emit(events.Events.LEASE_GIVEN_UP, epoch=self._log.epoch)
+
     async def _work_once(self) -> bool:
         """Commits, schedules and waits; returns whether to go on."""
         self._collect_lapsed()
@@ -235,11 +252,11 @@
             case cell_module.TaskPlaced():
                 log.emit(events.Events.TASK_STARTED, **attrs.asdict(event))
             case cell_module.TaskEnded(task=task, attempt=attempt, end=end):
-                lapsed = end is messages.TaskEnd.LAPSED
+                event_type = events.Events.TASK_ENDED
+                if end is messages.TaskEnd.LAPSED:
+                    event_type = events.Events.TASK_LOST
                 log.emit(
-                    events.Events.TASK_LOST
-                    if lapsed
-                    else events.Events.TASK_ENDED,
+                    event_type,
                     task=task,
                     attempt=attempt,
                     end=end.value,
