--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -403,6 +403,30 @@
         assert {found.task(f"s/{n}").worker for n in range(3)} == set(WORKERS)
 
 
+class TestStrangers:
+    def test_an_attempt_that_the_state_does_not_know_takes_room(self):
+        found = Cell()
+        order = messages.StartOrder(
+            "x/0",
+            1,
+            "k",
+            messages.Urgency.BATCH,
+            messages.Size(6, 100),
+            1.0,
+            "",
+            once=False,
+            reserved=CAPACITY,
+        )
+        for agent in found.agents.values():
+            agent.running["x/0", 1] = order
+        for name in WORKERS:
+            found.beat(name, answered=False)
+        found.submit("b", size=messages.Size(4, 100))
+        assert not found.plan().events
+        found.settle()
+        assert found.where("b/0")
+
+
 class TestUnstarted:
     def test_a_start_whose_answer_is_lost_holds_its_place_until_it_lapsed(
         self,
