--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -303,7 +303,7 @@
             await _running_task(cell, old, worker)
             await cell.submit(old, "b")
             old.freeze()
-            late = await curio.spawn(worker.beat, old)
+            late = await curio.spawn(worker.beat, old, 1.0)
             stale = await curio.spawn(cell.submit, old, "stale")
             new = await cell.member("m2")
             await _settle()
