A worker that restarted gets no attempt a second time

Cause: the leader ordered an attempt again when its worker no longer showed it. test_a_lost_worker_has_its_tasks_started_elsewhere failed first with 'gone/0 starts attempt 1 again': the worker's host was replaced within the lease, and the leader died with it. Change: a placement logs the id of the worker's start; an attempt of an earlier start ends as lapsed, and heartbeats of an earlier start get nothing. The load that a report is learned with follows the ordered shares, since reports of throttled tasks lag. Ruled out: remembering starts in the leader alone, as the next leader does not know them (same test still failed).

--- a/pomelostair/cell.py
+++ b/pomelostair/cell.py
@@ -51,11 +51,19 @@
 @wire.message("event-task-placed")
 @attrs.frozen
 class TaskPlaced:
-    """An attempt was assigned to a worker."""
+    """An attempt was assigned to a worker.
+
+    Attributes:
+        task: Id of the task.
+        attempt: Number of the attempt.
+        worker: Name of the worker's agent.
+        boot: Id of the worker's start, which forgets attempts of earlier ones.
+    """
 
     task: str
     attempt: int
     worker: str
+    boot: str = ""
 
 
 @wire.message("event-task-ended")
@@ -110,6 +118,7 @@
         checkpoint: Key of the latest checkpoint, empty for none.
         failures: Failed attempts.
         reason: Why it is in this state.
+        boot: Id of the start of the worker that the attempt was assigned to.
     """
 
     id: str
@@ -120,6 +129,7 @@
     checkpoint: str = ""
     failures: int = 0
     reason: str = "accepted"
+    boot: str = ""
 
 
 @attrs.define
@@ -275,6 +285,7 @@
             return
         self._move(task, TaskState.PLACED, event.worker)
         task.attempt = event.attempt
+        task.boot = event.boot
         task.reason = f"placed on {event.worker}"
 
     def _park(self, event: TaskParked) -> None:
--- a/pomelostair/estimates.py
+++ b/pomelostair/estimates.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import statistics
 
 import attrs
 
@@ -79,6 +80,19 @@
             declared.accelerators,
         )
 
+    def typical(self, kind: str, declared: messages.Size) -> messages.Size:
+        """Returns the size that an attempt of a kind uses as a rule."""
+        peaks = self._peaks.get(kind)
+        if not peaks:
+            return declared
+        cores = statistics.median(peak.cores for peak in peaks.values())
+        memory = statistics.median(peak.memory for peak in peaks.values())
+        return messages.Size(
+            declared.cores * cores,
+            round(declared.memory_mb * memory),
+            declared.accelerators,
+        )
+
 
 def _ratio(used: float, declared: float) -> float:
     return used / declared if declared > 0 else 1.0
--- a/pomelostair/executor.py
+++ b/pomelostair/executor.py
@@ -169,6 +169,7 @@
                 *self._own_ends.values(),
             ),
             now_ms=status.now_ms,
+            boot=status.boot,
         )
 
     def _reportable(self, task: workerclient.WorkerTask) -> bool:
--- a/pomelostair/grants.py
+++ b/pomelostair/grants.py
@@ -63,9 +63,14 @@
     }
     over = {key for key, task in mine.items() if _is_over(task, state)}
     evicted = (mine.keys() & orders.evictions.keys()) - over
-    wanted = mine.keys() - over
+    forgotten = {
+        key
+        for key in mine.keys() - running - ended
+        if mine[key].boot not in ("", heartbeat.boot)
+    }
+    wanted = mine.keys() - over - forgotten
     stop = (running - mine.keys()) | (running & over)
-    absent = (over | evicted) - running - ended
+    absent = (over | evicted) - running - ended - forgotten
     ack = messages.HeartbeatAck(
         epoch=epoch,
         renew=tuple(sorted(wanted & running)),
@@ -81,14 +86,26 @@
         ),
         acknowledged=tuple(sorted(ended - mine.keys())),
     )
-    events = tuple(
-        cell_module.TaskEnded(*key, messages.TaskEnd.STOPPED, "never started")
-        for key in sorted(absent)
-        if orders.unstarted(key)
+    events = (
+        *(
+            _ended(key, messages.TaskEnd.STOPPED, "never started")
+            for key in sorted(absent)
+            if orders.unstarted(key)
+        ),
+        *(
+            _ended(key, messages.TaskEnd.LAPSED, "its worker restarted")
+            for key in sorted(forgotten)
+        ),
     )
     return Grant(ack, events)
 
 
+def _ended(
+    key: Key, end: messages.TaskEnd, detail: str
+) -> cell_module.TaskEnded:
+    return cell_module.TaskEnded(*key, end, detail)
+
+
 def _stops(keys: set[Key], checkpoint: bool) -> tuple[messages.StopOrder, ...]:
     return tuple(
         messages.StopOrder(task, attempt, checkpoint)
--- a/pomelostair/messages.py
+++ b/pomelostair/messages.py
@@ -337,6 +337,7 @@
         usage: The attempts that run on the worker.
         ended: Attempts whose end is not acknowledged yet.
         now_ms: Reading of the worker's clock before this was sent.
+        boot: Id of the worker's start; a new one forgot all attempts.
     """
 
     worker: str
@@ -347,6 +348,7 @@
     usage: tuple[TaskUsage, ...]
     ended: tuple[TaskEnded, ...]
     now_ms: float = 0.0
+    boot: str = ""
 
 
 @attrs.frozen
--- a/pomelostair/placement.py
+++ b/pomelostair/placement.py
@@ -16,6 +16,7 @@
 from pomelostair import messages
 
 CRITICAL_SLOWDOWN_LIMIT = 1.08
+CRITICAL_START_LIMIT = 1.1
 CRITICAL_WEIGHT = 4.0
 OPENING_WEIGHT = 0.3
 MIN_GAIN = 0.25
@@ -216,7 +217,7 @@
         own = self._interference.slowdown(request.kind, host.loads(), self._now)
         load = request.size.cores / host.account.capacity.cores
         lost = 0.0
-        suffering = request.critical and own > CRITICAL_SLOWDOWN_LIMIT
+        suffering = request.critical and own > CRITICAL_START_LIMIT
         for kind, resident in host.residents.items():
             factor = self._interference.factor(kind, request.kind, self._now)
             if factor <= 0:
--- a/pomelostair/relief.py
+++ b/pomelostair/relief.py
@@ -17,7 +17,7 @@
 from pomelostair import reports
 
 SUFFERING_SLOWDOWN = 1.15
-CALM_SLOWDOWN = 1.08
+CALM_SLOWDOWN = 1.1
 SUFFERING_READINGS = 2
 THROTTLE_FACTOR = 0.5
 MIN_SHARE = 0.5
--- a/pomelostair/reports.py
+++ b/pomelostair/reports.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from pomelostair import ledger
 from pomelostair import messages
 
 MAX_SCENES = 128
@@ -45,21 +46,31 @@
             maxlen=MAX_SCENES
         )
         self._read: dict[Key, float] = {}
+        self._full: dict[Key, messages.Size] = {}
 
     def take(self, scene: Scene) -> None:
         """Keeps what runs now and drops what does not."""
         self._scenes.append(scene)
-        self._read = {
-            key: read_ms
-            for key, read_ms in self._read.items()
-            if key in scene.residents
-        }
+        for memory in (self._read, self._full):
+            for key in memory.keys() - scene.residents.keys():
+                del memory[key]
 
     @property
     def latest(self) -> Scene | None:
         """What ran last."""
         return self._scenes[-1] if self._scenes else None
 
+    def full(self, key: Key, used: messages.Size) -> messages.Size:
+        """Returns the largest size that an attempt reported.
+
+        Args:
+            key: The attempt.
+            used: Its latest report.
+        """
+        full = ledger.largest(used, self._full.get(key, used))
+        self._full[key] = full
+        return full
+
     def fresh(self, key: Key, read_ms: float) -> bool:
         """Returns whether a reading is newer than the last of the attempt.
 
--- a/pomelostair/rounds.py
+++ b/pomelostair/rounds.py
@@ -140,7 +140,11 @@
 
     def _forget(self, placed: set[Key]) -> None:
         term = self._term
-        for memory in (term.evictions, term.offered, term.reserved):
+        for memory in (
+            term.evictions,
+            term.offered,
+            term.reserved,
+        ):
             for key in memory.keys() - placed:
                 del memory[key]
         waiting = {task.id: task for task in self._given.state.waiting()}
@@ -493,7 +497,10 @@
         self._term.reserved[task.id, attempt] = request.size
         if request.starved:
             self._term.protected[task.id] = self._now + PROTECTION_S
-        self._events.append(cell_module.TaskPlaced(task.id, attempt, worker))
+        boot = self._given.workers[worker].heartbeat.boot
+        self._events.append(
+            cell_module.TaskPlaced(task.id, attempt, worker, boot)
+        )
         self._term.decisions.record(
             task.id, self._now, f"attempt {attempt} placed on {worker}: {why}"
         )
@@ -624,7 +631,7 @@
             slowdown = self._term.interference.slowdown(
                 request.kind, loads, self._now
             )
-            if slowdown <= placement.CRITICAL_SLOWDOWN_LIMIT:
+            if slowdown <= placement.CRITICAL_START_LIMIT:
                 return tuple(chosen)
             if len(chosen) >= MAX_NOISY or harm[candidate.task] <= 0:
                 return None
--- a/pomelostair/scheduler.py
+++ b/pomelostair/scheduler.py
@@ -27,6 +27,7 @@
 Plan = rounds.Plan
 
 REFUSE_AFTER_S = 10.0
+MAX_BOOTS = 16
 
 Key = tuple[str, int]
 
@@ -65,11 +66,13 @@
     ) -> None:
         """Learns from the reports of a heartbeat and relieves its worker."""
         self._adopt(state, now)
+        if not self._is_latest(heartbeat):
+            return
         self._judge_all(heartbeat, state, now)
         found = self._reports(heartbeat.worker)
         steps = self._relief(heartbeat)
         steps.keep({(u.task, u.attempt) for u in heartbeat.usage})
-        found.take(self._scene(heartbeat, state, steps, now))
+        found.take(self._scene(heartbeat, state, found, now))
         fresh = [
             usage
             for usage in heartbeat.usage
@@ -104,6 +107,8 @@
     ) -> grants.Grant:
         """Returns the answer to a heartbeat."""
         self._adopt(state, now)
+        if not self._is_latest(heartbeat):
+            return grants.Grant(messages.HeartbeatAck(epoch))
 
         def unstarted(key: Key) -> bool:
             return self._is_unstarted(key, now)
@@ -175,6 +180,14 @@
         for task in state.placed():
             self._term.offered[task.id, task.attempt] = now
 
+    def _is_latest(self, heartbeat: messages.Heartbeat) -> bool:
+        """Returns whether a heartbeat is of its worker's latest start."""
+        boots = self._term.boots.setdefault(heartbeat.worker, [])
+        if heartbeat.boot not in boots:
+            boots.append(heartbeat.boot)
+            del boots[:-MAX_BOOTS]
+        return boots[-1] == heartbeat.boot
+
     def _is_unstarted(self, key: Key, now: float) -> bool:
         offered = self._term.offered.get(key)
         if offered is None:
@@ -246,23 +259,29 @@
         self,
         heartbeat: messages.Heartbeat,
         state: cell_module.State,
-        steps: relief.Relief,
+        found: reports.WorkerReports,
         now: float,
     ) -> reports.Scene:
+        """Returns what runs now; its load is that of the ordered shares.
+
+        Reports lag, and a throttled attempt still reports its full load.
+        """
+        shares = self._shares(heartbeat.worker)
         residents: dict[Key, reports.Resident] = {}
         for usage in heartbeat.usage:
             key = (usage.task, usage.attempt)
             task = state.tasks.get(usage.task)
             if task is None:
                 continue
-            used = usage.used
-            if usage.read_ms is None:
-                used = self._term.planned(task)
+            share = shares.get(key, 1.0)
+            full = self._term.estimates.typical(task.spec.kind, task.spec.size)
+            if usage.read_ms is not None:
+                full = found.full(key, usage.used)
             residents[key] = reports.Resident(
                 task.spec.kind,
                 task.spec.urgency,
-                used,
-                steps.shares.get(key, 1.0),
+                attrs.evolve(full, cores=full.cores * share),
+                share,
             )
         return reports.Scene(now, residents)
 
--- a/pomelostair/term.py
+++ b/pomelostair/term.py
@@ -57,6 +57,7 @@
         relief: Throttling by worker.
         evictions: Attempts that have to leave, with the reason.
         offered: When an attempt was last ordered to start.
+        boots: Starts of each worker, the latest last.
         reserved: Size that an attempt was ordered with.
         waiting: When a task was first seen waiting.
         reservations: Room kept for waiting tasks.
@@ -80,6 +81,7 @@
     relief: dict[str, relief_module.Relief] = attrs.field(factory=dict)
     evictions: dict[Key, str] = attrs.field(factory=dict)
     offered: dict[Key, float] = attrs.field(factory=dict)
+    boots: dict[str, list[str]] = attrs.field(factory=dict)
     reserved: dict[Key, messages.Size] = attrs.field(factory=dict)
     waiting: dict[str, float] = attrs.field(factory=dict)
     reservations: dict[str, Reservation] = attrs.field(factory=dict)
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -4,6 +4,7 @@
 import signal
 import time
 
+import attrs
 import pytest
 
 from pomelostair_standins import site
@@ -32,6 +33,7 @@
 
     def __init__(self, running):
         self.site = running
+        self.past = []
 
     def submit(self, job_id, **spec):
         job = {"id": job_id, "kind": "wear-watch", **spec}
@@ -66,7 +68,7 @@
         return caller.eventually(answered).json()
 
     def history(self):
-        rows = []
+        rows = list(self.past)
         for name in ("worker-1", "worker-2"):
             rows += taskhistory.read(name, self.worker(name, "/history"))
         return rows
@@ -74,13 +76,33 @@
     def actions(self, action):
         return [row for row in self.history() if row.action == action]
 
+    def of_job(self, job_id):
+        rows = self.history()
+        return [row for row in rows if row.task.startswith(f"{job_id}/")]
+
+    def of_action(self, action):
+        return [row for row in self.history() if row.action == action]
+
+    def lose(self, worker):
+        """Replaces a worker's host; what ran there ended with it."""
+        self.site.kill(f"agent-{worker}")
+        rows = taskhistory.read(worker, self.worker(worker, "/history"))
+        self.site.kill(worker)
+        at_s = time.monotonic()
+        running = {}
+        for row in rows:
+            key = (row.task, row.attempt)
+            if row.action == "start":
+                running[key] = attrs.evolve(row, at_s=at_s, action="lost")
+            else:
+                running.pop(key, None)
+        self.past += [*rows, *running.values()]
+        self.site.restart(worker)
+        self.site.restart(f"agent-{worker}")
+
     def started(self, job_id):
         def found():
-            return [
-                row
-                for row in self.actions("start")
-                if row.task.startswith(f"{job_id}/")
-            ]
+            return [r for r in self.of_job(job_id) if r.action == "start"]
 
         rows = caller.eventually(found, 40)
         assert rows
@@ -147,6 +169,14 @@
         running_site.ends("frozen")
         assert taskhistory.violations(running_site.history()) == []
 
+    def test_a_lost_worker_has_its_tasks_started_elsewhere(self, running_site):
+        running_site.submit("gone", tasks=4, run_s=5)
+        worker = running_site.started("gone")
+        running_site.lose(worker)
+        running_site.ends("gone")
+        assert running_site.of_action("lost")
+        assert taskhistory.violations(running_site.history()) == []
+
     def test_lost_answers_of_worker_and_store_never_double_a_task(
         self, running_site
     ):
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -1,10 +1,17 @@
+import attrs
+
 from pomelostair import cell
 from pomelostair import grants
 from pomelostair import messages
 
 SIZE = messages.Size(8.0, 100)
 KEY = ("j/0", 1)
-NOTHING = grants.Orders({}, {}, lambda task: task.spec.size, lambda key: False)
+NOTHING = grants.Orders(
+    {},
+    {},
+    lambda task: task.spec.size,
+    lambda key: False,
+)
 
 
 def state(*events):
@@ -61,9 +68,7 @@
         assert ack.renew == ()
 
     def test_an_evicted_attempt_leaves_by_checkpoint_and_keeps_its_lease(self):
-        orders = grants.Orders(
-            {KEY: "full"}, {KEY: 0.5}, NOTHING.reserved, NOTHING.unstarted
-        )
+        orders = attrs.evolve(NOTHING, evictions={KEY: ""}, shares={KEY: 0.5})
         ack = answer(state(*PLACED), heartbeat([KEY]), orders).ack
         assert ack.stop == (messages.StopOrder(*KEY, checkpoint=True),)
         assert ack.renew == (KEY,)
@@ -72,6 +77,6 @@
     def test_a_cancelled_attempt_ends_only_when_it_cannot_start_any_more(self):
         found = state(*PLACED, cell.JobCancelled("j"))
         assert answer(found, heartbeat()).events == ()
-        orders = grants.Orders({}, {}, NOTHING.reserved, lambda key: True)
+        orders = attrs.evolve(NOTHING, unstarted=lambda key: True)
         (event,) = answer(found, heartbeat(), orders).events
         assert event.end is messages.TaskEnd.STOPPED
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -34,6 +34,7 @@
     state: messages.TargetState = messages.TargetState.READY
     running: dict = attrs.field(factory=dict)
     ended: dict = attrs.field(factory=dict)
+    boot: str = "first"
 
     def heartbeat(self, name):
         usage = tuple(
@@ -50,6 +51,7 @@
             self.state,
             usage,
             tuple(self.ended.values()),
+            boot=self.boot,
         )
 
     def obey(self, ack):
@@ -427,6 +429,25 @@
         assert found.where("b/0")
 
 
+class TestRestart:
+    def test_a_worker_that_restarted_gets_no_attempt_twice(self):
+        found = Cell()
+        found.settle(1)
+        found.submit("b")
+        found.settle()
+        (worker,) = found.where("b/0")
+        agent = found.agents[worker]
+        agent.running.clear()
+        agent.boot = "second"
+        found.beat(worker)
+        assert found.task("b/0").reason == "its worker restarted"
+        found.settle()
+        assert found.task("b/0").attempt == 2
+        agent.boot = "first"
+        found.beat(worker)
+        assert found.task("b/0").state is cell.TaskState.PLACED
+
+
 class TestUnstarted:
     def test_a_start_whose_answer_is_lost_holds_its_place_until_it_lapsed(
         self,
