Latency-critical tasks gather on workers that have some already

Cause: each worker with one latency-critical task is closed to noisy batch. Change: opening a further worker for them costs more, also in preemption.

--- a/pomelostair/rounds.py
+++ b/pomelostair/rounds.py
@@ -563,14 +563,17 @@
     ) -> bool:
         best: tuple[eviction.Candidate, ...] | None = None
         best_host: placement.Host | None = None
+        best_cost: tuple = ()
         for host in self._hosts.values():
             if host.account.worker in request.avoided:
                 continue
             chosen = self._victims(request, host)
-            if chosen is not None and (
-                best is None or _cost(chosen) < _cost(best)
-            ):
-                best, best_host = chosen, host
+            if chosen is None:
+                continue
+            opens = request.critical and not host.critical
+            cost = (opens, *_cost(chosen))
+            if best is None or cost < best_cost:
+                best, best_host, best_cost = chosen, host, cost
         if best is None or self._evicted + len(best) > MAX_EVICTED:
             return False
         self._reserve(task, request, best_host)
