--- a/tests/leaders.py
+++ b/tests/leaders.py
@@ -22,6 +22,7 @@
 from pomelostair import membership
 from pomelostair import messages
 from pomelostair import settings
+from pomelostair import siteorders
 from pomelostair import store
 from tests import faulty
 from tests import loghistory
@@ -79,8 +80,12 @@
 
     directory: directory.Directory
     in_force: declaration.InForce = attrs.field(factory=declaration.InForce)
+    parts: kernel.Parts | None = None
+    known: bool = True
 
     def get(self, cls):
+        if cls is siteorders.SiteOrders:
+            return siteorders.SiteOrders(self.parts, self)
         assert cls in (membership.Membership, configuration.Configuration)
         return self
 
@@ -115,6 +120,7 @@
             metrics=self.metrics,
             random=random.Random(name),
         )
+        self.host.parts = parts
         self.leader = leader.Leader(parts, self.host)
         self._tasks = []
 
