--- a/tests/leaders.py
+++ b/tests/leaders.py
@@ -80,12 +80,12 @@
 
     directory: directory.Directory
     in_force: declaration.InForce = attrs.field(factory=declaration.InForce)
-    parts: kernel.Parts | None = None
     known: bool = True
+    orders: siteorders.SiteOrders | None = None
 
     def get(self, cls):
         if cls is siteorders.SiteOrders:
-            return siteorders.SiteOrders(self.parts, self)
+            return self.orders
         assert cls in (membership.Membership, configuration.Configuration)
         return self
 
@@ -120,7 +120,7 @@
             metrics=self.metrics,
             random=random.Random(name),
         )
-        self.host.parts = parts
+        self.host.orders = siteorders.SiteOrders(parts, self.host)
         self.leader = leader.Leader(parts, self.host)
         self._tasks = []
 
