Urgency classes of kinds of work are followed by jobs old and new

The leader logs the class in force for a job when its kind's declaration changes; the job keeps what it declared, so that a repeat is still the same job and taking the override back restores it.

--- a/pomelostair/cell.py
+++ b/pomelostair/cell.py
@@ -87,8 +87,21 @@
     jobs: tuple[str, ...]
 
 
+@wire.message("event-urgency-set")
+@attrs.frozen
+class UrgencySet:
+    """A job's tasks are scheduled in another urgency class than declared.
+
+    A snapshot keeps what the job declares; a new leader sets the class again.
+    """
+
+    job: str
+    urgency: messages.Urgency
+
+
 Event = (
     JobSubmitted
+    | UrgencySet
     | JobCancelled
     | TaskPlaced
     | TaskEnded
@@ -186,6 +199,8 @@
         match event:
             case JobSubmitted(spec=spec):
                 self._submit(spec)
+            case UrgencySet(job=job, urgency=urgency):
+                self._set_urgency(job, urgency)
             case JobCancelled(job=job):
                 self._cancel(job)
             case TaskPlaced():
@@ -255,6 +270,14 @@
         if ended and not self._running[job.spec.id]:
             self._ended[job.spec.id] = None
 
+    def _set_urgency(self, job_id: str, urgency: messages.Urgency) -> None:
+        job = self._jobs.get(job_id)
+        if job is None:
+            return
+        spec = attrs.evolve(job.spec, urgency=urgency)
+        for task in job.tasks:
+            task.spec = spec
+
     def _cancel(self, job_id: str) -> None:
         job = self._jobs.get(job_id)
         if job is None or job.state is not JobState.ACTIVE:
--- a/pomelostair/leader.py
+++ b/pomelostair/leader.py
@@ -13,6 +13,7 @@
 from pomelostair import cell as cell_module
 from pomelostair import celllog
 from pomelostair import configuration
+from pomelostair import declaration
 from pomelostair import events
 from pomelostair import journal as journal_module
 from pomelostair import kernel
@@ -123,6 +124,7 @@
             succession.lease_s(self._timing),
             succession.first_horizon(term, self._timing, now),
         )
+        self._urgencies: tuple[declaration.KindUrgency, ...] | None = None
         self._rows = 0
         self._events = 0
         self._saving = False
@@ -323,6 +325,27 @@
         answer = messages.JobAccepted(spec.id, created)
         waiter = journal_module.Waiter(envelope, lambda: answer)
         await self._log_event(cell_module.JobSubmitted(spec), waiter)
+        wanted = self._urgency(spec)
+        if wanted is not spec.urgency:
+            await self._log_event(cell_module.UrgencySet(spec.id, wanted))
+
+    def _urgency(self, spec: messages.JobSpec) -> messages.Urgency:
+        declared = self._configuration.in_force.declarations
+        return declared.urgency_of(spec.kind, spec.urgency)
+
+    def _set_urgencies(self) -> None:
+        """Follows a change of the urgency classes in force."""
+        wanted = self._configuration.in_force.declarations.urgencies
+        if wanted == self._urgencies:
+            return
+        self._urgencies = wanted
+        for job in self._state.jobs.values():
+            urgency = self._urgency(job.spec)
+            if job.state is cell_module.JobState.ACTIVE and any(
+                task.spec.urgency is not urgency for task in job.tasks[:1]
+            ):
+                event = cell_module.UrgencySet(job.spec.id, urgency)
+                self._journal.add(event)
 
     def _check(self, spec: messages.JobSpec) -> outcome.Refused | None:
         """Returns why a submission is refused, None if it may go on."""
@@ -547,6 +570,7 @@
         )
 
     async def _schedule(self) -> None:
+        self._set_urgencies()
         plan = self._scheduler.plan(
             scheduler.Round(
                 self._state,
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -4,6 +4,7 @@
 import pytest
 
 from pomelostair import cell as cell_module
+from pomelostair import declaration
 from pomelostair import messages
 from pomelostair import outcome
 from tests import faulty
@@ -42,6 +43,40 @@
     await curio.sleep(0.1)
 
 
+class TestUrgency:
+    def test_override_is_followed_by_old_and_new_jobs_and_taken_back(self):
+        async def main():
+            cell = leaders.Cell()
+            member = await cell.leader("m1")
+            await cell.submit(member, "old")
+            _override(member, "critical")
+            assert await leaders.eventually(
+                lambda: _urgency(member, "old") is messages.Urgency.CRITICAL
+            )
+            await cell.submit(member, "new")
+            assert _urgency(member, "new") is messages.Urgency.CRITICAL
+            again = await cell.submit(member, "old")
+            assert again == messages.JobAccepted("old", created=False)
+            _override(member, None)
+            return await leaders.eventually(
+                lambda: _urgency(member, "old") is messages.Urgency.BATCH
+            )
+
+        assert curio.run(main)
+
+
+def _override(member, urgency):
+    entries = ()
+    if urgency is not None:
+        entries = (declaration.KindUrgency("netting", urgency),)
+    declared = declaration.Declarations(urgencies=entries)
+    member.host.in_force = declaration.InForce(1, declared)
+
+
+def _urgency(member, job):
+    return member.leader._state.tasks[f"{job}/0"].spec.urgency
+
+
 class TestSubmit:
     def test_repeat_during_the_commit_is_the_same_job(self):
         async def main():
