--- a/pomelostair/stopplan.py
+++ b/pomelostair/stopplan.py
@@ -16,7 +16,8 @@
 TASK_STOP_S = 0.5
 STEP_S = 3.0
 RESERVE_SHARE = 0.2
-LAST_S = 5.0
+LAST_MIN_S = 1.5
+LAST_MAX_S = 5.0
 LAST_SHARE = 0.1
 
 ORDER = tuple(
@@ -183,7 +184,8 @@
 def _checkpoints_until_s(
     stop: declaration.Stop, urgency: messages.Urgency, survive: bool
 ) -> float:
-    last_s = stop.within_s - min(LAST_S, LAST_SHARE * stop.within_s)
+    margin_s = max(LAST_MIN_S, min(LAST_MAX_S, LAST_SHARE * stop.within_s))
+    last_s = stop.within_s - margin_s
     rank = ORDER.index((urgency, survive))
     later = [
         step.offset_s
--- a/tests/test_siteorders.py
+++ b/tests/test_siteorders.py
@@ -177,6 +177,32 @@
                 assert sent.answer.json()["ran"] == "no", sent
         self._resume(running_site)
 
+    def test_short_time_keeps_the_deadline_and_cuts_no_request(
+        self, running_site
+    ):
+        submit_all(running_site)
+        headers = {"x-service-ms": "7000"}
+        answers = []
+        caller_thread = threading.Thread(
+            target=lambda: answers.append(
+                caller.call(running_site.balancer, "GET", FIT, headers=headers)
+            )
+        )
+        caller_thread.start()
+        time.sleep(1)
+        faults = {"down": True}
+        ordered = time.monotonic()
+        answer = run(running_site.balancer, "stop site within 4 s")
+        caller.call(running_site.platform, "POST", "/faults", faults)
+        assert "the time is short" in answer.json()["message"]
+        assert caller.eventually(
+            lambda: not executed(running_site), pause_s=0.05
+        )
+        assert time.monotonic() - ordered < 4
+        caller_thread.join()
+        assert answers[0].status == 200
+        self._resume(running_site)
+
     def _resume(self, running):
         caller.call(running.platform, "POST", "/faults", {})
         assert not submit(running.balancer, "late")
