--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,9 @@
 LINKS ?= --links
 STAMP := $(VENV)/.installed
 
+# The first line of `make site` is for programs, so nothing is echoed.
+.SILENT: $(STAMP) setup demo site
+
 .PHONY: setup test demo site lint format bench
 
 setup: $(STAMP)
--- a/pomelostair_standins/demo.py
+++ b/pomelostair_standins/demo.py
@@ -19,7 +19,7 @@
 CALL_TIMEOUT_S = 5.0
 PAUSE_S = 0.1
 TAIL_CHARACTERS = 2000
-JOB = {"id": "casting-1", "kind": "wear-watch", "tasks": 3, "run_s": 0.5}
+JOB = {"id": "casting-1", "kind": "wear-watch", "tasks": 3, "run_s": 2.0}
 
 
 class DemoError(Exception):
@@ -39,6 +39,7 @@
     ):
         self._site = running
         self._ready_timeout_s = ready_timeout_s
+        self._last_refusal = ""
 
     def run(self) -> None:
         """Runs every step.
@@ -97,17 +98,22 @@
             "an accepted job",
         )
         print(_indent(submitted))
-        _say(f"pomelostair job show {JOB['id']}  (while it runs)")
-        print(_indent(self._require_tool("job", "show", JOB["id"])))
+        self._ask("tasks", "where", "job", "=", JOB["id"])
         self._until(self._completed, "the completion of the job")
-        _say(f"pomelostair job show {JOB['id']}  (completed)")
-        print(_indent(self._require_tool("job", "show", JOB["id"])))
+        self._ask("job", "show", JOB["id"])
 
     def _ask_operator_questions(self) -> None:
-        """Asks what runs where."""
+        """Asks what runs where, and why."""
+        self._ask("minions")
+        self._ask("workers")
+        self._ask("why", f"{JOB['id']}/0")
+
+    def _ask(self, *words: str) -> None:
+        _say(f"pomelostair {' '.join(words)}")
+        print(_indent(self._require_tool(*words)))
 
     def _completed(self) -> bool:
-        shown = self._tool("job", "show", JOB["id"])
+        shown = self._tool("--json", "job", "show", JOB["id"])
         return bool(shown) and json.loads(shown)["state"] == "completed"
 
     def _require_tool(self, *arguments: str) -> str:
@@ -127,6 +133,7 @@
             )
         except subprocess.TimeoutExpired:
             return None
+        self._last_refusal = done.stderr.strip()
         return done.stdout if done.returncode == 0 else None
 
     def _until(self, step, what: str):
@@ -136,7 +143,8 @@
             if result:
                 return result
             time.sleep(PAUSE_S)
-        raise DemoError(f"waited {self._ready_timeout_s} s in vain for {what}")
+        text = f"waited {self._ready_timeout_s} s in vain for {what}"
+        raise DemoError(f"{text}\n{self._last_refusal}")
 
 
 def _say(text: str) -> None:
--- a/pomelostair_standins/site.py
+++ b/pomelostair_standins/site.py
@@ -263,9 +263,10 @@
         name = f"worker-{index + 1}"
         arguments = ["-m", "pomelostair_standins.worker", "--listen", address]
         self._launch("worker", name, {"http": address}, arguments)
-        rack = f"rack-{index // WORKERS_PER_RACK + 1}"
+        rack_index = index // WORKERS_PER_RACK
+        rack = f"rack-{rack_index + 1}"
         target = {"kind": "worker", "address": address, "rack": rack}
-        self._launch_daemon("agent", f"agent-{name}", index, target=target)
+        self._launch_daemon("agent", f"agent-{name}", rack_index, target=target)
 
     def _launch_daemon(
         self, role: str, name: str, index: int, **extra: object
