--- a/pomelostair/executor.py
+++ b/pomelostair/executor.py
@@ -45,6 +45,7 @@
         self._wake = curio.Event()
         self._busy: dict[Key, messages.Size] = {}
         self._settled: set[Key] = set()
+        self._shares: dict[Key, float] = {}
         self._own_ends: dict[Key, messages.TaskEnded] = {}
         self._worker: settings_module.WorkerTarget | None = None
         match parts.settings.target:
@@ -157,11 +158,11 @@
             capacity=self._capacity,
             state=state,
             usage=tuple(
-                _usage(task) for task in status.tasks if task.state == RUNNING
+                usage_of(task) for task in status.tasks if task.state == RUNNING
             ),
             ended=(
                 *(
-                    _ended(task)
+                    ended_of(task)
                     for task in status.tasks
                     if task.state != RUNNING and self._reportable(task)
                 ),
@@ -199,18 +200,26 @@
                 )
             )
         await self._forget(ack.acknowledged)
-        for throttle in ack.throttle:
-            await self._client.throttle(
-                workerclient.Throttle(
-                    throttle.task, throttle.attempt, throttle.share
-                )
-            )
+        await self._throttle(ack.throttle)
         for stop in ack.stop:
             key = (stop.task, stop.attempt)
             if key not in self._busy:
                 await self._beside(key, self._stop, stop)
         await self._start_all(ack.start, status, expires_ms)
 
+    async def _throttle(
+        self, orders: tuple[messages.ThrottleOrder, ...]
+    ) -> None:
+        wanted = {(o.task, o.attempt): o.share for o in orders}
+        self._shares = {
+            key: share for key, share in self._shares.items() if key in wanted
+        }
+        for key, share in wanted.items():
+            if self._shares.get(key) == share or key in self._busy:
+                continue
+            await self._client.throttle(workerclient.Throttle(*key, share))
+            self._shares[key] = share
+
     async def _forget(self, acknowledged: tuple[Key, ...]) -> None:
         attempts = []
         for key in acknowledged:
@@ -243,6 +252,7 @@
             task=attempt.task,
             attempt=attempt.attempt,
         )
+        self._shares.pop((attempt.task, attempt.attempt), None)
         await self._client.throttle(
             workerclient.Throttle(attempt.task, attempt.attempt, 1.0)
         )
@@ -258,8 +268,7 @@
         account = ledger.Account("", "", "", self._capacity)
         for task in status.tasks:
             if task.state == RUNNING:
-                held = ledger.largest(reserved(task.order), task.used)
-                account.assign((task.task, task.attempt), held)
+                account.assign((task.task, task.attempt), _held(task))
         for key, size in self._busy.items():
             account.assign(key, size)
         for order in orders:
@@ -360,7 +369,14 @@
     return order.reserved or order.size
 
 
-def _usage(task: workerclient.WorkerTask) -> messages.TaskUsage:
+def _held(task: workerclient.WorkerTask) -> messages.Size:
+    if task.read_ms is None:
+        return reserved(task.order)
+    return ledger.held(reserved(task.order), task.used)
+
+
+def usage_of(task: workerclient.WorkerTask) -> messages.TaskUsage:
+    """Returns what a heartbeat tells of a running attempt."""
     return messages.TaskUsage(
         task.task,
         task.attempt,
@@ -372,7 +388,8 @@
     )
 
 
-def _ended(task: workerclient.WorkerTask) -> messages.TaskEnded:
+def ended_of(task: workerclient.WorkerTask) -> messages.TaskEnded:
+    """Returns what a heartbeat tells of an ended attempt."""
     end = messages.TaskEnd(task.state)
     checkpoint = task.detail if end is messages.TaskEnd.EVICTED else ""
     return messages.TaskEnded(
--- a/pomelostair/leader.py
+++ b/pomelostair/leader.py
@@ -152,7 +152,8 @@
         match await self._commit():
             case outcome.Conflict() | outcome.Unknown():
                 return False
-            case outcome.Unavailable():
+            case outcome.Unavailable(reason=reason):
+                log.emit(events.Events.LEASE_RENEWAL_FAILED, reason=reason)
                 await curio.sleep(self._renewal_s)
                 return True
         if not self._leading:
@@ -234,8 +235,11 @@
             case cell_module.TaskPlaced():
                 log.emit(events.Events.TASK_STARTED, **attrs.asdict(event))
             case cell_module.TaskEnded(task=task, attempt=attempt, end=end):
+                lapsed = end is messages.TaskEnd.LAPSED
                 log.emit(
-                    events.Events.TASK_ENDED,
+                    events.Events.TASK_LOST
+                    if lapsed
+                    else events.Events.TASK_ENDED,
                     task=task,
                     attempt=attempt,
                     end=end.value,
