--- /dev/null
+++ b/tests/test_decoders.py
@@ -0,0 +1,125 @@
+"""Fuzz tests of what decodes bytes from outside and has no test of its own.
+
+The HTTP server, the messages, the settings and the faults are fuzzed beside
+their other tests.
+"""
+
+import contextlib
+import json
+
+import curio
+from hypothesis import given
+from hypothesis import strategies
+import msgspec
+import pytest
+
+from pomelostair import dispatch
+from pomelostair import errors
+from pomelostair import http
+from pomelostair import jobapi
+from pomelostair import messages
+from pomelostair import platform
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**70), 2**70)
+    | strategies.floats()
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.text(max_size=8), inner, max_size=3
+        )
+    ),
+    max_leaves=8,
+)
+JOB = {
+    "id": "casting-1",
+    "kind": "wear-watch",
+    "team": "foundry",
+    "urgency": "batch",
+    "tasks": 2,
+    "size": {"cores": 1.0, "memory_mb": 10, "accelerators": 0},
+    "run_s": 1.0,
+    "once": True,
+    "survive": False,
+    "max_failures": 3,
+}
+
+
+class TestJob:
+    @given(strategies.binary(max_size=60))
+    def test_any_bytes_are_refused(self, body):
+        with pytest.raises(errors.HttpError) as caught:
+            jobapi.parse(body)
+        assert caught.value.status == 400
+
+    @given(strategies.sampled_from(sorted(JOB)), JSON)
+    def test_any_value_of_a_key_is_a_job_or_refused(self, key, value):
+        body = json.dumps({**JOB, key: value}).encode()
+        try:
+            spec = jobapi.parse(body)
+        except errors.HttpError as error:
+            assert error.status == 400
+            return
+        assert 0 < spec.tasks <= jobapi.MAX_TASKS
+        assert spec.run_s >= 0
+        assert spec.size.cores > 0
+
+
+class TestRequest:
+    @given(
+        strategies.text(max_size=40),
+        strategies.dictionaries(
+            strategies.sampled_from(
+                [
+                    "pomelostair-urgency",
+                    "pomelostair-timeout-ms",
+                    "pomelostair-team",
+                    "idempotency-key",
+                ]
+            ),
+            strategies.text(max_size=20),
+        ),
+    )
+    def test_any_path_and_headers_are_a_request_or_refused(self, path, given_):
+        request = http.Request(
+            "POST", f"/services/{path}", tuple(given_.items()), b""
+        )
+        with contextlib.suppress(errors.HttpError):
+            _, serve = dispatch.parse(request)
+            assert 0 < serve.budget_ms <= dispatch.MAX_TIMEOUT_MS
+
+
+class TestJoin:
+    @given(strategies.binary(max_size=60))
+    def test_any_bytes_are_a_join_or_a_typed_error(self, body):
+        with contextlib.suppress(msgspec.MsgspecError):
+            msgspec.json.decode(body, type=messages.JoinRequest)
+
+
+class TestPlatformAnswer:
+    @given(strategies.integers(200, 599), strategies.binary(max_size=60))
+    def test_any_answer_is_a_tagged_outcome(self, status, body):
+        class Client:
+            async def request(self, _request, _timeout_s):
+                return http.Response(status, (), body)
+
+        class Metrics:
+            def count(self, *_args, **_labels):
+                pass
+
+        table = platform.HttpTable(Client(), Metrics(), 1.0)
+
+        async def ask():
+            await table.read("a")
+            await table.scan("a")
+            return await table.commit(platform.store.Transaction())
+
+        assert type(curio.run(ask)).__name__ in {
+            "Committed",
+            "Conflict",
+            "Unavailable",
+            "Unknown",
+        }
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -15,7 +15,7 @@
 WAIT_S = 20.0
 
 
-def make_parts(drain_s=5.0):
+def make_parts(drain_s=5.0, **changes):
     document = {
         "role": "agent",
         "name": "agent-1",
@@ -25,6 +25,7 @@
         "platform": {"address": "127.0.0.1:3"},
         "target": {"kind": "worker", "address": "127.0.0.1:4", "rack": "r"},
         "timing": {"drain_s": drain_s},
+        **changes,
     }
     parsed = settings.parse(json.dumps(document).encode())
     counted = metrics.Metrics()
