--- a/pomelostair/jobapi.py
+++ b/pomelostair/jobapi.py
@@ -23,6 +23,7 @@
 RETRY_S = 0.2
 MAX_TASKS = 10_000
 MAX_ID_CHARACTERS = 128
+MAX_AMOUNT = 2**53
 _PREFIX = "/v1/jobs"
 _PASSING = (outcome.Kind.NO_LEADER, outcome.Kind.NOT_LEADER)
 _BEFORE_ANY_RUN = (outcome.Kind.UNKNOWN_JOB, outcome.Kind.CONFLICT)
@@ -168,8 +169,13 @@
     _require(given.kind, "name the kind of work in kind")
     _require(0 < given.tasks <= MAX_TASKS, f"set tasks to 1 up to {MAX_TASKS}")
     _require(given.run_s >= 0, "set run_s to 0 or more seconds")
-    _require(given.max_failures > 0, "set max_failures to 1 or more")
-    _require(_is_positive(given.size), "set the size to amounts above 0")
+    _require(
+        0 < given.max_failures <= MAX_AMOUNT, "set max_failures to 1 or more"
+    )
+    _require(
+        _is_positive(given.size),
+        f"set the size to amounts above 0, at most {MAX_AMOUNT}",
+    )
     fields = attrs.asdict(given, recurse=False)
     fields["id"] = job_id
     fields["urgency"] = _urgency(given.urgency)
@@ -177,7 +183,11 @@
 
 
 def _is_positive(size: messages.Size) -> bool:
-    return size.cores > 0 and size.memory_mb > 0 and size.accelerators >= 0
+    return (
+        0 < size.cores <= MAX_AMOUNT
+        and 0 < size.memory_mb <= MAX_AMOUNT
+        and 0 <= size.accelerators <= MAX_AMOUNT
+    )
 
 
 def _urgency(text: str) -> messages.Urgency:
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -19,6 +19,7 @@
 from pomelostair import jobapi
 from pomelostair import messages
 from pomelostair import platform
+from pomelostair import wire
 
 JSON = strategies.recursive(
     strategies.none()
@@ -66,6 +67,20 @@
         assert 0 < spec.tasks <= jobapi.MAX_TASKS
         assert spec.run_s >= 0
         assert spec.size.cores > 0
+        assert wire.encode_body(messages.SubmitJob(spec))
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"size": {"memory_mb": 10**20}},
+            {"size": {"accelerators": 10**20}},
+            {"max_failures": 10**20},
+        ],
+    )
+    def test_number_that_no_message_can_hold_is_refused(self, changes):
+        with pytest.raises(errors.HttpError) as caught:
+            jobapi.parse(json.dumps({**JOB, **changes}).encode())
+        assert caught.value.status == 400
 
 
 class TestRequest:
@@ -90,6 +105,7 @@
         with contextlib.suppress(errors.HttpError):
             _, serve = dispatch.parse(request)
             assert 0 < serve.budget_ms <= dispatch.MAX_TIMEOUT_MS
+            assert wire.encode_body(serve)
 
 
 class TestJoin:
