--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -228,7 +228,7 @@
                 reply_to=self._address,
                 correlation=correlation,
                 answer=answer,
-                body=msgspec.Raw(wire.encode_body(message)),
+                body=msgspec.Raw(wire.encode_sparse(message)),
             )
         )
         self._sent_bytes += len(sealed)
--- a/pomelostair/wire.py
+++ b/pomelostair/wire.py
@@ -19,6 +19,7 @@
 _types: dict[str, type] = {}
 _tags: dict[type, str] = {}
 _decoders: dict[str, msgspec.msgpack.Decoder] = {}
+_defaults: dict[type, tuple[tuple[str, object], ...]] = {}
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -68,6 +69,10 @@
         _types[tag] = cls
         _tags[cls] = tag
         _decoders[tag] = msgspec.msgpack.Decoder(cls)
+        if attrs.has(cls):
+            _defaults[cls] = tuple(
+                (field.name, field.default) for field in attrs.fields(cls)
+            )
         return cls
 
     return register
@@ -78,6 +83,24 @@
     return _encoder.encode(body)
 
 
+def encode_sparse(body: object) -> bytes:
+    """Returns a message's body without the fields that hold their defaults.
+
+    It is shorter than `encode_body` and decodes to the same message. What is
+    kept uses `encode_body`, so that a later default can't change its meaning.
+    """
+    defaults = _defaults.get(type(body))
+    if defaults is None:
+        return _encoder.encode(body)
+    return _encoder.encode(
+        {
+            name: value
+            for name, default in defaults
+            if (value := getattr(body, name)) != default
+        }
+    )
+
+
 def tag_of(body: object) -> str:
     """Returns the tag of a message.
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -53,3 +53,26 @@
     def test_a_tag_names_one_type(self):
         with pytest.raises(errors.MessageError):
             wire.message("nudge")(messages.Served)
+
+
+class TestEncodeSparse:
+    @given(
+        strategies.builds(
+            messages.Announcement,
+            name=strategies.text(max_size=5),
+            zone=strategies.just("patan"),
+            cell=strategies.just("main"),
+            state=strategies.sampled_from(messages.TargetState),
+            running=strategies.integers(0, 2),
+            service_ms=strategies.sampled_from([0.0, 1.5]),
+            waits_ms=strategies.sampled_from([(), (0.0, 1.0)]),
+        )
+    )
+    def test_decodes_to_the_same_message(self, message):
+        sparse = wire.encode_sparse(message)
+        assert wire.decode_body("announcement", sparse) == message
+        assert len(sparse) <= len(wire.encode_body(message))
+
+    def test_leaves_defaults_out(self):
+        ack = messages.HeartbeatAck(epoch=3)
+        assert msgspec.msgpack.decode(wire.encode_sparse(ack)) == {"epoch": 3}
