Floods over processes; a slow or new minion draws no crowd; bench counts losses

The bench also left time-outs out of its latencies.

Change: a minion without answers is taken to be as slow as the slowest known; probes of a slow minion grow rarer up to 30 s; the bench counts time-outs by the time they took.

New: floods of the least and of the most urgent class over processes, at 3 times the capacity: the other class is served wholly, no request is cut, entry and agent stay below 256 MB.

--- a/bench/requests_bench.py
+++ b/bench/requests_bench.py
@@ -55,7 +55,9 @@
         in_time: Those answered before their deadline.
         work_s: Service time of the answers that came in the measured time.
         refused: Those refused with the promise that they did not run.
-        latencies: Encoded histogram of the answers, in microseconds.
+        latencies: Encoded histogram of the time until an answer, or until a
+            caller heard that there is none, in microseconds; refusals are not
+            among them.
     """
 
     sent: int = 0
@@ -145,10 +147,12 @@
         if not self._from <= due < self._until:
             return
         self._tally.sent += 1
-        self._tally.refused += b"pomelostair-ran: no" in answer.lower()
-        if served:
-            took_s = now - due
+        refused = b"pomelostair-ran: no" in answer.lower()
+        self._tally.refused += refused
+        took_s = now - due
+        if not refused:
             self._histogram.record_value(int(took_s * 1e6))
+        if served:
             self._tally.in_time += took_s * 1000 <= self._deadline_ms
 
 
--- a/pomelostair/health.py
+++ b/pomelostair/health.py
@@ -80,7 +80,8 @@
         restored = record.ejected
         record.ejected = False
         record.failures = 0
-        record.pause_s = PROBE_MIN_S
+        if restored:
+            record.pause_s = PROBE_MIN_S
         return restored
 
     def ejected(self, target: directory.Target) -> bool:
@@ -121,6 +122,8 @@
             record = self._record_of(target)
             if record.probe_at + patience_s <= now:
                 record.probe_at = now + record.pause_s
+                if not record.ejected:
+                    record.pause_s = min(PROBE_MAX_S, 2 * record.pause_s)
                 return target
         return None
 
@@ -131,6 +134,8 @@
         if record.ejected:
             record.pause_s = min(PROBE_MAX_S, 2 * record.pause_s)
         newly = not record.ejected
+        if newly:
+            record.pause_s = PROBE_MIN_S
         record.ejected = True
         record.probe_at = self._clock.now() + record.pause_s
         return newly
--- a/pomelostair/routing.py
+++ b/pomelostair/routing.py
@@ -29,7 +29,10 @@
 
 
 def expected_ms(
-    target: directory.Target, urgency: messages.Urgency, viewpoint: Viewpoint
+    target: directory.Target,
+    urgency: messages.Urgency,
+    viewpoint: Viewpoint,
+    usual_ms: float = 0.0,
 ) -> float:
     """Returns the expected time until a minion's answer, in milliseconds.
 
@@ -41,17 +44,20 @@
         target: An announced minion.
         urgency: Urgency class of the request.
         viewpoint: The entry that chooses.
+        usual_ms: Service time to assume of a minion that has answered none
+            yet, in milliseconds.
     """
     announcement = target.announcement
     slots = max(1, announcement.slots)
     sent = _sent_by_all(target, len(messages.Urgency), viewpoint.entries)
     ahead = _sent_by_all(target, urgency + 1, viewpoint.entries)
     idle = max(0, slots - announcement.running)
+    service_ms = announcement.service_ms or usual_ms
     wait_ms = _announced_wait_ms(announcement, urgency)
-    wait_ms += (ahead - idle) * announcement.service_ms / slots
+    wait_ms += (ahead - idle) * service_ms / slots
     load = max(0.0, (announcement.running + sent) / slots)
     hop_ms = 0.0 if announcement.zone == viewpoint.zone else ZONE_HOP_MS
-    run_ms = announcement.service_ms * (1 + LOAD_WEIGHT * load)
+    run_ms = service_ms * (1 + LOAD_WEIGHT * load)
     return hop_ms + max(0.0, wait_ms) + run_ms
 
 
@@ -100,7 +106,10 @@
     sample = _sample(near, random) + _sample(far, random)
     if not sample:
         return None
-    return min(sample, key=lambda t: expected_ms(t, urgency, viewpoint))
+    usual_ms = max(t.announcement.service_ms for t in candidates)
+    return min(
+        sample, key=lambda t: expected_ms(t, urgency, viewpoint, usual_ms)
+    )
 
 
 def _sent_by_all(target: directory.Target, classes: int, entries: int) -> int:
--- a/tests/callhistory.py
+++ b/tests/callhistory.py
@@ -29,6 +29,7 @@
         status: HTTP status.
         ran: Value of the header that tells whether a refused one ran.
         answer: Body that came back.
+        urgency: Urgency class.
     """
 
     id: str
@@ -39,6 +40,7 @@
     status: int = 0
     ran: str = ""
     answer: bytes = b""
+    urgency: str = "normal"
 
     @property
     def expected(self):
--- a/tests/load.py
+++ b/tests/load.py
@@ -26,6 +26,7 @@
         timeout_ms: Deadline of each call.
         service_ms: Service times to choose from.
         repeats: Most further calls for a keyed request.
+        urgencies: Urgency classes to choose from.
     """
 
     rate: float = 80.0
@@ -35,6 +36,7 @@
     timeout_ms: int = 1500
     service_ms: tuple[int, ...] = (5, 20, 80)
     repeats: int = 2
+    urgencies: tuple[str, ...] = ("critical", "normal", "batch")
 
 
 class Load:
@@ -69,7 +71,7 @@
         plan = self._plan
         keyed = self._random.random() < plan.keyed_share
         service_ms = self._random.choice(plan.service_ms)
-        urgency = self._random.choice(("critical", "normal", "batch"))
+        urgency = self._random.choice(plan.urgencies)
         headers = (
             ("x-service-ms", str(service_ms)),
             ("pomelostair-urgency", urgency),
@@ -80,12 +82,14 @@
         first = self._random.randrange(len(self._clients))
         for turn in range(1 + plan.repeats * keyed):
             client = self._clients[(first + turn) % len(self._clients)]
-            attempt = await self._attempt(client, name, turn, headers)
+            attempt = await self._attempt(client, name, turn, urgency, headers)
             if attempt.status == 200:
                 return
 
-    async def _attempt(self, client, name, turn, headers):
-        attempt = callhistory.Attempt(f"{name}.{turn}", name, name.encode())
+    async def _attempt(self, client, name, turn, urgency, headers):
+        attempt = callhistory.Attempt(
+            f"{name}.{turn}", name, name.encode(), urgency=urgency
+        )
         self.attempts.append(attempt)
         headers += (("x-attempt-id", attempt.id),)
         attempt.begun = time.monotonic()
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -72,6 +72,17 @@
         self.health.record(self.targets[2], SERVED)
         assert len(self.health.eligible(self.targets, True)) == 3
 
+    def test_probes_of_a_slow_minion_grow_rarer(self):
+        self.targets[2] = targets.minion("m2", service_ms=200.0)
+        probes = 0
+        for _ in range(300):
+            found = self.health.eligible(self.targets, True)
+            if names(found) == ["m2"]:
+                probes += 1
+                self.health.record(self.targets[2], SERVED)
+            self.clock.advance(0.1)
+        assert probes == 5
+
     @given(st.lists(st.booleans(), min_size=1, max_size=12))
     def test_at_least_half_are_kept(self, bad):
         candidates = [targets.minion(f"m{i}") for i in range(len(bad))]
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import pathlib
 import time
 
 import attrs
@@ -13,6 +14,7 @@
 from tests import load
 
 FIT = "/services/clapper-desk/fit"
+MEMORY_LIMIT_MB = 256
 SHAPE = site_module.Shape(minions=3, workers=0, longest_run_ms=3000)
 
 
@@ -32,7 +34,7 @@
     """Keeps a site up whose entries all know all minions."""
     with site_module.running(shape) as running:
         for entry in running.entries:
-            for minion in range(SHAPE.minions):
+            for minion in range(shape.minions):
                 assert caller.eventually(
                     lambda entry=entry, minion=minion: (
                         f"agent-minion-{minion + 1}" in heard(running, entry)
@@ -123,6 +125,39 @@
         assert callhistory.check(seen) == []
 
 
+def memory_mb(process):
+    """Returns the resident megabytes of a process."""
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    line = next(x for x in status.splitlines() if x.startswith("VmRSS"))
+    return int(line.split()[1]) / 1024
+
+
+class TestFlood:
+    @pytest.mark.parametrize(
+        ("flood", "other"), [("batch", "critical"), ("critical", "batch")]
+    )
+    def test_the_other_class_is_served_and_memory_bounded(self, flood, other):
+        shape = attrs.evolve(SHAPE, entries=1, minions=1)
+        # Three times what one minion with 8 slots can do.
+        plan = load.Plan(
+            rate=120,
+            seconds=4.0,
+            keyed_share=0.0,
+            timeout_ms=15_000,
+            service_ms=(200,),
+            urgencies=(flood,) * 29 + (other,),
+        )
+        with ready(shape) as site:
+            seen = load.play(site, plan, [])
+            daemons = ("entry-1", "agent-minion-1")
+            used = [memory_mb(site.processes[name]) for name in daemons]
+        assert callhistory.check(seen) == []
+        assert callhistory.cuts(seen) == []
+        assert all(a.status == 200 for a in seen.attempts if a.urgency == other)
+        assert any(a.ran == "no" for a in seen.attempts if a.urgency == flood)
+        assert max(used) < MEMORY_LIMIT_MB
+
+
 class TestDrain:
     def test_leaving_processes_cut_no_request(self, site):
         left = []
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -55,6 +55,12 @@
         chosen = routing.expected_ms(pick(candidates), NORMAL, HERE)
         assert chosen == naive
 
+    def test_a_minion_without_answers_yet_does_not_draw_every_request(self):
+        known = targets.minion("known")
+        new = targets.minion("new", service_ms=0.0)
+        new.outstanding[NORMAL] = 9
+        assert pick([known, new]) is known
+
     def test_the_own_zone_first_among_equals(self):
         candidates = [targets.minion("far", "kirtipur"), targets.minion("near")]
         assert pick(candidates).announcement.name == "near"
