Try elsewhere what one minion refuses as too late, within the budget

Cause: a probe of a slow minion, or a minion with a longer queue, cost a caller its answer although another minion had room; the refusal is a definite ran: no.

--- a/pomelostair/retry.py
+++ b/pomelostair/retry.py
@@ -10,6 +10,7 @@
         outcome.Kind.NOT_SENT,
         outcome.Kind.DRAINING,
         outcome.Kind.QUEUE_FULL,
+        outcome.Kind.TOO_LATE,
     }
 )
 
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -1,5 +1,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from pomelostair import messages
 from pomelostair import outcome
@@ -17,8 +18,21 @@
     def test_an_answer_is_final(self):
         assert not retry.allowed(messages.Served(500, (), b""))
 
-    def test_a_full_queue_is_tried_elsewhere(self):
-        assert retry.allowed(FULL)
+    @pytest.mark.parametrize(
+        "kind",
+        [
+            outcome.Kind.QUEUE_FULL,
+            outcome.Kind.TOO_LATE,
+            outcome.Kind.DRAINING,
+            outcome.Kind.NOT_SENT,
+        ],
+    )
+    def test_what_one_minion_refuses_is_tried_elsewhere(self, kind):
+        assert retry.allowed(outcome.Refused(kind, "repeat"))
+
+    def test_a_refusal_that_all_would_make_is_final(self):
+        conflict = outcome.Refused(outcome.Kind.CONFLICT, "use another key")
+        assert not retry.allowed(conflict)
 
 
 class TestBudget:
