Tell a caller without an own id which one to repeat

Cause: a job whose id the entry made up could not be repeated after a lost answer, so the caller had to submit a second job. Seen failing first: "assert 'the id a267...;' in 'repeat with the same id; it is never accepted twice'".

--- a/pomelostair/jobapi.py
+++ b/pomelostair/jobapi.py
@@ -74,7 +74,7 @@
         result = await self.ask_leader(message)
         if isinstance(result, outcome.Refused):
             self._parts.metrics.count("jobs_refused", reason=result.kind.value)
-            return ingress.refusal(result)
+            return ingress.refusal(_naming_the_id(message, result))
         return http.json_response(status, result)
 
     async def ask_leader(
@@ -148,6 +148,20 @@
     return dataclasses.replace(refused, ran=outcome.Ran.UNKNOWN)
 
 
+def _naming_the_id(
+    message: object, refused: outcome.Refused
+) -> outcome.Refused:
+    """Returns a refusal that lets a caller repeat a job without an own id."""
+    match message:
+        case messages.SubmitJob(spec=spec) if refused.ran is not outcome.Ran.NO:
+            return dataclasses.replace(
+                refused,
+                message=f"repeat with the id {spec.id}; "
+                "the same id is never accepted twice",
+            )
+    return refused
+
+
 def parse(body: bytes) -> messages.JobSpec:
     """Returns a submitted job.
 
--- a/tests/test_jobapi.py
+++ b/tests/test_jobapi.py
@@ -1,3 +1,5 @@
+import json
+
 import curio
 import pytest
 
@@ -25,7 +27,8 @@
         self.leader_bus = bus.MemoryBus("m1", "m1", self.counters, network)
         self.answers = list(answers)
         self.asked = 0
-        self.leader_bus.handle(messages.ShowJob, self._answer)
+        for message_type in (messages.ShowJob, messages.SubmitJob):
+            self.leader_bus.handle(message_type, self._answer)
         self.known = True
 
     async def _answer(self, _message, envelope):
@@ -41,6 +44,12 @@
         return messages.LeaderAddress(cell, 1, "m1", "m1")
 
     async def ask(self, timeout_s):
+        return await (await self.api()).ask_leader(QUERY, timeout_s)
+
+    async def submit(self, spec):
+        return await (await self.api())._ask(messages.SubmitJob(spec), 202)
+
+    async def api(self):
         for run in (self.bus.run, self.leader_bus.run):
             await curio.spawn(run, daemon=True)
         api = jobapi.JobApi.__new__(jobapi.JobApi)
@@ -50,7 +59,7 @@
         self.metrics = self.counters
         self.settings = self
         self.cell = "main"
-        return await api.ask_leader(QUERY, timeout_s)
+        return api
 
 
 class TestAskLeader:
@@ -86,6 +95,17 @@
         assert refused.ran is outcome.Ran.UNKNOWN
 
 
+class TestSubmit:
+    def test_caller_without_an_id_is_told_the_one_to_repeat(self, monkeypatch):
+        monkeypatch.setattr(jobapi, "ATTEMPT_S", 0.2)
+        monkeypatch.setattr(jobapi.JobApi.ask_leader, "__defaults__", (0.5,))
+        spec = jobapi.parse(b'{"kind": "netting"}')
+        response = curio.run(Entry(["silence"]).submit, spec)
+        answer = json.loads(response.body)
+        assert answer["ran"] == "unknown"
+        assert f"the id {spec.id};" in answer["message"]
+
+
 class TestParse:
     @pytest.mark.parametrize(
         "body",
