--- a/pomelostair/cell.py
+++ b/pomelostair/cell.py
@@ -51,11 +51,19 @@
 @wire.message("event-task-placed")
 @attrs.frozen
 class TaskPlaced:
-    """An attempt was assigned to a worker."""
+    """An attempt was assigned to a worker.
+
+    Attributes:
+        task: Id of the task.
+        attempt: Number of the attempt.
+        worker: Name of the worker's agent.
+        boot: Id of the worker's start, which forgets attempts of earlier ones.
+    """
 
     task: str
     attempt: int
     worker: str
+    boot: str = ""
 
 
 @wire.message("event-task-ended")
@@ -87,8 +95,21 @@
     jobs: tuple[str, ...]
 
 
+@wire.message("event-urgency-set")
+@attrs.frozen
+class UrgencySet:
+    """A job's tasks are scheduled in another urgency class than declared.
+
+    A snapshot keeps what the job declares; a new leader sets the class again.
+    """
+
+    job: str
+    urgency: messages.Urgency
+
+
 Event = (
     JobSubmitted
+    | UrgencySet
     | JobCancelled
     | TaskPlaced
     | TaskEnded
@@ -110,6 +131,7 @@
         checkpoint: Key of the latest checkpoint, empty for none.
         failures: Failed attempts.
         reason: Why it is in this state.
+        boot: Id of the start of the worker that the attempt was assigned to.
     """
 
     id: str
@@ -120,6 +142,7 @@
     checkpoint: str = ""
     failures: int = 0
     reason: str = "accepted"
+    boot: str = ""
 
 
 @attrs.define
@@ -186,6 +209,8 @@
         match event:
             case JobSubmitted(spec=spec):
                 self._submit(spec)
+            case UrgencySet(job=job, urgency=urgency):
+                self._set_urgency(job, urgency)
             case JobCancelled(job=job):
                 self._cancel(job)
             case TaskPlaced():
@@ -255,6 +280,14 @@
         if ended and not self._running[job.spec.id]:
             self._ended[job.spec.id] = None
 
+    def _set_urgency(self, job_id: str, urgency: messages.Urgency) -> None:
+        job = self._jobs.get(job_id)
+        if job is None:
+            return
+        spec = attrs.evolve(job.spec, urgency=urgency)
+        for task in job.tasks:
+            task.spec = spec
+
     def _cancel(self, job_id: str) -> None:
         job = self._jobs.get(job_id)
         if job is None or job.state is not JobState.ACTIVE:
@@ -275,6 +308,7 @@
             return
         self._move(task, TaskState.PLACED, event.worker)
         task.attempt = event.attempt
+        task.boot = event.boot
         task.reason = f"placed on {event.worker}"
 
     def _park(self, event: TaskParked) -> None:
--- a/pomelostair/rounds.py
+++ b/pomelostair/rounds.py
@@ -140,7 +140,11 @@
 
     def _forget(self, placed: set[Key]) -> None:
         term = self._term
-        for memory in (term.evictions, term.offered, term.reserved):
+        for memory in (
+            term.evictions,
+            term.offered,
+            term.reserved,
+        ):
             for key in memory.keys() - placed:
                 del memory[key]
         waiting = {task.id: task for task in self._given.state.waiting()}
@@ -493,7 +497,10 @@
         self._term.reserved[task.id, attempt] = request.size
         if request.starved:
             self._term.protected[task.id] = self._now + PROTECTION_S
-        self._events.append(cell_module.TaskPlaced(task.id, attempt, worker))
+        boot = self._given.workers[worker].heartbeat.boot
+        self._events.append(
+            cell_module.TaskPlaced(task.id, attempt, worker, boot)
+        )
         self._term.decisions.record(
             task.id, self._now, f"attempt {attempt} placed on {worker}: {why}"
         )
@@ -556,14 +563,17 @@
     ) -> bool:
         best: tuple[eviction.Candidate, ...] | None = None
         best_host: placement.Host | None = None
+        best_cost: tuple = ()
         for host in self._hosts.values():
             if host.account.worker in request.avoided:
                 continue
             chosen = self._victims(request, host)
-            if chosen is not None and (
-                best is None or _cost(chosen) < _cost(best)
-            ):
-                best, best_host = chosen, host
+            if chosen is None:
+                continue
+            opens = request.critical and not host.critical
+            cost = (opens, *_cost(chosen))
+            if best is None or cost < best_cost:
+                best, best_host, best_cost = chosen, host, cost
         if best is None or self._evicted + len(best) > MAX_EVICTED:
             return False
         self._reserve(task, request, best_host)
@@ -624,7 +634,7 @@
             slowdown = self._term.interference.slowdown(
                 request.kind, loads, self._now
             )
-            if slowdown <= placement.CRITICAL_SLOWDOWN_LIMIT:
+            if slowdown <= placement.CRITICAL_START_LIMIT:
                 return tuple(chosen)
             if len(chosen) >= MAX_NOISY or harm[candidate.task] <= 0:
                 return None
