Decisions follow the operators' urgency of a kind

Cause: 'set urgency' changed what operators saw, not what the scheduler did. Change: rounds, relief and eviction ask the declarations in force.

--- a/pomelostair/rounds.py
+++ b/pomelostair/rounds.py
@@ -177,7 +177,7 @@
         team = task.spec.team
         cores = self._team_cores.get(team, 0.0)
         self._team_cores[team] = cores + size.cores
-        if task.spec.urgency is messages.Urgency.BATCH:
+        if self._urgency(task) is messages.Urgency.BATCH:
             held = self._team_batch.get(team, messages.Size(0.0, 0, 0))
             self._team_batch[team] = ledger.add(held, task.spec.size)
             self._batch_cores += size.cores
@@ -189,7 +189,7 @@
             task.id,
             task.spec.id,
             task.spec.kind,
-            task.spec.urgency,
+            self._urgency(task),
             size,
             task.spec.survive,
             self._avoided(task),
@@ -211,6 +211,11 @@
             return frozenset(self._probes)
         return failed | self._probes
 
+    def _urgency(self, task: cell_module.Task) -> messages.Urgency:
+        return self._given.declarations.urgency_of(
+            task.spec.kind, task.spec.urgency
+        )
+
     def _is_starved(self, task: cell_module.Task) -> bool:
         since = self._term.waiting.get(task.id)
         return since is not None and self._now - since > STARVATION_S
@@ -231,7 +236,7 @@
             (task.id, task.attempt): task
             for held in self._running.values()
             for task in held
-            if task.spec.urgency is messages.Urgency.BATCH
+            if self._urgency(task) is messages.Urgency.BATCH
         }
         over -= sum(
             self._held(task).cores
@@ -252,7 +257,7 @@
         works = [
             stopplan.Work(
                 task.id,
-                task.spec.urgency,
+                self._urgency(task),
                 task.spec.survive,
                 self._held(task).cores,
                 task.worker,
@@ -284,7 +289,7 @@
             result.append(
                 eviction.Candidate(
                     *key,
-                    task.spec.urgency,
+                    self._urgency(task),
                     task.spec.survive,
                     progress,
                     self._held(task),
@@ -348,7 +353,7 @@
                 fairqueue.Waiting(
                     task.id,
                     task.spec.team,
-                    task.spec.urgency,
+                    self._urgency(task),
                     task.spec.size.cores,
                     self._term.waiting[task.id],
                     starved,
@@ -528,7 +533,8 @@
 
     def _keeps_for_starved(self) -> bool:
         return any(
-            self._given.state.tasks[task].spec.urgency > messages.Urgency.URGENT
+            self._urgency(self._given.state.tasks[task])
+            > messages.Urgency.URGENT
             for task in self._term.reservations
         )
 
@@ -594,7 +600,7 @@
         yielding = [
             task
             for task in running
-            if task.spec.urgency > messages.Urgency.URGENT
+            if self._urgency(task) > messages.Urgency.URGENT
             and self._term.protected.get(task.id, 0.0) <= self._now
         ]
         candidates = self._candidates(yielding)
--- a/pomelostair/scheduler.py
+++ b/pomelostair/scheduler.py
@@ -8,6 +8,7 @@
 import attrs
 
 from pomelostair import cell as cell_module
+from pomelostair import declaration
 from pomelostair import events
 from pomelostair import eviction
 from pomelostair import grants
@@ -51,6 +52,7 @@
         self._metrics = metrics
         self._term = term_module.Term(now)
         self._adopted = False
+        self._declarations = declaration.Declarations()
         self._judged: dict[str, dict[Key, bool]] = {}
 
     @property
@@ -170,6 +172,7 @@
     def plan(self, decided: rounds.Round) -> rounds.Plan:
         """Returns the decisions of one round."""
         self._adopt(decided.state, decided.now)
+        self._declarations = decided.declarations
         silent_s = self._timing.silent_ms / 1000
         return rounds.Planner(self._term, decided, silent_s).plan()
 
@@ -279,7 +282,9 @@
                 full = found.full(key, usage.used)
             residents[key] = reports.Resident(
                 task.spec.kind,
-                task.spec.urgency,
+                self._declarations.urgency_of(
+                    task.spec.kind, task.spec.urgency
+                ),
                 attrs.evolve(full, cores=full.cores * share),
                 share,
             )
@@ -380,7 +385,7 @@
         return eviction.Candidate(
             usage.task,
             usage.attempt,
-            spec.urgency,
+            self._declarations.urgency_of(spec.kind, spec.urgency),
             spec.survive,
             usage.progress,
             usage.used,
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -315,6 +315,20 @@
         assert not found.where("u/0")
 
 
+class TestUrgency:
+    def test_an_operator_changes_the_class_of_a_kind(self):
+        found = Cell()
+        found.declarations = declaration.Declarations(
+            urgencies=(declaration.KindUrgency("hot", "urgent"),)
+        )
+        found.settle(1)
+        found.submit("b", size=messages.Size(8, 100), tasks=3)
+        found.settle()
+        found.submit("h", kind="hot", size=messages.Size(8, 100))
+        found.settle()
+        assert found.where("h/0")
+
+
 class TestLimits:
     def test_a_task_too_large_is_parked_with_the_reason(self):
         found = Cell()
