Starved batch keeps away from latency-critical tasks while it can

Cause: in a long flood all batch waits beyond the starvation bound, and starved tasks ignored that a latency-critical task would suffer; the slowdown rose from 1.04 to 1.15 as soon as the first tasks had waited 120 s. Change: starved batch ignores its own slowdown only, and gets room on workers without latency-critical tasks; it goes beside these only if there are no others. test_starved_batch_keeps_away_as_long_as_it_can failed first, with the noisy task placed on w1.

--- a/pomelostair/placement.py
+++ b/pomelostair/placement.py
@@ -48,7 +48,9 @@
         size: Size to plan with.
         survive: Whether its job is spread over racks and zones.
         avoided: Workers where it failed.
-        starved: Whether it waited so long that slowdown no longer counts.
+        starved: Whether it waited so long that its own slowdown no longer
+            counts.
+        noisy: Whether it may disturb, or stand, what it should not.
         min_gain: Least work gained for each core that justifies a start.
     """
 
@@ -60,6 +62,7 @@
     survive: bool = False
     avoided: frozenset[str] = frozenset()
     starved: bool = False
+    noisy: bool = False
     min_gain: float = MIN_GAIN
 
     @property
@@ -237,11 +240,11 @@
 def _objection(
     request: Request, gain: float, suffering: bool
 ) -> Refusal | None:
-    if request.starved:
+    if request.urgency is messages.Urgency.URGENT:
         return None
-    if suffering and request.urgency is not messages.Urgency.URGENT:
+    if suffering and not request.noisy:
         return Refusal.CRITICAL_SUFFERS
-    if request.urgency <= messages.Urgency.URGENT:
+    if request.starved or request.critical:
         return None
     if gain < request.min_gain:
         return Refusal.NO_GAIN
--- a/pomelostair/rounds.py
+++ b/pomelostair/rounds.py
@@ -185,6 +185,7 @@
     def _request(
         self, task: cell_module.Task, size: messages.Size
     ) -> placement.Request:
+        starved = self._is_starved(task)
         return placement.Request(
             task.id,
             task.spec.id,
@@ -193,7 +194,8 @@
             size,
             task.spec.survive,
             self._avoided(task),
-            self._is_starved(task),
+            starved,
+            starved and all(host.critical for host in self._hosts.values()),
             self._min_gain,
         )
 
@@ -527,7 +529,7 @@
     def _settle_for_noise(
         self, task: cell_module.Task, request: placement.Request
     ) -> None:
-        choice = self._placement.choose(attrs.evolve(request, starved=True))
+        choice = self._placement.choose(attrs.evolve(request, noisy=True))
         if choice.host is not None:
             self._put(task, request, choice.host, _summary(choice))
 
@@ -547,7 +549,11 @@
         ]
         return max(
             fitting,
-            key=lambda host: (host.account.free.cores, host.account.worker),
+            key=lambda host: (
+                not host.critical,
+                host.account.free.cores,
+                host.account.worker,
+            ),
             default=None,
         )
 
