--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -4,11 +4,15 @@
 import pytest
 
 from pomelostair import cell as cell_module
+from pomelostair import declaration
+from pomelostair import leader
 from pomelostair import messages
 from pomelostair import outcome
+from pomelostair import retention
 from tests import faulty
 from tests import leaders
 from tests import loghistory
+from tests import test_cell
 
 F = faulty.Fault
 LAPSE_S = 0.111
@@ -42,6 +46,40 @@
     await curio.sleep(0.1)
 
 
+class TestUrgency:
+    def test_override_is_followed_by_old_and_new_jobs_and_taken_back(self):
+        async def main():
+            cell = leaders.Cell()
+            member = await cell.leader("m1")
+            await cell.submit(member, "old")
+            _override(member, "critical")
+            assert await leaders.eventually(
+                lambda: _urgency(member, "old") is messages.Urgency.CRITICAL
+            )
+            await cell.submit(member, "new")
+            assert _urgency(member, "new") is messages.Urgency.CRITICAL
+            again = await cell.submit(member, "old")
+            assert again == messages.JobAccepted("old", created=False)
+            _override(member, None)
+            return await leaders.eventually(
+                lambda: _urgency(member, "old") is messages.Urgency.BATCH
+            )
+
+        assert curio.run(main)
+
+
+def _override(member, urgency):
+    entries = ()
+    if urgency is not None:
+        entries = (declaration.KindUrgency("netting", urgency),)
+    declared = declaration.Declarations(urgencies=entries)
+    member.host.in_force = declaration.InForce(1, declared)
+
+
+def _urgency(member, job):
+    return member.leader._state.tasks[f"{job}/0"].spec.urgency
+
+
 class TestSubmit:
     def test_repeat_during_the_commit_is_the_same_job(self):
         async def main():
@@ -294,6 +332,77 @@
         curio.run(main)
 
 
+class TestHandover:
+    def test_stopped_leader_is_followed_at_once(self):
+        async def main():
+            cell = leaders.Cell()
+            old = await cell.leader("m1")
+            worker = leaders.Worker(cell, "w1")
+            await _running_task(cell, old, worker)
+            new = await cell.member("m2")
+            await old.stop()
+            assert await leaders.eventually(lambda: new.leads)
+            assert not old.leads
+            ack = await worker.beat(new)
+            assert ack.renew == (("a/0", 1),)
+            horizon = new.leader._leases.horizon
+            assert horizon <= cell.clock.now() + 0.11
+
+        curio.run(main)
+
+
+class TestSnapshot:
+    def test_successor_recovers_from_snapshot_and_log(self, monkeypatch):
+        monkeypatch.setattr(leader, "SNAPSHOT_ROWS", 3)
+
+        async def main():
+            cell = leaders.Cell()
+            old = await cell.leader("m1")
+            worker = leaders.Worker(cell, "w1")
+            await _running_task(cell, old, worker)
+            for index in range(20):
+                await cell.submit(old, f"j{index}", tasks=2)
+            assert await leaders.eventually(lambda: old.leader._log.row.cut)
+            page = await cell.table.scan("cells/main/log/")
+            assert 0 < len(page.rows) < 20
+            expected = test_cell.facts(old.leader._state)
+            old.table.down = True
+            await old.kill()
+            new = await cell.member("m2")
+            new.objects.down = True
+            await _settle()
+            cell.clock.advance(0.08)
+            await _settle()
+            assert not new.leads, "without its snapshot nobody may lead"
+            new.objects.down = False
+            assert await leaders.eventually(lambda: new.leads)
+            assert test_cell.facts(new.leader._state) == expected
+
+        curio.run(main)
+
+    def test_ended_jobs_are_forgotten_after_the_retention(self):
+        async def main():
+            cell = leaders.Cell()
+            member = await cell.leader("m1")
+            worker = leaders.Worker(cell, "w1")
+            await _running_task(cell, member, worker)
+            worker.finish()
+            for _ in range(3):
+                await worker.beat(member)
+                await _settle()
+            assert list(member.leader._state.ended) == ["a"]
+            cell.clock.advance(retention.RETENTION_S - 1)
+            assert await leaders.eventually(lambda: member.leads)
+            await _settle()
+            assert "a" in member.leader._state.jobs
+            cell.clock.advance(2)
+            assert await leaders.eventually(
+                lambda: "a" not in member.leader._state.jobs
+            )
+
+        curio.run(main)
+
+
 class TestTwoLeaders:
     def test_frozen_leader_that_wakes_neither_writes_nor_orders(self):
         async def main():
