--- a/pomelostair/rounds.py
+++ b/pomelostair/rounds.py
@@ -177,7 +177,7 @@
         team = task.spec.team
         cores = self._team_cores.get(team, 0.0)
         self._team_cores[team] = cores + size.cores
-        if task.spec.urgency is messages.Urgency.BATCH:
+        if self._urgency(task) is messages.Urgency.BATCH:
             held = self._team_batch.get(team, messages.Size(0.0, 0, 0))
             self._team_batch[team] = ledger.add(held, task.spec.size)
             self._batch_cores += size.cores
@@ -185,15 +185,17 @@
     def _request(
         self, task: cell_module.Task, size: messages.Size
     ) -> placement.Request:
+        starved = self._is_starved(task)
         return placement.Request(
             task.id,
             task.spec.id,
             task.spec.kind,
-            task.spec.urgency,
+            self._urgency(task),
             size,
             task.spec.survive,
             self._avoided(task),
-            self._is_starved(task),
+            starved,
+            starved and all(host.critical for host in self._hosts.values()),
             self._min_gain,
         )
 
@@ -211,6 +213,11 @@
             return frozenset(self._probes)
         return failed | self._probes
 
+    def _urgency(self, task: cell_module.Task) -> messages.Urgency:
+        return self._given.declarations.urgency_of(
+            task.spec.kind, task.spec.urgency
+        )
+
     def _is_starved(self, task: cell_module.Task) -> bool:
         since = self._term.waiting.get(task.id)
         return since is not None and self._now - since > STARVATION_S
@@ -231,7 +238,7 @@
             (task.id, task.attempt): task
             for held in self._running.values()
             for task in held
-            if task.spec.urgency is messages.Urgency.BATCH
+            if self._urgency(task) is messages.Urgency.BATCH
         }
         over -= sum(
             self._held(task).cores
@@ -252,7 +259,7 @@
         works = [
             stopplan.Work(
                 task.id,
-                task.spec.urgency,
+                self._urgency(task),
                 task.spec.survive,
                 self._held(task).cores,
                 task.worker,
@@ -284,7 +291,7 @@
             result.append(
                 eviction.Candidate(
                     *key,
-                    task.spec.urgency,
+                    self._urgency(task),
                     task.spec.survive,
                     progress,
                     self._held(task),
@@ -348,7 +355,7 @@
                 fairqueue.Waiting(
                     task.id,
                     task.spec.team,
-                    task.spec.urgency,
+                    self._urgency(task),
                     task.spec.size.cores,
                     self._term.waiting[task.id],
                     starved,
@@ -522,13 +529,14 @@
     def _settle_for_noise(
         self, task: cell_module.Task, request: placement.Request
     ) -> None:
-        choice = self._placement.choose(attrs.evolve(request, starved=True))
+        choice = self._placement.choose(attrs.evolve(request, noisy=True))
         if choice.host is not None:
             self._put(task, request, choice.host, _summary(choice))
 
     def _keeps_for_starved(self) -> bool:
         return any(
-            self._given.state.tasks[task].spec.urgency > messages.Urgency.URGENT
+            self._urgency(self._given.state.tasks[task])
+            > messages.Urgency.URGENT
             for task in self._term.reservations
         )
 
@@ -541,7 +549,11 @@
         ]
         return max(
             fitting,
-            key=lambda host: (host.account.free.cores, host.account.worker),
+            key=lambda host: (
+                not host.critical,
+                host.account.free.cores,
+                host.account.worker,
+            ),
             default=None,
         )
 
@@ -594,7 +606,7 @@
         yielding = [
             task
             for task in running
-            if task.spec.urgency > messages.Urgency.URGENT
+            if self._urgency(task) > messages.Urgency.URGENT
             and self._term.protected.get(task.id, 0.0) <= self._now
         ]
         candidates = self._candidates(yielding)
