--- a/pomelostair/commandapi.py
+++ b/pomelostair/commandapi.py
@@ -1,11 +1,9 @@
 """Operators over HTTP at an entry: sentences and whole declarations."""
 
-import time
-import uuid
-
 import attrs
 import msgspec
 
+from pomelostair import answers
 from pomelostair import command
 from pomelostair import configtable
 from pomelostair import configuration
@@ -22,8 +20,7 @@
 from pomelostair import outcome
 from pomelostair import queries
 from pomelostair import settings as settings_module
-from pomelostair import siteorders
-from pomelostair import stopplan
+from pomelostair import stops
 
 COMMANDS = "/v1/commands"
 DECLARATIONS = "/v1/declarations"
@@ -42,21 +39,6 @@
     expected_version: int | None = None
 
 
-@attrs.frozen
-class Answer:
-    """Answer to a sentence.
-
-    Attributes:
-        message: What was found or changed, as a sentence.
-        version: Version in force at the entry.
-        rows: What was found.
-    """
-
-    message: str
-    version: int
-    rows: list[dict[str, object]] = attrs.field(factory=list)
-
-
 @attrs.frozen
 class Apply:
     """Body of a change of all declarations.
@@ -104,7 +86,7 @@
         ingress.Ingress,
         jobapi.JobApi,
         queries.Queries,
-        siteorders.SiteOrders,
+        stops.Stops,
     )
 
     def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
@@ -112,7 +94,7 @@
         self._configuration = host.get(configuration.Configuration)
         self._jobs = host.get(jobapi.JobApi)
         self._queries = host.get(queries.Queries)
-        self._orders = host.get(siteorders.SiteOrders)
+        self._stops = host.get(stops.Stops)
         host.get(ingress.Ingress).route(COMMANDS, self._serve_command)
         host.get(ingress.Ingress).route(DECLARATIONS, self._serve_declarations)
 
@@ -178,7 +160,7 @@
 
     async def _run(
         self, sentence: command.Sentence, expected: int | None
-    ) -> Answer | outcome.Refused:
+    ) -> answers.Answer | outcome.Refused:
         match sentence:
             case command.Show():
                 rows = await self._queries.rows(sentence)
@@ -188,18 +170,18 @@
             case command.ConfigStatus():
                 return await self._config_status()
             case command.StopStatus():
-                return await self._stop_status()
+                return await self._stops.status()
             case command.DeclareDead():
                 return await self._declare_dead(sentence)
             case command.Stop() | command.Shed():
-                return await self._stop(sentence, expected)
+                return await self._stops.order(sentence, expected)
             case command.Drain():
                 return await self._drain(sentence, expected)
         return await self._edit(sentence, expected)
 
     async def _edit(
         self, sentence: command.Sentence, expected: int | None
-    ) -> Answer | outcome.Refused:
+    ) -> answers.Answer | outcome.Refused:
         match sentence:
             case command.SetLimit():
                 edit = edits.set_limit(sentence)
@@ -214,20 +196,20 @@
 
     def _listed(
         self, rows: list[queries.Row] | outcome.Refused
-    ) -> Answer | outcome.Refused:
+    ) -> answers.Answer | outcome.Refused:
         if isinstance(rows, outcome.Refused):
             return rows
         return self._answer(f"{len(rows)} rows", rows)
 
     def _answer(
         self, message: str, rows: list[queries.Row] | None = None
-    ) -> Answer:
+    ) -> answers.Answer:
         version = self._configuration.in_force.version
-        return Answer(message, version, rows or [])
+        return answers.Answer(message, version, rows or [])
 
     def _changed(
         self, result: configtable.Accepted | outcome.Refused, note: str = ""
-    ) -> Answer | outcome.Refused:
+    ) -> answers.Answer | outcome.Refused:
         if isinstance(result, outcome.Refused):
             return result
         lines = declaration.difference(
@@ -239,7 +221,9 @@
             message = f"already so in version {result.after.version}"
         return self._answer(f"{message}{note}", rows)
 
-    async def _why(self, sentence: command.Why) -> Answer | outcome.Refused:
+    async def _why(
+        self, sentence: command.Why
+    ) -> answers.Answer | outcome.Refused:
         query = messages.ExplainTask(sentence.task)
         answer = await self._jobs.ask_leader(query)
         match answer:
@@ -258,7 +242,7 @@
 
     async def _declare_dead(
         self, sentence: command.DeclareDead
-    ) -> Answer | outcome.Refused:
+    ) -> answers.Answer | outcome.Refused:
         order = messages.DeclareWorkerDead(sentence.worker)
         answer = await self._jobs.ask_leader(order)
         match answer:
@@ -270,7 +254,7 @@
                 return answer
         return _unexpected(answer)
 
-    async def _config_status(self) -> Answer:
+    async def _config_status(self) -> answers.Answer:
         statuses = await self._configuration.status()
         rows = [attrs.asdict(status) for status in statuses]
         for row in rows:
@@ -285,7 +269,7 @@
 
     async def _drain(
         self, sentence: command.Drain, expected: int | None
-    ) -> Answer | outcome.Refused:
+    ) -> answers.Answer | outcome.Refused:
         target = self._queries.target(sentence.target)
         note = ""
         if target is None:
@@ -303,130 +287,6 @@
         )
         return self._changed(result, note)
 
-    async def _stop(
-        self, sentence: command.Stop | command.Shed, expected: int | None
-    ) -> Answer | outcome.Refused:
-        works = await self._queries.works()
-        note = ""
-        if isinstance(works, outcome.Refused):
-            if sentence.plan:
-                return works
-            note = "; the tasks are not known now, planned without them"
-            works = ()
-        match sentence:
-            case command.Shed():
-                return await self._shed(sentence, works, expected, note)
-        return await self._stop_site(sentence, works, expected, note)
-
-    async def _stop_site(
-        self,
-        sentence: command.Stop,
-        works: tuple[stopplan.Work, ...],
-        expected: int | None,
-        note: str,
-    ) -> Answer | outcome.Refused:
-        within_s = sentence.within_ms / 1000
-        plan = stopplan.plan_stop(within_s, works)
-        rows = [_stage_row(stage) for stage in plan.stages]
-        text = f"slack {plan.slack_s:.1f} s of {within_s:.1f} s"
-        if plan.slack_s < 0:
-            text += (
-                "; the time is short: steps are shortened in proportion, and "
-                "what can't checkpoint in time resumes from an older checkpoint"
-            )
-        if sentence.plan:
-            return self._answer(f"planned only; {text}", rows)
-        order = declaration.Stop(
-            uuid.uuid4().hex, time.time(), within_s, 0.0, plan.steps
-        )
-        order = stopplan.keep_yielded(
-            order, self._orders.stop, self._orders.elapsed_s
-        )
-        result = await self._configuration.change(
-            edits.stop(order, replaces=expected is not None), expected
-        )
-        if isinstance(result, outcome.Refused):
-            return result
-        version = result.after.version
-        return self._answer(
-            f"accepted as version {version}; {text}{note}", rows
-        )
-
-    async def _shed(
-        self,
-        sentence: command.Shed,
-        works: tuple[stopplan.Work, ...],
-        expected: int | None,
-        note: str,
-    ) -> Answer | outcome.Refused:
-        share = sentence.percent / 100
-        if share == 0:
-            return outcome.Refused(
-                outcome.Kind.BAD_REQUEST,
-                "write stop site within ... to keep nothing",
-            )
-        workers = await self._queries.rows(command.Show(command.Noun.WORKERS))
-        if isinstance(workers, outcome.Refused):
-            return workers
-        capacity = sum(row["cores"] for row in workers)
-        within_s = (sentence.within_ms or 0) / 1000
-        order = declaration.Stop(uuid.uuid4().hex, time.time(), within_s, share)
-        standing = stopplan.Standing(order)
-        chosen = stopplan.leaving(standing, works, capacity)
-        rows = [{"id": task} for task in chosen]
-        text = (
-            f"{len(rows)} tasks leave so that tasks keep at most "
-            f"{share * capacity:g} of {capacity:g} cores"
-        )
-        if sentence.plan:
-            return self._answer(f"planned only; {text}", rows)
-        result = await self._configuration.change(
-            edits.stop(order, replaces=expected is not None), expected
-        )
-        if isinstance(result, outcome.Refused):
-            return result
-        version = result.after.version
-        return self._answer(
-            f"accepted as version {version}; {text}{note}", rows
-        )
-
-    async def _stop_status(self) -> Answer | outcome.Refused:
-        stop = self._orders.stop
-        if stop is None:
-            return self._answer("no stop or shed stands")
-        elapsed_s = self._orders.elapsed_s
-        works = await self._queries.works()
-        if isinstance(works, outcome.Refused):
-            return works
-        left_s = max(0.0, stop.within_s - elapsed_s)
-        if stop.keep_share > 0:
-            text = f"shed to {stop.keep_share:.0%} stands; {len(works)} run"
-            return self._answer(text)
-        rows = [
-            {
-                "urgency": step.urgency.name.lower(),
-                "survive": step.survive,
-                "begins_in_s": round(max(0.0, step.offset_s - elapsed_s), 3),
-                "left": sum(
-                    (w.urgency, w.survive) == (step.urgency, step.survive)
-                    for w in works
-                ),
-            }
-            for step in stop.steps
-        ]
-        text = f"stopping; {left_s:.1f} s to the deadline, {len(works)} run"
-        return self._answer(text, rows)
-
-
-def _stage_row(stage: stopplan.Stage) -> queries.Row:
-    return {
-        "urgency": stage.step.urgency.name.lower(),
-        "survive": stage.step.survive,
-        "tasks": stage.tasks,
-        "begins_s": round(stage.step.offset_s, 3),
-        "done_s": round(stage.done_s, 3),
-    }
-
 
 def _decode(body: bytes, body_type: type):
     try:
@@ -437,7 +297,7 @@
         ) from error
 
 
-def _result_name(answer: Answer | outcome.Refused) -> str:
+def _result_name(answer: answers.Answer | outcome.Refused) -> str:
     if isinstance(answer, outcome.Refused):
         return answer.kind.value
     return "done"
