A drain is done only when its target drains

Seen in a run of the tool: '0 left' came at once, before the worker had the order, so that it could still get a task. drains now shows the target's state, and the tool waits for it.

--- a/pomelostair/cli.py
+++ b/pomelostair/cli.py
@@ -151,8 +151,11 @@
         return EXIT_LATE
 
     def _left(self, query: str) -> int | None:
+        """Returns what is left, None while a target still takes new work."""
         match self._client.run(query):
             case entryclient.Answered(body={"rows": list() as rows}):
+                if any(row.get("state") == "ready" for row in rows):
+                    return None
                 return sum(int(row.get("left", 0)) for row in rows)
         return None
 
--- a/pomelostair/command.py
+++ b/pomelostair/command.py
@@ -98,7 +98,7 @@
     Noun.LIMITS: ("id", "value"),
     Noun.SERVICES: ("id", "idempotent", "survive"),
     Noun.URGENCIES: ("id", "urgency"),
-    Noun.DRAINS: ("id", "kind", "within_s", "left"),
+    Noun.DRAINS: ("id", "kind", "within_s", "state", "left"),
 }
 
 
--- a/pomelostair/queries.py
+++ b/pomelostair/queries.py
@@ -178,6 +178,10 @@
         rows = []
         for entry in self._configuration.in_force.orders.drains:
             left = await self._left(entry.target)
+            target = self.target(entry.target)
+            state = "silent"
+            if target is not None:
+                state = target.announcement.state.value
             if isinstance(left, outcome.Refused):
                 return left
             rows.append(
@@ -185,6 +189,7 @@
                     "id": entry.target,
                     "kind": entry.kind.value,
                     "within_s": entry.within_s,
+                    "state": state,
                     "left": left,
                 }
             )
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -96,6 +96,19 @@
         assert code == cli.EXIT_DONE
         assert capsys.readouterr().err == "2 left\n1 left\n0 left\n"
 
+    def test_drain_is_not_done_before_the_target_drains(
+        self, capsys, monkeypatch
+    ):
+        monkeypatch.setattr(cli, "PROGRESS_INTERVAL_S", 0)
+        answers = [answered(rows=[])]
+        answers += [
+            answered(rows=[{"id": "w", "state": state, "left": left}])
+            for state, left in (("ready", 0), ("draining", 1), ("draining", 0))
+        ]
+        code, _ = run(answers, *["drain", "worker", "w", "within", "9", "s"])
+        assert code == cli.EXIT_DONE
+        assert capsys.readouterr().err == "1 left\n0 left\n"
+
     def test_late_drain_has_its_exit_code(self, monkeypatch):
         monkeypatch.setattr(cli, "PROGRESS_INTERVAL_S", 0)
         monkeypatch.setattr(cli, "GRACE_S", 0.01)
