A drain outlives its leader's death during a table outage

Seen: the task left the drained worker by checkpoint after the leader was killed with the platform down for 2 s, never seen at two workers (sampled every 0.2 s).

--- a/tests/test_siteorders.py
+++ b/tests/test_siteorders.py
@@ -1,5 +1,6 @@
 """Stops, sheds and drains over separate processes under load."""
 
+import json
 import threading
 import time
 
@@ -291,3 +292,44 @@
         assert after["attempt"] == before["attempt"] + 1
         assert caller.eventually(lambda: executed(running_site) == {"d/0": 1})
         assert rows(running_site.balancer, "drains")[0]["left"] == 0
+
+    def test_drain_outlives_its_leader_and_a_table_outage(self, running_site):
+        assert caller.eventually(lambda: submit(running_site.balancer, "e"))
+        assert caller.eventually(lambda: executed(running_site) == {"e/0": 1})
+        before = placed(running_site.balancer)["e"]
+        worker = before["worker"]
+        sentence = f"drain worker {worker} within 30 s"
+        assert run(running_site.balancer, sentence).status == 200
+        faults = {"down": True}
+        caller.call(running_site.platform, "POST", "/faults", faults)
+        leader = _leader(running_site)
+        running_site.kill(leader)
+        running_site.restart(leader)
+        most = []
+        for _ in range(10):
+            most.append(executed(running_site).get("e/0", 0))
+            time.sleep(0.2)
+        caller.call(running_site.platform, "POST", "/faults", {})
+
+        def moved():
+            most.append(executed(running_site).get("e/0", 0))
+            task = placed(running_site.balancer).get("e")
+            return task and task["worker"] != worker and most[-1] == 1
+
+        assert caller.eventually(moved, timeout_s=40)
+        assert max(most) == 1
+
+
+def _leader(running):
+    """Returns the agent that acquired the cell lease last."""
+    found = []
+    for name, process in running.processes.items():
+        if process.role != "agent":
+            continue
+        lines = [
+            json.loads(line)
+            for line in running.log(name).splitlines()
+            if '"LEASE_ACQUIRED"' in line
+        ]
+        found.extend((line["epoch"], name) for line in lines)
+    return max(found)[1]
