--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -1,6 +1,7 @@
 """End-to-end tests over separate processes."""
 
 import hashlib
+from http import client
 
 import pytest
 
@@ -35,6 +36,22 @@
         assert answer.status == 200
         assert answer.body == f"POST /fit {digest}\n".encode() + b"." * size
 
+    @pytest.mark.parametrize("method", ["GET", "POST", "PUT"])
+    def test_chunked_body_goes_whole(self, running_site, method):
+        chunks = [b"z" * size for size in (1, 70_000, 200_000, 3)]
+        connection = client.HTTPConnection(
+            running_site.balancer, timeout=caller.TIMEOUT_S
+        )
+        headers = {"x-service-ms": "1", "transfer-encoding": "chunked"}
+        connection.request(
+            method, FIT, iter(chunks), headers, encode_chunked=True
+        )
+        response = connection.getresponse()
+        digest = hashlib.sha256(b"".join(chunks)).hexdigest()
+        assert response.status == 200
+        assert response.read() == f"{method} /fit {digest}\n".encode()
+        connection.close()
+
     def test_unknown_service_is_refused(self, running_site):
         def settled():
             answer = caller.call(
