--- a/pomelostair/leader.py
+++ b/pomelostair/leader.py
@@ -13,6 +13,7 @@
 from pomelostair import cell as cell_module
 from pomelostair import celllog
 from pomelostair import configuration
+from pomelostair import declaration
 from pomelostair import events
 from pomelostair import journal as journal_module
 from pomelostair import kernel
@@ -36,6 +37,7 @@
 SNAPSHOT_ROWS = 500
 SNAPSHOT_EVENTS = 20_000
 RECOVERY_RETRY_S = 0.2
+VACATE_TIMEOUT_S = 2.0
 
 
 @kernel.plugin(settings_module.Role.AGENT)
@@ -95,7 +97,7 @@
         return self._deposed_by > self._term.epoch
 
     async def run(self) -> None:
-        """Campaigns and leads until cancelled."""
+        """Campaigns and leads until cancelled, then hands over."""
         while True:
             previous = await self._campaign.win()
             epoch = self._log.epoch
@@ -103,6 +105,9 @@
             log.emit(events.Events.LEASE_ACQUIRED, epoch=epoch)
             try:
                 await self._lead(succession.Term(cell, epoch, previous))
+            except curio.CancelledError:
+                await self._vacate()
+                raise
             finally:
                 self._leading = False
                 self._log.release()
@@ -123,6 +128,7 @@
             succession.lease_s(self._timing),
             succession.first_horizon(term, self._timing, now),
         )
+        self._urgencies: tuple[declaration.KindUrgency, ...] | None = None
         self._rows = 0
         self._events = 0
         self._saving = False
@@ -145,6 +151,19 @@
         finally:
             await asking.cancel()
 
+    async def _vacate(self) -> None:
+        """Gives the lease up, so that another agent leads at once.
+
+        This comes after all plug-ins have drained, so that the tasks of this
+        agent's own worker are moved away under its lease.
+        """
+        if not self._leading:
+            return
+        self._leading = False
+        result = await curio.ignore_after(VACATE_TIMEOUT_S, self._log.vacate)
+        if isinstance(result, outcome.Committed):
+            log.emit(events.Events.LEASE_GIVEN_UP, epoch=self._log.epoch)
+
     async def _work_once(self) -> bool:
         """Commits, schedules and waits; returns whether to go on."""
         self._collect_lapsed()
@@ -235,11 +254,11 @@
             case cell_module.TaskPlaced():
                 log.emit(events.Events.TASK_STARTED, **attrs.asdict(event))
             case cell_module.TaskEnded(task=task, attempt=attempt, end=end):
-                lapsed = end is messages.TaskEnd.LAPSED
+                event_type = events.Events.TASK_ENDED
+                if end is messages.TaskEnd.LAPSED:
+                    event_type = events.Events.TASK_LOST
                 log.emit(
-                    events.Events.TASK_LOST
-                    if lapsed
-                    else events.Events.TASK_ENDED,
+                    event_type,
                     task=task,
                     attempt=attempt,
                     end=end.value,
@@ -323,6 +342,27 @@
         answer = messages.JobAccepted(spec.id, created)
         waiter = journal_module.Waiter(envelope, lambda: answer)
         await self._log_event(cell_module.JobSubmitted(spec), waiter)
+        wanted = self._urgency(spec)
+        if wanted is not spec.urgency:
+            await self._log_event(cell_module.UrgencySet(spec.id, wanted))
+
+    def _urgency(self, spec: messages.JobSpec) -> messages.Urgency:
+        declared = self._configuration.in_force.declarations
+        return declared.urgency_of(spec.kind, spec.urgency)
+
+    def _set_urgencies(self) -> None:
+        """Follows a change of the urgency classes in force."""
+        wanted = self._configuration.in_force.declarations.urgencies
+        if wanted == self._urgencies:
+            return
+        self._urgencies = wanted
+        for job in self._state.jobs.values():
+            urgency = self._urgency(job.spec)
+            if job.state is cell_module.JobState.ACTIVE and any(
+                task.spec.urgency is not urgency for task in job.tasks[:1]
+            ):
+                event = cell_module.UrgencySet(job.spec.id, urgency)
+                self._journal.add(event)
 
     def _check(self, spec: messages.JobSpec) -> outcome.Refused | None:
         """Returns why a submission is refused, None if it may go on."""
@@ -547,6 +587,7 @@
         )
 
     async def _schedule(self) -> None:
+        self._set_urgencies()
         plan = self._scheduler.plan(
             scheduler.Round(
                 self._state,
