--- a/pomelostair_standins/site.py
+++ b/pomelostair_standins/site.py
@@ -405,8 +405,17 @@
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     with contextlib.suppress(KeyboardInterrupt), running(shape) as site:
         print(json.dumps(site.describe()), flush=True)
+        _wait_for_interrupt()
+
+
+def _wait_for_interrupt() -> None:
+    """Waits for an interrupt; further ones do not disturb the stop."""
+    try:
         while True:
             time.sleep(1)
+    except KeyboardInterrupt:
+        for number in (signal.SIGINT, signal.SIGTERM):
+            signal.signal(number, signal.SIG_IGN)
 
 
 if __name__ == "__main__":
--- a/tests/test_standin_site.py
+++ b/tests/test_standin_site.py
@@ -2,6 +2,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 from pomelostair_standins import site
 from tests import caller
@@ -10,7 +11,7 @@
 
 
 class TestMain:
-    def test_prints_its_processes_first_and_stops_when_interrupted(self):
+    def test_prints_its_processes_first_and_stops_when_interrupted_twice(self):
         command = [sys.executable, "-m", "pomelostair_standins.site"]
         command += ["--entries", "1", "--minions", "1", "--workers", "1"]
         launcher = subprocess.Popen(
@@ -31,6 +32,8 @@
             )
             assert b"pomelostair_" in shown.body
         finally:
+            launcher.send_signal(signal.SIGINT)
+            time.sleep(0.5)
             launcher.send_signal(signal.SIGINT)
             launcher.communicate(timeout=60)
         assert launcher.returncode == 0
