Leader tests wait until the challenger has seen the lease row

Cause: they slept 0.1 s before they moved the clock; on a busy machine a challenger that read later would never have taken over (not seen to fail). Change: Campaign.watch tells what was read, and the tests wait for that.

--- a/pomelostair/campaign.py
+++ b/pomelostair/campaign.py
@@ -70,6 +70,12 @@
         self._interval_s = interval_s
         self._learn = learn
         self._second = False
+        self._watch = Watch(lapse_s)
+
+    @property
+    def watch(self) -> Watch:
+        """What is known of the lease row."""
+        return self._watch
 
     async def win(self) -> celllog.LeaseRow | None:
         """Returns after this agent took the lease.
@@ -77,18 +83,19 @@
         Returns:
             The lease row of the holder before, None for the first one.
         """
-        watch = Watch(self._lapse_s)
+        self._watch = Watch(self._lapse_s)
         while True:
             observed = await self._log.observe()
             if isinstance(observed, celllog.Observed):
                 now = self._clock.now()
-                if watch.is_new(observed, now) and observed.row is not None:
+                is_new = self._watch.is_new(observed, now)
+                if is_new and observed.row is not None:
                     self._learn(observed.row)
-                if watch.remaining(now) <= 0:
+                if self._watch.remaining(now) <= 0:
                     taken = await self._log.take(observed)
                     if isinstance(taken, outcome.Committed):
                         return observed.row
-                    watch = Watch(self._lapse_s)
+                    self._watch = Watch(self._lapse_s)
             await curio.sleep(self._pause_s())
 
     def _pause_s(self) -> float:
--- a/tests/leaders.py
+++ b/tests/leaders.py
@@ -169,6 +169,13 @@
         self.members.append(member)
         return await member.start()
 
+    async def challenger(self, name):
+        """Starts a member and waits until it has seen the lease row."""
+        member = await self.member(name)
+        watching = member.leader._campaign
+        assert await eventually(lambda: watching.watch.seen is not None)
+        return member
+
     async def leader(self, name):
         """Starts a member and waits until it leads."""
         member = await self.member(name)
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -283,8 +283,7 @@
         assert await leaders.eventually(lambda: old.leader._log.outage)
         if not reachable:
             cell.network.cut("m1")
-        new = await cell.member("m2")
-        await _settle()
+        new = await cell.challenger("m2")
         cell.clock.advance(0.08)
         assert await leaders.eventually(lambda: new.leads)
         return old, new, worker
@@ -368,9 +367,8 @@
             expected = test_cell.facts(old.leader._state)
             old.table.down = True
             await old.kill()
-            new = await cell.member("m2")
+            new = await cell.challenger("m2")
             new.objects.down = True
-            await _settle()
             cell.clock.advance(0.08)
             await _settle()
             assert not new.leads, "without its snapshot nobody may lead"
@@ -414,8 +412,7 @@
             old.freeze()
             late = await curio.spawn(worker.beat, old, 1.0)
             stale = await curio.spawn(cell.submit, old, "stale")
-            new = await cell.member("m2")
-            await _settle()
+            new = await cell.challenger("m2")
             cell.clock.advance(0.08)
             assert await leaders.eventually(lambda: new.leads)
             before = len(await cell.events())
@@ -455,8 +452,7 @@
                 await curio.sleep(0.01)
             answer = await call.join()
             await old.kill()
-            new = await cell.member("m2")
-            await _settle()
+            new = await cell.challenger("m2")
             cell.clock.advance(0.08)
             assert await leaders.eventually(lambda: new.leads)
             await old.table.release()
