--- a/bench/rounds_cost.py
+++ b/bench/rounds_cost.py
@@ -5,6 +5,7 @@
 task that it shows.
 """
 
+import statistics
 import sys
 import time
 
@@ -19,6 +20,7 @@
 CAPACITY = messages.Size(32.0, 125_000, 0)
 TASKS_EACH = 32
 REPEATS = 5
+BEATS = 60
 METRICS = metrics_module.Metrics()
 
 
@@ -124,8 +126,8 @@
             spent += seconds
             placed += count
         line = f"{workers} workers: {spent / placed * 1e6:.0f} us a placement"
-        beats = [bench.beat() for _ in range(20)]
-        beat_s = min(seconds for seconds, _ in beats)
+        beats = [bench.beat() for _ in range(BEATS)]
+        beat_s = statistics.median(seconds for seconds, _ in beats)
         line += f", {beat_s * 1e6:.0f} us a heartbeat of {beats[0][1]} tasks"
         for waiting in (100, 1000, 10_000):
             idle = Bench(workers)
