--- a/pomelostair/scheduler.py
+++ b/pomelostair/scheduler.py
@@ -8,6 +8,7 @@
 import attrs
 
 from pomelostair import cell as cell_module
+from pomelostair import declaration
 from pomelostair import events
 from pomelostair import eviction
 from pomelostair import grants
@@ -51,6 +52,7 @@
         self._metrics = metrics
         self._term = term_module.Term(now)
         self._adopted = False
+        self._declarations = declaration.Declarations()
         self._judged: dict[str, dict[Key, bool]] = {}
 
     @property
@@ -170,6 +172,7 @@
     def plan(self, decided: rounds.Round) -> rounds.Plan:
         """Returns the decisions of one round."""
         self._adopt(decided.state, decided.now)
+        self._declarations = decided.declarations
         silent_s = self._timing.silent_ms / 1000
         return rounds.Planner(self._term, decided, silent_s).plan()
 
@@ -274,12 +277,17 @@
             if task is None:
                 continue
             share = shares.get(key, 1.0)
-            full = self._term.estimates.typical(task.spec.kind, task.spec.size)
-            if usage.read_ms is not None:
+            if usage.read_ms is None:
+                full = self._term.estimates.typical(
+                    task.spec.kind, task.spec.size
+                )
+            else:
                 full = found.full(key, usage.used)
             residents[key] = reports.Resident(
                 task.spec.kind,
-                task.spec.urgency,
+                self._declarations.urgency_of(
+                    task.spec.kind, task.spec.urgency
+                ),
                 attrs.evolve(full, cores=full.cores * share),
                 share,
             )
@@ -323,7 +331,7 @@
     ) -> None:
         key = (usage.task, usage.attempt)
         resident = scene.residents[key]
-        used = relief.total([r.used for r in scene.residents.values()])
+        used = scene.used
         if used.cores <= capacity.cores and used.memory_mb <= (
             capacity.memory_mb
         ):
@@ -380,7 +388,7 @@
         return eviction.Candidate(
             usage.task,
             usage.attempt,
-            spec.urgency,
+            self._declarations.urgency_of(spec.kind, spec.urgency),
             spec.survive,
             usage.progress,
             usage.used,
@@ -440,7 +448,7 @@
             resident = scene.residents[key]
             cores = resident.used.cores * (1 / resident.share - 1)
             missing[resident.kind] = missing.get(resident.kind, 0.0) + cores
-        used = relief.total([r.used for r in scene.residents.values()])
+        used = scene.used
         if used.cores + sum(missing.values()) > capacity.cores:
             return False
         for other, victim in scene.residents.items():
