A drain asks the leader too what kind a target is

Seen in a run on a busy machine: an entry that had not heard of a worker yet accepted 'drain minion agent-worker-1', and its order stood beside the next test's (2 tests failed). The leader knows its workers, so that the wrong kind is refused by any entry.

--- a/pomelostair/commandapi.py
+++ b/pomelostair/commandapi.py
@@ -270,17 +270,15 @@
     async def _drain(
         self, sentence: command.Drain, expected: int | None
     ) -> answers.Answer | outcome.Refused:
-        target = self._queries.target(sentence.target)
+        kind = await self._queries.kind(sentence.target)
         note = ""
-        if target is None:
+        if kind is None:
             note = "; no such target is heard of now, the order waits for it"
-        elif bool(target.announcement.service) != (
-            sentence.kind is declaration.TargetKind.MINION
-        ):
-            other = "minion" if target.announcement.service else "worker"
+        elif kind is not sentence.kind:
             return outcome.Refused(
                 outcome.Kind.BAD_REQUEST,
-                f"write drain {other}; {sentence.target} is a {other}",
+                f"write drain {kind.value}; {sentence.target} is a "
+                f"{kind.value}",
             )
         result = await self._configuration.change(
             edits.drain(sentence), expected
--- a/pomelostair/queries.py
+++ b/pomelostair/queries.py
@@ -4,6 +4,7 @@
 
 from pomelostair import command
 from pomelostair import configuration
+from pomelostair import declaration
 from pomelostair import directory as directory_module
 from pomelostair import jobapi
 from pomelostair import kernel
@@ -203,6 +204,20 @@
         tasks = await self.tasks(messages.ListTasks(state=PLACED, worker=name))
         return tasks if isinstance(tasks, outcome.Refused) else len(tasks)
 
+    async def kind(self, name: str) -> declaration.TargetKind | None:
+        """Returns the kind of a target, None if nobody here knows it."""
+        target = self.target(name)
+        if target is not None and target.announcement.service:
+            return declaration.TargetKind.MINION
+        if target is not None:
+            return declaration.TargetKind.WORKER
+        workers = await self._worker_rows()
+        if isinstance(workers, list) and any(
+            row["id"] == name for row in workers
+        ):
+            return declaration.TargetKind.WORKER
+        return None
+
     def target(self, name: str) -> directory_module.Target | None:
         """Returns an announced target by its agent's name."""
         return next(
