--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,9 @@
 	  --minions $(MINIONS) --workers $(WORKERS) $(LINKS)
 
 bench: setup
+	result=0; \
 	for bench in bench/*_bench.py bench/*_cost.py; do \
-	  test ! -e $$bench || PYTHONPATH=. $(BIN)/python $$bench || exit 1; \
-	done
+	  echo "== $$bench"; \
+	  PYTHONPATH=. $(BIN)/python $$bench || result=1; \
+	done; \
+	exit $$result
