--- a/pomelostair/daemon.py
+++ b/pomelostair/daemon.py
@@ -40,8 +40,9 @@
         signal.signal(number, _leave_to_wakeup_fd)
     kernel = compose.build(settings)
     running = await curio.spawn(kernel.run)
-    await curio.spawn(_obey_signals, wakeup, kernel, daemon=True)
+    obeying = await curio.spawn(_obey_signals, wakeup, kernel, daemon=True)
     drained = await running.join()
+    await obeying.cancel()
     return 0 if drained else EXIT_CUT_SHORT
 
 
--- a/pomelostair_standins/site.py
+++ b/pomelostair_standins/site.py
@@ -29,6 +29,8 @@
 WORKERS_PER_RACK = 3
 DAEMON_ROLES = ("entry", "agent")
 
+_given_ports: set[int] = set()
+
 
 @attrs.frozen
 class Shape:
@@ -348,14 +350,18 @@
     """Returns a loopback address whose port is free now.
 
     The ports lie below those that the system gives to outgoing connections.
+    No port is given twice, since its first owner may not have bound it yet.
 
     Args:
         host: IP number of the address.
     """
     while True:
         port = random.SystemRandom().randrange(*PORTS)
+        if port in _given_ports:
+            continue
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind((host, port))
+            _given_ports.add(port)
             return f"{host}:{port}"
 
 
