A leader that stops waits for the commit on its way before it hands over

Cause: stopping cancelled an append in flight. If it took effect, the hand-over conflicted with it, so that the successor waited out the lease, and the callers of the commit got no answer. Seen in test_campaign's test_stopped_leader_hands_over under load ("cell lease given up" missing). Change: the append runs in a task of its own; a stop joins it, answers its callers, then gives the lease up. Ruled out: disabling cancellation around the append, which in curio would hold back its time-outs too.

--- a/pomelostair/journal.py
+++ b/pomelostair/journal.py
@@ -36,6 +36,11 @@
         """All events that are not committed yet, in order."""
         return (*self._sent, *self._pending)
 
+    @property
+    def sent(self) -> tuple[cell_module.Event, ...]:
+        """The events of the commit that is on its way."""
+        return tuple(self._sent)
+
     @property
     def empty(self) -> bool:
         """Whether no event waits to be sent."""
--- a/pomelostair/leader.py
+++ b/pomelostair/leader.py
@@ -132,6 +132,7 @@
         self._rows = 0
         self._events = 0
         self._saving = False
+        self._append: curio.Task | None = None
 
     async def _lead(self, term: succession.Term) -> None:
         self._begin(term)
@@ -160,10 +161,16 @@
         if not self._leading:
             return
         self._leading = False
+        if self._append is not None:
+            await curio.ignore_after(VACATE_TIMEOUT_S, self._finish_append)
         result = await curio.ignore_after(VACATE_TIMEOUT_S, self._log.vacate)
         if isinstance(result, outcome.Committed):
             log.emit(events.Events.LEASE_GIVEN_UP, epoch=self._log.epoch)
 
+    async def _finish_append(self) -> None:
+        """Waits for the commit that a stop interrupted."""
+        await self._finish_commit(self._journal.sent)
+
     async def _work_once(self) -> bool:
         """Commits, schedules and waits; returns whether to go on."""
         self._collect_lapsed()
@@ -225,7 +232,17 @@
     async def _commit(self) -> outcome.Commit:
         batch = self._journal.take(MAX_EVENTS_PER_COMMIT)
         settled = self._parts.clock.now() > self._leases.horizon
-        result = await self._log.append(batch, settled)
+        self._append = await curio.spawn(
+            self._log.append, batch, settled, daemon=True
+        )
+        return await self._finish_commit(batch)
+
+    async def _finish_commit(
+        self, batch: tuple[cell_module.Event, ...]
+    ) -> outcome.Commit:
+        assert self._append is not None
+        result = await self._append.join()
+        self._append = None
         match result:
             case outcome.Committed():
                 await self._accept(batch)
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -16,6 +16,10 @@
     LOST_ANSWER = "applied, answer lost"
     LOST_REQUEST = "not applied, answer lost"
     DELAYED = "answer lost, applied when released"
+    LATE_ANSWER = "applied, answered later"
+
+
+LATE_S = 0.2
 
 
 class FaultyTable(store.Table):
@@ -65,6 +69,10 @@
                 return await self.table.commit(transaction)
             case Fault.UNAVAILABLE:
                 return outcome.Unavailable("refused")
+            case Fault.LATE_ANSWER:
+                result = await self.table.commit(transaction)
+                await curio.sleep(LATE_S)
+                return result
             case Fault.LOST_ANSWER:
                 await self.table.commit(transaction)
             case Fault.DELAYED:
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -4,6 +4,7 @@
 import pytest
 
 from pomelostair import cell as cell_module
+from pomelostair import celllog
 from pomelostair import declaration
 from pomelostair import leader
 from pomelostair import messages
@@ -434,6 +435,25 @@
         curio.run(main)
 
 
+class TestStoppedLeader:
+    def test_waits_for_the_commit_that_is_on_its_way(self):
+        async def main():
+            cell = leaders.Cell()
+            member = await cell.leader("m1")
+            member.table.faults = [faulty.Fault.LATE_ANSWER]
+            asking = await curio.spawn(cell.submit, member, "j1")
+            assert await leaders.eventually(lambda: not member.table.faults)
+            await member.stop()
+            answer = await asking.join()
+            assert answer == messages.JobAccepted("j1", True)
+            reader = celllog.CellLog(
+                cell.table, cell.objects, cell.clock, "main", "r", "r", 1.0
+            )
+            assert (await reader.observe()).row.vacated
+
+        curio.run(main)
+
+
 class TestKilledLeader:
     @pytest.mark.parametrize("step", range(6))
     @pytest.mark.parametrize("fault", [F.LOST_ANSWER, F.LOST_REQUEST])
