--- a/pomelostair/scheduler.py
+++ b/pomelostair/scheduler.py
@@ -21,10 +21,11 @@
 from pomelostair import reports
 from pomelostair import rounds
 from pomelostair import settings as settings_module
+from pomelostair import survey
 from pomelostair import term as term_module
 
 Worker = term_module.Worker
-Round = rounds.Round
+Round = survey.Round
 Plan = rounds.Plan
 
 REFUSE_AFTER_S = 10.0
@@ -169,7 +170,7 @@
             task, (*self._term.decisions.rows(task), latest)
         )
 
-    def plan(self, decided: rounds.Round) -> rounds.Plan:
+    def plan(self, decided: survey.Round) -> rounds.Plan:
         """Returns the decisions of one round."""
         self._adopt(decided.state, decided.now)
         self._declarations = decided.declarations
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -11,9 +11,9 @@
 from pomelostair import declaration
 from pomelostair import ledger
 from pomelostair import messages
-from pomelostair import rounds
 from pomelostair import scheduler
 from pomelostair import settings
+from pomelostair import survey
 
 WORKERS = ("w1", "w2", "w3")
 CAPACITY = messages.Size(8.0, 8000, 0)
@@ -104,7 +104,7 @@
             self.agents[name].obey(grant.ack)
 
     def plan(self):
-        given = rounds.Round(
+        given = survey.Round(
             self.state, (), self.workers, self.declarations, self.now
         )
         plan = self.scheduler.plan(given)
@@ -407,7 +407,7 @@
             if found.where("b/0"):
                 break
         assert found.where("b/0")
-        assert waited <= rounds.STARVATION_S + 30
+        assert waited <= survey.STARVATION_S + 30
 
 
 class TestSpread:
