--- a/pomelostair/leader.py
+++ b/pomelostair/leader.py
@@ -30,6 +30,8 @@
 from pomelostair import snapshot
 from pomelostair import store
 from pomelostair import succession
+from pomelostair import survey
+from pomelostair import term as term_module
 from pomelostair import wire
 
 RENEWALS_PER_LEASE = 3
@@ -119,7 +121,7 @@
         self._term = term
         self._leading = False
         self._state = cell_module.State()
-        self._workers: dict[str, scheduler.Worker] = {}
+        self._workers: dict[str, term_module.Worker] = {}
         self._journal = journal_module.Journal()
         self._work = curio.Event()
         self._scheduler = self._new_scheduler()
@@ -551,7 +553,7 @@
     async def _grant(
         self, message: messages.Heartbeat, envelope, received: float
     ) -> None:
-        self._workers[message.worker] = scheduler.Worker(
+        self._workers[message.worker] = term_module.Worker(
             envelope.reply_to, message, received
         )
         self._scheduler.observe(message, self._state, received)
@@ -606,7 +608,7 @@
     async def _schedule(self) -> None:
         self._set_urgencies()
         plan = self._scheduler.plan(
-            scheduler.Round(
+            survey.Round(
                 self._state,
                 self._journal.events,
                 self._workers,
--- a/pomelostair/scheduler.py
+++ b/pomelostair/scheduler.py
@@ -24,10 +24,6 @@
 from pomelostair import survey
 from pomelostair import term as term_module
 
-Worker = term_module.Worker
-Round = survey.Round
-Plan = rounds.Plan
-
 REFUSE_AFTER_S = 10.0
 MAX_BOOTS = 16
 
@@ -134,7 +130,10 @@
         return grant
 
     def admit(
-        self, spec: messages.JobSpec, workers: dict[str, Worker], now: float
+        self,
+        spec: messages.JobSpec,
+        workers: dict[str, term_module.Worker],
+        now: float,
     ) -> outcome.Refused | None:
         """Returns why a job can never run, or None if it can or may.
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -14,6 +14,7 @@
 from pomelostair import scheduler
 from pomelostair import settings
 from pomelostair import survey
+from pomelostair import term
 
 WORKERS = ("w1", "w2", "w3")
 CAPACITY = messages.Size(8.0, 8000, 0)
@@ -92,7 +93,7 @@
 
     def beat(self, name, answered=True):
         heartbeat = self.agents[name].heartbeat(name)
-        self.workers[name] = scheduler.Worker("", heartbeat, self.now)
+        self.workers[name] = term.Worker("", heartbeat, self.now)
         self.scheduler.observe(heartbeat, self.state, self.now)
         for ended in heartbeat.ended:
             judged = self.scheduler.judged(ended)
