--- a/pomelostair/scheduler.py
+++ b/pomelostair/scheduler.py
@@ -21,12 +21,9 @@
 from pomelostair import reports
 from pomelostair import rounds
 from pomelostair import settings as settings_module
+from pomelostair import survey
 from pomelostair import term as term_module
 
-Worker = term_module.Worker
-Round = rounds.Round
-Plan = rounds.Plan
-
 REFUSE_AFTER_S = 10.0
 MAX_BOOTS = 16
 
@@ -133,7 +130,10 @@
         return grant
 
     def admit(
-        self, spec: messages.JobSpec, workers: dict[str, Worker], now: float
+        self,
+        spec: messages.JobSpec,
+        workers: dict[str, term_module.Worker],
+        now: float,
     ) -> outcome.Refused | None:
         """Returns why a job can never run, or None if it can or may.
 
@@ -169,7 +169,7 @@
             task, (*self._term.decisions.rows(task), latest)
         )
 
-    def plan(self, decided: rounds.Round) -> rounds.Plan:
+    def plan(self, decided: survey.Round) -> rounds.Plan:
         """Returns the decisions of one round."""
         self._adopt(decided.state, decided.now)
         self._declarations = decided.declarations
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -11,9 +11,10 @@
 from pomelostair import declaration
 from pomelostair import ledger
 from pomelostair import messages
-from pomelostair import rounds
 from pomelostair import scheduler
 from pomelostair import settings
+from pomelostair import survey
+from pomelostair import term
 
 WORKERS = ("w1", "w2", "w3")
 CAPACITY = messages.Size(8.0, 8000, 0)
@@ -92,7 +93,7 @@
 
     def beat(self, name, answered=True):
         heartbeat = self.agents[name].heartbeat(name)
-        self.workers[name] = scheduler.Worker("", heartbeat, self.now)
+        self.workers[name] = term.Worker("", heartbeat, self.now)
         self.scheduler.observe(heartbeat, self.state, self.now)
         for ended in heartbeat.ended:
             judged = self.scheduler.judged(ended)
@@ -104,7 +105,7 @@
             self.agents[name].obey(grant.ack)
 
     def plan(self):
-        given = rounds.Round(
+        given = survey.Round(
             self.state, (), self.workers, self.declarations, self.now
         )
         plan = self.scheduler.plan(given)
@@ -407,7 +408,7 @@
             if found.where("b/0"):
                 break
         assert found.where("b/0")
-        assert waited <= rounds.STARVATION_S + 30
+        assert waited <= survey.STARVATION_S + 30
 
 
 class TestSpread:
