--- a/pomelostair/stops.py
+++ b/pomelostair/stops.py
@@ -77,15 +77,7 @@
         order = stopplan.keep_yielded(
             order, self._orders.stop, self._orders.elapsed_s
         )
-        result = await self._configuration.change(
-            edits.stop(order, replaces=expected is not None), expected
-        )
-        if isinstance(result, outcome.Refused):
-            return result
-        version = result.after.version
-        return self._answer(
-            f"accepted as version {version}; {text}{note}", rows
-        )
+        return await self._accept(order, expected, f"{text}{note}", rows)
 
     async def _shed(
         self,
@@ -115,15 +107,22 @@
         )
         if sentence.plan:
             return self._answer(f"planned only; {text}", rows)
+        return await self._accept(order, expected, f"{text}{note}", rows)
+
+    async def _accept(
+        self,
+        order: declaration.Stop,
+        expected: int | None,
+        text: str,
+        rows: list[queries.Row],
+    ) -> answers.Answer | outcome.Refused:
         result = await self._configuration.change(
             edits.stop(order, replaces=expected is not None), expected
         )
         if isinstance(result, outcome.Refused):
             return result
         version = result.after.version
-        return self._answer(
-            f"accepted as version {version}; {text}{note}", rows
-        )
+        return self._answer(f"accepted as version {version}; {text}", rows)
 
     async def status(self) -> answers.Answer | outcome.Refused:
         """Returns what is left of the stop or shed that stands."""
