--- a/pomelostair/platform.py
+++ b/pomelostair/platform.py
@@ -102,14 +102,9 @@
         return result
 
     async def _commit(self, request: http.Request) -> outcome.Commit:
-        try:
-            response = await self._client.request(request, self._timeout_s)
-        except errors.NotSentError as error:
-            return outcome.Unavailable(str(error))
-        except errors.AnswerLostError as error:
-            return outcome.Unknown(str(error))
-        if response.status == 503:
-            return outcome.Unavailable("platform answered 503")
+        response = await _send_write(self._client, request, self._timeout_s)
+        if not isinstance(response, http.Response):
+            return response
         body = _decode(response, CommitBody)
         if isinstance(body, outcome.Unavailable):
             return outcome.Unknown(body.reason)
@@ -168,21 +163,31 @@
         return await self._write(http.Request("DELETE", _object_target(key)))
 
     async def _write(self, request: http.Request) -> store.Write:
-        try:
-            response = await self._client.request(request, self._timeout_s)
-        except errors.NotSentError as error:
-            return outcome.Unavailable(str(error))
-        except errors.AnswerLostError as error:
-            return outcome.Unknown(str(error))
+        response = await _send_write(self._client, request, self._timeout_s)
+        if not isinstance(response, http.Response):
+            return response
         if response.status == 412:
             return store.Exists()
-        if response.status == 503:
-            return outcome.Unavailable("platform answered 503")
         if response.status >= 300:
             return outcome.Unknown(f"status {response.status}")
         return store.Stored()
 
 
+async def _send_write(
+    client: httpclient.Client, request: http.Request, timeout_s: float
+) -> http.Response | outcome.Unavailable | outcome.Unknown:
+    """Sends a write once and tells apart what may have taken effect."""
+    try:
+        response = await client.request(request, timeout_s)
+    except errors.NotSentError as error:
+        return outcome.Unavailable(str(error))
+    except errors.AnswerLostError as error:
+        return outcome.Unknown(str(error))
+    if response.status == 503:
+        return outcome.Unavailable("platform answered 503")
+    return response
+
+
 async def _read_only(
     client: httpclient.Client, target: str, timeout_s: float
 ) -> http.Response | outcome.Unavailable:
