Pipelines, and an adapter to the users' platform: first thin path

Cause: nothing of the product speaks the platform's protocol, and its jobs have no stages. Change: pipelines (jobs of stages) with a leader among the entries, an agent beside the workers, and pomelostair/platform/, which alone knows the platform's names. The table client of our own stand-in is now tablehttp.py.

--- a/pomelostair/clock.py
+++ b/pomelostair/clock.py
@@ -20,6 +20,18 @@
         return time.monotonic()
 
 
+class BoottimeClock(Clock):
+    """A monotonic clock that also counts time in which the host was asleep.
+
+    Leases are measured with it: a process that wakes up must see that they
+    have lapsed meanwhile.
+    """
+
+    def now(self) -> float:
+        """Returns the seconds of `CLOCK_BOOTTIME`."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(Clock):
     """A clock that tests move by hand.
 
--- a/pomelostair/compose.py
+++ b/pomelostair/compose.py
@@ -21,10 +21,16 @@
 from pomelostair import leader as _leader  # noqa: F401
 from pomelostair import membership as _membership  # noqa: F401
 from pomelostair import metrics as metrics_module
-from pomelostair import platform
+from pomelostair import pipelineapi as _pipelineapi  # noqa: F401
 from pomelostair import settings as settings_module
+from pomelostair import tablehttp
+from pomelostair.platform import control as _control  # noqa: F401
+from pomelostair.platform import front as _front  # noqa: F401
+from pomelostair.platform import port as platform_port
+from pomelostair.platform import store as platform_store
 
 PLATFORM_CONNECTIONS = 16
+PLATFORM_WATCHES = 8  # Calls that wait have connections of their own.
 
 
 def build(settings: settings_module.Settings) -> kernel.Kernel:
@@ -40,8 +46,8 @@
         settings=settings,
         clock=clock.MonotonicClock(),
         bus=_listen(settings, metrics),
-        table=platform.HttpTable(client, metrics, timeout_s),
-        objects=platform.HttpObjects(client, timeout_s),
+        table=tablehttp.HttpTable(client, metrics, timeout_s),
+        objects=tablehttp.HttpObjects(client, timeout_s),
         metrics=metrics,
         random=random.Random(),
     )
@@ -57,6 +63,34 @@
         raise errors.StartError(text) from error
 
 
+def build_on_platform(settings: settings_module.Settings) -> kernel.Kernel:
+    """Returns the wired kernel of a process on the users' platform.
+
+    Raises:
+        StartError: An address of the settings can't be listened at.
+    """
+    metrics = metrics_module.Metrics()
+    address = settings.platform.address
+    timeout_s = settings.platform.timeout_ms / 1000
+    client = httpclient.Client(address, PLATFORM_CONNECTIONS)
+    watcher = httpclient.Client(address, PLATFORM_WATCHES)
+    parts = kernel.Parts(
+        settings=settings,
+        clock=clock.MonotonicClock(),
+        bus=_listen(settings, metrics),
+        table=platform_store.RowsTable(client, watcher, metrics, timeout_s),
+        objects=platform_store.BlobObjects(client, timeout_s),
+        metrics=metrics,
+        random=random.Random(),
+        port=platform_port.PlatformPort(),
+    )
+    try:
+        return kernel.Kernel(parts)
+    except OSError as error:
+        text = f"set free addresses of this host: {error}"
+        raise errors.StartError(text) from error
+
+
 def _listen(
     settings: settings_module.Settings, metrics: metrics_module.Metrics
 ) -> bus.NngBus:
--- a/pomelostair/daemon.py
+++ b/pomelostair/daemon.py
@@ -1,16 +1,19 @@
 """The daemon `pomelostaird`."""
 
 import argparse
+from collections.abc import Callable
 import os
 import signal
 import sys
 
+import attrs
 import curio
 import curio.socket
 
 from pomelostair import compose
 from pomelostair import errors
 from pomelostair import events
+from pomelostair import kernel as kernel_module
 from pomelostair import log
 from pomelostair import settings as settings_module
 
@@ -18,15 +21,38 @@
 EXIT_CANNOT_START = 3
 EXIT_CUT_SHORT = 4
 EXIT_SIGNAL_BASE = 128
+FILE_CHECK_S = 2.0  # The settings file is looked at this often.
 
 
-async def serve(settings: settings_module.Settings) -> int:
+@attrs.frozen
+class Reloading:
+    """How settings are read again.
+
+    Attributes:
+        path: Path of the settings file.
+        load: Reads and checks it.
+    """
+
+    path: str
+    load: Callable[[str], settings_module.Settings]
+
+
+async def serve(
+    settings: settings_module.Settings,
+    build: Callable[
+        [settings_module.Settings], kernel_module.Kernel
+    ] = compose.build,
+    reloading: Reloading | None = None,
+) -> int:
     """Runs one daemon until SIGTERM or SIGINT, then stops it gracefully.
 
-    A second signal ends the process at once.
+    A second signal ends the process at once. SIGHUP, or a changed file, reads
+    the settings again.
 
     Args:
         settings: Settings of the daemon.
+        build: Wires the parts.
+        reloading: How settings are read again, None for never.
 
     Returns:
         The exit code.
@@ -36,22 +62,88 @@
     """
     wakeup, waker = curio.socket.socketpair()
     signal.set_wakeup_fd(waker.fileno())
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, _leave_to_wakeup_fd)
-    kernel = compose.build(settings)
+    kernel = build(settings)
     running = await curio.spawn(kernel.run)
-    obeying = await curio.spawn(_obey_signals, wakeup, kernel, daemon=True)
+    reloader = _Reloader(kernel, settings, reloading)
+    watching = await curio.spawn(reloader.watch, daemon=True)
+    obeying = await curio.spawn(
+        _obey_signals, wakeup, kernel, reloader, daemon=True
+    )
     drained = await running.join()
     await obeying.cancel()
+    await watching.cancel()
     return 0 if drained else EXIT_CUT_SHORT
 
 
-async def _obey_signals(wakeup, kernel) -> None:
-    await wakeup.recv(1)
-    await kernel.stop()
-    number = (await wakeup.recv(1))[0]
-    log.emit(events.Events.STOPPED_AT_ONCE, signal=number)
-    os._exit(EXIT_SIGNAL_BASE + number)
+async def _obey_signals(wakeup, kernel, reloader: "_Reloader") -> None:
+    stopping = False
+    while True:
+        number = (await wakeup.recv(1))[0]
+        if number == signal.SIGHUP:
+            await reloader.reload("SIGHUP")
+        elif stopping:
+            log.emit(events.Events.STOPPED_AT_ONCE, signal=number)
+            os._exit(EXIT_SIGNAL_BASE + number)
+        else:
+            stopping = True
+            await kernel.stop()
+
+
+class _Reloader:
+    """Reads settings again and hands those that changed to the plug-ins."""
+
+    def __init__(
+        self,
+        kernel: kernel_module.Kernel,
+        settings: settings_module.Settings,
+        reloading: Reloading | None,
+    ):
+        self._kernel = kernel
+        self._settings = settings
+        self._reloading = reloading
+        self._stamp = self._read_stamp()
+
+    async def watch(self) -> None:
+        """Follows changes of the file that no signal tells of."""
+        while True:
+            await curio.sleep(FILE_CHECK_S)
+            stamp = self._read_stamp()
+            if stamp != self._stamp:
+                await self.reload("file changed")
+
+    async def reload(self, cause: str) -> None:
+        """Reads the file; settings that can't be used change nothing."""
+        if self._reloading is None:
+            log.emit(events.Events.RELOAD_REFUSED, cause=cause, reason="none")
+            return
+        self._stamp = self._read_stamp()
+        try:
+            settings = self._reloading.load(self._reloading.path)
+        except errors.SettingsError as error:
+            log.emit(
+                events.Events.RELOAD_REFUSED, cause=cause, reason=str(error)
+            )
+            return
+        changed = [
+            field.name
+            for field in attrs.fields(settings_module.Settings)
+            if getattr(settings, field.name)
+            != getattr(self._settings, field.name)
+        ]
+        self._settings = settings
+        log.emit(events.Events.RELOADED, cause=cause, changed=changed)
+        await self._kernel.reload(settings)
+
+    def _read_stamp(self) -> tuple[int, int]:
+        if self._reloading is None:
+            return (0, 0)
+        try:
+            found = os.stat(self._reloading.path)
+        except OSError:
+            return (0, 0)
+        return (found.st_mtime_ns, found.st_size)
 
 
 def _leave_to_wakeup_fd(_number: int, _frame: object) -> None:
--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -70,6 +70,40 @@
     WORKER_OVER_CAPACITY = Event(
         413, logging.WARNING, "worker uses more than it has"
     )
+    START_ORDERED = Event(420, logging.INFO, "attempt start ordered")
+    STOP_ORDERED = Event(421, logging.INFO, "attempt stop ordered")
+    START_REFUSED = Event(422, logging.WARNING, "worker refused a start")
+    ATTEMPT_ENDED = Event(423, logging.INFO, "attempt ended")
+    ATTEMPT_ORPHANED = Event(424, logging.WARNING, "unknown attempt runs")
+    ATTEMPT_PACED = Event(425, logging.INFO, "attempt paced")
+    ORDER_CARRIED_OUT = Event(426, logging.INFO, "order carried out")
+    PIPELINE_ACCEPTED = Event(430, logging.INFO, "pipeline accepted")
+    PIPELINE_REFUSED = Event(431, logging.WARNING, "call refused")
+    PIPELINE_CANCELLED = Event(432, logging.INFO, "pipeline cancelled")
+    PIPELINE_ENDED = Event(433, logging.INFO, "pipeline ended")
+    PIPELINE_WORKER_UP = Event(440, logging.INFO, "life of a worker began")
+    PIPELINE_WORKER_GONE = Event(441, logging.WARNING, "life of a worker ended")
+    PIPELINE_WORKER_SILENT = Event(
+        442, logging.WARNING, "worker does not answer its agent"
+    )
+    PIPELINE_WORKER_ANSWERS = Event(443, logging.INFO, "worker answers again")
+    PIPELINE_WORKER_DRAINS = Event(444, logging.INFO, "worker drains")
+    PIPELINE_WORKER_SUSPECT = Event(
+        445, logging.WARNING, "worker gets no new attempts"
+    )
+    EARLIER_LEASES_LAPSED = Event(
+        446, logging.WARNING, "leases of earlier leaders have lapsed"
+    )
+    HEARTBEAT_IGNORED = Event(447, logging.WARNING, "heartbeat ignored")
+    PIPELINE_LEADER_FOUND = Event(450, logging.INFO, "leader known")
+    PIPELINE_LEADER_LOST = Event(451, logging.WARNING, "no leader known")
+    PIPELINES_RECOVERED = Event(452, logging.INFO, "pipelines recovered")
+    ROW_IGNORED = Event(453, logging.WARNING, "unreadable row ignored")
+    STORE_LOST = Event(460, logging.WARNING, "store turns this process away")
+    STORE_BACK = Event(461, logging.INFO, "store serves this process again")
+    RELOADED = Event(105, logging.INFO, "settings reloaded")
+    RELOAD_REFUSED = Event(106, logging.WARNING, "changed settings refused")
+    LINES_DROPPED = Event(107, logging.WARNING, "log lines dropped")
     CONFIG_APPLIED = Event(500, logging.INFO, "configuration in force")
     CONFIG_REFUSED = Event(501, logging.WARNING, "configuration refused")
     COMMAND_RUN = Event(502, logging.INFO, "operator command run")
--- a/pomelostair/exporter.py
+++ b/pomelostair/exporter.py
@@ -11,7 +11,11 @@
 MAX_BODY_BYTES = 1024
 
 
-@kernel.plugin(settings_module.Role.AGENT)
+@kernel.plugin(
+    settings_module.Role.AGENT,
+    settings_module.Role.PIPELINE_ENTRY,
+    settings_module.Role.PIPELINE_AGENT,
+)
 class Exporter(kernel.Plugin):
     """Serves `/metrics` and `/healthz` of an agent."""
 
--- /dev/null
+++ b/pomelostair/fleet.py
@@ -0,0 +1,203 @@
+"""Workers as the leader of the pipelines sees them, and what runs on them."""
+
+import enum
+
+import attrs
+
+from pomelostair import pipeline
+from pomelostair import pipelinemessages as messages
+from pomelostair import resources
+
+Key = tuple[str, int]
+Life = tuple[str, int]
+
+
+class Standing(enum.Enum):
+    """How far an attempt is known to be."""
+
+    ORDERED = "ordered"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@attrs.define(eq=False)
+class Placement:
+    """An attempt that may be running on a worker.
+
+    Attributes:
+        task: Its task.
+        attempt: Number of the attempt.
+        worker: Where it is.
+        ordered: Monotonic seconds of the order, or of its discovery.
+        standing: How far it is known to be.
+        seen: Whether the worker has listed it as running.
+        order: Number of the latest order about it.
+        percent: Progress, or share at work of a lasting task.
+        load: Tail latency in milliseconds of a serving task, else cores used.
+        pace: Share in percent at which it may work.
+        moved: Monotonic seconds of the latest change of `percent`.
+        first_seen: Monotonic seconds at which it was first listed.
+        base_percent: Progress at that time.
+        barred: Whether the worker has confirmed that it will not start it, or
+            has stopped it.
+        stop_reason: Why it is being stopped.
+    """
+
+    task: pipeline.Task
+    attempt: int
+    worker: "Worker"
+    ordered: float
+    standing: Standing = Standing.ORDERED
+    seen: bool = False
+    order: int = 0
+    percent: float = 0.0
+    load: float = 0.0
+    pace: int = 100
+    moved: float = 0.0
+    first_seen: float = 0.0
+    base_percent: float = 0.0
+    barred: bool = False
+    stop_reason: str = ""
+
+    @property
+    def key(self) -> Key:
+        """Task id and attempt."""
+        return self.task.id, self.attempt
+
+
+@attrs.define(eq=False)
+class Worker:
+    """One life of a worker.
+
+    Attributes:
+        id: Its id.
+        life: Unix milliseconds of its start.
+        agent: Name of its agent.
+        bus: Bus URL of its agent.
+        state: What its agent reported last.
+        heard: Monotonic seconds of the last report.
+        granted: Monotonic seconds of the last lease grant.
+        registered: Whether the store holds its agent's name.
+        listed: Whether its lists were taken in under this leader.
+        placements: What may be running there.
+        orphans: Attempts that it lists and that belong to no pipeline.
+        used: Resources of the placements that count against its capacity.
+        filling: Millicores of the placements that use what is left over.
+        processed: Number of the last end that was taken in.
+        noted: Number of the last end that is durable.
+        results_seen: Number of the last result that was taken in.
+        last_order: Number of the last order.
+        unsent: Orders that the agent has not confirmed.
+        sent: Monotonic seconds at which they were last sent.
+        sent_number: Number of the last order that was sent.
+        agent_life: Incarnation of the agent's process.
+        trouble: Monotonic seconds until which it gets no new attempt.
+        failed_since_done: Pipelines that failed there since the last success.
+        done: Monotonic seconds of the last success.
+        failed: Monotonic seconds of the last failure.
+        stalls: Attempts that stood still since the last success.
+        budget: Share of the unused processor time that filling work may take
+            beside serving tasks.
+        budget_changed: Monotonic seconds of the latest change of `budget`.
+    """
+
+    id: str
+    life: int
+    agent: str
+    bus: str
+    state: messages.WorkerState
+    heard: float
+    granted: float
+    registered: bool = False
+    listed: bool = False
+    placements: dict[Key, Placement] = attrs.field(factory=dict)
+    orphans: set[Key] = attrs.field(factory=set)
+    used: resources.Resources = attrs.field(factory=resources.Resources)
+    filling: int = 0
+    processed: int = 0
+    noted: int = 0
+    results_seen: int = 0
+    last_order: int = 0
+    unsent: list[messages.Order] = attrs.field(factory=list)
+    sent: float = 0.0
+    sent_number: int = 0
+    agent_life: str = ""
+    trouble: float = 0.0
+    failed_since_done: set[str] = attrs.field(factory=set)
+    done: float = 0.0
+    failed: float = 0.0
+    stalls: int = 0
+    budget: float = 1.0
+    budget_changed: float = 0.0
+
+    @property
+    def free(self) -> resources.Resources:
+        """What the placements leave of the capacity."""
+        return self.state.capacity.minus(self.used)
+
+    @property
+    def unused_millicores(self) -> int:
+        """Processor time that neither counted nor filling work takes."""
+        return (
+            self.state.capacity.millicores - self.used.millicores - self.filling
+        )
+
+    def usable(self, now: float, fresh_s: float) -> bool:
+        """Returns whether it may get new attempts.
+
+        Args:
+            now: Monotonic seconds.
+            fresh_s: Age of the last report from which on it is silent.
+        """
+        return (
+            self.registered
+            and self.listed
+            and self.state.reachable
+            and not self.state.draining
+            and not self.orphans
+            and now >= self.trouble
+            and now - self.heard < fresh_s
+        )
+
+    def add(self, placement: Placement) -> None:
+        """Counts an attempt."""
+        self.placements[placement.key] = placement
+        self._count(placement.task.stage, 1)
+
+    def remove(self, placement: Placement) -> None:
+        """Stops counting an attempt."""
+        if self.placements.pop(placement.key, None) is not None:
+            self._count(placement.task.stage, -1)
+
+    def order(self, kind: str, placement: Placement, **fields) -> None:
+        """Adds an order about an attempt."""
+        self.last_order += 1
+        placement.order = self.last_order
+        self.unsent.append(
+            messages.Order(
+                self.last_order,
+                kind,
+                placement.task.id,
+                placement.attempt,
+                **fields,
+            )
+        )
+
+    def order_stop(self, task: str, attempt: int) -> None:
+        """Orders the stop of an attempt that is no placement."""
+        self.last_order += 1
+        self.unsent.append(
+            messages.Order(self.last_order, messages.STOP, task, attempt)
+        )
+
+    def _count(self, stage: pipeline.Stage, sign: int) -> None:
+        demand = stage.demand
+        millicores = demand.millicores
+        if stage.filler:
+            self.filling += sign * millicores
+            millicores = 0
+        self.used = resources.Resources(
+            self.used.millicores + sign * millicores,
+            self.used.memory_mb + sign * demand.memory_mb,
+            self.used.accelerators + sign * demand.accelerators,
+        )
--- a/pomelostair/kernel.py
+++ b/pomelostair/kernel.py
@@ -18,6 +18,7 @@
 from pomelostair import events
 from pomelostair import log
 from pomelostair import metrics as metrics_module
+from pomelostair import ports
 from pomelostair import settings as settings_module
 from pomelostair import store
 
@@ -40,6 +41,7 @@
     objects: store.Objects
     metrics: metrics_module.Metrics
     random: random.Random
+    port: ports.Port | None = None
 
 
 class Plugin:
@@ -62,6 +64,9 @@
     async def drain(self, timeout_s: float) -> None:
         """Finishes accepted work, taking at most `timeout_s`."""
 
+    async def reload(self, settings: settings_module.Settings) -> None:
+        """Takes over those settings that can change while it runs."""
+
 
 _registry: dict[settings_module.Role, list[type[Plugin]]] = {
     role: [] for role in settings_module.Role
@@ -105,6 +110,11 @@
         """Makes `run` drain the plug-ins and return."""
         await self._stop.set()
 
+    async def reload(self, settings: settings_module.Settings) -> None:
+        """Hands changed settings to every plug-in."""
+        for instance in self._plugins.values():
+            await instance.reload(settings)
+
     async def run(self) -> bool:
         """Runs all plug-ins until `stop`, then drains them in reverse.
 
--- /dev/null
+++ b/pomelostair/pipelineleader.py
@@ -0,0 +1,478 @@
+"""The leader of the pipelines, which is one of the entries.
+
+Every entry campaigns for one lease. The holder reads all pipelines from the
+store, hears from every agent what runs, and schedules from memory. Whatever
+must not be lost is committed together with the lease before it has an effect
+outside: ends are forgotten by their workers, and states are shown to callers,
+only after the commit.
+"""
+
+import time
+
+import curio
+import msgspec
+
+from pomelostair import clock as clock_module
+from pomelostair import entrypeers
+from pomelostair import events
+from pomelostair import fleet
+from pomelostair import kernel
+from pomelostair import log
+from pomelostair import outcome
+from pomelostair import pipeline
+from pomelostair import pipelinelease
+from pomelostair import pipelinemessages as messages
+from pomelostair import pipelinerows
+from pomelostair import pipelinescheduler
+from pomelostair import settings as settings_module
+from pomelostair import store
+
+# Three renewals fit into the lease.
+RENEW_S = 0.8
+# Changes are collected for this time before they are committed together.
+COMMIT_WINDOW_S = 0.015
+# Reports and acceptances are collected for this time before a round.
+ROUND_WINDOW_S = 0.005
+# A round runs at least so often, for due times, stalls and lapses.
+ROUND_S = 0.25
+# Silence of the leader after which others look at the lease row.
+LOOK_AFTER_S = 1.2
+LOOK_S = 0.3
+RETRY_S = 0.1
+FEED_WAIT_S = 2.0
+HELLO_S = 1.0
+FORGET_S = 5.0
+VACATE_TIMEOUT_S = 1.5
+CLOCK_DRIFT = 0.02  # The platform bounds the drift of its clocks by 2 %.
+LAPSE_MARGIN_S = 0.25  # Delays between a reading of a clock and its use.
+
+
+@kernel.plugin(settings_module.Role.PIPELINE_ENTRY)
+class PipelineLeader(kernel.Plugin):
+    """Campaigns for the lease and leads under it."""
+
+    requires = (entrypeers.EntryPeers,)
+
+    def __init__(self, parts: kernel.Parts, host: kernel.Kernel):
+        super().__init__(parts, host)
+        self._peers = host.get(entrypeers.EntryPeers)
+        self._peers.count_pending = self._count_pending
+        self._table = self._peers.table
+        self._clock = clock_module.BoottimeClock()
+        self._lease = pipelinelease.PipelineLease(
+            self._table, self._clock, parts.settings.name, parts.bus.address
+        )
+        grant_ms = parts.settings.pipelines.grant_ms
+        self._grant_ms = grant_ms
+        self._lapse_s = grant_ms / 1000 * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_S
+        self._retention_ms = parts.settings.pipelines.retention_s * 1000
+        self._scheduler: pipelinescheduler.PipelineScheduler | None = None
+        self._leading = False
+        self._stopping = False
+        self._dirty = curio.Event()
+        self._work = curio.Event()
+        self._feed_version = 0
+        self._renewed = 0.0
+        self._scanned = 0
+        self._hellos: dict[str, float] = {}
+        parts.bus.handle(messages.AgentReport, self._on_report)
+        parts.bus.handle(messages.StatusQuery, self._on_status)
+        parts.bus.handle(messages.RowStored, self._on_accepted)
+        parts.metrics.gauge("leading", lambda: self._leading)
+        parts.metrics.gauge("pipelines_held", self._count_held)
+
+    @property
+    def leading(self) -> bool:
+        """Whether this process leads and has read everything."""
+        return self._leading and self._lease.held
+
+    async def run(self) -> None:
+        """Campaigns and leads until cancelled."""
+        while not self._stopping:
+            observed = await self._look()
+            if observed is None or not await self._lease.take(observed):
+                continue
+            try:
+                await self._lead(observed)
+            finally:
+                self._leading = False
+                self._scheduler = None
+                log.emit(
+                    events.Events.LEASE_LOST,
+                    epoch=self._lease.epoch,
+                    held=self._lease.held,
+                )
+                self._lease.release()
+        await curio.sleep(self._parts.settings.pipelines.shutdown_s * 2)
+
+    async def drain(self, timeout_s: float) -> None:
+        """Gives the lease up, so that another entry leads at once."""
+        self._stopping = True
+        if self._lease.epoch and self._leading:
+            epoch = self._lease.epoch
+            self._leading = False
+            await self._work.set()
+            await self._dirty.set()
+            if await curio.ignore_after(VACATE_TIMEOUT_S, self._lease.vacate):
+                log.emit(events.Events.LEASE_GIVEN_UP, epoch=epoch)
+            self._peers.learn_seat(messages.LeaderSeat(epoch))
+            await self._peers.announce()
+
+    def status(self, pipeline_id: str) -> pipeline.Phase | None:
+        """Returns the durable state of a pipeline, None for an unknown one."""
+        if self._scheduler is None:
+            return None
+        return self._scheduler.phase(pipeline_id)
+
+    async def accept(self, row: store.Row) -> None:
+        """Takes in a row that an entry has stored."""
+        if self._scheduler is not None and self._leading:
+            self._take_row(row)
+            await self._work.set()
+            await self._dirty.set()
+
+    def _count_held(self) -> int:
+        return 0 if self._scheduler is None else len(self._scheduler.pipelines)
+
+    def _count_pending(self) -> dict[str, int] | None:
+        if not self.leading or self._scheduler is None:
+            return None
+        return self._scheduler.pending()
+
+    async def _look(self) -> pipelinelease.Observed | None:
+        """Waits until the lease may be free; returns what was read of it."""
+        if self._peers.leader_silence_s < LOOK_AFTER_S and self._peers.seat.bus:
+            await curio.sleep(LOOK_S)
+            return None
+        observed = await self._lease.observe()
+        if not isinstance(observed, pipelinelease.Observed):
+            await curio.sleep(LOOK_S)
+            return None
+        if self._lease.is_free(observed):
+            await curio.sleep(self._parts.random.uniform(0, 0.05))
+            return observed
+        row = observed.row
+        self._peers.learn_seat(
+            messages.LeaderSeat(row.epoch, row.holder, row.bus)
+        )
+        left_s = -self._lease.lapsed_for_s(row)
+        await curio.sleep(min(max(left_s, 0.05), LOOK_S))
+        return None
+
+    async def _lead(self, observed: pipelinelease.Observed) -> None:
+        epoch = self._lease.epoch
+        previous = observed.row
+        lapsed_s = 0.0
+        if previous is not None:
+            lapsed_s = self._lease.lapsed_for_s(previous)
+        log.emit(
+            events.Events.LEASE_ACQUIRED,
+            epoch=epoch,
+            previous=previous.holder if previous else "",
+            lapsed_s=round(lapsed_s, 3),
+        )
+        self._scheduler = pipelinescheduler.PipelineScheduler(
+            epoch,
+            self._lease.version,
+            self._parts.metrics,
+            _unix_ms,
+            self._lapse_s,
+        )
+        self._scheduler.set_queues(self._peers.queues)
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._commit_at_intervals)
+            await group.spawn(self._recover_and_follow, lapsed_s)
+            await group.spawn(self._schedule)
+            await group.spawn(self._forget_at_intervals)
+        _ = group.result
+
+    @property
+    def _seat(self) -> messages.LeaderSeat:
+        return messages.LeaderSeat(
+            self._lease.epoch,
+            self._parts.settings.name,
+            self._parts.bus.address,
+        )
+
+    async def _recover_and_follow(self, lapsed_s: float) -> None:
+        begun = self._clock.now()
+        while not await self._recover(begun, lapsed_s):
+            await curio.sleep(RETRY_S)
+        self._leading = True
+        self._peers.learn_seat(self._seat)
+        await self._peers.announce()
+        for bus in self._scheduler.agents.values():
+            await self._send(bus, messages.LeaderHello(self._seat))
+        log.emit(
+            events.Events.PIPELINES_RECOVERED,
+            epoch=self._lease.epoch,
+            pipelines=len(self._scheduler.pipelines),
+            agents=len(self._scheduler.agents),
+            took_s=round(self._clock.now() - begun, 3),
+        )
+        await self._follow()
+
+    async def _recover(self, begun: float, lapsed_s: float) -> bool:
+        """Reads everything that is kept; returns whether that succeeded."""
+        progress = await self._scan(pipelinerows.PROGRESS)
+        agents = await self._scan(pipelinerows.AGENTS)
+        if progress is None or agents is None:
+            return False
+        kept: dict[str, pipeline.Progress] = {}
+        for row in progress:
+            name = row.key.rpartition("/")[2]
+            kept[name] = pipeline.decode_progress(row.value)
+        known = {
+            row.key.rpartition("/")[2]: row.value.decode() for row in agents
+        }
+        horizon = begun + self._lapse_s - max(0.0, lapsed_s)
+        self._scheduler.expect(known, horizon)
+        return await self._read_pipelines(kept)
+
+    async def _read_pipelines(self, kept: dict[str, pipeline.Progress]) -> bool:
+        version = None
+        for partition in range(pipelinerows.PARTITIONS):
+            rows = await self._scan(pipelinerows.prefix(partition))
+            if rows is None:
+                return False
+            version = (
+                self._scanned
+                if version is None
+                else min(version, self._scanned)
+            )
+            declared = [r for r in rows if "/job/" in r.key]
+            for row in (*declared, *(r for r in rows if "/job/" not in r.key)):
+                self._take_row(row, kept)
+        self._feed_version = version or 0
+        return True
+
+    async def _scan(self, prefix: str) -> list[store.Row] | None:
+        rows: list[store.Row] = []
+        after = ""
+        while True:
+            page = await self._table.scan(prefix, after)
+            if not isinstance(page, store.Page):
+                return None
+            if not after:
+                self._scanned = page.version
+            rows.extend(page.rows)
+            if not page.more or not page.rows:
+                return rows
+            after = page.rows[-1].key
+
+    def _take_row(
+        self, row: store.Row, kept: dict[str, pipeline.Progress] | None = None
+    ) -> None:
+        try:
+            match pipelinerows.decode(row):
+                case pipelinerows.Declared(
+                    declaration=declared, version=number
+                ):
+                    progress = (kept or {}).get(declared.id)
+                    self._scheduler.add(
+                        declared,
+                        number,
+                        progress or pipeline.Progress(),
+                        self._clock.now(),
+                    )
+                case pipelinerows.Cancelled(id=pipeline_id):
+                    self._scheduler.cancel(pipeline_id)
+        except (msgspec.MsgspecError, ValueError) as error:
+            self._parts.metrics.count("rows_ignored")
+            log.emit(events.Events.ROW_IGNORED, key=row.key, reason=str(error))
+
+    async def _follow(self) -> None:
+        """Takes in what entries store while this process leads."""
+        while True:
+            changes = await self._table.watch(
+                pipelinerows.TABLE, self._feed_version, FEED_WAIT_S
+            )
+            match changes:
+                case store.Changes(rows=rows):
+                    for row in rows:
+                        self._take_row(row)
+                    self._feed_version = changes.version
+                    if rows:
+                        await self._work.set()
+                        await self._dirty.set()
+                case store.HistoryGone():
+                    if not await self._read_pipelines({}):
+                        await curio.sleep(RETRY_S)
+                    await self._work.set()
+                case _:
+                    await curio.sleep(RETRY_S)
+
+    async def _commit_at_intervals(self) -> None:
+        while not self._stopping:
+            await curio.ignore_after(RENEW_S, self._dirty.wait)
+            self._dirty.clear()
+            await curio.sleep(COMMIT_WINDOW_S)
+            if self._stopping or not await self._commit():
+                return
+
+    async def _commit(self) -> bool:
+        """Commits what is due; returns whether the lease goes on."""
+        scheduler = self._scheduler
+        batch = scheduler.take_batch()
+        if batch.empty and batch.ends and self._lease.held:
+            await self._tell(scheduler.confirm(batch))
+            if self._lease_is_young:
+                return True
+        begun = self._clock.now()
+        result = await self._lease.commit(*_rows(batch))
+        self._parts.metrics.record("commit_seconds", self._clock.now() - begun)
+        match result:
+            case outcome.Committed():
+                self._renewed = begun
+                await self._tell(scheduler.confirm(batch))
+                if scheduler.has_unstored:
+                    await self._dirty.set()
+                return True
+            case outcome.Unavailable(reason=reason):
+                scheduler.abandon(batch)
+                self._parts.metrics.count("commits_failed")
+                log.emit(
+                    events.Events.LEASE_RENEWAL_FAILED,
+                    reason=reason,
+                    held=self._lease.held,
+                )
+                await curio.sleep(RETRY_S)
+                await self._dirty.set()
+                return True
+        return False
+
+    @property
+    def _lease_is_young(self) -> bool:
+        return self._clock.now() - self._renewed < RENEW_S
+
+    async def _tell(self, workers: list[fleet.Worker]) -> None:
+        for worker in workers:
+            await self._instruct(worker, 0)
+
+    async def _schedule(self) -> None:
+        while True:
+            await curio.ignore_after(ROUND_S, self._work.wait)
+            self._work.clear()
+            await curio.sleep(ROUND_WINDOW_S)
+            if not self.leading:
+                continue
+            now = self._clock.now()
+            self._scheduler.set_queues(self._peers.queues)
+            self._scheduler.round(now)
+            self._parts.metrics.record("round_seconds", self._clock.now() - now)
+            if not self._lease.held:
+                continue
+            for worker in list(self._scheduler.workers.values()):
+                orders = self._scheduler.orders(worker, now)
+                if orders:
+                    await self._instruct(worker, 0, orders)
+            if self._scheduler.has_unstored:
+                await self._dirty.set()
+            await self._greet(now)
+
+    async def _greet(self, now: float) -> None:
+        """Asks agents that were not heard yet to report."""
+        for name in self._scheduler.unheard:
+            if now - self._hellos.get(name, 0.0) > HELLO_S:
+                self._hellos[name] = now
+                bus = self._scheduler.agents[name]
+                await self._send(bus, messages.LeaderHello(self._seat))
+
+    async def _instruct(
+        self,
+        worker: fleet.Worker,
+        lease_end_ms: int,
+        orders: tuple[messages.Order, ...] = (),
+    ) -> None:
+        await self._send(
+            worker.bus,
+            messages.Instructions(
+                self._seat,
+                worker.id,
+                worker.life,
+                lease_end_ms,
+                worker.noted,
+                worker.results_seen,
+                orders,
+            ),
+        )
+
+    async def _send(self, bus: str, message: object) -> None:
+        """Sends without waiting for a peer that can't be reached."""
+        await curio.spawn(self._parts.bus.send, bus, message, daemon=True)
+
+    async def _forget_at_intervals(self) -> None:
+        """Removes the rows of pipelines that ended long ago.
+
+        The declaration goes first: a progress without it is harmless, but a
+        declaration without its progress would run again.
+        """
+        while True:
+            await curio.sleep(FORGET_S)
+            if not self.leading:
+                continue
+            for name in self._scheduler.expired(self._retention_ms):
+                keys = (
+                    pipelinerows.declaration_key(name),
+                    pipelinerows.cancellation_key(name),
+                )
+                result = await self._table.commit(
+                    store.Transaction(deletes=keys)
+                )
+                if not isinstance(result, outcome.Committed):
+                    break
+                self._scheduler.forget(name)
+
+    async def _on_report(self, message: messages.AgentReport, envelope) -> None:
+        if not self.leading or message.epoch > self._lease.epoch:
+            self._parts.metrics.count("reports_ignored")
+            return
+        now = self._clock.now()
+        bus = envelope.reply_to
+        if message.epoch < self._lease.epoch:
+            await self._send(bus, messages.LeaderHello(self._seat))
+            return
+        for worker in self._scheduler.report(
+            message, bus, envelope.incarnation, now
+        ):
+            lease_end_ms = 0
+            if worker.state.fresh and worker.state.reachable:
+                lease_end_ms = worker.state.clock_ms + self._grant_ms
+                worker.granted = now
+            await self._instruct(worker, lease_end_ms)
+        if not message.workers:
+            await self._send(
+                bus, messages.Instructions(self._seat, "", 0, 0, 0, 0)
+            )
+        await self._work.set()
+        if self._scheduler.has_unstored:
+            await self._dirty.set()
+
+    async def _on_status(self, message: messages.StatusQuery, envelope) -> None:
+        if self.leading:
+            answer = messages.StatusAnswer(self.status(message.id))
+            await self._parts.bus.reply(envelope, answer)
+
+    async def _on_accepted(
+        self, message: messages.RowStored, _envelope
+    ) -> None:
+        await self.accept(message.row)
+
+
+def _rows(
+    batch: pipelinescheduler.Batch,
+) -> tuple[tuple[store.Put, ...], tuple[str, ...]]:
+    puts = [
+        store.Put(pipelinerows.progress_key(name), pipeline.encode(progress))
+        for name, progress in batch.progress.items()
+    ]
+    puts.extend(
+        store.Put(f"{pipelinerows.AGENTS}{name}", bus.encode())
+        for name, bus in batch.agents.items()
+    )
+    deletes = tuple(pipelinerows.progress_key(n) for n in batch.forgotten)
+    return tuple(puts), deletes
+
+
+def _unix_ms() -> float:
+    return time.time() * 1000
--- /dev/null
+++ b/pomelostair/pipelineorder.py
@@ -0,0 +1,90 @@
+"""Which pipeline is served next when there is more work than room.
+
+Answers the pattern of a burst: far more work arrives for some seconds than the
+workers can do, and then less for a while. Pipelines that can still meet their
+objective go first, those with the least slack before others; then those that
+can at least be done while a late answer is of use; then the rest, so that
+nothing starves for ever.
+"""
+
+import enum
+
+import attrs
+
+from pomelostair import pipeline
+from pomelostair import queues
+
+# A late answer is of use up to this multiple of the objective (the platform's
+# rule on benefits).
+LATE_FACTOR = 3.0
+# Share of an estimate that counts when feasibility is judged: estimates are
+# rough, and a wrong "too late" costs more than a wasted attempt.
+TRUST_IN_ESTIMATE = 0.7
+
+
+class Outlook(enum.IntEnum):
+    """What a pipeline can still reach."""
+
+    IN_TIME = 0
+    LATE = 1
+    USELESS = 2
+
+
+@attrs.frozen
+class Rank:
+    """Position of a pipeline; smaller goes first."""
+
+    outlook: Outlook
+    priority: int
+    slack_s: float
+
+    @property
+    def key(self) -> tuple[int, int, float]:
+        """Sort key."""
+        return (self.outlook, self.priority, self.slack_s)
+
+
+def remaining_s(item: pipeline.Pipeline) -> float:
+    """Returns the estimated time of the longest chain that is left."""
+    ends: list[float] = []
+    longest = 0.0
+    for number, stage in enumerate(item.declaration.stages):
+        begin = max((ends[before] for before in stage.after), default=0.0)
+        left = any(
+            task.phase is not pipeline.TaskPhase.DONE
+            for task in item.tasks(0, number)
+        )
+        ends.append(begin + (stage.estimate_ms / 1000 if left else 0.0))
+        longest = max(longest, ends[-1])
+    return longest
+
+
+def rank(
+    item: pipeline.Pipeline,
+    queue: queues.Queue | None,
+    unix_ms: float,
+) -> Rank:
+    """Returns the position of a pipeline.
+
+    Args:
+        item: The pipeline.
+        queue: Its queue, None if the configuration names it no more.
+        unix_ms: Time of day.
+    """
+    declaration = item.declaration
+    if queue is None:
+        return Rank(Outlook.LATE, 0, 0.0)
+    if declaration.lasting or declaration.timed:
+        return Rank(Outlook.IN_TIME, queue.priority, 0.0)
+    objective_s = (
+        queue.stretch * declaration.chain_ms() + queue.objective_ms
+    ) / 1000
+    age_s = max(0.0, (unix_ms - declaration.submitted_ms) / 1000)
+    left_s = remaining_s(item)
+    slack_s = objective_s - age_s - left_s
+    hoped_s = left_s * TRUST_IN_ESTIMATE
+    if age_s + hoped_s <= objective_s:
+        return Rank(Outlook.IN_TIME, queue.priority, slack_s)
+    if age_s + hoped_s <= objective_s * LATE_FACTOR:
+        return Rank(Outlook.LATE, queue.priority, slack_s)
+    return Rank(Outlook.USELESS, queue.priority, slack_s)
--- /dev/null
+++ b/pomelostair/pipelinerows.py
@@ -0,0 +1,71 @@
+"""Where pipelines are kept in the store.
+
+Declarations and cancellations are written by the entry that took them, spread
+over partitions so that the rate of one bounds nothing. Progress is written by
+the leader, in the partition of its lease row.
+"""
+
+import attrs
+
+from pomelostair import pipeline
+from pomelostair import store
+
+TABLE = "pipelines"
+PARTITIONS = 8
+PROGRESS = "progress/cell/"
+AGENTS = "agents/cell/"
+_JOB = "job/"
+_CANCEL = "cancel/"
+
+
+@attrs.frozen
+class Declared:
+    """A row that declares a pipeline."""
+
+    declaration: pipeline.Declaration
+    version: int
+
+
+@attrs.frozen
+class Cancelled:
+    """A row that cancels a pipeline."""
+
+    id: str
+
+
+def prefix(partition: int) -> str:
+    """Returns the start of the keys of one partition."""
+    return f"{TABLE}/{partition}/"
+
+
+def declaration_key(pipeline_id: str) -> str:
+    """Returns the key of a declaration."""
+    return f"{_prefix_of(pipeline_id)}{_JOB}{pipeline_id}"
+
+
+def cancellation_key(pipeline_id: str) -> str:
+    """Returns the key of a cancellation."""
+    return f"{_prefix_of(pipeline_id)}{_CANCEL}{pipeline_id}"
+
+
+def progress_key(pipeline_id: str) -> str:
+    """Returns the key of a progress."""
+    return f"{PROGRESS}{pipeline_id}"
+
+
+def decode(row: store.Row) -> Declared | Cancelled:
+    """Returns what a row of the table says.
+
+    Raises:
+        msgspec.MsgspecError: The row is of another writer.
+        ValueError: Likewise.
+    """
+    _, _, name = row.key.split("/", 2)
+    kind, _, pipeline_id = name.partition("/")
+    if f"{kind}/" == _CANCEL:
+        return Cancelled(pipeline_id)
+    return Declared(pipeline.decode_declaration(row.value), row.version)
+
+
+def _prefix_of(pipeline_id: str) -> str:
+    return prefix(pipeline.partition(pipeline_id, PARTITIONS))
--- /dev/null
+++ b/pomelostair/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform; only this package knows its names."""
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -24,6 +24,8 @@
 
     ENTRY = "entry"
     AGENT = "agent"
+    PIPELINE_ENTRY = "pipeline-entry"
+    PIPELINE_AGENT = "pipeline-agent"
 
 
 def _check_endpoint(_instance, attribute: attrs.Attribute, value: str):
@@ -197,6 +199,43 @@
             raise errors.SettingsError(key, value, remedy)
 
 
+@attrs.frozen
+class Pipelines:
+    """Settings of the processes that run pipelines.
+
+    Attributes:
+        callers: HTTP address for callers, at an entry.
+        readiness: HTTP address at which an entry tells whether it is ready.
+        workers: HTTP address at which workers announce themselves.
+        seeds: Bus URLs of entries to begin with; some may be stale.
+        hold_ms: Length of the lease under which a worker runs attempts.
+        grant_ms: How far ahead the leader lets an agent extend that lease.
+        retention_s: Time for which an ended pipeline is kept.
+        shutdown_s: Longest graceful stop.
+    """
+
+    callers: str | None = attrs.field(
+        default=None, validator=attrs.validators.optional(_check_endpoint)
+    )
+    readiness: str | None = attrs.field(
+        default=None, validator=attrs.validators.optional(_check_endpoint)
+    )
+    workers: str | None = attrs.field(
+        default=None, validator=attrs.validators.optional(_check_endpoint)
+    )
+    seeds: tuple[str, ...] = ()
+    hold_ms: int = _positive(5000)
+    grant_ms: int = _positive(7500)
+    retention_s: float = _positive(180.0)
+    shutdown_s: float = _positive(5.0)
+
+    def __attrs_post_init__(self):
+        """Checks what spans several keys."""
+        if self.grant_ms < self.hold_ms:
+            remedy = f"use at least hold_ms, which is {self.hold_ms}"
+            raise errors.SettingsError("grant_ms", self.grant_ms, remedy)
+
+
 @attrs.frozen
 class Settings:
     """Settings of one daemon.
@@ -218,6 +257,7 @@
         target: What stands beside an agent.
         timing: Intervals and leases.
         log_level: Lowest level of log lines.
+        pipelines: Settings of the roles that run pipelines.
     """
 
     role: Role
@@ -237,6 +277,7 @@
     target: Target | None = None
     timing: Timing = attrs.field(factory=Timing)
     log_level: str = attrs.field(default="INFO", validator=_check_level)
+    pipelines: Pipelines | None = None
 
     def __attrs_post_init__(self):
         """Checks what spans several keys."""
--- a/pomelostair/store.py
+++ b/pomelostair/store.py
@@ -5,8 +5,10 @@
 """
 
 import abc
+import time
 
 import attrs
+import curio
 
 from pomelostair import outcome
 
@@ -65,10 +67,17 @@
 
 @attrs.frozen
 class Page:
-    """Rows in key order; `more` tells that further ones follow."""
+    """Rows in key order.
+
+    Attributes:
+        rows: The rows.
+        more: Whether further ones follow.
+        version: Newest version of the table at that moment.
+    """
 
     rows: tuple[Row, ...]
     more: bool
+    version: int = 0
 
 
 @attrs.frozen
@@ -88,7 +97,41 @@
     data: bytes
 
 
+@attrs.frozen
+class Changes:
+    """What changed after a version.
+
+    Attributes:
+        rows: Rows that were written, in the order of their versions.
+        deleted: Keys of rows that were removed.
+        version: Version to go on from.
+    """
+
+    rows: tuple[Row, ...]
+    deleted: tuple[str, ...]
+    version: int
+
+
+@attrs.frozen
+class HistoryGone:
+    """The changes after a version are not available any more."""
+
+
+@attrs.frozen
+class StoreTime:
+    """Bounds of the present reading of the store's steady clock.
+
+    Attributes:
+        earliest_ms: The clock shows at least this.
+        latest_ms: The clock shows at most this.
+    """
+
+    earliest_ms: float
+    latest_ms: float
+
+
 Read = Found | Absent | outcome.Unavailable
+Watch = Changes | HistoryGone | outcome.Unavailable
 Scan = Page | outcome.Unavailable
 Write = Stored | Exists | outcome.Unavailable | outcome.Unknown
 Fetch = Object | Absent | outcome.Unavailable
@@ -117,6 +160,20 @@
     async def commit(self, transaction: Transaction) -> outcome.Commit:
         """Applies a transaction."""
 
+    async def watch(self, table: str, after: int, wait_s: float) -> Watch:
+        """Waits for changes of rows whose keys begin with `table` and "/".
+
+        Args:
+            table: First segment of the wanted keys.
+            after: Version after which changes are wanted.
+            wait_s: Longest wait for the first change.
+        """
+        raise NotImplementedError(f"{type(self).__name__} keeps no history")
+
+    def time(self) -> StoreTime | None:
+        """Returns the store's time, None before its first answer."""
+        raise NotImplementedError(f"{type(self).__name__} tells no time")
+
 
 class Objects(abc.ABC):
     """The platform's object store."""
@@ -140,6 +197,9 @@
     def __init__(self):
         self._rows: dict[str, Row] = {}
         self._version = 0
+        self._history: list[tuple[int, str]] = []
+        self._forgotten = 0
+        self._changed = curio.Event()
 
     async def read(self, key: str) -> Read:
         """Reads one row."""
@@ -154,7 +214,7 @@
             key for key in self._rows if key.startswith(prefix) and key > after
         )
         rows = tuple(self._rows[key] for key in keys[:limit])
-        return Page(rows, more=len(keys) > limit)
+        return Page(rows, len(keys) > limit, self._version)
 
     async def commit(self, transaction: Transaction) -> outcome.Commit:
         """Applies a transaction."""
@@ -165,11 +225,48 @@
                 return outcome.Conflict(check.key, version)
         self._version += 1
         for key in transaction.deletes:
-            self._rows.pop(key, None)
+            if self._rows.pop(key, None) is not None:
+                self._history.append((self._version, key))
         for put in transaction.puts:
             self._rows[put.key] = Row(put.key, put.value, self._version)
+            self._history.append((self._version, put.key))
+        await self._changed.set()
         return outcome.Committed(self._version)
 
+    async def watch(self, table: str, after: int, wait_s: float) -> Watch:
+        """Waits for changes of rows of one table."""
+        deadline = time.monotonic() + wait_s
+        while True:
+            if after < self._forgotten:
+                return HistoryGone()
+            found = self._changes(f"{table}/", after)
+            left_s = deadline - time.monotonic()
+            if found.rows or found.deleted or left_s <= 0:
+                return found
+            self._changed.clear()
+            await curio.ignore_after(left_s, self._changed.wait)
+
+    def time(self) -> StoreTime:
+        """Returns the time of this process."""
+        now_ms = time.monotonic() * 1000
+        return StoreTime(now_ms, now_ms)
+
+    def forget_history(self) -> None:
+        """Drops the changes so far, as the platform may at any time."""
+        self._forgotten = self._version
+        self._history.clear()
+
+    def _changes(self, prefix: str, after: int) -> Changes:
+        keys = {
+            key: None
+            for version, key in self._history
+            if version > after and key.startswith(prefix)
+        }
+        rows = [self._rows[key] for key in keys if key in self._rows]
+        rows.sort(key=lambda row: row.version)
+        deleted = tuple(key for key in keys if key not in self._rows)
+        return Changes(tuple(rows), deleted, self._version)
+
 
 class MemoryObjects(Objects):
     """An object store in this process's memory."""
--- a/pomelostair_standins/platform.py
+++ b/pomelostair_standins/platform.py
@@ -7,7 +7,7 @@
 
 from pomelostair import http
 from pomelostair import outcome
-from pomelostair import platform
+from pomelostair import tablehttp
 from pomelostair import store
 from pomelostair_standins import service
 
@@ -42,9 +42,9 @@
         self._commits += 1
         match await self._table.commit(transaction):
             case outcome.Committed(version=version):
-                body = platform.CommitBody(True, version)
+                body = tablehttp.CommitBody(True, version)
             case outcome.Conflict(key=key, version=version):
-                body = platform.CommitBody(False, version, key)
+                body = tablehttp.CommitBody(False, version, key)
         return http.json_response(200, body)
 
     async def _read(self, key: str) -> http.Response:
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -18,7 +18,7 @@
 from pomelostair import http
 from pomelostair import jobapi
 from pomelostair import messages
-from pomelostair import platform
+from pomelostair import tablehttp
 from pomelostair import wire
 
 JSON = strategies.recursive(
@@ -126,12 +126,12 @@
             def count(self, *_args, **_labels):
                 pass
 
-        table = platform.HttpTable(Client(), Metrics(), 1.0)
+        table = tablehttp.HttpTable(Client(), Metrics(), 1.0)
 
         async def ask():
             await table.read("a")
             await table.scan("a")
-            return await table.commit(platform.store.Transaction())
+            return await table.commit(tablehttp.store.Transaction())
 
         assert type(curio.run(ask)).__name__ in {
             "Committed",
--- a/tests/test_platform.py
+++ b/tests/test_tablehttp.py
@@ -8,7 +8,7 @@
 from pomelostair import httpserver
 from pomelostair import metrics
 from pomelostair import outcome
-from pomelostair import platform
+from pomelostair import tablehttp
 from pomelostair import store
 from pomelostair_standins import platform as platform_standin
 from pomelostair_standins import service
@@ -37,10 +37,10 @@
             task = await curio.spawn(server.run, daemon=True)
             client = httpclient.Client(f"127.0.0.1:{server.port}", 4)
             self.client = client
-            self.table = platform.HttpTable(
+            self.table = tablehttp.HttpTable(
                 client, metrics.Metrics(), self._timeout_s
             )
-            self.objects = platform.HttpObjects(client, self._timeout_s)
+            self.objects = tablehttp.HttpObjects(client, self._timeout_s)
             try:
                 return await curio.timeout_after(WAIT_S, body)
             finally:
