--- a/pomelostair/entrypeers.py
+++ b/pomelostair/entrypeers.py
@@ -209,9 +209,7 @@
         for bus in message.entries:
             self._meet(bus)
         if message.seat.bus and message.seat.epoch >= self._seat.epoch:
-            if message.seat.bus == message.bus:
-                self.learn_seat(message.seat)
-            elif message.seat.epoch > self._seat.epoch:
+            if message.seat.bus == message.bus or message.seat.epoch > self._seat.epoch:
                 self.learn_seat(message.seat)
         vacated = not message.seat.bus and message.seat == attrs.evolve(
             self._seat, name="", bus=""
--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -54,7 +54,7 @@
     speculative: bool = False
     lasting: bool = False
     image: str = ""
-    latency_target_ms: int = 0
+    latency_target_ms: float = 0.0
     filler: bool = False
     skippable: int = 0
 
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -297,9 +297,7 @@
         now: float,
     ) -> list[fleet.Worker]:
         """Takes in the report of an agent; returns the workers it names."""
-        if message.agent not in self._agents:
-            self._new_agents[message.agent] = bus
-        elif self._agents[message.agent] != bus:
+        if message.agent not in self._agents or self._agents[message.agent] != bus:
             self._new_agents[message.agent] = bus
         for life in message.gone:
             self._lose(tuple(life), now, "its agent saw it end")
--- a/pomelostair/platform/names.py
+++ b/pomelostair/platform/names.py
@@ -28,7 +28,7 @@
     speculative: bool = False
     perpetual: bool = False  # Runs until the submission is cancelled.
     image: str = ""
-    target_ms: float = msgspec.field(default=0, name="targetMs")
+    target_ms: float = msgspec.field(default=0.0, name="targetMs")
     fills: bool = False  # Uses only processor time that is left over.
     skippable: int = 0  # Not a flag: tasks that may be away at once.
 
--- a/pomelostair_standins/platform.py
+++ b/pomelostair_standins/platform.py
@@ -7,8 +7,8 @@
 
 from pomelostair import http
 from pomelostair import outcome
-from pomelostair import tablehttp
 from pomelostair import store
+from pomelostair import tablehttp
 from pomelostair_standins import service
 
 
--- a/tests/test_tablehttp.py
+++ b/tests/test_tablehttp.py
@@ -8,8 +8,8 @@
 from pomelostair import httpserver
 from pomelostair import metrics
 from pomelostair import outcome
-from pomelostair import tablehttp
 from pomelostair import store
+from pomelostair import tablehttp
 from pomelostair_standins import platform as platform_standin
 from pomelostair_standins import service
 
