Filling work is placed and paced by learned interference of images

Change: latency is predicted from learned factors of image pairs; those that contribute most are slowed first, and move if their progress goes along.

--- a/pomelostair/entrypeers.py
+++ b/pomelostair/entrypeers.py
@@ -208,14 +208,17 @@
                 peer.heard = now
         for bus in message.entries:
             self._meet(bus)
-        if message.seat.bus and message.seat.epoch >= self._seat.epoch:
-            if message.seat.bus == message.bus or message.seat.epoch > self._seat.epoch:
-                self.learn_seat(message.seat)
-        vacated = not message.seat.bus and message.seat == attrs.evolve(
+        seat = message.seat
+        if seat.bus and (
+            seat.epoch > self._seat.epoch
+            or (seat.epoch == self._seat.epoch and seat.bus == message.bus)
+        ):
+            self.learn_seat(seat)
+        vacated = not seat.bus and seat == attrs.evolve(
             self._seat, name="", bus=""
         )
         if vacated and envelope.reply_to == self._seat.bus:
-            self.learn_seat(message.seat)
+            self.learn_seat(seat)
         if message.pending is not None:
             self._pending = message.pending
             self._pending_heard = now
--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -8,6 +8,9 @@
 from pomelostair import pipelinemessages as messages
 from pomelostair import resources
 
+# Share of its request that a serving task uses, seen on the platform's days.
+SERVING_USE = 0.6
+
 Key = tuple[str, int]
 Life = tuple[str, int]
 
@@ -35,6 +38,7 @@
         percent: Progress, or share at work of a lasting task.
         load: Tail latency in milliseconds of a serving task, else cores used.
         pace: Share in percent at which it may work.
+        slowed: Monotonic seconds since which it is slowed, 0 for not.
         moved: Monotonic seconds of the latest change of `percent`.
         first_seen: Monotonic seconds at which it was first listed.
         base_percent: Progress at that time.
@@ -53,6 +57,7 @@
     percent: float = 0.0
     load: float = 0.0
     pace: int = 100
+    slowed: float = 0.0
     moved: float = 0.0
     first_seen: float = 0.0
     base_percent: float = 0.0
@@ -83,6 +88,7 @@
         orphans: Attempts that it lists and that belong to no pipeline.
         used: Resources of the placements that count against its capacity.
         filling: Millicores of the placements that use what is left over.
+        serving: Millicores of the placements with a latency target.
         processed: Number of the last end that was taken in.
         noted: Number of the last end that is durable.
         results_seen: Number of the last result that was taken in.
@@ -96,9 +102,7 @@
         done: Monotonic seconds of the last success.
         failed: Monotonic seconds of the last failure.
         stalls: Attempts that stood still since the last success.
-        budget: Share of the unused processor time that filling work may take
-            beside serving tasks.
-        budget_changed: Monotonic seconds of the latest change of `budget`.
+        paced: Monotonic seconds of the latest step of its paces.
     """
 
     id: str
@@ -114,6 +118,7 @@
     orphans: set[Key] = attrs.field(factory=set)
     used: resources.Resources = attrs.field(factory=resources.Resources)
     filling: int = 0
+    serving: int = 0
     processed: int = 0
     noted: int = 0
     results_seen: int = 0
@@ -127,8 +132,7 @@
     done: float = 0.0
     failed: float = 0.0
     stalls: int = 0
-    budget: float = 1.0
-    budget_changed: float = 0.0
+    paced: float = 0.0
 
     @property
     def free(self) -> resources.Resources:
@@ -137,9 +141,16 @@
 
     @property
     def unused_millicores(self) -> int:
-        """Processor time that neither counted nor filling work takes."""
+        """Processor time that neither counted nor filling work takes.
+
+        Serving tasks use only part of what they request.
+        """
+        spared = int(self.serving * (1 - SERVING_USE))
         return (
-            self.state.capacity.millicores - self.used.millicores - self.filling
+            self.state.capacity.millicores
+            - self.used.millicores
+            + spared
+            - self.filling
         )
 
     def usable(self, now: float, fresh_s: float) -> bool:
@@ -196,6 +207,8 @@
         if stage.filler:
             self.filling += sign * millicores
             millicores = 0
+        elif stage.latency_target_ms:
+            self.serving += sign * millicores
         self.used = resources.Resources(
             self.used.millicores + sign * millicores,
             self.used.memory_mb + sign * demand.memory_mb,
--- a/pomelostair/pacing.py
+++ b/pomelostair/pacing.py
@@ -1,33 +1,56 @@
-"""Keeps filling work from slowing the serving tasks beside it.
+"""Filling work beside serving tasks: what it may take, and at what pace.
 
-Load figures are rough and cover the last half second. When the latency of a
-serving task comes near its target, the filling attempts on its worker are
-slowed at once and by much; they get their share back in small steps.
+Answers the pattern of noisy tasks that come in waves beside services: how much
+a filling task slows a serving one depends on the pair of images, shifts within
+seconds and shows only in rough figures of the last half second. The factors
+are learned from these figures. A filling attempt starts, and keeps its pace,
+only where the latency that they predict stays below the target; when a target
+is missed, those that contribute most are slowed first.
 """
 
+import attrs
+
 from pomelostair import fleet
+from pomelostair import interference as interference_module
 from pomelostair import metrics as metrics_module
+from pomelostair import pipeline
 
 FULL = 100
-# Latency over target from which filling attempts are slowed.
-HIGH = 0.85
-# Latency over target below which they are given more.
-LOW = 0.65
-# Seconds between two steps: an order takes effect after 100 ms and shows in
-# the figures half a second later.
-STEP_S = 0.8
-# Factor on the pace in a step down, and percent added in a step up.
-DOWN = 0.4
-UP = 15
-# Pace below which an attempt is stopped altogether.
-LEAST = 10
-# Part of the budget for further filling work that a step up gives back.
-BUDGET_UP = 0.1
-MIN_BUDGET = 0.1
+# Latency over target that a decision may predict, and from which on filling
+# attempts are slowed.
+ALLOWED = 0.85
+HIGH = 0.95
+# Pace of an attempt that is slowed. It still tells how it affects others.
+SLOWED = 15
+# Factor on the pace of an attempt that is given more.
+RAISE = 2.0
+# Seconds between two steps on a worker: an order takes effect after 100 ms and
+# shows in the figures half a second later.
+STEP_S = 0.7
+# Time over target after which every filling attempt on the worker is halted;
+# the platform's impactMs is 4 s or more.
+HALT_AFTER_S = 1.8
+# Time at a low pace after which an attempt should move to another worker.
+MOVE_AFTER_S = 1.2
+# Part of a new figure in the smoothed latency and in the latency when alone.
+SMOOTHING = 0.5
+ALONE_SMOOTHING = 0.1
+# Latency when alone over target that is assumed before any was seen.
+ALONE_SHARE = 0.45
+# Load below which a filling attempt counts as idle, as share of the worker.
+IDLE = 0.01
+
+
+@attrs.define
+class _Serving:
+    """What was learned about one serving attempt."""
+
+    smooth: float
+    over_since: float = 0.0
 
 
 class Pacer:
-    """Decides the paces on one worker at a time.
+    """Learns from reports and decides paces; one for each term of a leader.
 
     Args:
         metrics: Where steps are counted.
@@ -35,6 +58,65 @@
 
     def __init__(self, metrics: metrics_module.Metrics):
         self._metrics = metrics
+        self._factors = interference_module.Interference()
+        self._alone: dict[str, float] = {}
+        self._serving: dict[fleet.Key, _Serving] = {}
+
+    def observe(self, worker: fleet.Worker, now: float) -> None:
+        """Learns from the figures of a fresh report."""
+        serving = _serving(worker)
+        if not serving:
+            return
+        loads = _loads(worker)
+        for placement in serving:
+            if placement.load <= 0 or placement.percent < FULL:
+                continue
+            image = placement.task.stage.image
+            alone = self._alone_ms(placement)
+            if loads:
+                self._factors.learn(image, loads, placement.load / alone, now)
+            else:
+                self._alone[image] = alone + ALONE_SMOOTHING * (
+                    placement.load - alone
+                )
+            self._smooth(placement, now)
+
+    def ratio(
+        self,
+        worker: fleet.Worker,
+        now: float,
+        added: pipeline.Task | None = None,
+        paces: dict[fleet.Key, int] | None = None,
+    ) -> float:
+        """Returns the highest latency over target that is to be expected.
+
+        Args:
+            worker: The worker.
+            now: Monotonic seconds.
+            added: A filling task that would start there.
+            paces: Paces in percent that would be set.
+        """
+        serving = _serving(worker)
+        if not serving:
+            return 0.0
+        change = _planned(worker, paces or {})
+        if added is not None:
+            _add(change, added, worker, FULL)
+        for image, load in _loads(worker).items():
+            change[image] = change.get(image, 0.0) - load
+        worst = 0.0
+        for placement in serving:
+            stage = placement.task.stage
+            rise = sum(
+                self._factors.factor(stage.image, image, now) * load
+                for image, load in change.items()
+            )
+            known = self._serving.get(placement.key)
+            alone = self._alone_ms(placement)
+            smooth = alone if known is None else known.smooth
+            expected = max(smooth + alone * rise, 0.0)
+            worst = max(worst, expected / stage.latency_target_ms)
+        return worst
 
     def decide(
         self, worker: fleet.Worker, now: float
@@ -45,42 +127,160 @@
             worker: Worker with a fresh report.
             now: Monotonic seconds.
         """
-        ratio = worst_ratio(worker)
         fillers = [
             p
             for p in worker.placements.values()
             if p.task.stage.filler and p.standing is fleet.Standing.RUNNING
         ]
-        if ratio is None:
-            worker.budget = 1.0
+        if not fillers:
+            return []
+        serving = _serving(worker)
+        if not serving:
             return [(p, FULL) for p in fillers if p.pace < FULL]
-        if now - worker.budget_changed < STEP_S:
+        if self._is_over_for(serving, now, HALT_AFTER_S):
+            return [(p, 0) for p in fillers if p.pace > 0]
+        if now - worker.paced < STEP_S:
             return []
-        if ratio >= HIGH and fillers:
-            worker.budget_changed = now
-            worker.budget = max(MIN_BUDGET, worker.budget * DOWN)
-            self._metrics.count("pace_steps", direction="down")
-            return [(p, _lower(p.pace)) for p in fillers if p.pace > 0]
-        if ratio <= LOW:
-            worker.budget_changed = now
-            worker.budget = min(1.0, worker.budget + BUDGET_UP)
-            slowed = [p for p in fillers if p.pace < FULL]
-            if slowed:
-                self._metrics.count("pace_steps", direction="up")
-            return [(p, min(FULL, p.pace + UP)) for p in slowed]
-        return []
-
-
-def worst_ratio(worker: fleet.Worker) -> float | None:
-    """Returns the highest latency over target, None without serving tasks."""
-    ratios = [
-        p.load / p.task.stage.latency_target_ms
+        suffering = self._worst(serving)
+        if suffering is not None:
+            steps = self._slow(worker, suffering, fillers, now)
+            direction = "down"
+        else:
+            steps = self._raise(worker, fillers, now)
+            direction = "up"
+        if steps:
+            worker.paced = now
+            self._metrics.count("pace_steps", direction=direction)
+        return steps
+
+    def forget(self, placement: fleet.Placement) -> None:
+        """Forgets an attempt that ended."""
+        self._serving.pop(placement.key, None)
+
+    def should_move(self, placement: fleet.Placement, now: float) -> bool:
+        """Returns whether a filling attempt was slowed for too long."""
+        return (
+            placement.task.stage.filler
+            and placement.standing is fleet.Standing.RUNNING
+            and placement.slowed > 0
+            and now - placement.slowed > MOVE_AFTER_S
+        )
+
+    def _alone_ms(self, placement: fleet.Placement) -> float:
+        stage = placement.task.stage
+        return self._alone.get(
+            stage.image, ALONE_SHARE * stage.latency_target_ms
+        )
+
+    def _smooth(self, placement: fleet.Placement, now: float) -> None:
+        known = self._serving.setdefault(
+            placement.key, _Serving(placement.load)
+        )
+        known.smooth += SMOOTHING * (placement.load - known.smooth)
+        if placement.load <= placement.task.stage.latency_target_ms:
+            known.over_since = 0.0
+        elif not known.over_since:
+            known.over_since = now
+
+    def _is_over_for(
+        self, serving: list[fleet.Placement], now: float, seconds: float
+    ) -> bool:
+        for placement in serving:
+            known = self._serving.get(placement.key)
+            if known and known.over_since and now - known.over_since > seconds:
+                return True
+        return False
+
+    def _worst(self, serving: list[fleet.Placement]) -> fleet.Placement | None:
+        """Returns the serving attempt that is most above its target."""
+        worst, ratio = None, HIGH
+        for placement in serving:
+            known = self._serving.get(placement.key)
+            if known is None:
+                continue
+            found = known.smooth / placement.task.stage.latency_target_ms
+            if found > ratio:
+                worst, ratio = placement, found
+        return worst
+
+    def _slow(
+        self,
+        worker: fleet.Worker,
+        suffering: fleet.Placement,
+        fillers: list[fleet.Placement],
+        now: float,
+    ) -> list[tuple[fleet.Placement, int]]:
+        image = suffering.task.stage.image
+        paces: dict[fleet.Key, int] = {}
+        steps = []
+        ordered = sorted(
+            (p for p in fillers if p.pace > SLOWED),
+            key=lambda p: (
+                -self._factors.factor(image, p.task.stage.image, now) * p.load
+            ),
+        )
+        for placement in ordered:
+            if steps and self.ratio(worker, now, paces=paces) <= ALLOWED:
+                break
+            paces[placement.key] = SLOWED
+            steps.append((placement, SLOWED))
+        return steps
+
+    def _raise(
+        self, worker: fleet.Worker, fillers: list[fleet.Placement], now: float
+    ) -> list[tuple[fleet.Placement, int]]:
+        paces: dict[fleet.Key, int] = {}
+        steps = []
+        for placement in sorted(fillers, key=lambda p: -p.percent):
+            if placement.pace >= FULL:
+                continue
+            wanted = min(FULL, int(max(placement.pace, SLOWED) * RAISE))
+            trial = {**paces, placement.key: wanted}
+            if self.ratio(worker, now, paces=trial) <= ALLOWED:
+                paces = trial
+                steps.append((placement, wanted))
+        return steps
+
+
+def _serving(worker: fleet.Worker) -> list[fleet.Placement]:
+    return [
+        p
         for p in worker.placements.values()
-        if p.task.stage.latency_target_ms > 0 and p.seen
+        if p.task.stage.latency_target_ms > 0
     ]
-    return max(ratios, default=None)
 
 
-def _lower(pace: int) -> int:
-    lowered = int(pace * DOWN)
-    return lowered if lowered >= LEAST else 0
+def _loads(worker: fleet.Worker) -> dict[str, float]:
+    """Returns the reported shares of the worker's cores, by filling image."""
+    cores = max(1, worker.state.capacity.millicores)
+    loads: dict[str, float] = {}
+    for placement in worker.placements.values():
+        stage = placement.task.stage
+        if stage.filler and placement.load > 0:
+            load = placement.load / cores
+            loads[stage.image] = loads.get(stage.image, 0.0) + load
+    return {image: load for image, load in loads.items() if load >= IDLE}
+
+
+def _planned(
+    worker: fleet.Worker, paces: dict[fleet.Key, int]
+) -> dict[str, float]:
+    """Returns the shares of the cores that filling attempts may take."""
+    loads: dict[str, float] = {}
+    for placement in worker.placements.values():
+        if placement.task.stage.filler:
+            pace = paces.get(placement.key, placement.pace)
+            _add(loads, placement.task, worker, pace)
+    return loads
+
+
+def _add(
+    loads: dict[str, float],
+    task: pipeline.Task,
+    worker: fleet.Worker,
+    pace: int,
+) -> None:
+    cores = max(1, worker.state.capacity.millicores)
+    load = task.stage.demand.millicores / cores * pace / FULL
+    image = task.stage.image
+    loads[image] = loads.get(image, 0.0) + load
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -8,33 +8,22 @@
 from collections.abc import Iterable
 
 from pomelostair import fleet
+from pomelostair import pacing
 from pomelostair import pipeline
 
 # Filling work starts where at least this share of its request is unused; with
 # less it would run too slowly to meet its objective.
-MIN_FILL_SHARE = 0.85
+MIN_FILL_SHARE = 0.7
 # A worker off the rack of the data counts as if it had this share of its
 # unused processor time (the platform's remoteFactor is 1.5 to 2).
 REMOTE_SHARE = 0.5
-# Unused millicores that a worker with serving tasks counts less for filling
-# work, so that it is taken last.
-SERVING_PENALTY = 20_000
-# Unused millicores that a worker counts less for a task to be kept apart.
-COMPANY_PENALTY = 4_000
+# Unused millicores that a worker counts less for filling work when a serving
+# task there is expected just at its target.
+SERVING_PENALTY = 30_000
 # Seconds for which a success proves that a worker is sound.
 PROOF_S = 10.0
 
 
-def is_serving(placement: fleet.Placement) -> bool:
-    """Returns whether an attempt serves users under a latency target."""
-    return placement.task.stage.latency_target_ms > 0
-
-
-def serves(worker: fleet.Worker) -> bool:
-    """Returns whether any attempt on a worker has a latency target."""
-    return any(is_serving(p) for p in worker.placements.values())
-
-
 def is_proven(worker: fleet.Worker, now: float) -> bool:
     """Returns whether a worker succeeded lately and not failed since."""
     return worker.done > worker.failed and now - worker.done < PROOF_S
@@ -50,9 +39,7 @@
         return False
     if not task.stage.filler:
         return free.millicores >= demand.millicores
-    budget = worker.budget if serves(worker) else 1.0
-    unused = worker.unused_millicores * budget
-    return unused >= demand.millicores * MIN_FILL_SHARE
+    return worker.unused_millicores >= demand.millicores * MIN_FILL_SHARE
 
 
 def may_run(task: pipeline.Task, worker: fleet.Worker) -> bool:
@@ -83,21 +70,30 @@
     )
 
 
-def score(task: pipeline.Task, worker: fleet.Worker) -> float:
-    """Returns how well a worker suits a task that fits, in millicores."""
+def score(task: pipeline.Task, worker: fleet.Worker, ratio: float) -> float:
+    """Returns how well a worker suits a task that fits, in millicores.
+
+    Args:
+        task: The task.
+        worker: A worker that it fits.
+        ratio: Highest latency over target to be expected with it there.
+    """
     stage = task.stage
     value = float(worker.unused_millicores)
     if stage.rack and stage.rack != worker.state.rack:
         value *= REMOTE_SHARE
-    if stage.filler and serves(worker):
-        value -= SERVING_PENALTY
+    if stage.filler:
+        value -= SERVING_PENALTY * ratio
     if stage.latency_target_ms:
         value -= worker.filling
     return value
 
 
 def choose(
-    task: pipeline.Task, workers: list[fleet.Worker], now: float
+    task: pipeline.Task,
+    workers: list[fleet.Worker],
+    pacer: pacing.Pacer,
+    now: float,
 ) -> fleet.Worker | None:
     """Returns the best worker for a task, None if none has room.
 
@@ -107,6 +103,7 @@
     Args:
         task: A task that is ready.
         workers: Workers of its service that take new attempts.
+        pacer: Expects the latency of serving tasks.
         now: Monotonic seconds.
     """
     found = [
@@ -119,4 +116,14 @@
         proven = [w for w in others if is_proven(w, now)]
         sound = any(is_proven(w, now) for w in workers)
         found = proven if sound else others or found
-    return max(found, key=lambda w: score(task, w), default=None)
+    best, best_score = None, 0.0
+    for worker in found:
+        ratio = 0.0
+        if task.stage.filler:
+            ratio = pacer.ratio(worker, now, task)
+            if ratio > pacing.ALLOWED:
+                continue
+        value = score(task, worker, ratio)
+        if best is None or value > best_score:
+            best, best_score = worker, value
+    return best
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -297,7 +297,10 @@
         now: float,
     ) -> list[fleet.Worker]:
         """Takes in the report of an agent; returns the workers it names."""
-        if message.agent not in self._agents or self._agents[message.agent] != bus:
+        if (
+            message.agent not in self._agents
+            or self._agents[message.agent] != bus
+        ):
             self._new_agents[message.agent] = bus
         for life in message.gone:
             self._lose(tuple(life), now, "its agent saw it end")
@@ -363,6 +366,7 @@
         worker.unsent = [o for o in worker.unsent if o.number > state.received]
         self._take_ends(worker, state, now)
         self._take_running(worker, state, now)
+        self._pacer.observe(worker, now)
         self._take_results(worker, state, now)
         self._drop_missing(worker, state, now)
         return worker
@@ -664,6 +668,7 @@
     def _drop(self, placement: fleet.Placement, now: float) -> None:
         """Forgets an attempt that certainly runs no more."""
         placement.worker.remove(placement)
+        self._pacer.forget(placement)
         if self._attempts.get(placement.key) is placement:
             del self._attempts[placement.key]
         task = placement.task
@@ -756,6 +761,10 @@
             return
         for placement, percent in self._pacer.decide(worker, now):
             placement.pace = percent
+            if percent >= pacing.FULL:
+                placement.slowed = 0.0
+            elif not placement.slowed:
+                placement.slowed = now
             worker.order(messages.PACE, placement, percent=percent)
             log.emit(
                 events.Events.ATTEMPT_PACED,
@@ -765,6 +774,8 @@
                 percent=percent,
             )
         for placement in list(worker.placements.values()):
+            if self._pacer.should_move(placement, now):
+                self._move(placement, now)
             if self._is_stalled(placement, now):
                 worker.stalls += 1
                 self._metrics.count("attempts_stalled")
@@ -772,6 +783,21 @@
                 self._suspect(worker, now, "attempts stand still")
                 self._stop(placement, "it stands still")
 
+    def _move(self, placement: fleet.Placement, now: float) -> None:
+        """Moves a slowed attempt, if its progress goes along."""
+        task = placement.task
+        if not task.stage.checkpointing:
+            return
+        others = [
+            worker
+            for worker in self._workers.values()
+            if worker is not placement.worker
+            and worker.state.service == placement.worker.state.service
+            and worker.usable(now, FRESH_S)
+        ]
+        if placement_module.choose(task, others, self._pacer, now) is not None:
+            self._stop(placement, "it slows serving tasks beside it")
+
     def _is_stalled(self, placement: fleet.Placement, now: float) -> bool:
         if (
             placement.standing is not fleet.Standing.RUNNING
@@ -840,7 +866,7 @@
             plain = not task.avoided
             if plain and task.stage_number in blocked:
                 continue
-            worker = placement_module.choose(task, workers, now)
+            worker = placement_module.choose(task, workers, self._pacer, now)
             if worker is None:
                 if plain:
                     blocked.add(task.stage_number)
@@ -860,7 +886,9 @@
             _racks(workers) if task.stage.same_rack else [workers]
         ):
             for member in members:
-                worker = placement_module.choose(member, candidates, now)
+                worker = placement_module.choose(
+                    member, candidates, self._pacer, now
+                )
                 if worker is None:
                     break
                 placement = fleet.Placement(member, attempt, worker, now)
