Blocked tasks of an earlier leader go on; tests of pipelines without a network

Ruled out: the stop's own lapse and the lease (held all the time). Change: a blocked task that runs is adopted; a task with any attempt left never starts; an attempt that has ended is no longer told to stop. Filling images are raised one at a time, so that their effects can be told apart. A full site no longer finishes each pipeline just too late (order by slack alone did).

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -103,6 +103,7 @@
         failed: Monotonic seconds of the last failure.
         stalls: Attempts that stood still since the last success.
         paced: Monotonic seconds of the latest step of its paces.
+        told_apart: Monotonic seconds at which images were last told apart.
     """
 
     id: str
@@ -133,6 +134,7 @@
     failed: float = 0.0
     stalls: int = 0
     paced: float = 0.0
+    told_apart: float = 0.0
 
     @property
     def free(self) -> resources.Resources:
--- a/pomelostair/log.py
+++ b/pomelostair/log.py
@@ -8,13 +8,13 @@
 import logging
 import os
 import select
-import sys
 import time
 
 from pythonjsonlogger import json as jsonlogger
 
 from pomelostair import events
 
+_STANDARD_OUTPUT = 1
 _FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 # Lines of one event in a second; a full day of the larger sites stays below.
 BUDGET_PER_S = 200
@@ -41,6 +41,16 @@
         self._spent: dict[int, int] = {}
         self._dropped: dict[str, int] = {}
 
+    @property
+    def waiting(self) -> tuple[bytes, ...]:
+        """Lines that the reader has not taken yet."""
+        return tuple(self._waiting)
+
+    @property
+    def dropped(self) -> dict[str, int]:
+        """Lines that were dropped and not told yet, by reason."""
+        return dict(self._dropped)
+
     def emit(self, record: logging.LogRecord) -> None:
         """Writes one record, or counts it as dropped."""
         if not self._within_budget(record):
@@ -108,7 +118,7 @@
         process: Name of the process, put into each line.
         level: Lowest level that is written.
     """
-    handler = BoundedHandler(sys.stdout.fileno())
+    handler = BoundedHandler(_STANDARD_OUTPUT)
     handler.setFormatter(
         jsonlogger.JsonFormatter(_FORMAT, static_fields={"process": process})
     )
--- a/pomelostair/pacing.py
+++ b/pomelostair/pacing.py
@@ -22,8 +22,11 @@
 HIGH = 0.95
 # Pace of an attempt that is slowed. It still tells how it affects others.
 SLOWED = 15
-# Factor on the pace of an attempt that is given more.
-RAISE = 2.0
+# Factors on the pace of attempts that are given more: the larger one if it is
+# allowed, else a small step, which still shows what the image does.
+RAISES = (2.0, 1.4)
+# Seconds between two attempts to tell images apart.
+TELL_APART_S = 3.0
 # Seconds between two steps on a worker: an order takes effect after 100 ms and
 # shows in the figures half a second later.
 STEP_S = 0.7
@@ -229,17 +232,50 @@
     def _raise(
         self, worker: fleet.Worker, fillers: list[fleet.Placement], now: float
     ) -> list[tuple[fleet.Placement, int]]:
-        paces: dict[fleet.Key, int] = {}
-        steps = []
-        for placement in sorted(fillers, key=lambda p: -p.percent):
-            if placement.pace >= FULL:
-                continue
-            wanted = min(FULL, int(max(placement.pace, SLOWED) * RAISE))
-            trial = {**paces, placement.key: wanted}
-            if self.ratio(worker, now, paces=trial) <= ALLOWED:
-                paces = trial
-                steps.append((placement, wanted))
-        return steps
+        """Gives more to the slowed attempts of one image at a time.
+
+        Images that are raised together could not be told apart by what their
+        rise does to the serving tasks.
+        """
+        slowed: dict[str, list[fleet.Placement]] = {}
+        for placement in fillers:
+            if placement.pace < FULL:
+                slowed.setdefault(placement.task.stage.image, []).append(
+                    placement
+                )
+        best: dict[fleet.Key, int] = {}
+        best_ratio = ALLOWED
+        for factor in RAISES:
+            for placements in slowed.values():
+                paces = {p.key: _raised(p.pace, factor) for p in placements}
+                ratio = self.ratio(worker, now, paces=paces)
+                if ratio <= best_ratio:
+                    best, best_ratio = paces, ratio
+            if best:
+                break
+        if not best:
+            return self._tell_apart(worker, slowed, now)
+        return [(p, best[p.key]) for p in fillers if p.key in best]
+
+    def _tell_apart(
+        self,
+        worker: fleet.Worker,
+        slowed: dict[str, list[fleet.Placement]],
+        now: float,
+    ) -> list[tuple[fleet.Placement, int]]:
+        """Slows one of several images, to learn which of them is the noisy one.
+
+        Attempts that were always slowed and raised together share the blame.
+        """
+        if len(slowed) < 2 or now - worker.told_apart < TELL_APART_S:
+            return []
+        worker.told_apart = now
+        image = max(slowed, key=lambda name: sum(p.load for p in slowed[name]))
+        return [(p, SLOWED) for p in slowed[image] if p.pace > SLOWED]
+
+
+def _raised(pace: int, factor: float) -> int:
+    return min(FULL, int(max(pace, SLOWED) * factor))
 
 
 def _serving(worker: fleet.Worker) -> list[fleet.Placement]:
--- a/pomelostair/pipelineorder.py
+++ b/pomelostair/pipelineorder.py
@@ -17,17 +17,21 @@
 # A late answer is of use up to this multiple of the objective (the platform's
 # rule on benefits).
 LATE_FACTOR = 3.0
-# Share of an estimate that counts when feasibility is judged: estimates are
-# rough, and a wrong "too late" costs more than a wasted attempt.
-TRUST_IN_ESTIMATE = 0.7
+# Estimates are rough. A pipeline is in time for certain with this factor on
+# what is left of it, and late for certain with the other one. Between the two,
+# it goes after those that are in time: with the least slack first, a full site
+# would else finish each one just too late.
+CAUTIOUS = 1.2
+HOPEFUL = 0.7
 
 
 class Outlook(enum.IntEnum):
     """What a pipeline can still reach."""
 
     IN_TIME = 0
-    LATE = 1
-    USELESS = 2
+    TIGHT = 1
+    LATE = 2
+    USELESS = 3
 
 
 @attrs.frozen
@@ -82,9 +86,13 @@
     age_s = max(0.0, (unix_ms - declaration.submitted_ms) / 1000)
     left_s = remaining_s(item)
     slack_s = objective_s - age_s - left_s
-    hoped_s = left_s * TRUST_IN_ESTIMATE
-    if age_s + hoped_s <= objective_s:
-        return Rank(Outlook.IN_TIME, queue.priority, slack_s)
-    if age_s + hoped_s <= objective_s * LATE_FACTOR:
-        return Rank(Outlook.LATE, queue.priority, slack_s)
-    return Rank(Outlook.USELESS, queue.priority, slack_s)
+    hoped_s = age_s + left_s * HOPEFUL
+    if age_s + left_s * CAUTIOUS <= objective_s:
+        outlook = Outlook.IN_TIME
+    elif hoped_s <= objective_s:
+        outlook = Outlook.TIGHT
+    elif hoped_s <= objective_s * LATE_FACTOR:
+        outlook = Outlook.LATE
+    else:
+        outlook = Outlook.USELESS
+    return Rank(outlook, queue.priority, slack_s)
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -200,7 +200,7 @@
         item = self._pipelines.get(pipeline_id)
         if item is None or shown is None:
             return None
-        if shown is pipeline.Phase.QUEUED and item.started and not item.ended:
+        if shown is pipeline.Phase.QUEUED and item.started:
             return pipeline.Phase.RUNNING
         return shown
 
@@ -441,9 +441,11 @@
             self._metrics.count("attempts_ended", end=end.value)
             if task is None:
                 continue
+            if placement is not None:
+                self._detach(placement)
             self._end_attempt(task, attempt, end, checkpoint, worker, now)
             if placement is not None:
-                self._drop(placement, now)
+                self._release(task, now)
 
     def _end_attempt(
         self,
@@ -575,11 +577,12 @@
         self._attach(placement)
         placement.standing = fleet.Standing.RUNNING
         item = task.pipeline
+        # A blocked task may run: the leader before has seen the ends of the
+        # earlier stages, and this one has not heard of them yet.
         unwanted = (
             item.ended
             or task.phase
             in (pipeline.TaskPhase.DONE, pipeline.TaskPhase.FAILED)
-            or task.phase is pipeline.TaskPhase.BLOCKED
             or bool(others)
         )
         if unwanted:
@@ -667,6 +670,10 @@
 
     def _drop(self, placement: fleet.Placement, now: float) -> None:
         """Forgets an attempt that certainly runs no more."""
+        self._detach(placement)
+        self._release(placement.task, now)
+
+    def _detach(self, placement: fleet.Placement) -> None:
         placement.worker.remove(placement)
         self._pacer.forget(placement)
         if self._attempts.get(placement.key) is placement:
@@ -675,9 +682,16 @@
         rest = [p for p in self._by_task.get(task.id, ()) if p is not placement]
         if rest:
             self._by_task[task.id] = rest
-            return
-        self._by_task.pop(task.id, None)
-        if task.pipeline.ended or task.phase is pipeline.TaskPhase.DONE:
+        else:
+            self._by_task.pop(task.id, None)
+
+    def _release(self, task: pipeline.Task, now: float) -> None:
+        """Makes a task ready again once none of its attempts is left."""
+        if (
+            task.id in self._by_task
+            or task.pipeline.ended
+            or task.phase is pipeline.TaskPhase.DONE
+        ):
             return
         if task.stage.gang:
             self._regroup(task, now)
@@ -858,7 +872,7 @@
     ) -> None:
         blocked: set[int] = set()
         for task in list(item.ready.values()):
-            if task.not_before > now:
+            if task.not_before > now or task.id in self._by_task:
                 continue
             if task.stage.gang:
                 self._start_gang(task, workers, now)
@@ -878,7 +892,10 @@
     ) -> None:
         """Starts all members of a gang, or none."""
         members = task.pipeline.tasks(task.occurrence, task.stage_number)
-        if any(m.phase is not pipeline.TaskPhase.READY for m in members):
+        if any(
+            m.phase is not pipeline.TaskPhase.READY or m.id in self._by_task
+            for m in members
+        ):
             return
         attempt = max(self._next_attempt(member) for member in members)
         started = []
--- a/pomelostair/relaytable.py
+++ b/pomelostair/relaytable.py
@@ -131,7 +131,7 @@
                 reason=getattr(result, "reason", ""),
                 after_s=round(now - self._since, 3),
             )
-            self._since = now
+            self._since = self._probed = now
         self._reached = not lost
         return result
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -49,6 +49,7 @@
         path = write(**changes)
         process = subprocess.Popen(
             [sys.executable, "-m", "pomelostair.daemon", "--settings", path],
+            stdout=subprocess.PIPE,
             stderr=subprocess.PIPE,
             text=True,
         )
@@ -113,7 +114,7 @@
             assert caller.eventually(
                 lambda: (
                     "DRAINING"
-                    in os.read(process.stderr.fileno(), 65536).decode()
+                    in os.read(process.stdout.fileno(), 65536).decode()
                 )
             )
             process.send_signal(signal.SIGTERM)
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -1,12 +1,13 @@
 import json
 import logging
+import os
 
 from pomelostair import events
 from pomelostair import log
 
 
 class TestEmit:
-    def test_line_is_json_with_number_name_and_process(self, capsys):
+    def test_line_is_json_with_number_name_and_process(self, capfd):
         root = logging.getLogger()
         handlers, level = root.handlers[:], root.level
         try:
@@ -16,10 +17,60 @@
         finally:
             root.handlers[:] = handlers
             root.setLevel(level)
-        lines = capsys.readouterr().err.splitlines()
+        written = capfd.readouterr()
+        assert written.err == ""
+        lines = written.out.splitlines()
         assert len(lines) == 1
         line = json.loads(lines[0])
         assert line["event"] == 120
         assert line["event_name"] == "MESSAGE_DROPPED"
         assert line["process"] == "entry-1"
         assert line["reason"] == "malformed"
+
+
+class TestBoundedHandler:
+    def lines(self, emit):
+        reader, writer = os.pipe()
+        os.set_blocking(writer, False)
+        handler = log.BoundedHandler(writer)
+        handler.setFormatter(logging.Formatter("%(message)s %(dropped)s"))
+        logger = logging.Logger("test")
+        logger.addHandler(handler)
+        try:
+            emit(logger, reader, handler)
+        finally:
+            os.close(writer)
+            os.close(reader)
+
+    def test_reader_that_stops_holds_up_nothing(self):
+        def emit(logger, _reader, handler):
+            for number in range(log.MAX_WAITING * 2):
+                fields = {"event": number, "dropped": ""}
+                logger.info("x" * 200, extra=fields)
+            assert handler.dropped["reader-slow"] > 0
+            assert len(handler.waiting) <= log.MAX_WAITING
+
+        self.lines(emit)
+
+    def test_each_event_has_a_budget_and_the_rest_is_counted(self):
+        def emit(logger, reader, handler):
+            for _ in range(log.BUDGET_PER_S * 3):
+                logger.info("x", extra={"event": 7, "dropped": ""})
+            logger.info("y", extra={"event": 8, "dropped": ""})
+            written = os.read(reader, 1 << 20).decode()
+            # A second may end in between, which renews the budget once.
+            assert written.count("x") >= log.BUDGET_PER_S
+            assert written.count("x") <= 2 * log.BUDGET_PER_S
+            assert "y" in written
+            assert handler.dropped["budget-7"] > 0
+
+        self.lines(emit)
+
+    def test_budget_is_larger_for_warnings(self):
+        def emit(logger, reader, _handler):
+            for _ in range(log.BUDGET_PER_S + 50):
+                logger.warning("w", extra={"event": 9, "dropped": ""})
+            written = os.read(reader, 1 << 20).decode()
+            assert written.count("w") == log.BUDGET_PER_S + 50
+
+        self.lines(emit)
--- /dev/null
+++ b/tests/test_pacing.py
@@ -0,0 +1,98 @@
+"""The load answered here: noisy tasks come in waves beside services."""
+
+from pomelostair import fleet
+from pomelostair import metrics
+from pomelostair import pacing
+from tests import pipelines
+
+METRICS = metrics.Metrics()
+SERVING = pipelines.stage(
+    millicores=6000, lasting=True, latency_target_ms=18.0, image="service"
+)
+NOISY = pipelines.stage(millicores=4000, filler=True, image="noisy")
+QUIET = pipelines.stage(millicores=4000, filler=True, image="quiet")
+
+
+class Scene:
+    """A worker with a serving task, beside fillers that slow it by factors."""
+
+    def __init__(self, *fillers, alone_ms=8.0, factors=None):
+        self.pacer = pacing.Pacer(METRICS)
+        self.worker = pipelines.worker()
+        self.serving = pipelines.put(self.worker, SERVING, percent=100.0)
+        self.fillers = [pipelines.put(self.worker, f) for f in fillers]
+        self.alone_ms = alone_ms
+        self.factors = factors or {"noisy": 20.0, "quiet": 0.0}
+        self.now = 0.0
+        self.over_s = 0.0
+
+    def play(self, seconds, step_s=0.3):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += step_s
+            slowdown = 1.0
+            for filler in self.fillers:
+                stage = filler.task.stage
+                filler.load = stage.demand.millicores * filler.pace / 100
+                share = filler.load / 32_000
+                slowdown += self.factors[stage.image] * share
+            self.serving.load = self.alone_ms * slowdown
+            if self.serving.load > SERVING.latency_target_ms:
+                self.over_s += step_s
+            self.pacer.observe(self.worker, self.now)
+            for filler, pace in self.pacer.decide(self.worker, self.now):
+                filler.pace = pace
+                filler.slowed = 0.0 if pace >= pacing.FULL else self.now
+
+
+class TestPacer:
+    def test_filling_work_beside_no_service_runs_at_full_pace(self):
+        worker = pipelines.worker()
+        filler = pipelines.put(worker, NOISY, pace=15)
+        pacer = pacing.Pacer(METRICS)
+        assert pacer.decide(worker, 1.0) == [(filler, pacing.FULL)]
+
+    def test_noisy_neighbour_is_slowed_within_impact_time(self):
+        scene = Scene(NOISY, NOISY)
+        scene.play(3.0)
+        assert scene.serving.load <= SERVING.latency_target_ms
+        assert scene.over_s < 2.0
+
+    def test_the_noisy_one_is_slowed_and_the_quiet_one_goes_on(self):
+        scene = Scene(NOISY, QUIET)
+        scene.play(20.0)
+        noisy, quiet = scene.fillers
+        assert noisy.pace < pacing.FULL
+        assert quiet.pace == pacing.FULL
+
+    def test_full_pace_returns_when_the_noise_has_shifted_away(self):
+        scene = Scene(NOISY)
+        scene.play(3.0)
+        assert scene.fillers[0].pace < pacing.FULL
+        scene.factors["noisy"] = 0.0
+        scene.play(30.0)
+        assert scene.fillers[0].pace == pacing.FULL
+
+    def test_learned_noise_keeps_further_work_away(self):
+        scene = Scene(NOISY)
+        scene.play(5.0)
+        other = pipelines.put(pipelines.worker("w2"), NOISY)
+        ratio = scene.pacer.ratio(scene.worker, scene.now, other.task)
+        assert ratio > pacing.ALLOWED
+        other = pipelines.put(pipelines.worker("w3"), QUIET)
+        ratio = scene.pacer.ratio(scene.worker, scene.now, other.task)
+        assert ratio <= pacing.ALLOWED
+
+    def test_everything_is_halted_if_the_target_stays_missed(self):
+        scene = Scene(QUIET, alone_ms=25.0)
+        scene.play(pacing.HALT_AFTER_S + 1.0)
+        assert scene.fillers[0].pace == 0
+
+    def test_only_slowed_attempts_move(self):
+        scene = Scene(QUIET)
+        filler = scene.fillers[0]
+        assert not scene.pacer.should_move(filler, 100.0)
+        filler.slowed = 10.0
+        assert scene.pacer.should_move(filler, 100.0)
+        filler.standing = fleet.Standing.STOPPING
+        assert not scene.pacer.should_move(filler, 100.0)
--- /dev/null
+++ b/tests/test_pipelinescheduler.py
@@ -0,0 +1,351 @@
+import collections
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from pomelostair import pipeline
+from pomelostair import pipelinescheduler
+from tests import pipelines
+from tests import simfleet
+
+COMPLETED = pipeline.Phase.COMPLETED
+
+
+def starts(fleet):
+    return [row for host in fleet.hosts.values() for row in host.runner.started]
+
+
+class TestServing:
+    def test_calm_pipelines_are_completed(self):
+        fleet = simfleet.Fleet()
+        fleet.play(1)
+        for number in range(5):
+            fleet.submit(
+                f"p{number}",
+                pipelines.stage(4),
+                pipelines.stage(2, after=(0,)),
+            )
+        fleet.play(5)
+        assert all(fleet.phase(f"p{n}") is COMPLETED for n in range(5))
+        assert len(starts(fleet)) == 30
+
+    def test_states_are_shown_only_once_they_are_stored(self):
+        fleet = simfleet.Fleet()
+        fleet.play(1)
+        fleet.submit("a")
+        fleet._commit = lambda: None
+        fleet.play(3)
+        assert ("a.0.0.0", 1, "done") in fleet.finished
+        assert fleet.phase("a") is pipeline.Phase.RUNNING
+        assert all(
+            host.runner.ended
+            for host in fleet.hosts.values()
+            if host.runner.started
+        )
+
+    def test_failed_too_often_is_failed(self):
+        fleet = simfleet.Fleet()
+        for host in fleet.hosts.values():
+            host.runner.failing = True
+        fleet.play(1)
+        fleet.submit("a")
+        fleet.play(20)
+        assert fleet.phase("a") is pipeline.Phase.FAILED
+        assert len(starts(fleet)) == pipelines.QUEUE.max_attempts
+
+    def test_one_failing_worker_fails_no_pipeline(self):
+        fleet = simfleet.Fleet()
+        fleet.hosts["w2"].runner.failing = True
+        fleet.play(1)
+        for number in range(12):
+            fleet.submit(f"p{number}", pipelines.stage(3), queue="fit")
+            fleet.play(0.5)
+        fleet.play(10)
+        assert all(fleet.phase(f"p{n}") is COMPLETED for n in range(12))
+
+    def test_cancelled_work_stops_and_nothing_starts(self):
+        fleet = simfleet.Fleet()
+        fleet.play(1)
+        fleet.submit("a", pipelines.stage(3, lasting=True))
+        for host in fleet.hosts.values():
+            host.runner.lasting = True
+        fleet.play(1)
+        assert len(fleet.running()) == 3
+        fleet.cancel("a")
+        fleet.play(1)
+        assert not fleet.running()
+        assert fleet.phase("a") is pipeline.Phase.CANCELLED
+
+    def test_stalled_attempt_runs_elsewhere(self):
+        fleet = simfleet.Fleet()
+        fleet.play(1)
+        fleet.hosts["w1"].runner.hung = True
+        for number in range(6):
+            fleet.submit(f"p{number}")
+        fleet.play(8)
+        assert all(fleet.phase(f"p{n}") is COMPLETED for n in range(6))
+
+    def test_draining_worker_gets_nothing_new(self):
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.play(1)
+        worker = next(iter(fleet.scheduler.workers.values()))
+        worker.state = pipelines.state("w1", draining=True)
+        assert not worker.usable(fleet.now, pipelinescheduler.FRESH_S)
+
+
+class TestLostWorker:
+    def test_its_work_runs_again_only_after_its_leases(self):
+        fleet = simfleet.Fleet(names=("w1", "w2"))
+        fleet.play(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 20_000
+        fleet.submit("a", pipelines.stage(2, estimate_ms=20_000))
+        fleet.play(1)
+        lost = fleet.hosts["w1"]
+        lost.cut = True
+        for _ in range(150):
+            fleet.step()
+            where = collections.Counter(task for task, _ in fleet.running())
+            assert max(where.values(), default=0) <= 1
+        assert len(fleet.hosts["w2"].runner.started) == 2
+
+    def test_reborn_worker_gives_its_work_up_at_once(self):
+        fleet = simfleet.Fleet()
+        fleet.play(1)
+        fleet.submit("a", pipelines.stage(6))
+        fleet.step()
+        fleet.step()
+        fleet.replace("w1")
+        fleet.play(3)
+        assert fleet.phase("a") is COMPLETED
+
+    def test_unanswered_start_is_barred_before_another(self):
+        fleet = simfleet.Fleet(names=("w1", "w2"))
+        fleet.play(1)
+        fleet.hosts["w1"].unanswered = True
+        fleet.hosts["w2"].unanswered = True
+        fleet.submit("a", pipelines.stage(4))
+        fleet.play(1)
+        fleet.hosts["w1"].unanswered = fleet.hosts["w2"].unanswered = False
+        fleet.play(8)
+        assert fleet.phase("a") is COMPLETED
+        done = collections.Counter(
+            task for task, _, how in fleet.finished if how == "done"
+        )
+        assert set(done.values()) == {1}
+
+
+class TestTakeover:
+    def test_new_leader_adopts_what_runs(self):
+        fleet = simfleet.Fleet()
+        fleet.play(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 5_000
+        fleet.submit("a", pipelines.stage(6, estimate_ms=5_000))
+        fleet.play(1)
+        fleet.lead(gap_s=1.0)
+        fleet.play(8)
+        assert fleet.phase("a") is COMPLETED
+        assert len(starts(fleet)) == 6
+
+    def test_unheard_worker_holds_older_work_back_until_its_leases(self):
+        fleet = simfleet.Fleet(names=("w1", "w2"))
+        fleet.play(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 30_000
+        fleet.submit("a", pipelines.stage(2, estimate_ms=30_000))
+        fleet.play(1)
+        fleet.hosts["w1"].cut = True
+        fleet.lead()
+        fleet.submit("b", pipelines.stage(1))
+        fleet.play(1)
+        assert any(task.startswith("b.") for task, _ in fleet.running())
+        for _ in range(140):
+            fleet.step()
+            where = collections.Counter(task for task, _ in fleet.running())
+            assert max(where.values()) <= 1
+        held = [t for t, w in fleet.running() if w == "w2"]
+        assert sum(task.startswith("a.") for task in held) == 2
+
+    def test_ends_of_the_old_leader_count_once(self):
+        fleet = simfleet.Fleet(names=("w1",))
+        made = fleet.hosts["w1"].runner
+        fleet.play(1)
+        made.failing = True
+        fleet.submit("a", queue="fit")
+        listed = []
+        while not fleet.kept.get("a") or not fleet.kept["a"].failed:
+            fleet.step()
+            listed = list(made.ended) or listed
+        made.failing = False
+        for run in made.runs.values():
+            run.fails = False
+        made.ended = listed
+        fleet.hosts["w1"].noted = 0
+        fleet.lead()
+        fleet.play(5)
+        assert fleet.phase("a") is COMPLETED
+
+    def test_later_stage_of_the_old_leader_goes_on(self):
+        """The ends of the earlier stage are heard after what runs now."""
+        fleet = simfleet.Fleet(names=("w1", "w2"))
+        fleet.play(1)
+        fleet.submit(
+            "a",
+            pipelines.stage(1),
+            pipelines.stage(1, estimate_ms=5_000, after=(0,)),
+        )
+        fleet._commit = lambda: None
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 300
+        while not any(t == "a.0.1.0" for t, _ in fleet.running()):
+            fleet.step()
+        first = next(
+            host
+            for host in fleet.hosts.values()
+            if any(e.task == "a.0.0.0" for e in host.runner.ended)
+        )
+        second = next(
+            host
+            for host in fleet.hosts.values()
+            if "a.0.1.0" in host.runner.runs
+        )
+        second.runner.runs["a.0.1.0"].left_ms = 5_000
+        del fleet._commit
+        late = first is not second
+        first.cut = late
+        fleet.lead()
+        fleet.play(0.5)
+        first.cut = False
+        fleet.play(8)
+        assert fleet.phase("a") is COMPLETED
+        assert len(starts(fleet)) == 2
+
+    def test_attempt_numbers_rise_over_leaders(self):
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.play(1)
+        for _ in range(3):
+            fleet.replace("w1")
+            fleet.lead()
+            fleet.submit("a")
+            fleet.play(0.3)
+        numbers = [n for _, n, _ in starts(fleet)]
+        assert numbers == sorted(set(numbers))
+
+
+class TestGang:
+    def test_members_start_together_or_not_at_all(self):
+        fleet = simfleet.Fleet(names=("w1", "w2"), cores=4)
+        fleet.play(1)
+        fleet.submit("a", pipelines.stage(6, millicores=1000, gang=True))
+        fleet.submit("b", pipelines.stage(6, millicores=1000, gang=True))
+        fleet.play(0.3)
+        running = collections.Counter(t[0] for t, _ in fleet.running())
+        assert sorted(running.values()) == [6]
+        fleet.play(5)
+        assert fleet.phase("a") is COMPLETED
+        assert fleet.phase("b") is COMPLETED
+
+    def test_member_that_ends_takes_the_others_along(self):
+        fleet = simfleet.Fleet(names=("w1", "w2"))
+        fleet.play(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 3_000
+        fleet.submit("a", pipelines.stage(4, gang=True, estimate_ms=3_000))
+        fleet.play(1)
+        fleet.replace("w1")
+        fleet.play(8)
+        assert fleet.phase("a") is COMPLETED
+        numbers = {n for _, n, _ in starts(fleet)}
+        assert len(numbers) == 2
+
+
+class Machine(stateful.RuleBasedStateMachine):
+    """Random faults against what must hold at all times."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = simfleet.Fleet(cores=6)
+        self.count = 0
+
+    @stateful.rule(
+        counts=strategies.lists(
+            strategies.integers(1, 4), max_size=3, min_size=1
+        ),
+        millicores=strategies.integers(200, 3000),
+    )
+    def submit(self, counts, millicores):
+        self.count += 1
+        self.fleet.submit(
+            f"p{self.count}",
+            *(
+                pipelines.stage(count, millicores, after=(n - 1,) if n else ())
+                for n, count in enumerate(counts)
+            ),
+        )
+
+    @stateful.rule(tenths=strategies.integers(1, 40))
+    def play(self, tenths):
+        for _ in range(tenths):
+            self.fleet.step()
+            self.check()
+
+    @stateful.rule(data=strategies.data())
+    def cancel(self, data):
+        if self.fleet.rows:
+            name = data.draw(strategies.sampled_from(sorted(self.fleet.rows)))
+            self.fleet.cancel(name)
+
+    @stateful.rule(name=strategies.sampled_from(("w1", "w2", "w3")))
+    def cut(self, name):
+        host = self.fleet.hosts[name]
+        host.cut = not host.cut
+
+    @stateful.rule(name=strategies.sampled_from(("w1", "w2", "w3")))
+    def unanswered(self, name):
+        host = self.fleet.hosts[name]
+        host.unanswered = not host.unanswered
+
+    @stateful.rule(name=strategies.sampled_from(("w1", "w2", "w3")))
+    def reborn(self, name):
+        self.fleet.replace(name)
+
+    @stateful.rule()
+    def lead(self):
+        self.fleet.lead(gap_s=0.1)
+
+    def check(self):
+        running = collections.Counter(t for t, _ in self.fleet.running())
+        assert max(running.values(), default=0) <= 1, running
+        for name in self.fleet.hosts:
+            used = simfleet.capacity_used(self.fleet, name)
+            assert used.millicores <= self.fleet.cores * 1000
+        done = {t for t, _, how in self.fleet.finished if how == "done"}
+        for task in running:
+            pipeline_id, _, key = task.partition(".")
+            stages = self.fleet.rows[pipeline_id][0].stages
+            number = int(key.split(".")[1])
+            for before in stages[number].after:
+                for index in range(stages[before].count):
+                    assert f"{pipeline_id}.0.{before}.{index}" in done
+
+    def teardown(self):
+        for host in self.fleet.hosts.values():
+            host.cut = host.unanswered = False
+        for _ in range(600):
+            self.fleet.step()
+            self.check()
+        for name in self.fleet.rows:
+            phase = self.fleet.phase(name)
+            wanted = COMPLETED
+            if name in self.fleet.cancelled:
+                assert phase in (COMPLETED, pipeline.Phase.CANCELLED)
+            else:
+                assert phase is wanted, (name, phase)
+
+
+TestFaults = Machine.TestCase
+TestFaults.settings = hypothesis.settings(
+    max_examples=25, stateful_step_count=25
+)
