--- a/pomelostair/pacing.py
+++ b/pomelostair/pacing.py
@@ -26,7 +26,7 @@
 # allowed, else a small step, which still shows what the image does.
 RAISES = (2.0, 1.4)
 # Seconds between two attempts to tell images apart.
-TELL_APART_S = 3.0
+TELL_APART_S = 1.5
 # Seconds between two steps on a worker: an order takes effect after 100 ms and
 # shows in the figures half a second later.
 STEP_S = 0.7
