--- a/pomelostair/interference.py
+++ b/pomelostair/interference.py
@@ -25,9 +25,15 @@
 
 
 class Interference:
-    """Learned factors of a cell."""
+    """Learned factors of a cell.
 
-    def __init__(self):
+    Args:
+        min_energy: Least energy of the loads that a report is scaled by; a
+            smaller one learns faster from small loads, and from noise.
+    """
+
+    def __init__(self, min_energy: float = _MIN_ENERGY):
+        self._min_energy = min_energy
         self._factors: dict[tuple[str, str], Factor] = {}
 
     def factor(self, victim: str, neighbour: str, now: float) -> float:
@@ -71,7 +77,7 @@
         if energy <= 0:
             return
         error = slowdown - self.slowdown(victim, loads, now)
-        step = RATE * error / max(energy, _MIN_ENERGY)
+        step = RATE * error / max(energy, self._min_energy)
         for kind, load in loads.items():
             value = self.factor(victim, kind, now) + step * load
             value = min(max(value, 0.0), MAX_FACTOR)
--- a/pomelostair/pacing.py
+++ b/pomelostair/pacing.py
@@ -40,6 +40,9 @@
 ALONE_SMOOTHING = 0.1
 # Latency when alone over target that is assumed before any was seen.
 ALONE_SHARE = 0.45
+# Loads beside a service are small and shift within seconds, so that the factors
+# have to be learned from few reports.
+MIN_ENERGY = 0.003
 # Load below which a filling attempt counts as idle, as share of the worker.
 IDLE = 0.01
 
@@ -61,7 +64,7 @@
 
     def __init__(self, metrics: metrics_module.Metrics):
         self._metrics = metrics
-        self._factors = interference_module.Interference()
+        self._factors = interference_module.Interference(MIN_ENERGY)
         self._alone: dict[str, float] = {}
         self._serving: dict[fleet.Key, _Serving] = {}
 
--- a/pomelostair/platform/lines.py
+++ b/pomelostair/platform/lines.py
@@ -61,6 +61,18 @@
         except ValueError as error:
             raise errors.SettingsError(key, value, "write a number") from error
 
+    def first_port(self, key: str) -> int:
+        """Returns the first port of a range "FIRST,LAST".
+
+        Raises:
+            SettingsError: The text is no such range.
+        """
+        value = self.text(key)
+        first = value.split(",")[0]
+        if not (first.isascii() and first.isdecimal()):
+            raise errors.SettingsError(key, value, "write it as FIRST,LAST")
+        return int(first)
+
 
 def parse(path: str, text: str) -> Lines:
     """Returns the lines of a file; unknown keys are kept and ignored.
@@ -114,7 +126,7 @@
             "serves", serves, "let the role serve edge or side"
         )
     ip = lines.text("ip")
-    first = int(lines.text("portRange").split(",")[0])
+    first = lines.first_port("portRange")
     drain_s = lines.number("bounds.graceS", 6) * STOP_SHARE
     seeds = [s for s in lines.values.get("seeds", "").split(",") if s]
     return settings_module.Settings(
--- a/pomelostair/store.py
+++ b/pomelostair/store.py
@@ -201,6 +201,11 @@
         self._forgotten = 0
         self._changed = curio.Event()
 
+    @property
+    def version(self) -> int:
+        """Number of the last transaction."""
+        return self._version
+
     async def read(self, key: str) -> Read:
         """Reads one row."""
         row = self._rows.get(key)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,184 @@
+import curio
+
+from pomelostair import httpclient
+from pomelostair import httpserver
+from pomelostair import metrics
+from pomelostair import outcome
+from pomelostair import store
+from pomelostair.platform import store as platform_store
+from pomelostair_standins import rows
+from pomelostair_standins import service
+
+METRICS = metrics.Metrics()
+KEY = "progress/cell/a"
+PUT = store.Transaction((store.Check(KEY, 0),), (store.Put(KEY, b"\x00one"),))
+
+
+class Harness:
+    """The stand-in of the store and the adapter's clients in one process."""
+
+    def __init__(self, timeout_s=2.0):
+        self.standin = rows.Rows()
+        self.timeout_s = timeout_s
+
+    async def fault(self, **faults):
+        await self.standin._set_faults(service.Faults(**faults))
+
+    def run(self, body):
+        async def main():
+            server = httpserver.Server(
+                "127.0.0.1", 0, self.standin.answer, service.error_page
+            )
+            task = await curio.spawn(server.run, daemon=True)
+            client = httpclient.Client(f"127.0.0.1:{server.port}", 8)
+            self.table = platform_store.RowsTable(
+                client, client, METRICS, self.timeout_s
+            )
+            self.objects = platform_store.BlobObjects(client, self.timeout_s)
+            try:
+                return await curio.timeout_after(20, body)
+            finally:
+                await client.close()
+                await task.cancel()
+
+        return curio.run(main)
+
+
+class TestSplit:
+    def test_keys_name_table_part_and_rest(self):
+        assert platform_store.split("a/b/c/d") == ("a", "b", "c/d")
+        assert platform_store.split("op/config") == ("op", "", "config")
+        for key in ("a/b/c/d", "op/config"):
+            table, part, name = platform_store.split(key)
+            row = platform_store.RowBody(table, part, name)
+            assert platform_store.join(row) == key
+
+
+class TestRowsTable:
+    def test_commit_read_scan(self):
+        harness = Harness()
+
+        async def body():
+            first = await harness.table.commit(PUT)
+            again = await harness.table.commit(PUT)
+            return (
+                first,
+                again,
+                await harness.table.read(KEY),
+                await harness.table.read("progress/cell/b"),
+                await harness.table.scan("progress/cell/"),
+            )
+
+        first, again, found, absent, page = harness.run(body)
+        row = store.Row(KEY, b"\x00one", first.version)
+        assert again == outcome.Conflict(KEY, first.version)
+        assert found == store.Found(row)
+        assert absent == store.Absent()
+        assert page.rows == (row,)
+        assert page.version == first.version
+
+    def test_scan_goes_on_after_a_key(self):
+        harness = Harness()
+
+        async def body():
+            puts = tuple(store.Put(f"t/p/job/{n:02d}", b"") for n in range(5))
+            await harness.table.commit(store.Transaction(puts=puts))
+            first = await harness.table.scan("t/p/", "", 2)
+            rest = await harness.table.scan("t/p/", first.rows[-1].key)
+            return first, rest
+
+        first, rest = harness.run(body)
+        assert first.more
+        keys = [row.key for row in (*first.rows, *rest.rows)]
+        assert keys == [f"t/p/job/{n:02d}" for n in range(5)]
+
+    def test_watch_tells_writes_and_removals(self):
+        harness = Harness()
+
+        async def body():
+            before = await harness.table.scan("progress/cell/")
+            await harness.table.commit(PUT)
+            written = await harness.table.watch("progress", before.version, 1.0)
+            await harness.table.commit(store.Transaction(deletes=(KEY,)))
+            removed = await harness.table.watch(
+                "progress", written.version, 1.0
+            )
+            harness.standin.table.forget_history()
+            gone = await harness.table.watch("progress", 0, 0.1)
+            return written, removed, gone
+
+        written, removed, gone = harness.run(body)
+        assert [row.key for row in written.rows] == [KEY]
+        assert removed.deleted == (KEY,)
+        assert gone == store.HistoryGone()
+
+    def test_watch_without_changes_ends_after_its_wait(self):
+        harness = Harness()
+
+        async def body():
+            return await harness.table.watch("progress", 0, 0.05)
+
+        assert harness.run(body).rows == ()
+
+    def test_down_is_not_applied_and_lost_is_unknown(self):
+        harness = Harness()
+
+        async def body():
+            await harness.fault(down=True)
+            down = await harness.table.commit(PUT)
+            unread = await harness.table.read(KEY)
+            await harness.fault(lose_answers=True)
+            lost = await harness.table.commit(PUT)
+            await harness.fault()
+            return down, unread, lost, await harness.table.read(KEY)
+
+        down, unread, lost, found = harness.run(body)
+        assert isinstance(down, outcome.Unavailable)
+        assert isinstance(unread, outcome.Unavailable)
+        assert isinstance(lost, outcome.Unknown)
+        assert isinstance(found, store.Found)
+
+    def test_tables_of_the_operator_are_never_written(self):
+        harness = Harness()
+
+        async def body():
+            put = store.Put("op/config", b"{}")
+            return await harness.table.commit(store.Transaction(puts=(put,)))
+
+        assert not isinstance(harness.run(body), outcome.Committed)
+
+    def test_time_has_bounds(self):
+        harness = Harness()
+
+        async def body():
+            assert harness.table.time() is None
+            await harness.table.scan("t/p/")
+            first = harness.table.time()
+            await curio.sleep(0.05)
+            return first, harness.table.time()
+
+        first, later = harness.run(body)
+        assert first.earliest_ms <= first.latest_ms
+        assert later.earliest_ms > first.earliest_ms
+
+
+class TestBlobObjects:
+    def test_put_get_delete(self):
+        harness = Harness()
+
+        async def body():
+            return (
+                await harness.objects.put("a/b", b"1", create=True),
+                await harness.objects.put("a/b", b"2", create=True),
+                await harness.objects.get("a/b"),
+                await harness.objects.delete("a/b"),
+                await harness.objects.get("a/b"),
+            )
+
+        assert harness.run(body) == (
+            store.Stored(),
+            store.Exists(),
+            store.Object(b"1"),
+            store.Stored(),
+            store.Absent(),
+        )
