Heard agents, filling work that is never kept out, hand-over before the drain

A report names all lives of its host now, and the agent counts as heard once the lists of each were taken in. What is allowed grows with the wait, and factors fade within seconds.

--- a/pomelostair/interference.py
+++ b/pomelostair/interference.py
@@ -30,10 +30,16 @@
     Args:
         min_energy: Least energy of the loads that a report is scaled by; a
             smaller one learns faster from small loads, and from noise.
+        half_life_s: Time in which a factor without reports fades to a half.
     """
 
-    def __init__(self, min_energy: float = _MIN_ENERGY):
+    def __init__(
+        self,
+        min_energy: float = _MIN_ENERGY,
+        half_life_s: float = HALF_LIFE_S,
+    ):
         self._min_energy = min_energy
+        self._half_life_s = half_life_s
         self._factors: dict[tuple[str, str], Factor] = {}
 
     def factor(self, victim: str, neighbour: str, now: float) -> float:
@@ -41,7 +47,7 @@
         found = self._factors.get((victim, neighbour))
         if found is None:
             return 0.0
-        return found.value * 0.5 ** ((now - found.at_s) / HALF_LIFE_S)
+        return found.value * 0.5 ** ((now - found.at_s) / self._half_life_s)
 
     def slowdown(
         self, victim: str, loads: Mapping[str, float], now: float
--- a/pomelostair/kernel.py
+++ b/pomelostair/kernel.py
@@ -26,6 +26,7 @@
 RESTART_MAX_S = 5.0
 LINGER_S = 0.3
 DRAIN_SLACK_S = 0.5
+RETIRE_S = 1.0  # Longest time for giving duties away, out of the drain.
 
 _P = typing.TypeVar("_P", bound="Plugin")
 
@@ -61,6 +62,9 @@
     async def run(self) -> None:
         """Works until cancelled; a crash is logged and run again."""
 
+    async def retire(self, timeout_s: float) -> None:
+        """Gives duties to other processes, before anything drains."""
+
     async def drain(self, timeout_s: float) -> None:
         """Finishes accepted work, taking at most `timeout_s`."""
 
@@ -147,17 +151,22 @@
     async def _drain(self) -> bool:
         deadline = self._parts.clock.now() + self._parts.settings.timing.drain_s
         drained = True
+        for instance in reversed(self._plugins.values()):
+            await self._within(instance, instance.retire, RETIRE_S)
         for instance in reversed(self._plugins.values()):
             left = max(0.0, deadline - self._parts.clock.now())
-            drained &= await self._drain_plugin(instance, left)
+            drained &= await self._within(instance, instance.drain, left)
         return drained and self._parts.clock.now() < deadline
 
-    async def _drain_plugin(self, instance: Plugin, left_s: float) -> bool:
+    async def _within(
+        self,
+        instance: Plugin,
+        work: Callable[[float], Awaitable[None]],
+        left_s: float,
+    ) -> bool:
         name = type(instance).__name__
         try:
-            await curio.timeout_after(
-                left_s + DRAIN_SLACK_S, instance.drain, left_s
-            )
+            await curio.timeout_after(left_s + DRAIN_SLACK_S, work, left_s)
         except curio.TaskTimeout:
             log.emit(events.Events.DRAIN_CUT_SHORT, plugin=name)
             return False
--- a/pomelostair/pacing.py
+++ b/pomelostair/pacing.py
@@ -8,6 +8,8 @@
 is missed, those that contribute most are slowed first.
 """
 
+import math
+
 import attrs
 
 from pomelostair import fleet
@@ -33,8 +35,19 @@
 # Time over target after which every filling attempt on the worker is halted;
 # the platform's impactMs is 4 s or more.
 HALT_AFTER_S = 1.8
+# Time after a halt in which a serving task that filling work had slowed would
+# have recovered, and time for which one that did not is left alone.
+ACQUIT_AFTER_S = 1.5
+LEFT_ALONE_S = 6.0
 # Time at a low pace after which an attempt should move to another worker.
-MOVE_AFTER_S = 1.2
+MOVE_AFTER_S = 2.0
+# Latency over target at which a slowed attempt is welcome elsewhere.
+WELCOME = 0.7
+# A filling task that waits is allowed this much more for each second, so that
+# none is kept out for ever; once it runs, its pace follows the latencies.
+PATIENCE_S = 1.0
+ALLOWED_PER_S = 0.04
+KEPT_OUT_S = 7.0
 # Part of a new figure in the smoothed latency and in the latency when alone.
 SMOOTHING = 0.5
 ALONE_SMOOTHING = 0.1
@@ -43,16 +56,26 @@
 # Loads beside a service are small and shift within seconds, so that the factors
 # have to be learned from few reports.
 MIN_ENERGY = 0.003
+HALF_LIFE_S = 20.0
 # Load below which a filling attempt counts as idle, as share of the worker.
 IDLE = 0.01
 
 
 @attrs.define
 class _Serving:
-    """What was learned about one serving attempt."""
+    """What was learned about one serving attempt.
+
+    Attributes:
+        smooth: Smoothed latency in milliseconds.
+        over_since: Monotonic seconds since which it is over its target, 0 for
+            not.
+        left_alone: Monotonic seconds until which filling work beside it is
+            not slowed for its sake.
+    """
 
     smooth: float
     over_since: float = 0.0
+    left_alone: float = 0.0
 
 
 class Pacer:
@@ -64,7 +87,9 @@
 
     def __init__(self, metrics: metrics_module.Metrics):
         self._metrics = metrics
-        self._factors = interference_module.Interference(MIN_ENERGY)
+        self._factors = interference_module.Interference(
+            MIN_ENERGY, HALF_LIFE_S
+        )
         self._alone: dict[str, float] = {}
         self._serving: dict[fleet.Key, _Serving] = {}
 
@@ -102,7 +127,7 @@
             added: A filling task that would start there.
             paces: Paces in percent that would be set.
         """
-        serving = _serving(worker)
+        serving = self._affected(worker, now)
         if not serving:
             return 0.0
         change = _planned(worker, paces or {})
@@ -140,10 +165,14 @@
         ]
         if not fillers:
             return []
-        serving = _serving(worker)
-        if not serving:
+        if not _serving(worker):
             return [(p, FULL) for p in fillers if p.pace < FULL]
+        serving = self._affected(worker, now)
         if self._is_over_for(serving, now, HALT_AFTER_S):
+            if all(p.pace == 0 for p in fillers):
+                self._acquit(worker, serving, now)
+                return []
+            worker.paced = now
             return [(p, 0) for p in fillers if p.pace > 0]
         if now - worker.paced < STEP_S:
             return []
@@ -159,6 +188,13 @@
             self._metrics.count("pace_steps", direction=direction)
         return steps
 
+    def allowed(self, task: pipeline.Task, now: float) -> float:
+        """Returns the latency over target that a start may predict."""
+        waited_s = now - task.ready_since - PATIENCE_S
+        if waited_s > KEPT_OUT_S:
+            return math.inf
+        return ALLOWED + max(0.0, waited_s) * ALLOWED_PER_S
+
     def forget(self, placement: fleet.Placement) -> None:
         """Forgets an attempt that ended."""
         self._serving.pop(placement.key, None)
@@ -172,6 +208,28 @@
             and now - placement.slowed > MOVE_AFTER_S
         )
 
+    def _affected(
+        self, worker: fleet.Worker, now: float
+    ) -> list[fleet.Placement]:
+        """Returns the serving attempts that filling work may be slowing."""
+        return [
+            p
+            for p in _serving(worker)
+            if p.key not in self._serving
+            or self._serving[p.key].left_alone <= now
+        ]
+
+    def _acquit(
+        self, worker: fleet.Worker, serving: list[fleet.Placement], now: float
+    ) -> None:
+        """Lets filling work go on where halting it did not help."""
+        if now - worker.paced < ACQUIT_AFTER_S:
+            return
+        for placement in serving:
+            known = self._serving.get(placement.key)
+            if known and known.over_since:
+                known.left_alone = now + LEFT_ALONE_S
+
     def _alone_ms(self, placement: fleet.Placement) -> float:
         stage = placement.task.stage
         return self._alone.get(
--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -55,7 +55,6 @@
         attempted_ms: The latest end in any call, answered or not; a call
             without an answer may still be carried out.
         granted_ms: Its clock up to which the leader lets the lease extend.
-        held_epoch: Epoch under which its lists were read last.
         noted: Number of the last end that is durable.
         received: Number of the last order.
         results: Results that the leader has not confirmed.
@@ -72,7 +71,6 @@
     extended_ms: int = 0
     attempted_ms: int = 0
     granted_ms: int = 0
-    held_epoch: int = 0
     noted: int = 0
     received: int = 0
     results: list[messages.OrderResult] = attrs.field(factory=list)
@@ -410,7 +408,6 @@
             ):
                 await self._unreached(worker, "another life answered")
             case ports.Held():
-                worker.held_epoch = epoch
                 self._take_in(worker, result, extend)
                 await self._report_held(worker, received, results, noted)
             case _:
@@ -482,7 +479,8 @@
             self._parts.settings.name,
             self._seat.epoch,
             self._sequence,
-            now - self._started > SETTLED_S and self._all_listed(),
+            now - self._started > SETTLED_S,
+            tuple(self._workers),
             tuple(
                 _state(worker, received, results, self._has_lapsed(worker))
                 for worker in workers
@@ -494,11 +492,6 @@
             self._parts.bus.send, self._seat.bus, report, daemon=True
         )
 
-    def _all_listed(self) -> bool:
-        return all(
-            w.held_epoch == self._seat.epoch for w in self._workers.values()
-        )
-
 
 def _fence(epoch: int, worker: _Worker) -> int:
     """Returns the fencing token of an epoch and a life.
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -69,11 +69,11 @@
         self._scheduler: pipelinescheduler.PipelineScheduler | None = None
         self._leading = False
         self._stopping = False
+        self._left = curio.Event()
         self._dirty = curio.Event()
         self._work = curio.Event()
         self._feed_version = 0
         self._renewed = 0.0
-        self._scanned = 0
         self._hellos: dict[str, float] = {}
         parts.bus.handle(messages.AgentReport, self._on_report)
         parts.bus.handle(messages.StatusQuery, self._on_status)
@@ -94,6 +94,8 @@
                 continue
             try:
                 await self._lead(observed)
+                if self._stopping:
+                    await self._hand_over()
             finally:
                 self._leading = False
                 self._scheduler = None
@@ -103,20 +105,21 @@
                     held=self._lease.held,
                 )
                 self._lease.release()
-        await curio.sleep(self._parts.settings.pipelines.shutdown_s * 2)
+        await self._left.set()
 
-    async def drain(self, timeout_s: float) -> None:
+    async def retire(self, timeout_s: float) -> None:
         """Gives the lease up, so that another entry leads at once."""
         self._stopping = True
-        if self._lease.epoch and self._leading:
-            epoch = self._lease.epoch
-            self._leading = False
-            await self._work.set()
-            await self._dirty.set()
-            if await curio.ignore_after(VACATE_TIMEOUT_S, self._lease.vacate):
-                log.emit(events.Events.LEASE_GIVEN_UP, epoch=epoch)
-            self._peers.learn_seat(messages.LeaderSeat(epoch))
-            await self._peers.announce()
+        await self._dirty.set()
+        await curio.ignore_after(timeout_s, self._left.wait)
+
+    async def _hand_over(self) -> None:
+        epoch = self._lease.epoch
+        self._leading = False
+        if await curio.ignore_after(VACATE_TIMEOUT_S, self._lease.vacate):
+            log.emit(events.Events.LEASE_GIVEN_UP, epoch=epoch)
+        self._peers.learn_seat(messages.LeaderSeat(epoch))
+        await self._peers.announce()
 
     def status(self, pipeline_id: str) -> pipeline.Phase | None:
         """Returns the durable state of a pipeline, None for an unknown one."""
@@ -214,50 +217,59 @@
 
     async def _recover(self, begun: float, lapsed_s: float) -> bool:
         """Reads everything that is kept; returns whether that succeeded."""
-        progress = await self._scan(pipelinerows.PROGRESS)
-        agents = await self._scan(pipelinerows.AGENTS)
+        progress, agents = await self._scan_all(
+            (pipelinerows.PROGRESS, pipelinerows.AGENTS)
+        )
         if progress is None or agents is None:
             return False
         kept: dict[str, pipeline.Progress] = {}
-        for row in progress:
+        for row in progress.rows:
             name = row.key.rpartition("/")[2]
             kept[name] = pipeline.decode_progress(row.value)
         known = {
-            row.key.rpartition("/")[2]: row.value.decode() for row in agents
+            row.key.rpartition("/")[2]: row.value.decode()
+            for row in agents.rows
         }
         horizon = begun + self._lapse_s - max(0.0, lapsed_s)
         self._scheduler.expect(known, horizon)
         return await self._read_pipelines(kept)
 
     async def _read_pipelines(self, kept: dict[str, pipeline.Progress]) -> bool:
-        version = None
-        for partition in range(pipelinerows.PARTITIONS):
-            rows = await self._scan(pipelinerows.prefix(partition))
-            if rows is None:
-                return False
-            version = (
-                self._scanned
-                if version is None
-                else min(version, self._scanned)
-            )
-            declared = [r for r in rows if "/job/" in r.key]
-            for row in (*declared, *(r for r in rows if "/job/" not in r.key)):
-                self._take_row(row, kept)
-        self._feed_version = version or 0
+        found = await self._scan_all(
+            tuple(map(pipelinerows.prefix, range(pipelinerows.PARTITIONS)))
+        )
+        if any(page is None for page in found):
+            return False
+        rows = [row for page in found for row in page.rows]
+        # A cancellation counts only once its pipeline is known.
+        rows.sort(key=lambda row: pipelinerows.is_cancellation(row.key))
+        for row in rows:
+            self._take_row(row, kept)
+        self._feed_version = min(page.version for page in found)
         return True
 
-    async def _scan(self, prefix: str) -> list[store.Row] | None:
+    async def _scan_all(
+        self, prefixes: tuple[str, ...]
+    ) -> list[store.Page | None]:
+        """Reads all rows under each prefix at once; None where that failed."""
+        async with curio.TaskGroup() as group:
+            tasks = [
+                await group.spawn(self._scan, prefix) for prefix in prefixes
+            ]
+        return [task.result for task in tasks]
+
+    async def _scan(self, prefix: str) -> store.Page | None:
         rows: list[store.Row] = []
+        version = None
         after = ""
         while True:
             page = await self._table.scan(prefix, after)
             if not isinstance(page, store.Page):
                 return None
-            if not after:
-                self._scanned = page.version
+            version = page.version if version is None else version
             rows.extend(page.rows)
             if not page.more or not page.rows:
-                return rows
+                return store.Page(tuple(rows), False, version)
             after = page.rows[-1].key
 
     def _take_row(
--- a/pomelostair/pipelinelease.py
+++ b/pomelostair/pipelinelease.py
@@ -85,6 +85,7 @@
         self._row: LeaseRow | None = None
         self._version = 0
         self._until = 0.0
+        self._turn = curio.Lock()
 
     @property
     def epoch(self) -> int:
@@ -152,6 +153,12 @@
         A write whose answer was lost is repeated under the same condition
         until its outcome is known, so that it takes effect at most once.
         """
+        async with self._turn:
+            return await self._commit(puts, deletes)
+
+    async def _commit(
+        self, puts: tuple[store.Put, ...], deletes: tuple[str, ...]
+    ) -> outcome.Committed | outcome.Conflict | outcome.Unavailable:
         assert self._row is not None
         begun = self._clock.now()
         row = attrs.evolve(
--- a/pomelostair/pipelinemessages.py
+++ b/pomelostair/pipelinemessages.py
@@ -156,6 +156,7 @@
         epoch: Epoch of the leader that it reports to.
         sequence: Grows with each report of this process.
         complete: Whether the agent has heard of every worker on its host.
+        lives: Ids and lives of all workers on its host.
         workers: States of those workers that have news.
         gone: Lives that certainly run nothing any more.
     """
@@ -164,6 +165,7 @@
     epoch: int
     sequence: int
     complete: bool
+    lives: tuple[tuple[str, int], ...]
     workers: tuple[WorkerState, ...] = ()
     gone: tuple[tuple[str, int], ...] = ()
 
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -94,6 +94,7 @@
     workers: list[fleet.Worker],
     pacer: pacing.Pacer,
     now: float,
+    allowed: float | None = None,
 ) -> fleet.Worker | None:
     """Returns the best worker for a task, None if none has room.
 
@@ -105,7 +106,11 @@
         workers: Workers of its service that take new attempts.
         pacer: Expects the latency of serving tasks.
         now: Monotonic seconds.
+        allowed: Latency over target that a filling task may bring about, None
+            for what the pacer allows.
     """
+    if allowed is None:
+        allowed = pacer.allowed(task, now)
     found = [
         worker
         for worker in workers
@@ -121,7 +126,7 @@
         ratio = 0.0
         if task.stage.filler:
             ratio = pacer.ratio(worker, now, task)
-            if ratio > pacing.ALLOWED:
+            if ratio > allowed:
                 continue
         value = score(task, worker, ratio)
         if best is None or value > best_score:
--- a/pomelostair/pipelinerows.py
+++ b/pomelostair/pipelinerows.py
@@ -53,6 +53,11 @@
     return f"{PROGRESS}{pipeline_id}"
 
 
+def is_cancellation(key: str) -> bool:
+    """Returns whether a row of the table cancels a pipeline."""
+    return f"/{_CANCEL}" in key
+
+
 def decode(row: store.Row) -> Declared | Cancelled:
     """Returns what a row of the table says.
 
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -303,7 +303,7 @@
         ):
             self._new_agents[message.agent] = bus
         for life in message.gone:
-            self._lose(tuple(life), now, "its agent saw it end")
+            self._lose(life, now, "its agent saw it end")
         found = []
         for state in message.workers:
             life = (state.worker, state.life)
@@ -312,7 +312,7 @@
             found.append(
                 self._take_in(state, message.agent, bus, agent_life, now)
             )
-        if message.complete:
+        if message.complete and self._knows(message.lives):
             self._unheard.pop(message.agent, None)
         return found
 
@@ -394,6 +394,14 @@
         )
         return worker
 
+    def _knows(self, lives: tuple[fleet.Life, ...]) -> bool:
+        """Returns whether the lists of all these lives were taken in."""
+        for life in lives:
+            worker = self._workers.get(life)
+            if life not in self._gone and not (worker and worker.listed):
+                return False
+        return True
+
     def _settle_restart(
         self, worker: fleet.Worker, state: messages.WorkerState
     ) -> None:
--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -184,6 +184,7 @@
             self.epoch,
             int(self.now * 1000),
             True,
+            ((host.name, made.born_ms),),
             (state,),
             tuple((host.name, life) for life in range(1, made.born_ms)),
         )
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -88,6 +88,11 @@
         scene.play(pacing.HALT_AFTER_S + 1.0)
         assert scene.fillers[0].pace == 0
 
+    def test_halted_work_goes_on_where_the_halt_does_not_help(self):
+        scene = Scene(QUIET, alone_ms=25.0)
+        scene.play(pacing.HALT_AFTER_S + pacing.ACQUIT_AFTER_S + 3.0)
+        assert scene.fillers[0].pace > 0
+
     def test_only_slowed_attempts_move(self):
         scene = Scene(QUIET)
         filler = scene.fillers[0]
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies
 
 from pomelostair import pipeline
+from pomelostair import pipelinemessages as messages
 from pomelostair import pipelinescheduler
 from tests import pipelines
 from tests import simfleet
@@ -94,6 +95,24 @@
         assert not worker.usable(fleet.now, pipelinescheduler.FRESH_S)
 
 
+class TestFilling:
+    def test_none_is_kept_out_for_ever_by_serving_tasks(self):
+        """The load: an image that disturbs every service on every worker."""
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.play(1)
+        made = fleet.hosts["w1"].runner
+        made.lasting = True
+        serving = pipelines.stage(
+            lasting=True, latency_target_ms=1.0, image="service"
+        )
+        fleet.submit("service", serving)
+        fleet.play(1)
+        made.lasting = False
+        fleet.submit("filler", pipelines.stage(filler=True, image="noisy"))
+        fleet.play(30)
+        assert fleet.phase("filler") is COMPLETED
+
+
 class TestLostWorker:
     def test_its_work_runs_again_only_after_its_leases(self):
         fleet = simfleet.Fleet(names=("w1", "w2"))
@@ -168,6 +187,22 @@
         held = [t for t, w in fleet.running() if w == "w2"]
         assert sum(task.startswith("a.") for task in held) == 2
 
+    def test_report_without_lists_does_not_count_as_heard(self):
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.play(1)
+        fleet.hosts["w1"].runner.work_ms = 5_000
+        fleet.submit("a", pipelines.stage(1, estimate_ms=5_000))
+        fleet.play(1)
+        fleet.hosts["w1"].cut = True
+        fleet.lead()
+        life = ("w1", fleet.hosts["w1"].runner.born_ms)
+        empty = messages.AgentReport("agent-w1", 2, 1, True, (life,))
+        fleet.scheduler.report(empty, "bus", "life", fleet.now)
+        assert fleet.scheduler.unheard == ("agent-w1",)
+        none = messages.AgentReport("agent-w1", 2, 2, True, ())
+        fleet.scheduler.report(none, "bus", "life", fleet.now)
+        assert not fleet.scheduler.unheard
+
     def test_ends_of_the_old_leader_count_once(self):
         fleet = simfleet.Fleet(names=("w1",))
         made = fleet.hosts["w1"].runner
