--- a/pomelostair/compose.py
+++ b/pomelostair/compose.py
@@ -40,17 +40,7 @@
         StartError: An address of the settings can't be listened at.
     """
     metrics = metrics_module.Metrics()
-    client = httpclient.Client(settings.platform.address, PLATFORM_CONNECTIONS)
-    timeout_s = settings.platform.timeout_ms / 1000
-    parts = kernel.Parts(
-        settings=settings,
-        clock=clock.MonotonicClock(),
-        bus=_listen(settings, metrics),
-        table=tablehttp.HttpTable(client, metrics, timeout_s),
-        objects=tablehttp.HttpObjects(client, timeout_s),
-        metrics=metrics,
-        random=random.Random(),
-    )
+    parts = _parts(settings, metrics, _listen(settings, metrics))
     metrics.gauge("bus_sent_bytes", lambda: parts.bus.sent_bytes)
     metrics.gauge("bus_received_bytes", lambda: parts.bus.received_bytes)
     try:
@@ -59,36 +49,40 @@
         address = settings.http
         if settings.role is settings_module.Role.AGENT:
             address = str(settings.metrics)
+        elif settings.pipelines is not None:
+            address = f"{settings.pipelines}, {settings.metrics}"
         text = f"{address}: set a free address of this host: {error}"
         raise errors.StartError(text) from error
 
 
-def build_on_platform(settings: settings_module.Settings) -> kernel.Kernel:
-    """Returns the wired kernel of a process on the users' platform.
-
-    Raises:
-        StartError: An address of the settings can't be listened at.
-    """
-    metrics = metrics_module.Metrics()
+def _parts(
+    settings: settings_module.Settings,
+    metrics: metrics_module.Metrics,
+    listening: bus.Bus,
+) -> kernel.Parts:
+    """Returns the shared parts; pipelines run on the users' platform."""
     address = settings.platform.address
     timeout_s = settings.platform.timeout_ms / 1000
     client = httpclient.Client(address, PLATFORM_CONNECTIONS)
-    watcher = httpclient.Client(address, PLATFORM_WATCHES)
-    parts = kernel.Parts(
+    if settings.pipelines is None:
+        table = tablehttp.HttpTable(client, metrics, timeout_s)
+        objects = tablehttp.HttpObjects(client, timeout_s)
+        port = None
+    else:
+        watcher = httpclient.Client(address, PLATFORM_WATCHES)
+        table = platform_store.RowsTable(client, watcher, metrics, timeout_s)
+        objects = platform_store.BlobObjects(client, timeout_s)
+        port = platform_port.PlatformPort()
+    return kernel.Parts(
         settings=settings,
         clock=clock.MonotonicClock(),
-        bus=_listen(settings, metrics),
-        table=platform_store.RowsTable(client, watcher, metrics, timeout_s),
-        objects=platform_store.BlobObjects(client, timeout_s),
+        bus=listening,
+        table=table,
+        objects=objects,
         metrics=metrics,
         random=random.Random(),
-        port=platform_port.PlatformPort(),
+        port=port,
     )
-    try:
-        return kernel.Kernel(parts)
-    except OSError as error:
-        text = f"set free addresses of this host: {error}"
-        raise errors.StartError(text) from error
 
 
 def _listen(
--- a/pomelostair/daemon.py
+++ b/pomelostair/daemon.py
@@ -39,9 +39,6 @@
 
 async def serve(
     settings: settings_module.Settings,
-    build: Callable[
-        [settings_module.Settings], kernel_module.Kernel
-    ] = compose.build,
     reloading: Reloading | None = None,
 ) -> int:
     """Runs one daemon until SIGTERM or SIGINT, then stops it gracefully.
@@ -51,7 +48,6 @@
 
     Args:
         settings: Settings of the daemon.
-        build: Wires the parts.
         reloading: How settings are read again, None for never.
 
     Returns:
@@ -64,7 +60,7 @@
     signal.set_wakeup_fd(waker.fileno())
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, _leave_to_wakeup_fd)
-    kernel = build(settings)
+    kernel = compose.build(settings)
     running = await curio.spawn(kernel.run)
     reloader = _Reloader(kernel, settings, reloading)
     watching = await curio.spawn(reloader.watch, daemon=True)
@@ -178,7 +174,8 @@
         return 0
     log.configure(settings.name, settings.log_level)
     try:
-        return curio.run(serve, settings)
+        reloading = Reloading(options.settings, settings_module.load)
+        return curio.run(serve, settings, reloading)
     except errors.StartError as error:
         print(error, file=sys.stderr)
         return EXIT_CANNOT_START
--- a/pomelostair/platform/__main__.py
+++ b/pomelostair/platform/__main__.py
@@ -6,7 +6,6 @@
 
 import curio
 
-from pomelostair import compose
 from pomelostair import daemon
 from pomelostair import errors
 from pomelostair import log
@@ -42,7 +41,6 @@
         return curio.run(
             daemon.serve,
             settings,
-            compose.build_on_platform,
             daemon.Reloading(path, lines.load),
         )
     except errors.StartError as error:
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -284,6 +284,10 @@
         if self.role is Role.AGENT and self.target is None:
             remedy = "give an agent the minion or worker that it stands beside"
             raise errors.SettingsError("target", None, remedy)
+        for_pipelines = self.role in (Role.PIPELINE_ENTRY, Role.PIPELINE_AGENT)
+        if for_pipelines != (self.pipelines is not None):
+            remedy = "give it to pipeline-entry and pipeline-agent, and only so"
+            raise errors.SettingsError("pipelines", self.pipelines, remedy)
         if self.role is Role.ENTRY and self.target is not None:
             remedy = "remove it; an entry stands beside no target"
             raise errors.SettingsError("target", self.target, remedy)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -95,7 +95,7 @@
         process, settings = start()
         assert alive(settings)
         process.send_signal(number)
-        _, lines = process.communicate(timeout=30)
+        lines, _ = process.communicate(timeout=30)
         assert process.returncode == 0
         assert '"STOPPED"' in lines
 
@@ -138,7 +138,7 @@
             )
             assert caller.eventually(lambda: connections(settings) >= 1)
             process.send_signal(signal.SIGTERM)
-            _, lines = process.communicate(timeout=30)
+            lines, _ = process.communicate(timeout=30)
         assert process.returncode == daemon.EXIT_CUT_SHORT, lines
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -195,8 +195,9 @@
             settings.Platform,
             settings.MinionTarget,
             settings.WorkerTarget,
+            settings.Pipelines,
         ):
             for field in attrs.fields(kind):
                 assert re.search(rf"`([a-z]+\.)?{field.name}`", page) or (
-                    field.name in ("platform", "target", "timing")
+                    field.name in ("platform", "target", "timing", "pipelines")
                 ), field.name
