--- a/pomelostair/pacing.py
+++ b/pomelostair/pacing.py
@@ -22,6 +22,12 @@
 # attempts are slowed.
 ALLOWED = 0.85
 HIGH = 0.95
+# Pace at which the first attempt of an image starts beside a service that it was
+# never seen beside: enough to show its effect, too little to do much harm.
+TRIAL = 30
+# Figures that make a pair of images known, and the least load that counts.
+KNOWN_AFTER = 3
+KNOWN_LOAD = 0.02
 # Pace of an attempt that is slowed. It still tells how it affects others.
 SLOWED = 15
 # Factors on the pace of attempts that are given more: the larger one if it is
@@ -56,7 +62,7 @@
 # Loads beside a service are small and shift within seconds, so that the factors
 # have to be learned from few reports.
 MIN_ENERGY = 0.003
-HALF_LIFE_S = 20.0
+HALF_LIFE_S = 60.0
 # Load below which a filling attempt counts as idle, as share of the worker.
 IDLE = 0.01
 
@@ -91,6 +97,7 @@
             MIN_ENERGY, HALF_LIFE_S
         )
         self._alone: dict[str, float] = {}
+        self._figures: dict[tuple[str, str], int] = {}
         self._serving: dict[fleet.Key, _Serving] = {}
 
     def observe(self, worker: fleet.Worker, now: float) -> None:
@@ -104,6 +111,7 @@
                 continue
             image = placement.task.stage.image
             alone = self._alone_ms(placement)
+            self._count(image, loads)
             if loads:
                 self._factors.learn(image, loads, placement.load / alone, now)
             else:
@@ -188,6 +196,16 @@
             self._metrics.count("pace_steps", direction=direction)
         return steps
 
+    def first_pace(self, task: pipeline.Task, worker: fleet.Worker) -> int:
+        """Returns the pace in percent at which a task should start."""
+        image = task.stage.image
+        if task.stage.filler and any(
+            self._figures.get((p.task.stage.image, image), 0) < KNOWN_AFTER
+            for p in _serving(worker)
+        ):
+            return TRIAL
+        return FULL
+
     def allowed(self, task: pipeline.Task, now: float) -> float:
         """Returns the latency over target that a start may predict."""
         waited_s = now - task.ready_since - PATIENCE_S
@@ -208,6 +226,12 @@
             and now - placement.slowed > MOVE_AFTER_S
         )
 
+    def _count(self, image: str, loads: dict[str, float]) -> None:
+        for beside, load in loads.items():
+            if load >= KNOWN_LOAD:
+                pair = (image, beside)
+                self._figures[pair] = self._figures.get(pair, 0) + 1
+
     def _affected(
         self, worker: fleet.Worker, now: float
     ) -> list[fleet.Placement]:
--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -39,6 +39,7 @@
 # Least remaining lease with which an attempt is started.
 LEAST_LEASE_MS = 1000
 CLOCK_DRIFT = 0.02  # The platform bounds the drift of its clocks by 2 %.
+FULL_PACE = 100  # Percent; the pace of every attempt at its start.
 _LIFE_BITS = 31  # Two tokens of 22 and 31 bits fit a JSON number.
 
 
@@ -329,6 +330,8 @@
         result = await worker.client.start(order, end_ms, _fence(epoch, worker))
         match result:
             case ports.Accepted():
+                if order.percent < FULL_PACE:
+                    await worker.client.pace(order, _fence(epoch, worker))
                 return messages.DONE, ""
             case ports.Denied(reason=reason):
                 return messages.REFUSED, reason
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -27,8 +27,8 @@
 from pomelostair import settings as settings_module
 from pomelostair import store
 
-# Three renewals fit into the lease.
-RENEW_S = 0.8
+# Several renewals fit into the lease.
+RENEW_S = 0.45
 # Changes are collected for this time before they are committed together.
 COMMIT_WINDOW_S = 0.015
 # Reports and acceptances are collected for this time before a round.
@@ -36,8 +36,8 @@
 # A round runs at least so often, for due times, stalls and lapses.
 ROUND_S = 0.25
 # Silence of the leader after which others look at the lease row.
-LOOK_AFTER_S = 1.2
-LOOK_S = 0.3
+LOOK_AFTER_S = 1.0
+LOOK_S = 0.2
 RETRY_S = 0.1
 FEED_WAIT_S = 2.0
 HELLO_S = 1.0
--- a/pomelostair/pipelinelease.py
+++ b/pomelostair/pipelinelease.py
@@ -17,7 +17,11 @@
 from pomelostair import store
 
 KEY = "lease/cell/pipelines"
-LEASE_S = 3.0  # A leader that lost its host is replaced after this time.
+# A leader that lost its host is replaced after this time. While the store is
+# slow, the lease is longer, so that a late renewal does not end it.
+LEASE_S = 1.8
+SLOW_LEASE_S = 3.0
+SLOW_COMMIT_S = 0.25
 CLOCK_DRIFT = 0.02  # The platform bounds the drift of its clocks by 2 %.
 TAKEOVER_MARGIN_MS = 50  # Rounding of clock readings on both sides.
 RETRY_MIN_S = 0.02
@@ -85,6 +89,7 @@
         self._row: LeaseRow | None = None
         self._version = 0
         self._until = 0.0
+        self._length_s = SLOW_LEASE_S
         self._turn = curio.Lock()
 
     @property
@@ -121,7 +126,7 @@
         """Returns how long a lease has certainly lapsed; negative before."""
         time = self._table.time()
         if time is None:
-            return -LEASE_S
+            return -SLOW_LEASE_S
         return (time.earliest_ms - row.end_ms) / 1000
 
     async def observe(self) -> Observed | outcome.Unavailable:
@@ -173,7 +178,10 @@
         if isinstance(result, outcome.Committed):
             self._row = row
             self._version = result.version
-            self._until = begun + LEASE_S
+            self._until = begun + self._length_s
+            took_s = self._clock.now() - begun
+            slow = took_s > SLOW_COMMIT_S
+            self._length_s = SLOW_LEASE_S if slow else LEASE_S
         return result
 
     async def vacate(self) -> bool:
@@ -193,7 +201,7 @@
     def _end_ms(self) -> float:
         time = self._table.time()
         latest_ms = 0.0 if time is None else time.latest_ms
-        return latest_ms + LEASE_S * 1000 * (1 + CLOCK_DRIFT)
+        return latest_ms + self._length_s * 1000 * (1 + CLOCK_DRIFT)
 
     async def _settle(
         self, transaction: store.Transaction, token: str
--- a/pomelostair/pipelinemessages.py
+++ b/pomelostair/pipelinemessages.py
@@ -181,7 +181,7 @@
         attempt: Number of the attempt.
         payload: Text for the task of a start.
         checkpoint: Where a start goes on, empty for the beginning.
-        percent: Share at which a paced attempt may work.
+        percent: Share at which a started or paced attempt may work.
         ticket: Ticket of the advice that allows a start, empty for none.
     """
 
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -949,11 +949,13 @@
         task = placement.task
         worker = placement.worker
         task.pipeline.place(task, placement.attempt)
+        placement.pace = self._pacer.first_pace(task, worker)
         worker.order(
             messages.START,
             placement,
             payload=task.pipeline.declaration.payload,
             checkpoint=task.checkpoint,
+            percent=placement.pace,
         )
         self._metrics.count("starts_ordered")
         log.emit(
