--- a/pomelostair/pacing.py
+++ b/pomelostair/pacing.py
@@ -22,8 +22,8 @@
 # attempts are slowed.
 ALLOWED = 0.85
 HIGH = 0.95
-# Pace at which the first attempt of an image starts beside a service that it was
-# never seen beside: enough to show its effect, too little to do much harm.
+# Pace at which an image first starts beside a service that it was never seen
+# beside: enough to show its effect, too little to do much harm.
 TRIAL = 30
 # Figures that make a pair of images known, and the least load that counts.
 KNOWN_AFTER = 3
