--- a/bench/rounds_cost.py
+++ b/bench/rounds_cost.py
@@ -15,6 +15,7 @@
 from pomelostair import metrics as metrics_module
 from pomelostair import scheduler as scheduler_module
 from pomelostair import settings
+from pomelostair import survey
 from pomelostair import term as term_module
 
 CAPACITY = messages.Size(32.0, 125_000, 0)
@@ -76,7 +77,7 @@
 
     def round(self) -> tuple[float, int]:
         """Runs a round; returns its seconds and the number placed."""
-        given = scheduler_module.Round(
+        given = survey.Round(
             self._state,
             (),
             self._workers,
--- a/bench/taskbaselines.py
+++ b/bench/taskbaselines.py
@@ -7,7 +7,9 @@
 from pomelostair import cell as cell_module
 from pomelostair import ledger
 from pomelostair import messages
+from pomelostair import rounds
 from pomelostair import scheduler as scheduler_module
+from pomelostair import survey
 
 
 class FirstFit(scheduler_module.Scheduler):
@@ -21,7 +23,7 @@
     ) -> None:
         """Learns nothing."""
 
-    def plan(self, decided: scheduler_module.Round) -> scheduler_module.Plan:
+    def plan(self, decided: survey.Round) -> rounds.Plan:
         """Returns the decisions of one round."""
         accounts = {
             name: ledger.Account(name, "", "", worker.heartbeat.capacity)
@@ -50,7 +52,7 @@
             for event in events
             if isinstance(event, cell_module.TaskPlaced)
         )
-        return scheduler_module.Plan(tuple(events), nudges)
+        return rounds.Plan(tuple(events), nudges)
 
     def _choose(
         self, size: messages.Size, accounts: list[ledger.Account]
--- a/bench/taskfleet.py
+++ b/bench/taskfleet.py
@@ -9,6 +9,8 @@
 from pomelostair import executor
 from pomelostair import messages
 from pomelostair import scheduler as scheduler_module
+from pomelostair import survey
+from pomelostair import term
 from pomelostair import workerclient
 from pomelostair_standins import machine as machine_module
 
@@ -68,7 +70,7 @@
             f"worker-{index + 1}": machine_module.Machine(behaviour)
             for index in range(WORKERS)
         }
-        self._workers: dict[str, scheduler_module.Worker] = {}
+        self._workers: dict[str, term.Worker] = {}
         self._saved: dict[str, float] = {}
         self._submitted: dict[str, float] = {}
         self._now = 0.0
@@ -125,7 +127,7 @@
             self._sample(machine)
             if (self._steps + index) % HEARTBEAT_STEPS == 0:
                 self._beat(name, index, machine)
-        decided = scheduler_module.Round(
+        decided = survey.Round(
             self._state, (), self._workers, self._declarations, self._now
         )
         plan = self._scheduler.plan(decided)
@@ -160,7 +162,7 @@
             ),
             now_ms=status.now_ms,
         )
-        self._workers[name] = scheduler_module.Worker("", heartbeat, self._now)
+        self._workers[name] = term.Worker("", heartbeat, self._now)
         self._scheduler.observe(heartbeat, self._state, self._now)
         for ended in heartbeat.ended:
             self._end(self._scheduler.judged(ended), machine)
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -247,9 +247,17 @@
         observer.submit(
             "moved", run_s=600, tasks=2, size={"cores": 20, "memory_mb": 1000}
         )
-        assert caller.eventually(lambda: len(observer.running()) == 2, 30)
+
+        def placed():
+            """Returns the runs of this job once both are there."""
+            runs = [
+                r for r in observer.running() if r.task.startswith("moved/")
+            ]
+            return runs if len(runs) == 2 else None
+
+        runs = caller.eventually(placed, 30)
         leader = observer.lease().holder
-        lost = next(r for r in observer.running() if r.worker != leader)
+        lost = next(r for r in runs if r.worker != leader)
         observer.site.kill(lost.worker)
 
         def moved():
