One refused call no longer counts as a lost store; misfits are told

Cause: test_accepted_is_stored_once[UNAVAILABLE] failed first: one refusal, as of a rate limit, made an entry without peers refuse callers for 0.3 s. Change: two refusals in a row, or a missing answer, count as a lost store. A pipeline whose tasks fit on no worker is logged once (event 434) and waits, as workers of another size may come. A new leader removes progress that an earlier one left behind after its declaration.

--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -81,6 +81,9 @@
     PIPELINE_REFUSED = Event(431, logging.WARNING, "call refused")
     PIPELINE_CANCELLED = Event(432, logging.INFO, "pipeline cancelled")
     PIPELINE_ENDED = Event(433, logging.INFO, "pipeline ended")
+    PIPELINE_FITS_NOWHERE = Event(
+        434, logging.WARNING, "no worker could ever run a task"
+    )
     PIPELINE_WORKER_UP = Event(440, logging.INFO, "life of a worker began")
     PIPELINE_WORKER_GONE = Event(441, logging.WARNING, "life of a worker ended")
     PIPELINE_WORKER_SILENT = Event(
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -232,21 +232,30 @@
         }
         horizon = begun + self._lapse_s - max(0.0, lapsed_s)
         self._scheduler.expect(known, horizon)
-        return await self._read_pipelines(kept)
+        if not await self._read_pipelines(kept):
+            return False
+        # An earlier leader removed these declarations and then lost its lease.
+        for name in kept.keys() - self._scheduler.pipelines.keys():
+            self._scheduler.forget(name)
+        return True
 
     async def _read_pipelines(self, kept: dict[str, pipeline.Progress]) -> bool:
         found = await self._scan_all(
             tuple(map(pipelinerows.prefix, range(pipelinerows.PARTITIONS)))
         )
         if any(page is None for page in found):
-            return False
+            return None
         rows = [row for page in found for row in page.rows]
         # A cancellation counts only once its pipeline is known.
         rows.sort(key=lambda row: pipelinerows.is_cancellation(row.key))
         for row in rows:
             self._take_row(row, kept)
         self._feed_version = min(page.version for page in found)
-        return True
+        return {
+            pipelinerows.pipeline_of(row.key)
+            for row in rows
+            if not pipelinerows.is_cancellation(row.key)
+        }
 
     async def _scan_all(
         self, prefixes: tuple[str, ...]
@@ -308,7 +317,7 @@
                         await self._work.set()
                         await self._dirty.set()
                 case store.HistoryGone():
-                    if not await self._read_pipelines({}):
+                    if await self._read_pipelines({}) is None:
                         await curio.sleep(RETRY_S)
                     await self._work.set()
                 case _:
--- a/pomelostair/pipelinerows.py
+++ b/pomelostair/pipelinerows.py
@@ -53,6 +53,11 @@
     return f"{PROGRESS}{pipeline_id}"
 
 
+def pipeline_of(key: str) -> str:
+    """Returns the id of the pipeline that a row of the table is about."""
+    return key.rpartition("/")[2]
+
+
 def is_cancellation(key: str) -> bool:
     """Returns whether a row of the table cancels a pipeline."""
     return f"/{_CANCEL}" in key
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -114,6 +114,7 @@
         self._agents: dict[str, str] = {}
         self._new_agents: dict[str, str] = {}
         self._forgetting: list[str] = []
+        self._misfits: set[str] = set()
         self._unheard: dict[str, None] = {}
         self._attempts: dict[fleet.Key, fleet.Placement] = {}
         self._by_task: dict[str, list[fleet.Placement]] = {}
@@ -287,6 +288,7 @@
         """Forgets a pipeline whose declaration was removed."""
         self._pipelines.pop(pipeline_id, None)
         self._shown.pop(pipeline_id, None)
+        self._misfits.discard(pipeline_id)
         self._forgetting.append(pipeline_id)
 
     def report(
@@ -892,9 +894,33 @@
             if worker is None:
                 if plain:
                     blocked.add(task.stage_number)
+                self._tell_misfit(task, workers)
                 continue
             self._start(task, worker, self._next_attempt(task), now)
 
+    def _tell_misfit(
+        self, task: pipeline.Task, workers: list[fleet.Worker]
+    ) -> None:
+        """Logs once that a pipeline waits for a worker that does not exist.
+
+        It is not failed: workers of another size may come.
+        """
+        name = task.pipeline.id
+        if name in self._misfits or placement_module.could_ever_fit(
+            task.stage, workers
+        ):
+            return
+        self._misfits.add(name)
+        self._metrics.count("pipelines_fitting_nowhere")
+        log.emit(
+            events.Events.PIPELINE_FITS_NOWHERE,
+            pipeline=name,
+            task=task.id,
+            demand=attrs.astuple(task.stage.demand),
+            label=task.stage.label,
+            workers=len(workers),
+        )
+
     def _start_gang(
         self, task: pipeline.Task, workers: list[fleet.Worker], now: float
     ) -> None:
--- a/pomelostair/relaytable.py
+++ b/pomelostair/relaytable.py
@@ -18,6 +18,8 @@
 MAX_PEERS = 2  # Further peers are likely turned away for the same reason.
 # While the store is away, one operation in this interval tries it first.
 PROBE_S = 0.3
+# Refusals in a row after which the store counts as away.
+FAILURES_TO_LOSE = 2
 MAX_RELAYED_WAIT_S = 0.5  # A relayed watch holds the peer's connection.
 
 
@@ -43,6 +45,7 @@
         self._clock = clock
         self._peers = peers
         self._reached = True
+        self._failures = 0
         self._probed = 0.0
         self._since = clock.now()
 
@@ -120,19 +123,30 @@
         return True
 
     def _note(self, result):
-        lost = isinstance(result, outcome.Unavailable | outcome.Unknown)
-        if lost == self._reached:
+        """Takes in how an operation at the store went, and returns it.
+
+        A single refusal may be one of a rate; a missing answer is not.
+        """
+        match result:
+            case outcome.Unavailable():
+                self._failures += 1
+            case outcome.Unknown():
+                self._failures += FAILURES_TO_LOSE
+            case _:
+                self._failures = 0
+        reached = self._failures < FAILURES_TO_LOSE
+        if reached != self._reached:
             now = self._clock.now()
-            event = (
-                events.Events.STORE_LOST if lost else events.Events.STORE_BACK
-            )
+            event = events.Events.STORE_BACK
+            if not reached:
+                event = events.Events.STORE_LOST
             log.emit(
                 event,
                 reason=getattr(result, "reason", ""),
                 after_s=round(now - self._since, 3),
             )
             self._since = self._probed = now
-        self._reached = not lost
+        self._reached = reached
         return result
 
     async def _relay(
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -87,6 +87,16 @@
         fleet.play(8)
         assert all(fleet.phase(f"p{n}") is COMPLETED for n in range(6))
 
+    def test_task_that_fits_nowhere_waits_and_is_told_once(self, caplog):
+        caplog.set_level("WARNING")
+        fleet = simfleet.Fleet(cores=8)
+        fleet.play(1)
+        fleet.submit("large", pipelines.stage(millicores=9000))
+        fleet.play(3)
+        assert fleet.phase("large") is pipeline.Phase.QUEUED
+        told = [r for r in caplog.records if getattr(r, "event", 0) == 434]
+        assert [r.pipeline for r in told] == ["large"]
+
     def test_draining_worker_gets_nothing_new(self):
         fleet = simfleet.Fleet(names=("w1",))
         fleet.play(1)
--- a/tests/test_relaytable.py
+++ b/tests/test_relaytable.py
@@ -121,6 +121,8 @@
         harness.own.down = True
 
         async def body(table):
+            await table.read(KEY)
+            assert table.reached
             await table.read(KEY)
             assert not table.reached
             harness.own.down = False
