One client for the platform: the stand-in speaks its rows and objects

Cause: two table clients mapped failed calls by the same lines, one for the users' platform and one for our own stand-in's calls.

--- a/pomelostair/compose.py
+++ b/pomelostair/compose.py
@@ -23,7 +23,6 @@
 from pomelostair import metrics as metrics_module
 from pomelostair import pipelineapi as _pipelineapi  # noqa: F401
 from pomelostair import settings as settings_module
-from pomelostair import tablehttp
 from pomelostair.platform import control as _control  # noqa: F401
 from pomelostair.platform import front as _front  # noqa: F401
 from pomelostair.platform import port as platform_port
@@ -60,28 +59,20 @@
     metrics: metrics_module.Metrics,
     listening: bus.Bus,
 ) -> kernel.Parts:
-    """Returns the shared parts; pipelines run on the users' platform."""
+    """Returns the shared parts."""
     address = settings.platform.address
     timeout_s = settings.platform.timeout_ms / 1000
     client = httpclient.Client(address, PLATFORM_CONNECTIONS)
-    if settings.pipelines is None:
-        table = tablehttp.HttpTable(client, metrics, timeout_s)
-        objects = tablehttp.HttpObjects(client, timeout_s)
-        port = None
-    else:
-        watcher = httpclient.Client(address, PLATFORM_WATCHES)
-        table = platform_store.RowsTable(client, watcher, metrics, timeout_s)
-        objects = platform_store.BlobObjects(client, timeout_s)
-        port = platform_port.PlatformPort()
+    watcher = httpclient.Client(address, PLATFORM_WATCHES)
     return kernel.Parts(
         settings=settings,
         clock=clock.MonotonicClock(),
         bus=listening,
-        table=table,
-        objects=objects,
+        table=platform_store.RowsTable(client, watcher, metrics, timeout_s),
+        objects=platform_store.BlobObjects(client, timeout_s),
         metrics=metrics,
         random=random.Random(),
-        port=port,
+        port=platform_port.PlatformPort(),
     )
 
 
--- a/pomelostair/platform/store.py
+++ b/pomelostair/platform/store.py
@@ -2,7 +2,7 @@
 
 A key of the product, `TABLE/PART/REST`, names a row of the platform's `TABLE`
 under `PART`, which is the unit of its write rate. A key of two segments has an
-empty part.
+empty part, and one of a single segment an empty name, too.
 """
 
 import base64
@@ -95,6 +95,8 @@
 
 def join(row: RowBody) -> str:
     """Returns the product's key of a row."""
+    if not (row.part or row.key):
+        return row.table
     middle = f"{row.part}/" if row.part else ""
     return f"{row.table}/{middle}{row.key}"
 
--- a/pomelostair_standins/platformsite.py
+++ b/pomelostair_standins/platformsite.py
@@ -97,7 +97,9 @@
 
     def start(self) -> None:
         """Starts everything and waits until the entries are ready."""
-        self._run("store", "pomelostair_standins.rows", "--listen", self.store)
+        self._run(
+            "store", "pomelostair_standins.platform", "--listen", self.store
+        )
         self._wait(lambda: self.configure(configuration(1)))
         for number in range(len(self.entries)):
             self.start_entry(number)
