Split the pipelines' scheduler; a leader of an empty store leads at once

pipelinescheduler.py had 1,005 lines and five jobs. The attempts that may run (attempts), starts of a round (pipelinestarts), paces, stalls and leaving (pipelinewatch), and what has to be stored (pipelinebook) are modules of their own; no decision was meant to change. Test: test_entry_leads_before_anything_was_submitted.

--- a/bench/pipeline_cost.py
+++ b/bench/pipeline_cost.py
@@ -54,7 +54,7 @@
     @property
     def waiting(self) -> bool:
         """Whether any task waits for a worker."""
-        items = self._scheduler.pipelines.values()
+        items = self._scheduler.book.pipelines.values()
         return any(item.ready for item in items)
 
     def submit(self, count: int) -> None:
@@ -67,7 +67,9 @@
                 (STAGE,),
                 int(self._now * 1000),
             )
-            self._scheduler.add(declared, 1, pipeline.Progress(), self._now)
+            self._scheduler.book.add(
+                declared, 1, pipeline.Progress(), self._now
+            )
 
     def report_all(self) -> float:
         """Takes in a report of each worker; returns the processor seconds."""
--- /dev/null
+++ b/pomelostair/attempts.py
@@ -0,0 +1,102 @@
+"""The attempts that may be running, by task and by worker."""
+
+from pomelostair import events
+from pomelostair import fleet
+from pomelostair import log
+from pomelostair import metrics as metrics_module
+from pomelostair import pacing
+from pomelostair import pipeline
+from pomelostair import pipelinemessages as messages
+
+
+class Attempts:
+    """Attempts of one term of a leader.
+
+    Args:
+        pacer: Told of attempts that ended.
+        metrics: Where orders are counted.
+    """
+
+    def __init__(self, pacer: pacing.Pacer, metrics: metrics_module.Metrics):
+        self._pacer = pacer
+        self._metrics = metrics
+        self._by_key: dict[fleet.Key, fleet.Placement] = {}
+        self._by_task: dict[str, list[fleet.Placement]] = {}
+
+    def get(self, key: fleet.Key) -> fleet.Placement | None:
+        """Returns the attempt with a task id and number, if it may run."""
+        return self._by_key.get(key)
+
+    def runs(self, task: pipeline.Task) -> bool:
+        """Returns whether any attempt of a task may be running."""
+        return task.id in self._by_task
+
+    def of_task(self, task: pipeline.Task) -> list[fleet.Placement]:
+        """Returns the attempts of a task that may be running."""
+        return list(self._by_task.get(task.id, ()))
+
+    def attach(self, placement: fleet.Placement) -> None:
+        """Counts an attempt."""
+        self._by_key[placement.key] = placement
+        self._by_task.setdefault(placement.task.id, []).append(placement)
+        placement.worker.add(placement)
+
+    def drop(self, placement: fleet.Placement, now: float) -> None:
+        """Forgets an attempt that certainly runs no more."""
+        self.detach(placement)
+        self.release(placement.task, now)
+
+    def detach(self, placement: fleet.Placement) -> None:
+        """Stops counting an attempt, and leaves its task as it is."""
+        placement.worker.remove(placement)
+        self._pacer.forget(placement)
+        if self._by_key.get(placement.key) is placement:
+            del self._by_key[placement.key]
+        task = placement.task
+        rest = [p for p in self._by_task.get(task.id, ()) if p is not placement]
+        if rest:
+            self._by_task[task.id] = rest
+        else:
+            self._by_task.pop(task.id, None)
+
+    def release(self, task: pipeline.Task, now: float) -> None:
+        """Makes a task ready again once none of its attempts is left."""
+        if (
+            task.id in self._by_task
+            or task.pipeline.ended
+            or task.phase is pipeline.TaskPhase.DONE
+        ):
+            return
+        if task.stage.gang:
+            self._regroup(task, now)
+        else:
+            task.pipeline.release(task, now)
+
+    def _regroup(self, task: pipeline.Task, now: float) -> None:
+        """Makes a gang ready again once none of its members runs."""
+        members = task.pipeline.tasks(task.occurrence, task.stage_number)
+        held = [p for m in members for p in self.of_task(m)]
+        for placement in held:
+            self.stop(placement, "another member of its gang ended")
+        if held:
+            return
+        saved = next((m.checkpoint for m in members if m.checkpoint), "")
+        for member in members:
+            member.checkpoint = saved
+            task.pipeline.release(member, now)
+
+    def stop(self, placement: fleet.Placement, why: str) -> None:
+        """Orders the stop of an attempt, once."""
+        if placement.standing is fleet.Standing.STOPPING:
+            return
+        placement.standing = fleet.Standing.STOPPING
+        placement.stop_reason = why
+        placement.worker.order(messages.STOP, placement)
+        self._metrics.count("stops_ordered")
+        log.emit(
+            events.Events.STOP_ORDERED,
+            task=placement.task.id,
+            attempt=placement.attempt,
+            worker=placement.worker.id,
+            reason=why,
+        )
--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -8,6 +8,8 @@
 from pomelostair import pipelinemessages as messages
 from pomelostair import resources
 
+# Silence after which a worker gets no new attempts: about three reports.
+FRESH_S = 1.5
 # Share of its request that a serving task uses, seen on the platform's days.
 SERVING_USE = 0.45
 
@@ -155,12 +157,11 @@
             - self.filling
         )
 
-    def usable(self, now: float, fresh_s: float) -> bool:
+    def usable(self, now: float) -> bool:
         """Returns whether it may get new attempts.
 
         Args:
             now: Monotonic seconds.
-            fresh_s: Age of the last report from which on it is silent.
         """
         return (
             self.registered
@@ -169,7 +170,7 @@
             and not self.state.draining
             and not self.orphans
             and now >= self.trouble
-            and now - self.heard < fresh_s
+            and now - self.heard < FRESH_S
         )
 
     def add(self, placement: Placement) -> None:
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -20,6 +20,7 @@
 from pomelostair import log
 from pomelostair import outcome
 from pomelostair import pipeline
+from pomelostair import pipelinebook
 from pomelostair import pipelinelease
 from pomelostair import pipelinemessages as messages
 from pomelostair import pipelinerows
@@ -125,7 +126,7 @@
         """Returns the durable state of a pipeline, None for an unknown one."""
         if self._scheduler is None:
             return None
-        return self._scheduler.phase(pipeline_id)
+        return self._scheduler.book.phase(pipeline_id)
 
     async def accept(self, row: store.Row) -> None:
         """Takes in a row that an entry has stored."""
@@ -135,12 +136,16 @@
             await self._dirty.set()
 
     def _count_held(self) -> int:
-        return 0 if self._scheduler is None else len(self._scheduler.pipelines)
+        return (
+            0
+            if self._scheduler is None
+            else len(self._scheduler.book.pipelines)
+        )
 
     def _count_pending(self) -> dict[str, int] | None:
         if not self.leading or self._scheduler is None:
             return None
-        return self._scheduler.pending()
+        return self._scheduler.book.pending()
 
     async def _look(self) -> pipelinelease.Observed | None:
         """Waits until the lease may be free; returns what was read of it."""
@@ -209,7 +214,7 @@
         log.emit(
             events.Events.PIPELINES_RECOVERED,
             epoch=self._lease.epoch,
-            pipelines=len(self._scheduler.pipelines),
+            pipelines=len(self._scheduler.book.pipelines),
             agents=len(self._scheduler.agents),
             took_s=round(self._clock.now() - begun, 3),
         )
@@ -232,14 +237,25 @@
         }
         horizon = begun + self._lapse_s - max(0.0, lapsed_s)
         self._scheduler.expect(known, horizon)
-        if not await self._read_pipelines(kept):
+        declared = await self._read_pipelines(kept)
+        if declared is None:
             return False
         # An earlier leader removed these declarations and then lost its lease.
-        for name in kept.keys() - self._scheduler.pipelines.keys():
+        for name in kept.keys() - declared:
             self._scheduler.forget(name)
         return True
 
-    async def _read_pipelines(self, kept: dict[str, pipeline.Progress]) -> bool:
+    async def _read_pipelines(
+        self, kept: dict[str, pipeline.Progress]
+    ) -> set[str] | None:
+        """Reads all declarations and cancellations.
+
+        Args:
+            kept: Progress by id.
+
+        Returns:
+            Ids of all declarations, readable or not; None if reading failed.
+        """
         found = await self._scan_all(
             tuple(map(pipelinerows.prefix, range(pipelinerows.PARTITIONS)))
         )
@@ -290,7 +306,7 @@
                     declaration=declared, version=number
                 ):
                     progress = (kept or {}).get(declared.id)
-                    self._scheduler.add(
+                    self._scheduler.book.add(
                         declared,
                         number,
                         progress or pipeline.Progress(),
@@ -350,7 +366,7 @@
                     await self._dirty.set()
                 return True
             case outcome.Unavailable(reason=reason):
-                scheduler.abandon(batch)
+                scheduler.book.abandon(batch)
                 self._parts.metrics.count("commits_failed")
                 log.emit(
                     events.Events.LEASE_RENEWAL_FAILED,
@@ -432,7 +448,7 @@
             await curio.sleep(FORGET_S)
             if not self.leading:
                 continue
-            for name in self._scheduler.expired(self._retention_ms):
+            for name in self._scheduler.book.expired(self._retention_ms):
                 keys = (
                     pipelinerows.declaration_key(name),
                     pipelinerows.cancellation_key(name),
@@ -481,7 +497,7 @@
 
 
 def _rows(
-    batch: pipelinescheduler.Batch,
+    batch: pipelinebook.Batch,
 ) -> tuple[tuple[store.Put, ...], tuple[str, ...]]:
     puts = [
         store.Put(pipelinerows.progress_key(name), pipeline.encode(progress))
--- /dev/null
+++ b/pomelostair/pipelinestarts.py
@@ -0,0 +1,215 @@
+"""Which ready tasks start where, in one round."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from pomelostair import attempts as attempts_module
+from pomelostair import events
+from pomelostair import fleet
+from pomelostair import log
+from pomelostair import metrics as metrics_module
+from pomelostair import pacing
+from pomelostair import pipeline
+from pomelostair import pipelinemessages as messages
+from pomelostair import pipelineorder
+from pomelostair import pipelineplacement as placement_module
+from pomelostair import queues
+
+# Attempt numbers that one epoch may use for a task before the next epoch
+# begins above them; a new leader can't know the last numbers of the old one.
+ATTEMPTS_PER_EPOCH = 64
+# Ready tasks that one round looks at.
+MAX_CONSIDERED = 600
+
+
+class Starter:
+    """Starts tasks for one term of a leader.
+
+    Args:
+        epoch: Epoch of the term.
+        attempts: The attempts that may be running.
+        pacer: Expects the latency of serving tasks.
+        metrics: Where starts are counted.
+    """
+
+    def __init__(
+        self,
+        epoch: int,
+        attempts: attempts_module.Attempts,
+        pacer: pacing.Pacer,
+        metrics: metrics_module.Metrics,
+    ):
+        self._epoch = epoch
+        self._attempts = attempts
+        self._pacer = pacer
+        self._metrics = metrics
+        self._misfits: set[str] = set()
+
+    def forget(self, pipeline_id: str) -> None:
+        """Forgets a pipeline."""
+        self._misfits.discard(pipeline_id)
+
+    def start_ready(
+        self,
+        items: Iterable[pipeline.Pipeline],
+        workers: Iterable[fleet.Worker],
+        table: queues.QueueTable,
+        now: float,
+        unix_ms: float,
+    ) -> None:
+        """Starts what is ready, in the order of the pipelines' ranks.
+
+        Args:
+            items: Pipelines whose tasks may start.
+            workers: All workers.
+            table: The queues in force.
+            now: Monotonic seconds.
+            unix_ms: Time of day.
+        """
+        usable: dict[str, list[fleet.Worker]] = {}
+        for worker in workers:
+            if worker.usable(now):
+                usable.setdefault(worker.state.service, []).append(worker)
+        if not usable:
+            return
+        ranked = []
+        for item in items:
+            if item.ready:
+                queue = table.named(item.declaration.queue)
+                if queue is None or queue.service not in usable:
+                    continue
+                rank = pipelineorder.rank(item, queue, unix_ms)
+                ranked.append((rank.key, item.id, item, queue))
+        ranked.sort(key=lambda row: row[:2])
+        considered = 0
+        for _, _, item, queue in ranked:
+            if considered >= MAX_CONSIDERED:
+                return
+            considered += len(item.ready)
+            self._start_pipeline(item, usable[queue.service], now)
+
+    def _start_pipeline(
+        self, item: pipeline.Pipeline, workers: list[fleet.Worker], now: float
+    ) -> None:
+        blocked: set[int] = set()
+        for task in list(item.ready.values()):
+            if task.not_before > now or self._attempts.runs(task):
+                continue
+            if task.stage.gang:
+                self._start_gang(task, workers, now)
+                continue
+            plain = not task.avoided
+            if plain and task.stage_number in blocked:
+                continue
+            worker = placement_module.choose(task, workers, self._pacer, now)
+            if worker is None:
+                if plain:
+                    blocked.add(task.stage_number)
+                self._tell_misfit(task, workers)
+                continue
+            self._start(task, worker, self._next_attempt(task), now)
+
+    def _tell_misfit(
+        self, task: pipeline.Task, workers: list[fleet.Worker]
+    ) -> None:
+        """Logs once that a pipeline waits for a worker that does not exist.
+
+        It is not failed: workers of another size may come.
+        """
+        name = task.pipeline.id
+        if name in self._misfits or placement_module.could_ever_fit(
+            task.stage, workers
+        ):
+            return
+        self._misfits.add(name)
+        self._metrics.count("pipelines_fitting_nowhere")
+        log.emit(
+            events.Events.PIPELINE_FITS_NOWHERE,
+            pipeline=name,
+            task=task.id,
+            demand=attrs.astuple(task.stage.demand),
+            label=task.stage.label,
+            workers=len(workers),
+        )
+
+    def _start_gang(
+        self, task: pipeline.Task, workers: list[fleet.Worker], now: float
+    ) -> None:
+        """Starts all members of a gang, or none."""
+        members = task.pipeline.tasks(task.occurrence, task.stage_number)
+        if any(
+            m.phase is not pipeline.TaskPhase.READY or self._attempts.runs(m)
+            for m in members
+        ):
+            return
+        attempt = max(self._next_attempt(member) for member in members)
+        started = []
+        for candidates in (
+            _racks(workers) if task.stage.same_rack else [workers]
+        ):
+            for member in members:
+                worker = placement_module.choose(
+                    member, candidates, self._pacer, now
+                )
+                if worker is None:
+                    break
+                placement = fleet.Placement(member, attempt, worker, now)
+                self._attempts.attach(placement)
+                started.append(placement)
+            if len(started) == len(members):
+                break
+            for placement in started:
+                self._attempts.detach(placement)
+            started.clear()
+        for placement in started:
+            self._order_start(placement)
+
+    def _next_attempt(self, task: pipeline.Task) -> int:
+        return (
+            max(task.last_attempt, (self._epoch - 1) * ATTEMPTS_PER_EPOCH) + 1
+        )
+
+    def _start(
+        self,
+        task: pipeline.Task,
+        worker: fleet.Worker,
+        attempt: int,
+        now: float,
+    ) -> None:
+        placement = fleet.Placement(task, attempt, worker, now)
+        self._attempts.attach(placement)
+        self._order_start(placement)
+
+    def _order_start(self, placement: fleet.Placement) -> None:
+        task = placement.task
+        worker = placement.worker
+        task.pipeline.place(task, placement.attempt)
+        placement.pace = self._pacer.first_pace(task, worker)
+        worker.order(
+            messages.START,
+            placement,
+            payload=task.pipeline.declaration.payload,
+            checkpoint=task.checkpoint,
+            percent=placement.pace,
+        )
+        self._metrics.count("starts_ordered")
+        log.emit(
+            events.Events.START_ORDERED,
+            task=task.id,
+            attempt=placement.attempt,
+            worker=worker.id,
+            free=worker.free.millicores,
+            unused=worker.unused_millicores,
+            report_age_ms=int((placement.ordered - worker.heard) * 1000),
+            checkpoint=bool(task.checkpoint),
+        )
+
+
+def _racks(workers: Iterable[fleet.Worker]) -> list[list[fleet.Worker]]:
+    """Returns the workers of each rack, and then all of them."""
+    racks: dict[str, list[fleet.Worker]] = {}
+    everyone = list(workers)
+    for worker in everyone:
+        racks.setdefault(worker.state.rack, []).append(worker)
+    return [*racks.values(), everyone]
--- /dev/null
+++ b/pomelostair/pipelinewatch.py
@@ -0,0 +1,137 @@
+"""Watches what runs on the workers: paces, stalls, leaving and suspicion."""
+
+from pomelostair import attempts as attempts_module
+from pomelostair import events
+from pomelostair import fleet
+from pomelostair import log
+from pomelostair import metrics as metrics_module
+from pomelostair import pacing
+from pomelostair import pipelinemessages as messages
+from pomelostair import pipelineplacement as placement_module
+
+# Time without progress after which an attempt counts as stalled.
+STALL_S = 1.5
+# Share of the estimated duration that a stall must also last, as the progress
+# of long tasks is told in whole percents.
+STALL_SHARE = 0.25
+# Factor on that time where filling work competes for what is left over.
+CROWDED_FACTOR = 3
+# Time in which a lasting task must be at work after its start.
+LASTING_START_S = 4.0
+# How long a worker with stalled or failing attempts gets no new ones.
+TROUBLE_S = 4.0
+# Share of the workers that may be suspected at once; beyond it the work is
+# more likely at fault.
+MOST_SUSPECTS = 0.34
+# Time before a draining worker leaves at which its tasks are moved away.
+LEAVE_MARGIN_MS = 900
+
+
+class Watch:
+    """Watches the workers of one term of a leader.
+
+    Args:
+        workers: All workers by id and life; changed by the scheduler.
+        attempts: The attempts that may be running.
+        pacer: Decides the paces.
+        metrics: Where decisions are counted.
+    """
+
+    def __init__(
+        self,
+        workers: dict[fleet.Life, fleet.Worker],
+        attempts: attempts_module.Attempts,
+        pacer: pacing.Pacer,
+        metrics: metrics_module.Metrics,
+    ):
+        self._workers = workers
+        self._attempts = attempts
+        self._pacer = pacer
+        self._metrics = metrics
+
+    def watch(self, worker: fleet.Worker, now: float) -> None:
+        """Paces, moves and stops what runs on a worker."""
+        if worker.state.draining:
+            self._empty(worker)
+        if now - worker.heard > fleet.FRESH_S or not worker.state.reachable:
+            return
+        for placement, percent in self._pacer.decide(worker, now):
+            placement.pace = percent
+            if percent >= pacing.FULL:
+                placement.slowed = 0.0
+            elif not placement.slowed:
+                placement.slowed = now
+            worker.order(messages.PACE, placement, percent=percent)
+            log.emit(
+                events.Events.ATTEMPT_PACED,
+                task=placement.task.id,
+                attempt=placement.attempt,
+                worker=worker.id,
+                percent=percent,
+            )
+        for placement in list(worker.placements.values()):
+            if self._pacer.should_move(placement, now):
+                self._move(placement, now)
+            if self._is_stalled(placement, now):
+                worker.stalls += 1
+                self._metrics.count("attempts_stalled")
+                placement.task.avoided.add(worker.id)
+                self.suspect(worker, now, "attempts stand still")
+                self._attempts.stop(placement, "it stands still")
+
+    def _move(self, placement: fleet.Placement, now: float) -> None:
+        """Moves a slowed attempt, if its progress goes along."""
+        task = placement.task
+        if not task.stage.checkpointing:
+            return
+        others = [
+            worker
+            for worker in self._workers.values()
+            if worker is not placement.worker
+            and worker.state.service == placement.worker.state.service
+            and worker.usable(now)
+        ]
+        if placement_module.choose(task, others, self._pacer, now) is not None:
+            self._attempts.stop(placement, "it slows serving tasks beside it")
+
+    def _is_stalled(self, placement: fleet.Placement, now: float) -> bool:
+        if (
+            placement.standing is not fleet.Standing.RUNNING
+            or not placement.seen
+            or placement.pace < pacing.FULL
+            or placement.percent >= 100
+        ):
+            return False
+        stage = placement.task.stage
+        if stage.lasting:
+            return now - placement.moved > LASTING_START_S
+        limit_s = max(STALL_S, STALL_SHARE * stage.estimate_ms / 1000)
+        if stage.filler and placement.worker.unused_millicores < 0:
+            limit_s *= CROWDED_FACTOR
+        return now - placement.moved > limit_s
+
+    def _empty(self, worker: fleet.Worker) -> None:
+        """Moves the tasks away that would end with a leaving worker."""
+        for placement in list(worker.placements.values()):
+            stage = placement.task.stage
+            left_ms = stage.estimate_ms * (1 - placement.percent / 100)
+            ends_in_time = (
+                not stage.lasting
+                and left_ms + LEAVE_MARGIN_MS < worker.state.remaining_ms
+            )
+            if not ends_in_time and placement.seen:
+                self._attempts.stop(placement, "its worker leaves")
+
+    def suspect(self, worker: fleet.Worker, now: float, why: str) -> None:
+        """Gives a worker no new attempts for a while."""
+        suspects = sum(w.trouble > now for w in self._workers.values())
+        if suspects >= len(self._workers) * MOST_SUSPECTS:
+            return
+        if worker.trouble <= now:
+            log.emit(
+                events.Events.PIPELINE_WORKER_SUSPECT,
+                worker=worker.id,
+                reason=why,
+                for_s=TROUBLE_S,
+            )
+        worker.trouble = now + TROUBLE_S
--- a/tests/platform/test_whole.py
+++ b/tests/platform/test_whole.py
@@ -190,3 +190,14 @@
         for host in (site.entries[0], site.sides[0]):
             address = f"{host}:{site.metrics}"
             assert site.call(address, "GET", "/metrics")[0] == 200
+
+
+class TestStart:
+    def test_entry_leads_before_anything_was_submitted(self, site):
+        until(
+            lambda: any(
+                line["event_name"] == "PIPELINES_RECOVERED"
+                for number in range(len(site.entries))
+                for line in site.lines(f"edge-{number}")
+            )
+        )
--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -82,7 +82,7 @@
         self.scheduler.expect(self.agents, self.now + LEASE_S)
         for declared, version in self.rows.values():
             progress = self.kept.get(declared.id, pipeline.Progress())
-            self.scheduler.add(declared, version, progress, self.now)
+            self.scheduler.book.add(declared, version, progress, self.now)
         for name in self.cancelled:
             self.scheduler.cancel(name)
 
@@ -93,7 +93,7 @@
             name, *stages, submitted_ms=int(self.now * 1000), **fields
         )
         self.rows[name] = (declared, self.version)
-        self.scheduler.add(
+        self.scheduler.book.add(
             declared, self.version, pipeline.Progress(), self.now
         )
 
@@ -143,7 +143,7 @@
 
     def phase(self, name):
         """Returns what a caller is shown."""
-        return self.scheduler.phase(name)
+        return self.scheduler.book.phase(name)
 
     def _fence(self, host):
         return (self.epoch << 31) | host.runner.born_ms
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -6,7 +6,6 @@
 
 from pomelostair import pipeline
 from pomelostair import pipelinemessages as messages
-from pomelostair import pipelinescheduler
 from tests import pipelines
 from tests import simfleet
 
@@ -102,7 +101,7 @@
         fleet.play(1)
         worker = next(iter(fleet.scheduler.workers.values()))
         worker.state = pipelines.state("w1", draining=True)
-        assert not worker.usable(fleet.now, pipelinescheduler.FRESH_S)
+        assert not worker.usable(fleet.now)
 
 
 class TestFilling:
