Silent connections between processes and to the store are replaced

Change: connections of the bus in use are probed each second and replaced when no answer comes within one; a timeout of an HTTP exchange closes all idle connections of that client. A pipeline's end is logged once. Test: TestProbe; it failed to load before, as there was no probe.

--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -13,6 +13,7 @@
 import time
 import uuid
 
+import attrs
 import curio
 from curio import traps
 import msgspec
@@ -35,6 +36,10 @@
 PEER_IDLE_S = 60.0
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 500
+# A silent connection between entries and agents is noticed within the sum of
+# both, well before the leases of running work end.
+PROBE_INTERVAL_S = 1.0
+PROBE_TIMEOUT_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,6 +72,12 @@
 Handler = Callable[[object, wire.Envelope], Awaitable[None]]
 
 
+@wire.message("bus-probe")
+@attrs.frozen
+class Probe:
+    """Asks a peer for a sign of life; the answer is the same message."""
+
+
 class Bus(abc.ABC):
     """Sends and receives messages; answers find their open calls.
 
@@ -83,7 +94,7 @@
         self._address = address
         self._incarnation = uuid.uuid4().hex[:16]
         self._metrics = metrics
-        self._handlers: dict[type, Handler] = {}
+        self._handlers: dict[type, Handler] = {Probe: self._on_probe}
         self._calls: dict[str, curio.Queue] = {}
         self._next_call = 0
         self._waiting_replies = 0
@@ -129,6 +140,32 @@
             address, self._seal(message, correlation="", answer=False)
         )
 
+    async def probe(self, address: str, timeout_s: float) -> bool:
+        """Asks a peer for a sign of life; without one its connection ends.
+
+        A connection may go silent without a reset, so that only a missing
+        answer shows it. The next message makes a new one.
+
+        Args:
+            address: Where the peer receives.
+            timeout_s: Longest wait for the answer.
+
+        Returns:
+            Whether the peer answered.
+        """
+        result = await self.call(address, Probe(), timeout_s)
+        if isinstance(result, NoAnswer):
+            self._metrics.count("connections_silent")
+            self.disconnect(address)
+        return isinstance(result, Answered)
+
+    @abc.abstractmethod
+    def disconnect(self, address: str) -> None:
+        """Ends the connection to a peer, if there is one."""
+
+    async def _on_probe(self, message: object, envelope: wire.Envelope) -> None:
+        await self.reply(envelope, message)
+
     async def reply(self, envelope: wire.Envelope, message: object) -> None:
         """Answers the call that came in `envelope`, without waiting.
 
@@ -285,7 +322,36 @@
         self._peers: dict[str, _Peer] = {}
 
     async def run(self) -> None:
-        """Receives until cancelled."""
+        """Receives until cancelled, and probes the connections in use."""
+        probing = await curio.spawn(self._probe_at_intervals, daemon=True)
+        try:
+            await self._receive_all()
+        finally:
+            await probing.cancel()
+
+    async def _probe_at_intervals(self) -> None:
+        while True:
+            await curio.sleep(PROBE_INTERVAL_S)
+            horizon = _now() - PROBE_INTERVAL_S
+            for address, peer in list(self._peers.items()):
+                # A probe is no use of its own, else it would never end.
+                if peer.used > horizon and peer.used != peer.probed:
+                    await curio.spawn(
+                        self._probe_peer, address, peer, daemon=True
+                    )
+
+    async def _probe_peer(self, address: str, peer: "_Peer") -> None:
+        await self.probe(address, PROBE_TIMEOUT_S)
+        peer.probed = peer.used
+
+    def disconnect(self, address: str) -> None:
+        """Ends the connection to a peer, if there is one."""
+        peer = self._peers.get(address)
+        if peer is not None and not peer.waiting:
+            del self._peers[address]
+            peer.close()
+
+    async def _receive_all(self) -> None:
         burst = 0
         while True:
             try:
@@ -373,6 +439,12 @@
         self._turn = curio.Lock()
         self._used = _now()
         self._proven = self._used
+        self.probed = 0.0
+
+    @property
+    def waiting(self) -> bool:
+        """Whether a send waits for the connection."""
+        return self._turn.locked()
 
     @property
     def used(self) -> float:
@@ -478,6 +550,9 @@
     async def flush(self) -> None:
         """Does nothing: messages arrive at once."""
 
+    def disconnect(self, address: str) -> None:
+        """Does nothing: there are no connections."""
+
     def close(self) -> None:
         """Does nothing: there are no sockets."""
 
--- a/pomelostair/httpclient.py
+++ b/pomelostair/httpclient.py
@@ -48,6 +48,8 @@
                 timeout_s, self._limited_exchange, request, progress
             )
         except curio.TaskTimeout as error:
+            # Connections go silent together, and only a timeout shows it.
+            await self.close()
             raise progress.failure("timeout") from error
         except (OSError, h11.ProtocolError) as error:
             raise progress.failure(str(error)) from error
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -347,6 +347,7 @@
 
     def _finish(self, task: pipeline.Task, now: float) -> None:
         item = task.pipeline
+        ended_before = item.ended
         members = [task]
         if task.stage.gang:
             members = item.tasks(task.occurrence, task.stage_number)
@@ -355,7 +356,7 @@
                 self._book.touch(item)
             for other in self._attempts.of_task(member):
                 self._attempts.stop(other, "the task is done")
-        if item.ended:
+        if item.ended and not ended_before:
             log.emit(
                 events.Events.PIPELINE_ENDED,
                 pipeline=item.id,
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies
 import msgspec
+import pynng
 import pytest
 
 from pomelostair import bus
@@ -261,3 +262,26 @@
         pair = Pair("nng")
         send = functools.partial(pair.a.send, address, messages.Nudge(1))
         assert isinstance(pair.run(send), bus.NotSent)
+
+
+class TestProbe:
+    def test_connection_that_went_silent_is_replaced(self):
+        """A peer that takes bytes and never answers, then one that does."""
+
+        async def main():
+            counters = Recorder()
+            address = f"tcp://{site.free_address()}"
+            own = bus.NngBus("own", f"tcp://{site.free_address()}", counters)
+            await curio.spawn(own.run, daemon=True)
+            silent = pynng.Pull0(listen=address)
+            assert isinstance(await own.send(address, bus.Probe()), bus.Sent)
+            assert not await own.probe(address, 0.2)
+            assert address not in own._peers
+            silent.close()
+            peer = bus.NngBus("peer", address, counters)
+            await curio.spawn(peer.run, daemon=True)
+            assert await own.probe(address, 5.0)
+            own.close()
+            peer.close()
+
+        curio.run(main)
