--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -160,9 +160,11 @@
             await curio.sleep(self._parts.random.uniform(0, 0.05))
             return observed
         row = observed.row
-        self._peers.learn_seat(
-            messages.LeaderSeat(row.epoch, row.holder, row.bus)
-        )
+        # A row that was read is no sign of life of its holder.
+        if row.epoch > self._peers.seat.epoch:
+            self._peers.learn_seat(
+                messages.LeaderSeat(row.epoch, row.holder, row.bus)
+            )
         left_s = -self._lease.lapsed_for_s(row)
         await curio.sleep(min(max(left_s, 0.05), LOOK_S))
         return None
--- a/tests/test_pipelineapi.py
+++ b/tests/test_pipelineapi.py
@@ -47,9 +47,9 @@
             metrics=METRICS,
             random=random.Random(1),
         )
-        host = parts_module.Host(parts)
-        self.peers = host.get(entrypeers.EntryPeers)
-        self.api = host.get(pipelineapi.PipelineApi)
+        self.host = parts_module.Host(parts)
+        self.peers = self.host.get(entrypeers.EntryPeers)
+        self.api = self.host.get(pipelineapi.PipelineApi)
 
     def run(self, body):
         return curio.run(curio.timeout_after, 20, body)
