--- a/pomelostair/contention.py
+++ b/pomelostair/contention.py
@@ -25,8 +25,9 @@
 LAG_S = 0.35
 # Reports closer together than this, in seconds, hold no new figure.
 LEAST_STEP_S = 0.15
-# Utilization of a service that was never seen, and its deviation. Requests swing
-# by half around their mean; what is known of a service fades in this time.
+# Utilization of a service that was never seen, and its deviation. Requests
+# swing by half around their mean; what is known of a service fades in this
+# time.
 UTILIZATION = 0.45
 UTILIZATION_SD = 0.15
 UTILIZATION_FADES_S = 8.0
--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -10,6 +10,9 @@
 
 # Silence after which a worker gets no new attempts: about three reports.
 FRESH_S = 1.5
+# Time in seconds for which room is kept for a task that moves: a stop takes
+# 0.4 s, and its end has to be heard of.
+RESERVED_S = 1.2
 # Share of its request that a serving task uses, seen on the platform's days.
 SERVING_USE = 0.45
 
@@ -68,6 +71,19 @@
         return self.task.id, self.attempt
 
 
+@attrs.frozen
+class Reservation:
+    """Room that is kept for a task.
+
+    Attributes:
+        stage: Stage of the task.
+        until: Monotonic seconds until which it is kept.
+    """
+
+    stage: pipeline.Stage
+    until: float
+
+
 @attrs.define(eq=False)
 class Worker:
     """One life of a worker.
@@ -101,8 +117,7 @@
         done: Monotonic seconds of the last success.
         failed: Monotonic seconds of the last failure.
         paced: Monotonic seconds of the latest step of its paces.
-        reserved: Millicores kept for filling tasks that move here, and the
-            monotonic seconds until which they are, by task id.
+        reserved: Room that is kept for tasks that move here, by task id.
     """
 
     id: str
@@ -132,7 +147,7 @@
     done: float = 0.0
     failed: float = 0.0
     paced: float = 0.0
-    reserved: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+    reserved: dict[str, Reservation] = attrs.field(factory=dict)
 
     @property
     def free(self) -> resources.Resources:
@@ -153,20 +168,53 @@
             - self.filling
         )
 
+    def reserve(self, task: pipeline.Task, until: float) -> None:
+        """Keeps room for a task that moves here.
+
+        Args:
+            task: The task.
+            until: Monotonic seconds until which the room is kept.
+        """
+        self.reserved[task.id] = Reservation(task.stage, until)
+
+    def free_for(self, task: pipeline.Task, now: float) -> resources.Resources:
+        """Returns what is free and not kept for other tasks.
+
+        Args:
+            task: A task that does not run here.
+            now: Monotonic seconds.
+        """
+        free = self.free
+        for stage in self._reserved_beside(task, now):
+            demand = stage.demand
+            if stage.filler:
+                demand = attrs.evolve(demand, millicores=0)
+            free = free.minus(demand)
+        return free
+
     def unused_for(self, task: pipeline.Task, now: float) -> int:
-        """Returns the unused millicores that no other task is to get.
+        """Returns the unused millicores that are not kept for other tasks.
 
         Args:
             task: A task that does not run here.
             now: Monotonic seconds.
         """
-        unused = self.unused_millicores
-        for name, (millicores, until) in list(self.reserved.items()):
-            if until <= now:
+        return self.unused_millicores - sum(
+            stage.demand.millicores
+            for stage in self._reserved_beside(task, now)
+        )
+
+    def _reserved_beside(
+        self, task: pipeline.Task, now: float
+    ) -> list[pipeline.Stage]:
+        for name, kept in list(self.reserved.items()):
+            if kept.until <= now:
                 del self.reserved[name]
-            elif name != task.id:
-                unused -= millicores
-        return unused
+        return [
+            kept.stage
+            for name, kept in self.reserved.items()
+            if name != task.id
+        ]
 
     def usable(self, now: float) -> bool:
         """Returns whether it may get new attempts.
--- a/pomelostair/pipelineorder.py
+++ b/pomelostair/pipelineorder.py
@@ -47,8 +47,10 @@
     Attributes:
         outlook: What it can still reach.
         priority: Priority of its queue.
-        parts_left: Parts of its work that are left, 1 up to `PARTS`.
-        slack_s: Time that it can still wait.
+        parts_left: Parts of its work that are left, 1 up to `PARTS`; 0 for
+            lasting work.
+        slack_s: Time that it can still wait, in seconds. Lasting work is
+            ordered by its size instead.
     """
 
     outlook: Outlook
@@ -99,7 +101,11 @@
     declaration = item.declaration
     if queue is None:
         return Rank(Outlook.LATE, 0, PARTS, 0.0)
-    if declaration.lasting or declaration.timed:
+    if declaration.lasting:
+        # The largest tasks first: what is small still fits between them.
+        largest = max(s.demand.millicores for s in declaration.stages)
+        return Rank(Outlook.IN_TIME, queue.priority, 0, -largest / 1000)
+    if declaration.timed:
         return Rank(Outlook.IN_TIME, queue.priority, PARTS, 0.0)
     objective_s = (
         queue.stretch * declaration.chain_ms() + queue.objective_ms
--- /dev/null
+++ b/pomelostair/pipelinepacking.py
@@ -0,0 +1,138 @@
+"""Moves services together, so that workers are left to noisy work.
+
+Answers the pattern of services that came while few workers were known, or
+after a loss: a single one that is left alone on a large worker keeps all work
+away that would disturb it. A worker with few services is emptied of them where
+others have room, as long as filling work is there that gains by it.
+"""
+
+from collections.abc import Iterable
+
+from pomelostair import attempts as attempts_module
+from pomelostair import fleet
+from pomelostair import metrics as metrics_module
+from pomelostair import pacing
+from pomelostair import pipeline
+from pomelostair import pipelineplacement as placement_module
+
+# Most services that are moved to empty one worker; each of them is away for
+# about a second.
+MOST_MOVED = 3
+# Seconds between two attempts to empty a worker, in which moved services have
+# come to work again.
+PAUSE_S = 2.0
+# Seconds for which a service stays where it was put.
+STAYS_S = 4.0
+# Percent that a lasting task tells of itself when it is at work.
+AT_WORK = 100
+# Seconds of a term before services are moved; by then all workers are known.
+SETTLED_S = 3.0
+
+
+class Packer:
+    """Packs the services of one term of a leader.
+
+    Args:
+        attempts: The attempts that may be running.
+        pacer: Expects what serving tasks can bear.
+        metrics: Where moves are counted.
+    """
+
+    def __init__(
+        self,
+        attempts: attempts_module.Attempts,
+        pacer: pacing.Pacer,
+        metrics: metrics_module.Metrics,
+    ):
+        self._attempts = attempts
+        self._pacer = pacer
+        self._metrics = metrics
+        self._next: float | None = None
+
+    def pack(self, workers: Iterable[fleet.Worker], now: float) -> None:
+        """Empties one worker of its services, if there is a reason to.
+
+        Args:
+            workers: All workers.
+            now: Monotonic seconds.
+        """
+        if self._next is None:
+            self._next = now + SETTLED_S
+        if now < self._next:
+            return
+        self._next = now + PAUSE_S
+        usable: dict[str, list[fleet.Worker]] = {}
+        for worker in workers:
+            if worker.usable(now):
+                usable.setdefault(worker.state.service, []).append(worker)
+        for peers in usable.values():
+            if not any(worker.filling for worker in peers):
+                continue
+            shared = [worker for worker in peers if worker.serving]
+            shared.sort(key=lambda worker: (worker.serving, worker.id))
+            if any(self._empty(worker, shared, now) for worker in shared):
+                return
+
+    def _empty(
+        self, worker: fleet.Worker, shared: list[fleet.Worker], now: float
+    ) -> bool:
+        """Moves all services of a worker; returns whether they have room."""
+        moving = [p for p in worker.placements.values() if p.task.stage.lasting]
+        others = [w for w in shared if w.serving > worker.serving]
+        if (
+            len(moving) > MOST_MOVED
+            or not all(_may_move(placement, now) for placement in moving)
+            or not self._can_be_away(moving)
+        ):
+            return False
+        kept: list[tuple[fleet.Worker, str]] = []
+        for placement in moving:
+            task = placement.task
+            target = placement_module.choose(task, others, self._pacer, now)
+            if target is None:
+                for where, name in kept:
+                    del where.reserved[name]
+                return False
+            target.reserve(task, now + fleet.RESERVED_S)
+            kept.append((target, task.id))
+        for placement in moving:
+            self._attempts.stop(placement, "services are moved together")
+        self._metrics.count("services_packed", len(moving))
+        return True
+
+    def _can_be_away(self, moving: list[fleet.Placement]) -> bool:
+        """Returns whether every stage can miss those of it that move."""
+        return all(
+            not placement.task.stage.skippable
+            or self._away(placement.task)
+            + sum(_of_one_stage(placement, other) for other in moving)
+            <= placement.task.stage.skippable
+            for placement in moving
+        )
+
+    def _away(self, task: pipeline.Task) -> int:
+        """Returns how many tasks of its stage are not at work."""
+        peers = task.pipeline.tasks(task.occurrence, task.stage_number)
+        return sum(
+            not any(
+                p.standing is fleet.Standing.RUNNING and p.percent >= AT_WORK
+                for p in self._attempts.of_task(peer)
+            )
+            for peer in peers
+        )
+
+
+def _of_one_stage(one: fleet.Placement, other: fleet.Placement) -> bool:
+    return (
+        one.task.pipeline is other.task.pipeline
+        and one.task.occurrence == other.task.occurrence
+        and one.task.stage_number == other.task.stage_number
+    )
+
+
+def _may_move(placement: fleet.Placement, now: float) -> bool:
+    return (
+        placement.standing is fleet.Standing.RUNNING
+        and now - placement.ordered > STAYS_S
+        and not placement.task.stage.gang
+    )
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -18,8 +18,8 @@
 # A worker off the rack of the data counts as if it had this share of its
 # unused processor time (the platform's remoteFactor is 1.5 to 2).
 REMOTE_SHARE = 0.5
-# Millicores that the full pace of filling work counts, more than any worker has,
-# and the share of it that is as good as all of it.
+# Millicores that the full pace of filling work counts, more than any worker
+# has, and the share of it that is as good as all of it.
 FULL_PACE_WORTH = 200_000
 AMPLE_RATE = 0.9
 # Millicores that a worker without services counts less for work that would run
@@ -28,8 +28,10 @@
 # Millicores that a service of the same image beside it counts for a serving
 # task, and that each other serving image counts against it. Services are packed
 # densely, so that some workers are left to work that would disturb them.
-SAME_IMAGE_WORTH = 20_000
-OTHER_IMAGE_COST = 8_000
+SAME_IMAGE_WORTH = 3_000
+OTHER_IMAGE_COST = 1_000
+# Millicores that a worker without services counts less for a serving task.
+UNSHARED_COST = 100_000
 # Seconds for which a success proves that a worker is sound.
 PROOF_S = 10.0
 
@@ -48,7 +50,7 @@
         now: Monotonic seconds.
     """
     demand = task.stage.demand
-    free = worker.free
+    free = worker.free_for(task, now)
     if free.memory_mb < demand.memory_mb:
         return False
     if free.accelerators < demand.accelerators:
@@ -110,12 +112,15 @@
 
 
 def _serving_score(stage: pipeline.Stage, worker: fleet.Worker) -> float:
+    """Returns how tightly a service fits, since tight ones leave most room."""
     images = {
         p.task.stage.image
         for p in worker.placements.values()
         if p.task.stage.latency_target_ms
     }
-    value = float(worker.serving - worker.filling)
+    value = float(stage.demand.millicores - worker.free.millicores)
+    if not images:
+        return value - UNSHARED_COST
     if stage.image in images:
         value += SAME_IMAGE_WORTH
     return value - OTHER_IMAGE_COST * len(images - {stage.image})
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -17,6 +17,7 @@
 from pomelostair import pipeline
 from pomelostair import pipelinebook
 from pomelostair import pipelinemessages as messages
+from pomelostair import pipelinepacking
 from pomelostair import pipelinestarts
 from pomelostair import pipelinewatch
 from pomelostair import queues
@@ -72,6 +73,9 @@
         self._starter = pipelinestarts.Starter(
             epoch, self._attempts, self._pacer, metrics
         )
+        self._packer = pipelinepacking.Packer(
+            self._attempts, self._pacer, metrics
+        )
         self._watch = pipelinewatch.Watch(
             self._workers, self._attempts, self._pacer, metrics
         )
@@ -197,6 +201,7 @@
             for placement in self._watch.watch(worker, now):
                 name = placement.task.pipeline.id
                 slowed.setdefault(name, []).append(placement)
+        self._packer.pack(self._workers.values(), now)
         self._starter.start_ready(
             [i for i in self._book.open.values() if self._may_start(i)],
             self._workers.values(),
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -19,9 +19,9 @@
 # Attempt numbers that one epoch may use for a task before the next epoch
 # begins above them; a new leader can't know the last numbers of the old one.
 ATTEMPTS_PER_EPOCH = 64
-# Time in seconds for which room is kept for a task that moves: a stop takes
-# 0.4 s, and its end has to be heard of.
-RESERVED_S = 1.2
+# Time in seconds for which lasting tasks wait for others that come with them:
+# what is known together can be packed best.
+GATHER_S = 0.3
 # Progress in percent that a move may throw away.
 LOSABLE = 10
 # Ready tasks that one round looks at.
@@ -108,6 +108,9 @@
         for task in list(item.ready.values()):
             if task.not_before > now or self._attempts.runs(task):
                 continue
+            first = task.stage.lasting and not task.last_attempt
+            if first and now - task.ready_since < GATHER_S:
+                continue
             if task.stage.gang:
                 self._start_gang(task, workers, now)
                 continue
@@ -141,10 +144,7 @@
         )
         if better is None:
             return
-        better.reserved[task.id] = (
-            task.stage.demand.millicores,
-            now + RESERVED_S,
-        )
+        better.reserve(task, now + fleet.RESERVED_S)
         self._attempts.stop(placement, "it slows serving tasks beside it")
 
     def _tell_misfit(
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -4,6 +4,7 @@
 from pomelostair import fleet
 from pomelostair import metrics
 from pomelostair import pacing
+from pomelostair import pipeline
 from pomelostair import pipelinestarts
 from tests import pipelines
 
@@ -26,6 +27,7 @@
 
     def slowed(self, stage=FILLER, submitted_ms=0, **changes):
         placement = pipelines.put(self.busy, stage, pace=5, **changes)
+        self.busy.remove(placement)
         self.attempts.attach(placement)
         return placement
 
@@ -76,7 +78,7 @@
         scene.round(moving.task.pipeline, slowed=[moving])
         other = pipelines.put(pipelines.worker("w3"), FILLER).task
         other.pipeline.release(other, 1.1)
-        later = 1.0 + pipelinestarts.RESERVED_S + 0.1
+        later = 1.0 + fleet.RESERVED_S + 0.1
         scene.round(other.pipeline, now=later)
         assert scene.attempts.of_task(other)[0].worker is scene.empty
 
@@ -90,3 +92,38 @@
         )
         assert stays.standing is fleet.Standing.RUNNING
         assert goes.standing is fleet.Standing.STOPPING
+
+
+class TestGathering:
+    def test_services_that_come_together_are_packed_largest_first(self):
+        """The load: at the start, all services of a site come at once."""
+        scene = Scene()
+        scene.busy = pipelines.worker("w1", cores=16)
+        scene.empty = pipelines.worker("w2", cores=16)
+        items = []
+        for number, millicores in enumerate((3000, 3000, 8000, 5000, 5000)):
+            stage = pipelines.stage(
+                millicores=millicores,
+                lasting=True,
+                latency_target_ms=18.0,
+                image=f"service-{number}",
+            )
+            declared = pipelines.declare(f"p{number}", stage)
+            items.append(
+                pipeline.Pipeline(declared, 1, pipeline.Progress(), 1.0)
+            )
+        scene.round(*items, now=1.0)
+        assert not any(item.started for item in items)
+        scene.round(*items, now=1.0 + pipelinestarts.GATHER_S)
+        packed = sorted(
+            w.serving for w in (scene.busy, scene.empty) if w.serving
+        )
+        assert packed == [8000, 16_000]
+
+    def test_service_that_ran_before_starts_at_once(self):
+        scene = Scene()
+        stage = pipelines.stage(lasting=True, latency_target_ms=18.0)
+        failed = pipelines.put(pipelines.worker("w3"), stage).task
+        failed.pipeline.release(failed, 1.0)
+        scene.round(failed.pipeline, now=1.0)
+        assert scene.attempts.runs(failed)
