--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -76,11 +76,11 @@
     """Room that is kept for a task.
 
     Attributes:
-        stage: Stage of the task.
+        task: The task.
         until: Monotonic seconds until which it is kept.
     """
 
-    stage: pipeline.Stage
+    task: pipeline.Task
     until: float
 
 
@@ -175,7 +175,17 @@
             task: The task.
             until: Monotonic seconds until which the room is kept.
         """
-        self.reserved[task.id] = Reservation(task.stage, until)
+        self.reserved[task.id] = Reservation(task, until)
+
+    def is_kept_for(self, task: pipeline.Task, now: float) -> bool:
+        """Returns whether room is kept for a task.
+
+        Args:
+            task: A task that does not run here.
+            now: Monotonic seconds.
+        """
+        kept = self.reserved.get(task.id)
+        return kept is not None and now < kept.until
 
     def free_for(self, task: pipeline.Task, now: float) -> resources.Resources:
         """Returns what is free and not kept for other tasks.
@@ -185,9 +195,9 @@
             now: Monotonic seconds.
         """
         free = self.free
-        for stage in self._reserved_beside(task, now):
-            demand = stage.demand
-            if stage.filler:
+        for other in self.reserved_beside(task, now):
+            demand = other.stage.demand
+            if other.stage.filler:
                 demand = attrs.evolve(demand, millicores=0)
             free = free.minus(demand)
         return free
@@ -200,20 +210,24 @@
             now: Monotonic seconds.
         """
         return self.unused_millicores - sum(
-            stage.demand.millicores
-            for stage in self._reserved_beside(task, now)
+            other.stage.demand.millicores
+            for other in self.reserved_beside(task, now)
         )
 
-    def _reserved_beside(
+    def reserved_beside(
         self, task: pipeline.Task, now: float
-    ) -> list[pipeline.Stage]:
+    ) -> list[pipeline.Task]:
+        """Returns the other tasks that room is kept for.
+
+        Args:
+            task: A task that does not run here.
+            now: Monotonic seconds.
+        """
         for name, kept in list(self.reserved.items()):
             if kept.until <= now:
                 del self.reserved[name]
         return [
-            kept.stage
-            for name, kept in self.reserved.items()
-            if name != task.id
+            kept.task for name, kept in self.reserved.items() if name != task.id
         ]
 
     def usable(self, now: float) -> bool:
--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -200,6 +200,14 @@
             f".{self.stage_number}.{self.index}"
         )
 
+    def is_beside(self, other: "Task") -> bool:
+        """Returns whether another task is of the same stage and occurrence."""
+        return (
+            self.pipeline is other.pipeline
+            and self.occurrence == other.occurrence
+            and self.stage_number == other.stage_number
+        )
+
     @property
     def key(self) -> str:
         """Its name within the pipeline."""
--- a/pomelostair/pipelinepacking.py
+++ b/pomelostair/pipelinepacking.py
@@ -72,6 +72,8 @@
             shared.sort(key=lambda worker: (worker.serving, worker.id))
             if any(self._empty(worker, shared, now) for worker in shared):
                 return
+            if any(self._make_room(worker, shared, now) for worker in shared):
+                return
 
     def _empty(
         self, worker: fleet.Worker, shared: list[fleet.Worker], now: float
@@ -100,12 +102,68 @@
         self._metrics.count("services_packed", len(moving))
         return True
 
+    def _make_room(
+        self, worker: fleet.Worker, shared: list[fleet.Worker], now: float
+    ) -> bool:
+        """Moves services among the others so that one of a worker's fits.
+
+        Returns whether any moved. The worker is emptied once all have room.
+        """
+        moving = [p for p in worker.placements.values() if p.task.stage.lasting]
+        if len(moving) > MOST_MOVED:
+            return False
+        others = [w for w in shared if w.serving > worker.serving]
+        for placement in moving:
+            task = placement.task
+            if placement_module.choose(task, others, self._pacer, now):
+                continue
+            for host in others:
+                lacking = (
+                    task.stage.demand.millicores
+                    - host.free_for(task, now).millicores
+                )
+                if placement_module.may_run(task, host, now) and (
+                    self._displace(host, others, lacking, now)
+                ):
+                    return True
+        return False
+
+    def _displace(
+        self,
+        host: fleet.Worker,
+        others: list[fleet.Worker],
+        lacking: int,
+        now: float,
+    ) -> bool:
+        """Moves the smallest service that frees enough; returns whether."""
+        rest = [w for w in others if w is not host]
+        found = sorted(
+            (
+                p
+                for p in host.placements.values()
+                if p.task.stage.lasting
+                and p.task.stage.demand.millicores >= lacking
+                and _may_move(p, now)
+                and self._can_be_away([p])
+            ),
+            key=lambda p: (p.task.stage.demand.millicores, p.key),
+        )
+        for placement in found:
+            task = placement.task
+            target = placement_module.choose(task, rest, self._pacer, now)
+            if target is not None:
+                target.reserve(task, now + fleet.RESERVED_S)
+                self._attempts.stop(placement, "it makes room for a service")
+                self._metrics.count("services_packed")
+                return True
+        return False
+
     def _can_be_away(self, moving: list[fleet.Placement]) -> bool:
         """Returns whether every stage can miss those of it that move."""
         return all(
             not placement.task.stage.skippable
             or self._away(placement.task)
-            + sum(_of_one_stage(placement, other) for other in moving)
+            + sum(placement.task.is_beside(other.task) for other in moving)
             <= placement.task.stage.skippable
             for placement in moving
         )
@@ -122,14 +180,6 @@
         )
 
 
-def _of_one_stage(one: fleet.Placement, other: fleet.Placement) -> bool:
-    return (
-        one.task.pipeline is other.task.pipeline
-        and one.task.occurrence == other.task.occurrence
-        and one.task.stage_number == other.task.stage_number
-    )
-
-
 def _may_move(placement: fleet.Placement, now: float) -> bool:
     return (
         placement.standing is fleet.Standing.RUNNING
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -60,18 +60,21 @@
     return worker.unused_for(task, now) >= demand.millicores * MIN_FILL_SHARE
 
 
-def may_run(task: pipeline.Task, worker: fleet.Worker) -> bool:
-    """Returns whether the constraints of a task allow a worker."""
+def may_run(task: pipeline.Task, worker: fleet.Worker, now: float) -> bool:
+    """Returns whether the constraints of a task allow a worker.
+
+    Args:
+        task: A task that does not run there.
+        worker: The worker.
+        now: Monotonic seconds.
+    """
     stage = task.stage
     if stage.label and stage.label not in worker.state.labels:
         return False
     if stage.most_per_worker:
-        beside = sum(
-            p.task.stage is stage
-            and p.task.pipeline is task.pipeline
-            and p.task.occurrence == task.occurrence
-            for p in worker.placements.values()
-        )
+        held = [p.task for p in worker.placements.values()]
+        held += worker.reserved_beside(task, now)
+        beside = sum(task.is_beside(other) for other in held)
         if beside >= stage.most_per_worker:
             return False
     return True
@@ -135,8 +138,9 @@
 ) -> fleet.Worker | None:
     """Returns the best worker for a task, None if none has room.
 
-    After a failure only workers that have proven sound are taken, if there
-    are any, since further failures end the pipeline.
+    A task that moves goes where room is kept for it. After a failure only
+    workers that have proven sound are taken, if there are any, since further
+    failures end the pipeline.
 
     Args:
         task: A task that is ready.
@@ -151,13 +155,14 @@
     found = [
         worker
         for worker in workers
-        if fits(task, worker, now) and may_run(task, worker)
+        if fits(task, worker, now) and may_run(task, worker, now)
     ]
     if task.avoided:
         others = [w for w in found if w.id not in task.avoided]
         proven = [w for w in others if is_proven(w, now)]
         sound = any(is_proven(w, now) for w in workers)
         found = proven if sound else others or found
+    found = [w for w in found if w.is_kept_for(task, now)] or found
     best, best_score = None, 0.0
     for worker in found:
         rate = 1.0
--- a/tests/test_pipelinepacking.py
+++ b/tests/test_pipelinepacking.py
@@ -94,3 +94,35 @@
         other.percent = 100.0
         scene.attempts.attach(other)
         assert scene.pack() == scene.moving
+
+    def test_room_is_made_for_a_service_that_may_not_go_elsewhere(self):
+        """The load: the only worker with room has its share of the stage."""
+        spread = pipelines.stage(
+            count=3,
+            millicores=5000,
+            lasting=True,
+            latency_target_ms=18.0,
+            image="spread",
+            most_per_worker=1,
+        )
+        scene = Scene(spread)
+        scene.put(scene.small, NOISY, percent=10.0)
+        item = scene.moving[0].task.pipeline
+        roomy = pipelines.worker("roomy", cores=48)
+        for _ in range(4):
+            scene.put(roomy, SERVICE)
+        beside = fleet.Placement(item.tasks(0, 0)[1], 1, roomy, 0.0)
+        scene.attempts.attach(beside)
+        scene.staying.append(scene.put(scene.large, SERVICE))
+        blocking = scene.put(scene.large, pipelines.stage(millicores=4000))
+        assert blocking.worker.free.millicores < 5000
+        for at in (0.0, 10.0):
+            for worker in (scene.small, scene.large, roomy):
+                worker.heard = at
+            scene.packer.pack([scene.small, scene.large, roomy], at)
+        stopping = [
+            p for p in scene.staying if p.standing is fleet.Standing.STOPPING
+        ]
+        assert len(stopping) == 1
+        assert stopping[0].task.id in roomy.reserved
+        assert scene.moving[0].standing is fleet.Standing.RUNNING
--- a/tests/test_pipelineplacement.py
+++ b/tests/test_pipelineplacement.py
@@ -79,6 +79,20 @@
         loud = task_of(pipelines.stage(1, 16_000, filler=True, image="loud"))
         assert choose(loud, [shared, unshared]) is unshared
 
+    def test_task_that_moves_goes_where_room_is_kept_for_it(self):
+        kept, tight = pipelines.worker("kept"), pipelines.worker("tight")
+        service = pipelines.stage(
+            millicores=6000, latency_target_ms=18.0, image="service"
+        )
+        pipelines.put(kept, service)
+        for _ in range(4):
+            pipelines.put(tight, service)
+        task = task_of(service)
+        assert choose(task, [kept, tight]) is tight
+        kept.reserve(task, 2.0)
+        assert choose(task, [kept, tight], now=1.0) is kept
+        assert choose(task, [kept, tight], now=3.0) is tight
+
     def test_label_and_spread_are_kept(self):
         stage = pipelines.stage(2, label="b")
         assert choose(task_of(stage), [pipelines.worker()]) is None
