--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -84,6 +84,8 @@
     PIPELINE_FITS_NOWHERE = Event(
         434, logging.WARNING, "no worker could ever run a task"
     )
+    ADVICE_TAKEN = Event(435, logging.INFO, "advice taken")
+    ADVICE_FAILED = Event(436, logging.WARNING, "advisor did not answer")
     PIPELINE_WORKER_UP = Event(440, logging.INFO, "life of a worker began")
     PIPELINE_WORKER_GONE = Event(441, logging.WARNING, "life of a worker ended")
     PIPELINE_WORKER_SILENT = Event(
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -25,6 +25,7 @@
 from pomelostair import pipelinemessages as messages
 from pomelostair import pipelinerows
 from pomelostair import pipelinescheduler
+from pomelostair import ports
 from pomelostair import settings as settings_module
 from pomelostair import store
 
@@ -44,6 +45,12 @@
 HELLO_S = 1.0
 FORGET_S = 5.0
 VACATE_TIMEOUT_S = 1.5
+# Pause while no ticket is wanted, and after a call that failed; a step that
+# still waits asks again in the next round.
+ADVICE_S = 0.02
+ADVICE_RETRY_S = 0.25
+# Decisions take up to some hundred milliseconds, with other calls before them.
+ADVICE_TIMEOUT_S = 5.0
 CLOCK_DRIFT = 0.02  # The platform bounds the drift of its clocks by 2 %.
 LAPSE_MARGIN_S = 0.25  # Delays between a reading of a clock and its use.
 
@@ -76,6 +83,8 @@
         self._feed_version = 0
         self._renewed = 0.0
         self._hellos: dict[str, float] = {}
+        advisor = parts.settings.pipelines.advisor
+        self._advisor = parts.port.advisor(advisor) if advisor else None
         parts.bus.handle(messages.AgentReport, self._on_report)
         parts.bus.handle(messages.StatusQuery, self._on_status)
         parts.bus.handle(messages.RowStored, self._on_accepted)
@@ -194,6 +203,7 @@
             await group.spawn(self._recover_and_follow, lapsed_s)
             await group.spawn(self._schedule)
             await group.spawn(self._forget_at_intervals)
+            await group.spawn(self._ask_advice)
         _ = group.result
 
     @property
@@ -409,6 +419,45 @@
                 await self._dirty.set()
             await self._greet(now)
 
+    async def _ask_advice(self) -> None:
+        """Asks for tickets, one call at a time as the advisor answers them."""
+        while True:
+            question = None
+            if self.leading and self._advisor is not None:
+                question = self._scheduler.advice.next_question()
+            if question is None:
+                await curio.sleep(ADVICE_S)
+                continue
+            asked = self._clock.now()
+            result = await self._advisor.advise(
+                question.step,
+                tuple(worker for worker, _ in question.workers),
+                ADVICE_TIMEOUT_S,
+            )
+            took_s = self._clock.now() - asked
+            self._parts.metrics.record("advice_seconds", took_s)
+            match result:
+                case ports.Advised(tickets=tickets):
+                    self._scheduler.advice.answer(question, tickets, asked)
+                    log.emit(
+                        events.Events.ADVICE_TAKEN,
+                        step=question.step,
+                        asked=len(question.workers),
+                        approved=len(tickets),
+                        took_ms=int(took_s * 1000),
+                    )
+                    await self._work.set()
+                case (
+                    ports.Denied(reason=reason) | ports.NoAnswer(reason=reason)
+                ):
+                    self._parts.metrics.count("advice_failed")
+                    log.emit(
+                        events.Events.ADVICE_FAILED,
+                        step=question.step,
+                        reason=reason,
+                    )
+                    await curio.sleep(ADVICE_RETRY_S)
+
     async def _greet(self, now: float) -> None:
         """Asks agents that were not heard yet to report."""
         for name in self._scheduler.unheard:
--- a/pomelostair/pipelinepacking.py
+++ b/pomelostair/pipelinepacking.py
@@ -13,6 +13,7 @@
 from pomelostair import metrics as metrics_module
 from pomelostair import pacing
 from pomelostair import pipeline
+from pomelostair import pipelineadvice
 from pomelostair import pipelineplacement as placement_module
 
 # Most services that are moved to empty one worker; each of them is away for
@@ -35,6 +36,7 @@
     Args:
         attempts: The attempts that may be running.
         pacer: Expects what serving tasks can bear.
+        advice: Tells where a task may go.
         metrics: Where moves are counted.
     """
 
@@ -42,8 +44,10 @@
         self,
         attempts: attempts_module.Attempts,
         pacer: pacing.Pacer,
+        advice: pipelineadvice.Advice,
         metrics: metrics_module.Metrics,
     ):
+        self._advice = advice
         self._attempts = attempts
         self._pacer = pacer
         self._metrics = metrics
@@ -90,7 +94,7 @@
         kept: list[tuple[fleet.Worker, str]] = []
         for placement in moving:
             task = placement.task
-            target = placement_module.choose(task, others, self._pacer, now)
+            target = self._choose(task, others, now)
             if target is None:
                 for where, name in kept:
                     del where.reserved[name]
@@ -115,7 +119,7 @@
         others = [w for w in shared if w.serving > worker.serving]
         for placement in moving:
             task = placement.task
-            if placement_module.choose(task, others, self._pacer, now):
+            if self._choose(task, others, now):
                 continue
             for host in others:
                 lacking = (
@@ -150,7 +154,7 @@
         )
         for placement in found:
             task = placement.task
-            target = placement_module.choose(task, rest, self._pacer, now)
+            target = self._choose(task, rest, now)
             if target is not None:
                 target.reserve(task, now + fleet.RESERVED_S)
                 self._attempts.stop(placement, "it makes room for a service")
@@ -158,6 +162,12 @@
                 return True
         return False
 
+    def _choose(
+        self, task: pipeline.Task, workers: list[fleet.Worker], now: float
+    ) -> fleet.Worker | None:
+        permitted = [w for w in workers if self._advice.permits(task, w, now)]
+        return placement_module.choose(task, permitted, self._pacer, now)
+
     def _can_be_away(self, moving: list[fleet.Placement]) -> bool:
         """Returns whether every stage can miss those of it that move."""
         return all(
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -15,6 +15,7 @@
 from pomelostair import metrics as metrics_module
 from pomelostair import pacing
 from pomelostair import pipeline
+from pomelostair import pipelineadvice
 from pomelostair import pipelinebook
 from pomelostair import pipelinemessages as messages
 from pomelostair import pipelinepacking
@@ -74,7 +75,7 @@
             epoch, self._attempts, self._pacer, metrics
         )
         self._packer = pipelinepacking.Packer(
-            self._attempts, self._pacer, metrics
+            self._attempts, self._pacer, self._starter.advice, metrics
         )
         self._watch = pipelinewatch.Watch(
             self._workers, self._attempts, self._pacer, metrics
@@ -85,6 +86,11 @@
         """The pipelines."""
         return self._book
 
+    @property
+    def advice(self) -> pipelineadvice.Advice:
+        """Tickets for queues that need them."""
+        return self._starter.advice
+
     @property
     def has_unstored(self) -> bool:
         """Whether anything waits to be committed."""
@@ -522,6 +528,8 @@
             reason=reason,
         )
         task.not_before = now + REFUSAL_PAUSE_S
+        if reason == "ticket":
+            self._starter.advice.refused(task, placement.worker)
         if reason == "busy":
             task.avoided.add(placement.worker.id)
         self._attempts.drop(placement, now)
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -11,6 +11,7 @@
 from pomelostair import metrics as metrics_module
 from pomelostair import pacing
 from pomelostair import pipeline
+from pomelostair import pipelineadvice
 from pomelostair import pipelinemessages as messages
 from pomelostair import pipelineorder
 from pomelostair import pipelineplacement as placement_module
@@ -49,11 +50,18 @@
         self._attempts = attempts
         self._pacer = pacer
         self._metrics = metrics
+        self._advice = pipelineadvice.Advice()
         self._misfits: set[str] = set()
 
+    @property
+    def advice(self) -> pipelineadvice.Advice:
+        """Tickets for queues that need them."""
+        return self._advice
+
     def forget(self, pipeline_id: str) -> None:
         """Forgets a pipeline."""
         self._misfits.discard(pipeline_id)
+        self._advice.forget(pipeline_id)
 
     def start_ready(
         self,
@@ -97,27 +105,40 @@
             if considered >= MAX_CONSIDERED:
                 return
             considered += len(item.ready)
-            self._start_pipeline(item, usable[queue.service], now)
+            self._start_pipeline(item, queue, usable[queue.service], now)
             for placement in slowed.get(item.id, ()):
                 self._move(placement, usable[queue.service], now)
 
     def _start_pipeline(
-        self, item: pipeline.Pipeline, workers: list[fleet.Worker], now: float
+        self,
+        item: pipeline.Pipeline,
+        queue: queues.Queue,
+        workers: list[fleet.Worker],
+        now: float,
     ) -> None:
         blocked: set[int] = set()
+        advised: dict[str, list[fleet.Worker]] = {}
         for task in list(item.ready.values()):
             if task.not_before > now or self._attempts.runs(task):
                 continue
             first = task.stage.lasting and not task.last_attempt
             if first and now - task.ready_since < GATHER_S:
                 continue
-            if task.stage.gang:
-                self._start_gang(task, workers, now)
-                continue
             plain = not task.avoided
             if plain and task.stage_number in blocked:
                 continue
-            worker = placement_module.choose(task, workers, self._pacer, now)
+            allowed = workers
+            if queue.advice is not None:
+                step = pipelineadvice.step_of(task)
+                if step not in advised:
+                    advised[step] = self._advised(
+                        task, queue.advice, workers, now
+                    )
+                allowed = advised[step]
+            if task.stage.gang:
+                self._start_gang(task, allowed, now)
+                continue
+            worker = placement_module.choose(task, allowed, self._pacer, now)
             if worker is None:
                 if plain:
                     blocked.add(task.stage_number)
@@ -125,6 +146,28 @@
                 continue
             self._start(task, worker, self._next_attempt(task), now)
 
+    def _advised(
+        self,
+        task: pipeline.Task,
+        terms: queues.AdviceTerms,
+        workers: list[fleet.Worker],
+        now: float,
+    ) -> list[fleet.Worker]:
+        """Returns the workers that hold a ticket, and asks about others."""
+        fitting = [
+            worker
+            for worker in workers
+            if placement_module.fits(task, worker, now)
+            and placement_module.may_run(task, worker, now)
+        ]
+        fitting.sort(key=lambda w: (-w.unused_millicores, w.id))
+        allowed = [w for w in fitting if self._advice.ticket(task, w, now)]
+        stage = task.stage
+        needed = stage.count if stage.gang else 1
+        if len(allowed) < needed:
+            self._advice.want(task, fitting, terms.valid_ms / 1000, now)
+        return allowed
+
     def _move(
         self,
         placement: fleet.Placement,
@@ -137,7 +180,12 @@
             return
         better = placement_module.choose(
             task,
-            [w for w in workers if w is not placement.worker],
+            [
+                worker
+                for worker in workers
+                if worker is not placement.worker
+                and self._advice.permits(task, worker, now)
+            ],
             self._pacer,
             now,
             pacing.MOVE_TO / pacing.FULL,
@@ -198,7 +246,7 @@
                 self._attempts.detach(placement)
             started.clear()
         for placement in started:
-            self._order_start(placement)
+            self._order_start(placement, now)
 
     def _next_attempt(self, task: pipeline.Task) -> int:
         return (
@@ -212,7 +260,7 @@
         attempt: int,
         now: float,
     ) -> None:
-        self._order_start(self._attach(task, worker, attempt, now))
+        self._order_start(self._attach(task, worker, attempt, now), now)
 
     def _attach(
         self,
@@ -226,7 +274,7 @@
         self._attempts.attach(placement)
         return placement
 
-    def _order_start(self, placement: fleet.Placement) -> None:
+    def _order_start(self, placement: fleet.Placement, now: float) -> None:
         task = placement.task
         worker = placement.worker
         task.pipeline.place(task, placement.attempt)
@@ -236,6 +284,7 @@
             payload=task.pipeline.declaration.payload,
             checkpoint=task.checkpoint,
             percent=placement.pace,
+            ticket=self._advice.ticket(task, worker, now) or "",
         )
         self._metrics.count("starts_ordered")
         log.emit(
--- a/pomelostair/platform/lines.py
+++ b/pomelostair/platform/lines.py
@@ -165,6 +165,7 @@
             f"tcp://{seed.rpartition(':')[0]}:{first_port + _BUS_PORT}"
             for seed in seeds
         ),
+        advisor=lines.values.get("advice") or None if is_entry else None,
         hold_ms=hold_ms,
         grant_ms=hold_ms + GRANT_BEYOND_MS,
         retention_s=kept_s,
--- a/pomelostair/platform/port.py
+++ b/pomelostair/platform/port.py
@@ -2,6 +2,7 @@
 
 from pomelostair import ports
 from pomelostair import queues
+from pomelostair.platform import advice
 from pomelostair.platform import minion
 from pomelostair.platform import names
 
@@ -26,3 +27,7 @@
     def worker_client(self, notice: ports.WorkerNotice) -> ports.WorkerClient:
         """Returns the client of one life of a worker."""
         return minion.MinionClient(notice.address, notice.worker)
+
+    def advisor(self, address: str) -> ports.Advisor:
+        """Returns the advisor at an HTTP address."""
+        return advice.AdviceClient(address)
--- a/pomelostair/ports.py
+++ b/pomelostair/ports.py
@@ -124,6 +124,33 @@
         """Sets the share at which an attempt may work."""
 
 
+@attrs.frozen
+class Advised:
+    """An advisor has answered.
+
+    Attributes:
+        tickets: Tickets by the ids of the approved workers.
+    """
+
+    tickets: dict[str, str]
+
+
+class Advisor(abc.ABC):
+    """Tells which workers may run a stage."""
+
+    @abc.abstractmethod
+    async def advise(
+        self, step: str, workers: tuple[str, ...], timeout_s: float
+    ) -> Advised | Denied | NoAnswer:
+        """Asks which of some workers may run a stage.
+
+        Args:
+            step: The stage, as "PIPELINE.OCCURRENCE.STAGE".
+            workers: Ids of the workers.
+            timeout_s: Longest wait for the answer.
+        """
+
+
 class Port(abc.ABC):
     """The platform, as the plug-ins of the pipelines see it."""
 
@@ -148,3 +175,7 @@
     @abc.abstractmethod
     def worker_client(self, notice: WorkerNotice) -> WorkerClient:
         """Returns the client of one life of a worker."""
+
+    @abc.abstractmethod
+    def advisor(self, address: str) -> Advisor:
+        """Returns the advisor at an HTTP address."""
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -208,6 +208,8 @@
         readiness: HTTP address at which an entry tells whether it is ready.
         workers: HTTP address at which workers announce themselves.
         seeds: Bus URLs of entries to begin with; some may be stale.
+        advisor: HTTP address of the service that tells which workers may run
+            a stage, for queues that need it.
         hold_ms: Length of the lease under which a worker runs attempts.
         grant_ms: How far ahead the leader lets an agent extend that lease.
         retention_s: Time for which an ended pipeline is kept.
@@ -224,6 +226,9 @@
         default=None, validator=attrs.validators.optional(_check_endpoint)
     )
     seeds: tuple[str, ...] = ()
+    advisor: str | None = attrs.field(
+        default=None, validator=attrs.validators.optional(_check_endpoint)
+    )
     hold_ms: int = _positive(5000)
     grant_ms: int = _positive(7500)
     retention_s: float = _positive(180.0)
--- a/tests/test_pipelinepacking.py
+++ b/tests/test_pipelinepacking.py
@@ -4,6 +4,7 @@
 from pomelostair import fleet
 from pomelostair import metrics
 from pomelostair import pacing
+from pomelostair import pipelineadvice
 from pomelostair import pipelinepacking
 from tests import pipelines
 
@@ -24,7 +25,10 @@
     def __init__(self, stage=SERVICE, alone=1, cores=32):
         pacer = pacing.Pacer(METRICS)
         self.attempts = attempts.Attempts(pacer, METRICS)
-        self.packer = pipelinepacking.Packer(self.attempts, pacer, METRICS)
+        self.advice = pipelineadvice.Advice()
+        self.packer = pipelinepacking.Packer(
+            self.attempts, pacer, self.advice, METRICS
+        )
         self.small = pipelines.worker("small")
         self.large = pipelines.worker("large", cores=cores)
         self.moving = [self.put(self.small, stage) for _ in range(alone)]
