Stragglers: attempts that take far longer than others of their stage

Cause: a worker that turns slow (6.5 times) and answers all calls kept its attempts; only those without any progress were moved. Attempts are compared with done ones of their stage: a stage that allows copies gets one, others start again elsewhere if that is sooner, and a worker with stragglers of several pipelines gets nothing new for some seconds.

--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -20,6 +20,7 @@
 from pomelostair import pipelinemessages as messages
 from pomelostair import pipelinepacking
 from pomelostair import pipelinestarts
+from pomelostair import pipelinestragglers
 from pomelostair import pipelinewatch
 from pomelostair import queues
 
@@ -77,8 +78,13 @@
         self._packer = pipelinepacking.Packer(
             self._attempts, self._pacer, self._starter.advice, metrics
         )
+        self._stragglers = pipelinestragglers.Stragglers()
         self._watch = pipelinewatch.Watch(
-            self._workers, self._attempts, self._pacer, metrics
+            self._workers,
+            self._attempts,
+            self._pacer,
+            self._stragglers,
+            metrics,
         )
 
     @property
@@ -125,6 +131,7 @@
         """Forgets a pipeline whose declaration was removed."""
         self._book.forget(pipeline_id)
         self._starter.forget(pipeline_id)
+        self._stragglers.forget(pipeline_id)
 
     @property
     def epoch(self) -> int:
@@ -202,17 +209,13 @@
         """Decides what starts, stops and is paced now."""
         self._expire(now)
         self._book.open_due(now)
-        slowed: dict[str, list[fleet.Placement]] = {}
-        for worker in self._workers.values():
-            for placement in self._watch.watch(worker, now):
-                name = placement.task.pipeline.id
-                slowed.setdefault(name, []).append(placement)
+        findings = self._watch.watch_all(now)
         self._packer.pack(self._workers.values(), now)
         self._starter.start_ready(
             [i for i in self._book.open.values() if self._may_start(i)],
             self._workers.values(),
             self._queues,
-            slowed,
+            findings,
             now,
             self._unix_ms(),
         )
@@ -360,6 +363,8 @@
             self._book.touch(item)
         match end:
             case pipeline.End.DONE if not task.stage.lasting:
+                if ordered:
+                    self._stragglers.note_done(task, now - ordered)
                 worker.done = now
                 worker.failed_since_done.clear()
                 self._finish(task, now)
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -76,6 +76,9 @@
     def worker_client(self, notice):
         return self.client
 
+    def advisor(self, address):
+        raise AssertionError("an agent asks no advisor")
+
 
 class Harness:
     """An agent and the leader's side of the bus."""
