--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -20,7 +20,6 @@
 from pomelostair import pipelinemessages as messages
 from pomelostair import pipelinepacking
 from pomelostair import pipelinestarts
-from pomelostair import pipelinestragglers
 from pomelostair import pipelinewatch
 from pomelostair import queues
 
@@ -78,13 +77,8 @@
         self._packer = pipelinepacking.Packer(
             self._attempts, self._pacer, self._starter.advice, metrics
         )
-        self._stragglers = pipelinestragglers.Stragglers()
         self._watch = pipelinewatch.Watch(
-            self._workers,
-            self._attempts,
-            self._pacer,
-            self._stragglers,
-            metrics,
+            self._workers, self._attempts, self._pacer, metrics
         )
 
     @property
@@ -131,7 +125,6 @@
         """Forgets a pipeline whose declaration was removed."""
         self._book.forget(pipeline_id)
         self._starter.forget(pipeline_id)
-        self._stragglers.forget(pipeline_id)
 
     @property
     def epoch(self) -> int:
@@ -209,13 +202,17 @@
         """Decides what starts, stops and is paced now."""
         self._expire(now)
         self._book.open_due(now)
-        findings = self._watch.watch_all(now)
+        slowed: dict[str, list[fleet.Placement]] = {}
+        for worker in self._workers.values():
+            for placement in self._watch.watch(worker, now):
+                name = placement.task.pipeline.id
+                slowed.setdefault(name, []).append(placement)
         self._packer.pack(self._workers.values(), now)
         self._starter.start_ready(
             [i for i in self._book.open.values() if self._may_start(i)],
             self._workers.values(),
             self._queues,
-            findings,
+            slowed,
             now,
             self._unix_ms(),
         )
@@ -363,8 +360,6 @@
             self._book.touch(item)
         match end:
             case pipeline.End.DONE if not task.stage.lasting:
-                if ordered:
-                    self._stragglers.note_done(task, now - ordered)
                 worker.done = now
                 worker.failed_since_done.clear()
                 self._finish(task, now)
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -15,7 +15,6 @@
 from pomelostair import pipelinemessages as messages
 from pomelostair import pipelineorder
 from pomelostair import pipelineplacement as placement_module
-from pomelostair import pipelinewatch
 from pomelostair import queues
 
 # Attempt numbers that one epoch may use for a task before the next epoch
@@ -69,7 +68,7 @@
         items: Iterable[pipeline.Pipeline],
         workers: Iterable[fleet.Worker],
         table: queues.QueueTable,
-        findings: pipelinewatch.Findings,
+        slowed: dict[str, list[fleet.Placement]],
         now: float,
         unix_ms: float,
     ) -> None:
@@ -82,7 +81,7 @@
             items: Pipelines whose tasks may start.
             workers: All workers.
             table: The queues in force.
-            findings: Attempts that should go on elsewhere.
+            slowed: Attempts that should move, by id of the pipeline.
             now: Monotonic seconds.
             unix_ms: Time of day.
         """
@@ -94,11 +93,7 @@
             return
         ranked = []
         for item in items:
-            if (
-                item.ready
-                or item.id in findings.slowed
-                or item.id in findings.straggling
-            ):
+            if item.ready or item.id in slowed:
                 queue = table.named(item.declaration.queue)
                 if queue is None or queue.service not in usable:
                     continue
@@ -111,10 +106,8 @@
                 return
             considered += len(item.ready)
             self._start_pipeline(item, queue, usable[queue.service], now)
-            for placement in findings.slowed.get(item.id, ()):
+            for placement in slowed.get(item.id, ()):
                 self._move(placement, usable[queue.service], now)
-            for placement in findings.straggling.get(item.id, ()):
-                self._copy(placement, usable[queue.service], now)
 
     def _start_pipeline(
         self,
@@ -202,31 +195,6 @@
         better.reserve(task, now + fleet.RESERVED_S)
         self._attempts.stop(placement, "it slows serving tasks beside it")
 
-    def _copy(
-        self,
-        placement: fleet.Placement,
-        workers: list[fleet.Worker],
-        now: float,
-    ) -> None:
-        """Starts a second attempt of a task whose stage allows copies."""
-        task = placement.task
-        if len(self._attempts.of_task(task)) > 1 or task.pipeline.ended:
-            return
-        worker = placement_module.choose(
-            task,
-            [
-                worker
-                for worker in workers
-                if worker is not placement.worker
-                and self._advice.permits(task, worker, now)
-            ],
-            self._pacer,
-            now,
-        )
-        if worker is not None:
-            self._metrics.count("attempts_copied")
-            self._start(task, worker, self._next_attempt(task), now)
-
     def _tell_misfit(
         self, task: pipeline.Task, workers: list[fleet.Worker]
     ) -> None:
--- a/pomelostair/pipelinewatch.py
+++ b/pomelostair/pipelinewatch.py
@@ -1,7 +1,5 @@
 """Watches what runs on the workers: paces, stalls, leaving and suspicion."""
 
-import attrs
-
 from pomelostair import attempts as attempts_module
 from pomelostair import events
 from pomelostair import fleet
@@ -9,7 +7,6 @@
 from pomelostair import metrics as metrics_module
 from pomelostair import pacing
 from pomelostair import pipelinemessages as messages
-from pomelostair import pipelinestragglers
 
 # Time without progress after which an attempt counts as stalled.
 STALL_S = 1.5
@@ -29,19 +26,6 @@
 LEAVE_MARGIN_MS = 900
 
 
-@attrs.frozen
-class Findings:
-    """What should go on elsewhere, by id of the pipeline.
-
-    Attributes:
-        slowed: Filling attempts that were slowed for long.
-        straggling: Attempts that should get a copy.
-    """
-
-    slowed: dict[str, list[fleet.Placement]] = attrs.field(factory=dict)
-    straggling: dict[str, list[fleet.Placement]] = attrs.field(factory=dict)
-
-
 class Watch:
     """Watches the workers of one term of a leader.
 
@@ -49,7 +33,6 @@
         workers: All workers by id and life; changed by the scheduler.
         attempts: The attempts that may be running.
         pacer: Decides the paces.
-        stragglers: Knows how long attempts take.
         metrics: Where decisions are counted.
     """
 
@@ -58,59 +41,23 @@
         workers: dict[fleet.Life, fleet.Worker],
         attempts: attempts_module.Attempts,
         pacer: pacing.Pacer,
-        stragglers: pipelinestragglers.Stragglers,
         metrics: metrics_module.Metrics,
     ):
-        self._stragglers = stragglers
         self._workers = workers
         self._attempts = attempts
         self._pacer = pacer
         self._metrics = metrics
 
-    def watch_all(self, now: float) -> Findings:
-        """Paces and stops what runs on the workers."""
-        findings = Findings()
-        for worker in self._workers.values():
-            self._watch(worker, findings, now)
-        return findings
+    def watch(self, worker: fleet.Worker, now: float) -> list[fleet.Placement]:
+        """Paces and stops what runs on a worker.
 
-    def _watch(
-        self, worker: fleet.Worker, findings: Findings, now: float
-    ) -> None:
+        Returns:
+            Attempts that were slowed for so long that they should move.
+        """
         if worker.state.draining:
             self._empty(worker)
         if now - worker.heard > fleet.FRESH_S or not worker.state.reachable:
-            return
-        self._pace(worker, now)
-        late: set[str] = set()
-        for placement in list(worker.placements.values()):
-            name = placement.task.pipeline.id
-            if self._pacer.should_move(placement, now):
-                findings.slowed.setdefault(name, []).append(placement)
-            if self._is_stalled(placement, now):
-                self._metrics.count("attempts_stalled")
-                placement.task.avoided.add(worker.id)
-                self.suspect(worker, now, "attempts stand still")
-                self._attempts.stop(placement, "it stands still")
-            elif self._stragglers.is_straggling(placement, now):
-                late.add(name)
-                self._relieve(placement, findings)
-        if len(late) >= pipelinestragglers.SLOW_WORKER:
-            self.suspect(worker, now, "attempts are slow")
-
-    def _relieve(self, placement: fleet.Placement, findings: Findings) -> None:
-        """Has the task of a straggling attempt run elsewhere."""
-        task = placement.task
-        task.avoided.add(placement.worker.id)
-        if task.stage.speculative:
-            findings.straggling.setdefault(task.pipeline.id, []).append(
-                placement
-            )
-            return
-        self._metrics.count("attempts_straggling")
-        self._attempts.stop(placement, "it takes too long")
-
-    def _pace(self, worker: fleet.Worker, now: float) -> None:
+            return []
         for placement, percent in self._pacer.decide(worker, now):
             placement.pace = percent
             if percent >= pacing.FULL:
@@ -126,6 +73,16 @@
                 worker=worker.id,
                 percent=percent,
             )
+        moving = []
+        for placement in list(worker.placements.values()):
+            if self._pacer.should_move(placement, now):
+                moving.append(placement)
+            if self._is_stalled(placement, now):
+                self._metrics.count("attempts_stalled")
+                placement.task.avoided.add(worker.id)
+                self.suspect(worker, now, "attempts stand still")
+                self._attempts.stop(placement, "it stands still")
+        return moving
 
     def _is_stalled(self, placement: fleet.Placement, now: float) -> bool:
         if (
