A new leader waits only for lives that may have had work

The registration of an agent now names the lives of workers that may have been given work; an agent counts as heard once each of them is listed, or followed by a later life with its id or address.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -71,6 +71,69 @@
         return self.task.id, self.attempt
 
 
+@attrs.frozen
+class KnownLife:
+    """A life of a worker that may have been given work.
+
+    Attributes:
+        worker: Id of the worker.
+        life: Unix milliseconds of its start.
+        address: HTTP address at which it takes orders, empty if unknown.
+    """
+
+    worker: str
+    life: int
+    address: str = ""
+
+    @property
+    def key(self) -> Life:
+        """Its id and life."""
+        return self.worker, self.life
+
+    def is_followed_by(self, other: "KnownLife") -> bool:
+        """Returns whether another life shows that this one has ended.
+
+        A worker that starts again keeps its id or its address.
+        """
+        return other.life > self.life and (
+            other.worker == self.worker
+            or bool(self.address and other.address == self.address)
+        )
+
+
+@attrs.frozen
+class Registration:
+    """An agent that work may be given to, as it is kept in the store.
+
+    Attributes:
+        bus: Its bus URL.
+        lives: Lives of workers on its host that may have been given work.
+    """
+
+    bus: str
+    lives: tuple[KnownLife, ...] = ()
+
+    def with_lives(
+        self, bus: str, heard: tuple[KnownLife, ...], all_heard: bool
+    ) -> "Registration":
+        """Returns the registration after a report.
+
+        Args:
+            bus: The agent's bus URL.
+            heard: Lives that the agent knows.
+            all_heard: Whether it knows of every life on its host.
+        """
+        kept = [
+            life
+            for life in self.lives
+            if not all_heard
+            and life.key not in {other.key for other in heard}
+            and not any(life.is_followed_by(other) for other in heard)
+        ]
+        lives = sorted([*kept, *heard], key=lambda life: life.key)
+        return Registration(bus, tuple(lives))
+
+
 @attrs.frozen
 class Reservation:
     """Room that is kept for a task.
@@ -96,7 +159,7 @@
         state: What its agent reported last.
         heard: Monotonic seconds of the last report.
         granted: Monotonic seconds of the last lease grant.
-        registered: Whether the store holds its agent's name.
+        registered: Whether the store names it as one that may have work.
         listed: Whether its lists were taken in under this leader.
         placements: What may be running there.
         orphans: Attempts that it lists and that belong to no pipeline.
--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -490,6 +490,7 @@
                 if worker.listed is not None
             ),
             tuple(self._gone),
+            {w.notice.worker: w.notice.address for w in self._workers.values()},
         )
         await curio.spawn(
             self._parts.bus.send, self._seat.bus, report, daemon=True
--- a/pomelostair/pipelinebook.py
+++ b/pomelostair/pipelinebook.py
@@ -21,13 +21,13 @@
     Attributes:
         progress: Progress by id of the pipeline.
         ends: Number of the last processed end, by worker's life.
-        agents: Agents to register, with their bus URLs.
+        agents: Registrations of agents to store, by name.
         forgotten: Pipelines whose rows are to be removed.
     """
 
     progress: dict[str, pipeline.Progress]
     ends: dict[fleet.Life, int]
-    agents: dict[str, str]
+    agents: dict[str, fleet.Registration]
     forgotten: tuple[str, ...] = ()
 
     @property
@@ -56,8 +56,8 @@
         self._open: dict[str, pipeline.Pipeline] = {}
         self._timed: dict[str, pipeline.Pipeline] = {}
         self._dirty: dict[str, None] = {}
-        self._agents: dict[str, str] = {}
-        self._new_agents: dict[str, str] = {}
+        self._agents: dict[str, fleet.Registration] = {}
+        self._new_agents: dict[str, fleet.Registration] = {}
         self._forgetting: list[str] = []
 
     @property
@@ -66,8 +66,8 @@
         return self._open
 
     @property
-    def agents(self) -> dict[str, str]:
-        """Bus URLs of the registered agents, by name."""
+    def agents(self) -> dict[str, fleet.Registration]:
+        """The stored registrations of agents, by name."""
         return self._agents
 
     def find(self, task_id: str) -> pipeline.Task | None:
@@ -76,14 +76,37 @@
         item = self._pipelines.get(name)
         return None if item is None else item.task(key)
 
-    def expect(self, agents: dict[str, str]) -> None:
+    def expect(self, agents: dict[str, fleet.Registration]) -> None:
         """Takes over the agents that are registered."""
         self._agents = dict(agents)
 
-    def register(self, agent: str, bus: str) -> None:
-        """Has an agent's address stored, if it is new."""
-        if self._agents.get(agent) != bus:
-            self._new_agents[agent] = bus
+    def register(
+        self,
+        agent: str,
+        bus: str,
+        heard: tuple[fleet.KnownLife, ...],
+        all_heard: bool,
+    ) -> None:
+        """Has the registration of an agent stored, if it changes.
+
+        Args:
+            agent: Name of the agent.
+            bus: Its bus URL.
+            heard: Lives that it knows.
+            all_heard: Whether it knows of every life on its host.
+        """
+        latest = self._new_agents.get(agent) or self._agents.get(agent)
+        known = latest or fleet.Registration(bus)
+        made = known.with_lives(bus, heard, all_heard)
+        if made != latest:
+            self._new_agents[agent] = made
+
+    def is_registered(self, agent: str, life: fleet.Life) -> bool:
+        """Returns whether the store names a life as one that may have work."""
+        known = self._agents.get(agent)
+        return known is not None and any(
+            known_life.key == life for known_life in known.lives
+        )
 
     def touch(self, item: pipeline.Pipeline) -> None:
         """Has the progress of a pipeline stored."""
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -244,7 +244,9 @@
             name = row.key.rpartition("/")[2]
             kept[name] = pipeline.decode_progress(row.value)
         known = {
-            row.key.rpartition("/")[2]: row.value.decode()
+            row.key.rpartition("/")[2]: msgspec.msgpack.decode(
+                row.value, type=fleet.Registration
+            )
             for row in agents.rows
         }
         horizon = begun + self._lapse_s - max(0.0, lapsed_s)
@@ -555,8 +557,10 @@
         for name, progress in batch.progress.items()
     ]
     puts.extend(
-        store.Put(f"{pipelinerows.AGENTS}{name}", bus.encode())
-        for name, bus in batch.agents.items()
+        store.Put(
+            f"{pipelinerows.AGENTS}{name}", msgspec.msgpack.encode(registration)
+        )
+        for name, registration in batch.agents.items()
     )
     deletes = tuple(pipelinerows.progress_key(n) for n in batch.forgotten)
     return tuple(puts), deletes
--- a/pomelostair/pipelinemessages.py
+++ b/pomelostair/pipelinemessages.py
@@ -159,6 +159,7 @@
         lives: Ids and lives of all workers on its host.
         workers: States of those workers that have news.
         gone: Lives that certainly run nothing any more.
+        addresses: HTTP addresses by the ids of the workers on its host.
     """
 
     agent: str
@@ -168,6 +169,7 @@
     lives: tuple[tuple[str, int], ...]
     workers: tuple[WorkerState, ...] = ()
     gone: tuple[tuple[str, int], ...] = ()
+    addresses: dict[str, str] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -66,7 +66,7 @@
         self._workers: dict[fleet.Life, fleet.Worker] = {}
         self._gone: dict[fleet.Life, float] = {}
         self._sequences: dict[fleet.Life, tuple[int, int]] = {}
-        self._unheard: dict[str, None] = {}
+        self._unheard: dict[str, tuple[fleet.KnownLife, ...]] = {}
         self._horizon = 0.0
         self._pacer = pacing.Pacer(metrics)
         self._attempts = attempts_module.Attempts(self._pacer, metrics)
@@ -113,7 +113,9 @@
         self._book.confirm(batch)
         told = []
         for worker in self._workers.values():
-            worker.registered = worker.agent in self._book.agents
+            worker.registered = self._book.is_registered(
+                worker.agent, (worker.id, worker.life)
+            )
         for life, number in batch.ends.items():
             worker = self._workers.get(life)
             if worker is not None and number > worker.noted:
@@ -144,22 +146,24 @@
     @property
     def agents(self) -> dict[str, str]:
         """Bus URLs of the registered agents, by name."""
-        return self._book.agents
+        return {name: kept.bus for name, kept in self._book.agents.items()}
 
     def set_queues(self, table: queues.QueueTable) -> None:
         """Puts a configuration in force."""
         self._queues = table
 
-    def expect(self, agents: dict[str, str], horizon: float) -> None:
+    def expect(
+        self, agents: dict[str, fleet.Registration], horizon: float
+    ) -> None:
         """Names the agents that earlier leaders gave work to.
 
         Args:
-            agents: Bus URLs by name.
+            agents: Their registrations by name.
             horizon: Monotonic seconds at which all leases of earlier leaders
                 have certainly lapsed.
         """
         self._book.expect(agents)
-        self._unheard = dict.fromkeys(agents)
+        self._unheard = {name: kept.lives for name, kept in agents.items()}
         self._horizon = horizon
 
     def cancel(self, pipeline_id: str) -> None:
@@ -183,7 +187,11 @@
         now: float,
     ) -> list[fleet.Worker]:
         """Takes in the report of an agent; returns the workers it names."""
-        self._book.register(message.agent, bus)
+        heard = tuple(
+            fleet.KnownLife(worker, life, message.addresses.get(worker, ""))
+            for worker, life in message.lives
+        )
+        self._book.register(message.agent, bus, heard, message.complete)
         for life in message.gone:
             self._lose(life, now, "its agent saw it end")
         found = []
@@ -194,7 +202,8 @@
             found.append(
                 self._take_in(state, message.agent, bus, agent_life, now)
             )
-        if message.complete and self._knows(message.lives):
+        whole = message.complete and self._knows(message.lives)
+        if whole or self._knows_expected(message.agent, heard):
             self._unheard.pop(message.agent, None)
         return found
 
@@ -266,7 +275,9 @@
         worker = fleet.Worker(
             state.worker, state.life, agent, bus, state, now, now
         )
-        worker.registered = agent in self._book.agents
+        worker.registered = self._book.is_registered(
+            agent, (worker.id, worker.life)
+        )
         worker.last_order, worker.results_seen = self._sequences.pop(
             (worker.id, worker.life), (0, 0)
         )
@@ -291,6 +302,20 @@
                 return False
         return True
 
+    def _knows_expected(
+        self, agent: str, heard: tuple[fleet.KnownLife, ...]
+    ) -> bool:
+        """Returns whether every life that may have had work is known.
+
+        Its lists were taken in, or a later life shows that it has ended.
+        """
+        expected = self._unheard.get(agent, ())
+        return bool(expected) and all(
+            self._knows((life.key,))
+            or any(life.is_followed_by(other) for other in heard)
+            for life in expected
+        )
+
     def _settle_restart(
         self, worker: fleet.Worker, state: messages.WorkerState
     ) -> None:
--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -187,6 +187,7 @@
             ((host.name, made.born_ms),),
             (state,),
             tuple((host.name, life) for life in range(1, made.born_ms)),
+            {host.name: f"{host.name}:1"},
         )
         for worker in self.scheduler.report(report, "bus", "life", self.now):
             worker.granted = self.now
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -212,6 +212,42 @@
         fleet.scheduler.report(none, "bus", "life", fleet.now)
         assert not fleet.scheduler.unheard
 
+    def test_agent_is_heard_once_every_life_that_had_work_is_known(self):
+        """The load: all processes are killed; agents have just begun."""
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.play(1)
+        life = ("w1", fleet.hosts["w1"].runner.born_ms)
+        fleet.hosts["w1"].cut = True
+        fleet.lead()
+        fresh = messages.AgentReport("agent-w1", 2, 1, False, ())
+        fleet.scheduler.report(fresh, "bus", "life-2", fleet.now)
+        assert fleet.scheduler.unheard == ("agent-w1",)
+        state = pipelines.state("w1", life[1])
+        listed = messages.AgentReport(
+            "agent-w1", 2, 2, False, (life,), (state,)
+        )
+        fleet.scheduler.report(listed, "bus", "life-2", fleet.now)
+        assert not fleet.scheduler.unheard
+
+    def test_later_life_at_the_address_shows_that_the_earlier_has_ended(self):
+        """The load: hosts lost power, and their workers have new names."""
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.play(1)
+        born_ms = fleet.hosts["w1"].runner.born_ms
+        fleet.hosts["w1"].cut = True
+        fleet.lead()
+        other = (("w9", born_ms + 5),)
+        elsewhere = messages.AgentReport(
+            "agent-w1", 2, 1, False, other, (), (), {"w9": "elsewhere:1"}
+        )
+        fleet.scheduler.report(elsewhere, "bus", "life-2", fleet.now)
+        assert fleet.scheduler.unheard == ("agent-w1",)
+        same = messages.AgentReport(
+            "agent-w1", 2, 2, False, other, (), (), {"w9": "w1:1"}
+        )
+        fleet.scheduler.report(same, "bus", "life-2", fleet.now)
+        assert not fleet.scheduler.unheard
+
     def test_ends_of_the_old_leader_count_once(self):
         fleet = simfleet.Fleet(names=("w1",))
         made = fleet.hosts["w1"].runner
