--- a/pomelostair/pacing.py
+++ b/pomelostair/pacing.py
@@ -207,6 +207,7 @@
         """Returns whether a filling attempt was slowed for too long."""
         return (
             placement.task.stage.filler
+            and not placement.task.stage.gang
             and placement.standing is fleet.Standing.RUNNING
             and placement.slowed > 0
             and placement.pace < MOVE_BELOW
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -296,6 +296,7 @@
             unused=worker.unused_millicores,
             report_age_ms=int((placement.ordered - worker.heard) * 1000),
             checkpoint=bool(task.checkpoint),
+            pace=placement.pace,
         )
 
 
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -121,5 +121,8 @@
         assert not scene.pacer.should_move(filler, 100.0)
         filler.pace = pacing.MOVE_BELOW - 1
         assert scene.pacer.should_move(filler, 100.0)
+        gang = pipelines.stage(2, filler=True, gang=True)
+        member = pipelines.put(scene.worker, gang, pace=5, slowed=10.0)
+        assert not scene.pacer.should_move(member, 100.0)
         filler.standing = fleet.Standing.STOPPING
         assert not scene.pacer.should_move(filler, 100.0)
