explain: from the id of a request to its cause, by log lines alone

pomelostair explain ID FILE reads the lines that processes write and tells why a request was refused, failed, late or ran again. It knows the catalogue of events only.

--- a/pomelostair/cli.py
+++ b/pomelostair/cli.py
@@ -13,6 +13,7 @@
 from pomelostair import command
 from pomelostair import entryclient
 from pomelostair import errors
+from pomelostair import explain
 from pomelostair import prompt
 from pomelostair import texttable
 
@@ -33,6 +34,8 @@
   apply FILE [--dry-run]     put a file of declarations in force (- for stdin)
   job submit FILE            submit a job from a JSON file (- for stdin)
   job show ID, job cancel ID
+  explain ID FILE            tell from log lines why a request failed, was
+                             late or ran again (- for stdin)
   prompt                     read sentences interactively
 """
 
@@ -108,6 +111,10 @@
                 return self._send("GET", f"/v1/jobs/{job}")
             case ["job", "cancel", job]:
                 return self._send("DELETE", f"/v1/jobs/{job}")
+            case ["explain", request, path]:
+                return self._explain(request, path)
+            case ["explain", *_]:
+                return _usage("write explain ID FILE")
             case ["job", *_]:
                 return _usage("write job submit FILE, job show ID or cancel ID")
         return self.sentence(" ".join(words))
@@ -189,6 +196,22 @@
             return EXIT_USAGE
         return self._send("POST", "/v1/jobs", data)
 
+    def _explain(self, request: str, path: str) -> int:
+        data = _read(path)
+        if data is None:
+            return EXIT_USAGE
+        lines = explain.read(data.decode("utf-8", "replace").splitlines())
+        found = explain.explain(lines, request)
+        begin = found.lines[0].at_s if found.lines else 0.0
+        for line in found.lines:
+            print(
+                f"{line.at_s - begin:9.3f} s  {line.process}: "
+                f"{line.event.value.text} {line.details}"
+            )
+        for cause in found.causes:
+            print(f"cause: {cause}")
+        return EXIT_DONE if found.lines else EXIT_REFUSED
+
     def _send(self, method: str, target: str, data: bytes | None = None) -> int:
         return self._show(self._client.send(method, target, data))
 
