--- a/tests/test_pipelinepacking.py
+++ b/tests/test_pipelinepacking.py
@@ -1,12 +1,20 @@
 """The load answered here: services left alone on workers, beside noisy work."""
 
+import collections
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
 from pomelostair import attempts
 from pomelostair import fleet
 from pomelostair import metrics
 from pomelostair import pacing
+from pomelostair import pipeline
 from pomelostair import pipelineadvice
 from pomelostair import pipelinepacking
 from tests import pipelines
+from tests import simfleet
 
 METRICS = metrics.Metrics()
 SERVICE = pipelines.stage(
@@ -130,3 +138,127 @@
         assert len(stopping) == 1
         assert stopping[0].task.id in roomy.reserved
         assert scene.moving[0].standing is fleet.Standing.RUNNING
+
+
+class SharedFleet(simfleet.Fleet):
+    """Workers on which lasting tasks last, whatever else they run."""
+
+    def _carry_out(self, host, order):
+        super()._carry_out(host, order)
+        run = host.runner.runs.get(order.task)
+        if run is not None:
+            run.lasting = stage_of(self, order.task).lasting
+
+
+def stage_of(shared, task):
+    pipeline_id, _, key = task.partition(".")
+    return shared.rows[pipeline_id][0].stages[int(key.split(".")[1])]
+
+
+class SharedMachine(stateful.RuleBasedStateMachine):
+    """Services and filling work under random faults."""
+
+    NAMES = ("w1", "w2", "w3", "w4")
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = SharedFleet(self.NAMES, cores=10)
+        self.count = 0
+
+    def submit(self, **fields):
+        self.count += 1
+        name = f"p{self.count}"
+        self.fleet.submit(name, pipelines.stage(**fields))
+        return name
+
+    @stateful.rule(
+        count=strategies.integers(1, 3),
+        millicores=strategies.sampled_from((1500, 2500, 4000)),
+        target_ms=strategies.sampled_from((400.0, 900.0)),
+        image=strategies.sampled_from(("s1", "s2")),
+        most=strategies.integers(0, 2),
+    )
+    def serve(self, count, millicores, target_ms, image, most):
+        if self.count < 12:
+            self.submit(
+                count=count,
+                millicores=millicores,
+                lasting=True,
+                latency_target_ms=target_ms,
+                image=image,
+                most_per_worker=most,
+            )
+
+    @stateful.rule(
+        count=strategies.integers(1, 4),
+        image=strategies.sampled_from(("f1", "f2")),
+        checkpointing=strategies.booleans(),
+    )
+    def fill(self, count, image, checkpointing):
+        if self.count < 12:
+            self.submit(
+                count=count,
+                millicores=2000,
+                filler=True,
+                image=image,
+                checkpointing=checkpointing,
+            )
+
+    @stateful.rule(tenths=strategies.integers(1, 50))
+    def play(self, tenths):
+        for _ in range(tenths):
+            self.step()
+
+    @stateful.rule(data=strategies.data())
+    def cancel(self, data):
+        if self.fleet.rows:
+            name = data.draw(strategies.sampled_from(sorted(self.fleet.rows)))
+            self.fleet.cancel(name)
+
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def cut(self, name):
+        host = self.fleet.hosts[name]
+        host.cut = not host.cut
+
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def reborn(self, name):
+        self.fleet.replace(name)
+
+    @stateful.rule()
+    def lead(self):
+        self.fleet.lead(gap_s=0.1)
+
+    def step(self):
+        self.fleet.step()
+        running = collections.Counter(t for t, _ in self.fleet.running())
+        assert max(running.values(), default=0) <= 1, running
+        for name, host in self.fleet.hosts.items():
+            used = simfleet.capacity_used(self.fleet, name)
+            assert used.millicores <= self.fleet.cores * 1000
+            held = collections.Counter(
+                task.rpartition(".")[0] for task in host.runner.runs
+            )
+            for step, count in held.items():
+                most = stage_of(self.fleet, f"{step}.0").most_per_worker
+                assert not most or count <= most, (step, name)
+
+    def teardown(self):
+        for host in self.fleet.hosts.values():
+            host.cut = False
+        for _ in range(900):
+            self.step()
+        for name, (declared, _) in self.fleet.rows.items():
+            phase = self.fleet.phase(name)
+            if name in self.fleet.cancelled:
+                assert phase in (
+                    pipeline.Phase.COMPLETED,
+                    pipeline.Phase.CANCELLED,
+                )
+            elif not declared.lasting:
+                assert phase is pipeline.Phase.COMPLETED, (name, phase)
+
+
+TestFaults = SharedMachine.TestCase
+TestFaults.settings = hypothesis.settings(
+    max_examples=12, stateful_step_count=20
+)
