--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -4,6 +4,7 @@
 the pipelines whose progress has to be stored, in its book.
 """
 
+import collections
 from collections.abc import Callable
 
 import attrs
@@ -37,6 +38,39 @@
 GONE_S = 30.0
 
 
+# Processes of an agent that are remembered as former ones.
+MAX_FORMER = 8
+
+
+@attrs.define
+class _Reporter:
+    """Which reports of an agent were taken in.
+
+    Attributes:
+        process: Incarnation of its process.
+        sequence: Number of that process's latest report.
+        former: Incarnations of its earlier processes.
+    """
+
+    process: str
+    sequence: int = 0
+    former: collections.deque[str] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_FORMER)
+    )
+
+    def takes(self, process: str, sequence: int) -> bool:
+        """Returns whether a report is later than all before; notes it."""
+        if process in self.former:
+            return False
+        if process != self.process:
+            self.former.append(self.process)
+            self.process = process
+        elif sequence <= self.sequence:
+            return False
+        self.sequence = sequence
+        return True
+
+
 class PipelineScheduler:
     """Pipelines and workers of one term of a leader.
 
@@ -66,6 +100,7 @@
         self._workers: dict[fleet.Life, fleet.Worker] = {}
         self._gone: dict[fleet.Life, float] = {}
         self._sequences: dict[fleet.Life, tuple[int, int]] = {}
+        self._reporters: dict[str, _Reporter] = {}
         self._unheard: dict[str, tuple[fleet.KnownLife, ...]] = {}
         self._horizon = 0.0
         self._pacer = pacing.Pacer(metrics)
@@ -186,7 +221,17 @@
         agent_life: str,
         now: float,
     ) -> list[fleet.Worker]:
-        """Takes in the report of an agent; returns the workers it names."""
+        """Takes in the report of an agent; returns the workers it names.
+
+        A report that was overtaken by a later one changes nothing: its lists
+        lack what has started since.
+        """
+        reporter = self._reporters.setdefault(
+            message.agent, _Reporter(agent_life)
+        )
+        if not reporter.takes(agent_life, message.sequence):
+            self._metrics.count("reports_overtaken")
+            return []
         heard = tuple(
             fleet.KnownLife(worker, life, message.addresses.get(worker, ""))
             for worker, life in message.lives
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -164,6 +164,43 @@
         assert set(done.values()) == {1}
 
 
+class TestReports:
+    def test_report_that_was_overtaken_drops_nothing(self):
+        """The load: a choked link, whose connection is replaced meanwhile."""
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.play(1)
+        fleet.submit("a")
+        fleet.step()
+        life = ("w1", fleet.hosts["w1"].runner.born_ms)
+        running = (("a.0.0.0", 1, "", 10.0, 500.0),)
+
+        def report(sequence, state, agent_life="life"):
+            message = messages.AgentReport(
+                "agent-w1", 1, sequence, True, (life,), (state,)
+            )
+            fleet.scheduler.report(message, "bus", agent_life, fleet.now)
+            return fleet.scheduler.workers[life].placements
+
+        later = 10_000_000
+        listed = pipelines.state("w1", life[1], 8, running=running, received=9)
+        assert ("a.0.0.0", 1) in report(later, listed)
+        earlier = pipelines.state("w1", life[1], 8, received=9)
+        assert ("a.0.0.0", 1) in report(later - 1, earlier)
+        assert ("a.0.0.0", 1) not in report(later + 1, earlier)
+
+    def test_new_process_of_an_agent_counts_its_reports_anew(self):
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.play(1)
+        life = ("w1", fleet.hosts["w1"].runner.born_ms)
+        for sequence, agent_life in ((50_000_000, "life"), (1, "life-2")):
+            state = pipelines.state("w1", life[1], 8, clock_ms=sequence)
+            message = messages.AgentReport(
+                "agent-w1", 1, sequence, True, (life,), (state,)
+            )
+            fleet.scheduler.report(message, "bus", agent_life, fleet.now)
+        assert fleet.scheduler.workers[life].state.clock_ms == 1
+
+
 class TestTakeover:
     def test_new_leader_adopts_what_runs(self):
         fleet = simfleet.Fleet()
