An earlier life is gone only once the later one is held

Run 66 of a task began on a worker at 23.7 s, run 67 elsewhere at 24.0. The worker had started again under its id behind a cut, and knew no fencing token: an order to its earlier life that was carried out late was taken. Its agent had reported the earlier life as gone when the first heartbeat of the later one came; it now does so once the later one is held under its higher token. A new leader likewise.

The fake worker of test_later_life_makes_the_earlier_one_gone now starts again, too: it answered as its earlier life.

--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -104,6 +104,8 @@
         )
         self._workers: dict[tuple[str, int], _Worker] = {}
         self._gone: dict[tuple[str, int], float] = {}
+        # Earlier lives, by the life with the same id that has to be held first.
+        self._followed: dict[tuple[str, int], list[tuple[str, int]]] = {}
         self._sequence = 0
         parts.bus.handle(messages.Instructions, self._on_instructions)
         parts.bus.handle(messages.LeaderHello, self._on_hello)
@@ -123,7 +125,7 @@
     async def learn(self, notice: ports.WorkerNotice) -> None:
         """Takes in what a worker says of itself."""
         life = (notice.worker, notice.life)
-        if life in self._gone:
+        if life in self._gone or self._is_followed(life):
             return
         known = self._workers.get(life)
         if known is not None:
@@ -147,7 +149,9 @@
         for other in list(self._workers.values()):
             same = other.notice.worker == notice.worker
             if same or other.notice.address == notice.address:
-                self._forget(other, "another life took its place")
+                self._forget(
+                    other, "another life took its place", life if same else None
+                )
         worker = _Worker(
             notice,
             self._port.worker_client(notice),
@@ -179,9 +183,30 @@
                 self._forget(worker, "it deregistered")
         await self._report(())
 
-    def _forget(self, worker: _Worker, why: str) -> None:
+    def _is_followed(self, life: tuple[str, int]) -> bool:
+        return any(life in lives for lives in self._followed.values())
+
+    def _forget(
+        self,
+        worker: _Worker,
+        why: str,
+        follower: tuple[str, int] | None = None,
+    ) -> None:
+        """Forgets a life that has ended.
+
+        Args:
+            worker: The life.
+            why: The reason, for the log.
+            follower: Life with the same id. It takes orders to the earlier one
+                until it is held under a higher fencing token, so that the
+                earlier one counts as gone only then.
+        """
         self._workers.pop(worker.life, None)
-        self._gone[worker.life] = self._clock.now()
+        earlier = [*self._followed.pop(worker.life, ()), worker.life]
+        if follower is not None:
+            self._followed.setdefault(follower, []).extend(earlier)
+        else:
+            self._gone.update(dict.fromkeys(earlier, self._clock.now()))
         log.emit(
             events.Events.PIPELINE_WORKER_GONE,
             worker=worker.notice.worker,
@@ -426,6 +451,8 @@
                 worker=worker.notice.worker,
             )
         worker.listed = held
+        earlier = self._followed.pop(worker.life, ())
+        self._gone.update(dict.fromkeys(earlier, self._clock.now()))
         worker.clock_ms = held.clock_ms
         worker.read = self._clock.now()
         if extended is not None:
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -352,12 +352,16 @@
     ) -> bool:
         """Returns whether every life that may have had work is known.
 
-        Its lists were taken in, or a later life shows that it has ended.
+        Its lists were taken in, or those of a later life, which show that it
+        has ended and that late orders to it are refused.
         """
         expected = self._unheard.get(agent, ())
         return bool(expected) and all(
             self._knows((life.key,))
-            or any(life.is_followed_by(other) for other in heard)
+            or any(
+                life.is_followed_by(other) and self._knows((other.key,))
+                for other in heard
+            )
             for life in expected
         )
 
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -285,6 +285,7 @@
         async def body():
             await harness.notice()
             await harness.instruct()
+            harness.port.client.runner = runner.Runner(9)
             await harness.notice(life=9)
             await harness.until(
                 lambda: any(("w1", 7) in r.gone for r in harness.reports)
@@ -292,6 +293,30 @@
 
         harness.run(body)
 
+    def test_earlier_life_is_gone_only_once_the_later_one_is_held(self):
+        """The load: orders that are carried out late, by a reborn worker."""
+        harness = Harness()
+        client = harness.port.client
+
+        async def body():
+            await harness.notice()
+            await harness.instruct()
+            await harness.until(lambda: any(h for h in client.holds))
+            client.down = True
+            client.runner = runner.Runner(9)
+            await harness.notice(life=9)
+            await harness.agent._report(())
+            await harness.until(lambda: harness.reports[-1].lives[0][1] == 9)
+            assert not any(("w1", 7) in r.gone for r in harness.reports)
+            await harness.notice(life=7)
+            assert list(harness.agent._workers) == [("w1", 9)]
+            client.down = False
+            await harness.until(
+                lambda: any(("w1", 7) in r.gone for r in harness.reports)
+            )
+
+        harness.run(body)
+
     def test_heartbeat_of_an_earlier_life_is_ignored(self):
         harness = Harness()
 
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -283,6 +283,12 @@
             "agent-w1", 2, 2, False, other, (), (), {"w9": "w1:1"}
         )
         fleet.scheduler.report(same, "bus", "life-2", fleet.now)
+        assert fleet.scheduler.unheard == ("agent-w1",)
+        state = pipelines.state("w9", born_ms + 5)
+        listed = messages.AgentReport(
+            "agent-w1", 2, 3, False, other, (state,), (), {"w9": "w1:1"}
+        )
+        fleet.scheduler.report(listed, "bus", "life-2", fleet.now)
         assert not fleet.scheduler.unheard
 
     def test_ends_of_the_old_leader_count_once(self):
