--- a/pomelostair_standins/platformsite.py
+++ b/pomelostair_standins/platformsite.py
@@ -8,35 +8,25 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
 from urllib import error as urllib_error
 from urllib import request
 
+from pomelostair_standins import site
+
 STORE_HOST = "127.0.0.9"
 FIRST_ENTRY_OCTET = 11
 FIRST_AGENT_OCTET = 41
+# The last two ports are the range that a host's processes share.
+PORTS = 7
 START_TIMEOUT_S = 20.0
 ROUTE_HOST = "fit.example"
 PREFIX = "/fit/"
 SERVICE = "clapper-desk"
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns TCP ports that are currently free."""
-    sockets = []
-    for _ in range(count):
-        probe = socket.socket()
-        probe.bind(("127.0.0.1", 0))
-        sockets.append(probe)
-    ports = [s.getsockname()[1] for s in sockets]
-    for probe in sockets:
-        probe.close()
-    return ports
-
-
 def configuration(version: int, **changes) -> dict:
     """Returns an operator's configuration with one route.
 
@@ -76,12 +66,13 @@
 
     def __init__(self, folder: pathlib.Path, entries: int = 2, sides: int = 2):
         self._folder = folder
-        self._ports = free_ports(7)
         self._processes: dict[str, subprocess.Popen] = {}
         self.entries = [
             f"127.0.0.{FIRST_ENTRY_OCTET + n}" for n in range(entries)
         ]
         self.sides = [f"127.0.0.{FIRST_AGENT_OCTET + n}" for n in range(sides)]
+        hosts = [STORE_HOST, *self.entries, *self.sides]
+        self._ports = site.free_ports(hosts, PORTS)
 
     @property
     def front(self) -> int:
@@ -100,7 +91,7 @@
 
     @property
     def _port_range(self) -> tuple[int, int]:
-        return self._ports[4], self._ports[4] + 1
+        return self._ports[5], self._ports[6]
 
     def start(self) -> None:
         """Starts all processes and waits until the entries are ready."""
@@ -132,7 +123,7 @@
             f"worker-{number}",
             "pomelostair_standins.runnerhttp",
             "--listen",
-            f"{ip}:{self._ports[5]}",
+            f"{ip}:{self._ports[4]}",
             "--control",
             f"{ip}:{self._ports[2]}",
             "--name",
@@ -200,7 +191,7 @@
 
     def worker(self, number: int, path: str, body: object = None) -> object:
         """Calls a stand-in worker; returns the response body."""
-        address = f"{self.sides[number]}:{self._ports[5]}"
+        address = f"{self.sides[number]}:{self._ports[4]}"
         return self.call(address, "POST", path, body or {})[1]
 
     def lines(self, name: str) -> list[dict]:
@@ -220,7 +211,7 @@
             process.wait()
 
     def _start_daemon(self, name: str, ip: str, serves: str) -> None:
-        front, ready, control, _, _, app, _ = self._ports
+        front, ready, control, _, app, *_ = self._ports
         seeds = ",".join(f"{entry}:{control}" for entry in self.entries)
         path = self._folder / f"{name}.conf"
         path.write_text(
--- a/pomelostair_standins/site.py
+++ b/pomelostair_standins/site.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+from collections.abc import Sequence
 import contextlib
 import json
 import os
@@ -360,21 +361,40 @@
 def free_address(host: str = LOOPBACK_HOST) -> str:
     """Returns a loopback address whose port is currently free.
 
-    The port is below the ephemeral range, so that no outgoing connection takes
-    it. A port is returned only once, since the process that it was allocated to
-    may not have bound it yet.
-
     Args:
         host: IP address to bind.
     """
+    return f"{host}:{free_ports((host,), 1)[0]}"
+
+
+def free_ports(hosts: Sequence[str], count: int) -> range:
+    """Returns consecutive ports that are currently free on each host.
+
+    The ports are below the ephemeral range, so that no outgoing connection
+    takes them. A port is returned only once, since the process that it was
+    allocated to may not have bound it yet.
+
+    Args:
+        hosts: IP addresses to bind.
+        count: Number of ports.
+    """
     while True:
-        port = random.SystemRandom().randrange(*PORT_RANGE)
-        if port in _allocated_ports:
-            continue
-        with socket.socket() as probe, contextlib.suppress(OSError):
+        first = random.SystemRandom().randrange(*PORT_RANGE)
+        ports = range(first, first + count)
+        if _allocated_ports.isdisjoint(ports) and all(
+            _is_free(host, port) for host in hosts for port in ports
+        ):
+            _allocated_ports.update(ports)
+            return ports
+
+
+def _is_free(host: str, port: int) -> bool:
+    with socket.socket() as probe:
+        try:
             probe.bind((host, port))
-            _allocated_ports.add(port)
-            return f"{host}:{port}"
+        except OSError:
+            return False
+    return True
 
 
 @contextlib.contextmanager
--- a/tests/faultystore.py
+++ b/tests/faultystore.py
@@ -28,6 +28,7 @@
     Attributes:
         table: Table that the operations are forwarded to.
         faults: Faults of the next commits, consumed one per commit.
+        is_targeted: Whether a transaction consumes a fault.
         down: Whether every operation fails as unavailable.
         frozen: Whether reads and commits block until it is reset.
         commits: Number of commits requested.
@@ -37,6 +38,7 @@
     def __init__(self, table=None, faults=()):
         self.table = table or store.MemoryTable()
         self.faults = list(faults)
+        self.is_targeted = lambda transaction: True
         self.down = False
         self.frozen = False
         self.commits = 0
@@ -67,7 +69,9 @@
     async def _commit(self, transaction):
         self.commits += 1
         self.bytes += sum(len(put.value) for put in transaction.puts)
-        fault = self.faults.pop(0) if self.faults else Fault.NONE
+        fault = Fault.NONE
+        if self.faults and self.is_targeted(transaction):
+            fault = self.faults.pop(0)
         if self.down:
             return outcome.Unavailable("down")
         match fault:
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -450,6 +450,9 @@
         async def main():
             cell = leaders.CellHarness()
             member = await cell.leader("m1")
+            # A renewal, which writes the lease row alone, leaves the fault to
+            # the submission.
+            member.table.is_targeted = lambda t: len(t.puts) > 1
             member.table.faults = [faultystore.Fault.LATE_ANSWER]
             submission = await curio.spawn(cell.submit, member, "j1")
             assert await leaders.eventually(lambda: not member.table.faults)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -121,7 +121,7 @@
     strategies.none()
     | strategies.booleans()
     | strategies.integers(-(2**70), 2**70)
-    | strategies.floats(allow_nan=False)
+    | strategies.floats(allow_nan=False, allow_infinity=False)
     | strategies.text(max_size=8),
     lambda inner: (
         strategies.lists(inner, max_size=3)
@@ -146,6 +146,16 @@
             settings.parse(data)
         assert caught.value.remedy
 
+    @pytest.mark.parametrize("text", ["Infinity", "-Infinity", "NaN"])
+    def test_number_that_is_no_json_is_named_by_its_place(self, text):
+        document = json.dumps({**AGENT, "balancer": 1}).replace(
+            '"balancer": 1', f'"balancer": {text}'
+        )
+        with pytest.raises(errors.SettingsError) as caught:
+            settings.parse(document.encode())
+        letter = document.index(text.lstrip("-"))
+        assert f"byte {letter})" in caught.value.remedy
+
     @given(JSON)
     def test_any_document_is_a_typed_error(self, document):
         with pytest.raises(errors.SettingsError) as caught:
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from http import client
+import socket
 
 import pytest
 
@@ -108,3 +109,18 @@
         answer = caller.call(running_site.balancer, "POST", "/v1/jobs", job)
         assert answer.status == 400
         assert "tasks" in answer.json()["message"]
+
+
+class TestFreePorts:
+    def test_port_taken_on_any_host_is_not_returned(self, monkeypatch):
+        hosts = ("127.0.0.11", "127.0.0.12")
+        first, second, third, _ = site.free_ports(hosts, 4)
+        choices = iter([first, second, third])
+        monkeypatch.setattr(
+            site.random.SystemRandom, "randrange", lambda *_: next(choices)
+        )
+        monkeypatch.setattr(site, "_allocated_ports", set())
+        with socket.socket() as taken:
+            taken.bind((hosts[1], second))
+            ports = site.free_ports(hosts, 2)
+        assert ports == range(third, third + 2)
