--- a/Makefile
+++ b/Makefile
@@ -5,20 +5,14 @@
 MINIONS ?= 3
 WORKERS ?= 3
 LINKS ?= --links
-STAMP := $(VENV)/.installed
 
 # The first line of `make site` is for programs, so nothing is echoed.
-.SILENT: $(STAMP) setup demo site
+.SILENT: setup demo site
 
 .PHONY: setup test demo site lint format bench
 
-setup: $(STAMP)
-
-$(STAMP): requirements.lock pyproject.toml
-	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
-	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
-	touch $(STAMP)
+setup:
+	$(PYTHON) deploy/dependencies.py --development
 
 test: setup
 	$(BIN)/python -m pytest
