Compare workers once for a stage, and never again for a demand without room

Cause: each task compared all workers, also each waiting one in each round, and rounds followed each other at once.

Candidates choose exactly as the full comparison does (property test). A round now pauses for twice the time that the last one took.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -273,6 +273,7 @@
             until_s: Monotonic time at which the reservation expires.
         """
         self.reservations[task.id] = Reservation(task, until_s)
+        task.reserved_until_s = until_s
 
     def has_reservation_for(self, task: pipeline.Task, now: float) -> bool:
         """Returns whether resources are reserved for a task.
@@ -379,12 +380,11 @@
             now: Monotonic seconds.
             resend_after_s: Time until the first repetition.
         """
-        if not self.unconfirmed_orders:
+        first_number = self.last_sent_order_number + 1
+        if self.confirmed_order >= self.last_sent_order_number:
             self.orders_confirmed_s = now
             self.resends = 0
-            return ()
-        first_number = self.last_sent_order_number + 1
-        if now - self.orders_confirmed_s >= resend_after_s * 2**self.resends:
+        elif now - self.orders_confirmed_s >= resend_after_s * 2**self.resends:
             first_number = 0
             self.orders_confirmed_s = now
             self.resends = min(self.resends + 1, MAX_RESEND_DOUBLINGS)
--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -189,6 +189,8 @@
             an attempt failed or stalled there, or the worker was busy.
         ready_since_s: Monotonic time since which it can start.
         not_before_s: Monotonic time before which it is not tried again.
+        reserved_until_s: Monotonic time until which a worker may have room
+            reserved for it.
     """
 
     pipeline: "Pipeline"
@@ -202,6 +204,7 @@
     avoided_workers: set[str] = attrs.field(factory=set)
     ready_since_s: float = 0.0
     not_before_s: float = 0.0
+    reserved_until_s: float = 0.0
     stage: Stage = attrs.field(init=False)
     id: str = attrs.field(init=False)
 
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -36,6 +36,9 @@
 # Delay before a scheduling round, so that it covers several reports and newly
 # accepted pipelines.
 ROUND_WINDOW_S = 0.005
+# Delay before a round, as a multiple of the time that the last one took. Thus
+# long rounds leave the processor to reports and commits.
+ROUND_PAUSE_FACTOR = 2.0
 # Longest interval between rounds; due times, stalled attempts and lapsed leases
 # are checked without any other trigger.
 ROUND_INTERVAL_S = 0.25
@@ -440,23 +443,25 @@
             await self._send_instructions(worker, 0)
 
     async def _schedule(self) -> None:
+        took_s = 0.0
         while True:
             await curio.ignore_after(
                 ROUND_INTERVAL_S, self._round_requested.wait
             )
             self._round_requested.clear()
-            await curio.sleep(ROUND_WINDOW_S)
+            await curio.sleep(round_delay_s(took_s))
             if not self.leading:
                 continue
             now_s = self._clock.now()
             self._scheduler.set_queues(self._peers.queues)
             self._scheduler.run_round(now_s)
-            self._parts.metrics.record(
-                "round_seconds", self._clock.now() - now_s
-            )
+            took_s = self._clock.now() - now_s
+            self._parts.metrics.record("round_seconds", took_s)
             if not self._lease.is_held:
                 continue
             for worker in list(self._scheduler.workers.values()):
+                if not worker.unconfirmed_orders:
+                    continue
                 orders = self._scheduler.orders_to_send(worker, now_s)
                 if orders:
                     await self._send_instructions(worker, 0, orders)
@@ -631,5 +636,16 @@
     return SMALL_HOST_DELAY_S if cores < MIN_LEADER_CORES else 0.0
 
 
+def round_delay_s(last_took_s: float) -> float:
+    """Returns the delay from a request of a round to the round.
+
+    Args:
+        last_took_s: Time that the previous round took.
+    """
+    return min(
+        max(ROUND_WINDOW_S, ROUND_PAUSE_FACTOR * last_took_s), ROUND_INTERVAL_S
+    )
+
+
 def _unix_ms() -> float:
     return time.time() * 1000
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -11,10 +11,14 @@
 """
 
 from collections.abc import Iterable
+import heapq
+
+import attrs
 
 from pomelostair import fleet
 from pomelostair import pacing
 from pomelostair import pipeline
+from pomelostair import resources
 
 # A filler starts only where at least this share of its requested millicores is
 # unused. With less it would run too slowly to meet its objective.
@@ -64,17 +68,19 @@
         now: Monotonic seconds.
     """
     demand = task.stage.demand
-    free = worker.free_for(task, now)
+    if worker.reservations:
+        free = worker.free_for(task, now)
+        unused_millicores = worker.unused_millicores_for(task, now)
+    else:
+        free = worker.free
+        unused_millicores = worker.unused_millicores
     if free.memory_mb < demand.memory_mb:
         return False
     if free.accelerators < demand.accelerators:
         return False
     if not task.stage.filler:
         return free.millicores >= demand.millicores
-    return (
-        worker.unused_millicores_for(task, now)
-        >= demand.millicores * MIN_FILLER_SHARE
-    )
+    return unused_millicores >= demand.millicores * MIN_FILLER_SHARE
 
 
 def meets_constraints(
@@ -200,12 +206,135 @@
     ] or candidates
     best, best_score = None, 0.0
     for worker in candidates:
-        pace_share = 1.0
-        if task.stage.filler:
-            pace_share = pacer.available_pace_share(task, worker, now)
-            if pace_share < required_pace_share:
-                continue
-        value = score(task, worker, pace_share)
-        if best is None or value > best_score:
+        value = _score_if_paced(task, worker, pacer, required_pace_share, now)
+        if value is not None and (best is None or value > best_score):
             best, best_score = worker, value
     return best
+
+
+def _score_if_paced(
+    task: pipeline.Task,
+    worker: fleet.Worker,
+    pacer: pacing.Pacer,
+    required_pace_share: float,
+    now: float,
+) -> float | None:
+    """Returns the score of a worker, None if it offers too low a pace."""
+    pace_share = 1.0
+    if task.stage.filler:
+        pace_share = pacer.available_pace_share(task, worker, now)
+        if pace_share < required_pace_share:
+            return None
+    return score(task, worker, pace_share)
+
+
+class Candidates:
+    """Workers for equal tasks of a stage, best first, in one round.
+
+    Each worker is scored once, and again after an attempt was placed on it, so
+    that a wide stage does not compare all workers for each task. The choice is
+    that of `choose` for a task that has not failed and is not moving.
+
+    Args:
+        task: One of the tasks.
+        workers: Workers of its service that accept new attempts.
+        pacer: Predicts the pace of fillers.
+        required_pace_share: Lowest share of full pace at which a filler starts.
+        now: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        task: pipeline.Task,
+        workers: list[fleet.Worker],
+        pacer: pacing.Pacer,
+        required_pace_share: float,
+        now: float,
+    ):
+        self._pacer = pacer
+        self._required_pace_share = required_pace_share
+        self._now = now
+        self._fits_anywhere = False
+        self._heap: list[tuple[float, int, fleet.Worker]] = []
+        for index, worker in enumerate(workers):
+            entry = self._entry(task, worker, index)
+            if entry is not None:
+                self._heap.append(entry)
+        heapq.heapify(self._heap)
+
+    @property
+    def fits_anywhere(self) -> bool:
+        """Whether any worker had room for the task, whatever its pace."""
+        return self._fits_anywhere
+
+    def best(self) -> fleet.Worker | None:
+        """Returns the best worker, None if none has room."""
+        return self._heap[0][2] if self._heap else None
+
+    def update_best(self, task: pipeline.Task) -> None:
+        """Scores the best worker again, after an attempt was placed on it.
+
+        Args:
+            task: A task that still waits.
+        """
+        _, index, worker = self._heap[0]
+        entry = self._entry(task, worker, index)
+        if entry is None:
+            heapq.heappop(self._heap)
+        else:
+            heapq.heapreplace(self._heap, entry)
+
+    def _entry(
+        self, task: pipeline.Task, worker: fleet.Worker, index: int
+    ) -> tuple[float, int, fleet.Worker] | None:
+        if not fits(task, worker, self._now):
+            return None
+        self._fits_anywhere = True
+        if not meets_constraints(task, worker, self._now):
+            return None
+        value = _score_if_paced(
+            task, worker, self._pacer, self._required_pace_share, self._now
+        )
+        return None if value is None else (-value, index, worker)
+
+
+@attrs.define
+class FullDemands:
+    """Demands that were found to have no room in this round.
+
+    Room only shrinks while attempts are placed, so a larger demand of the same
+    kind has none either and no worker needs to be compared for it.
+    """
+
+    _unfitting: list[tuple[bool, resources.Resources]] = attrs.field(
+        factory=list
+    )
+    _too_slow: list[tuple[str, resources.Resources, float]] = attrs.field(
+        factory=list
+    )
+
+    def add_unfitting(self, stage: pipeline.Stage) -> None:
+        """Records that a stage's task fits on no worker."""
+        self._unfitting.append((stage.filler, stage.demand))
+
+    def add_too_slow(
+        self, stage: pipeline.Stage, required_pace_share: float
+    ) -> None:
+        """Records that no worker offers a pace to a filler."""
+        self._too_slow.append((stage.image, stage.demand, required_pace_share))
+
+    def includes(
+        self, stage: pipeline.Stage, required_pace_share: float
+    ) -> bool:
+        """Returns whether a stage's task certainly has no room."""
+        if any(
+            filler == stage.filler and stage.demand.covers(demand)
+            for filler, demand in self._unfitting
+        ):
+            return True
+        return stage.filler and any(
+            image == stage.image
+            and stage.demand.covers(demand)
+            and required_pace_share >= pace_share
+            for image, demand, pace_share in self._too_slow
+        )
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -163,7 +163,7 @@
         """
         self._registry.confirm(batch)
         to_notify = []
-        for worker in self._workers.values():
+        for worker in self._workers.values() if batch.agents else ():
             worker.registered = self._registry.is_registered(
                 worker.agent, (worker.id, worker.incarnation)
             )
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -102,11 +102,15 @@
                 ranked.append((rank.key, item.id, item, queue))
         ranked.sort(key=lambda row: row[:2])
         considered = 0
+        searches = {
+            service: _Search(same_service, self._pacer, now)
+            for service, same_service in schedulable.items()
+        }
         for _, _, item, queue in ranked:
             if considered >= MAX_CONSIDERED_TASKS:
                 return
             considered += len(item.ready)
-            self._start_pipeline(item, queue, schedulable[queue.service], now)
+            self._start_pipeline(item, queue, searches[queue.service], now)
             for placement in slowed.get(item.id, ()):
                 self._move(placement, schedulable[queue.service], now)
 
@@ -114,9 +118,11 @@
         self,
         item: pipeline.Pipeline,
         queue: queues.Queue,
-        workers: list[fleet.Worker],
+        search: "_Search",
         now: float,
     ) -> None:
+        workers = search.workers
+        search.begin_pipeline()
         stages_without_worker: set[int] = set()
         permitted: dict[str, list[fleet.Worker]] = {}
         for task in list(item.ready.values()):
@@ -139,13 +145,14 @@
             if task.stage.gang:
                 self._start_gang(task, allowed, now)
                 continue
-            worker = placement_module.choose(task, allowed, self._pacer, now)
+            worker = search.choose(task, allowed)
             if worker is None:
                 if unrestricted:
                     stages_without_worker.add(task.stage_number)
                 self._report_unplaceable(task, workers)
                 continue
             self._start(task, worker, self._next_attempt(task), now)
+            search.record_start(task)
 
     def _workers_with_ticket(
         self,
@@ -317,6 +324,72 @@
         )
 
 
+class _Search:
+    """Search for room on the workers of a service in one round.
+
+    Equal tasks share the comparison of the workers, and demands without room
+    are not looked for again.
+
+    Attributes:
+        workers: Workers of the service that accept new attempts.
+    """
+
+    def __init__(
+        self, workers: list[fleet.Worker], pacer: pacing.Pacer, now: float
+    ):
+        self.workers = workers
+        self._pacer = pacer
+        self._now = now
+        self._full = placement_module.FullDemands()
+        self._stage_key: tuple | None = None
+        self._candidates: placement_module.Candidates | None = None
+
+    def begin_pipeline(self) -> None:
+        """Drops the comparison; attempts may have been placed since."""
+        self._candidates = None
+
+    def choose(
+        self, task: pipeline.Task, allowed: list[fleet.Worker]
+    ) -> fleet.Worker | None:
+        """Returns the best worker for a task, None if none has room.
+
+        Args:
+            task: A task that is ready.
+            allowed: The workers, or those of them for which it has a ticket.
+        """
+        if task.avoided_workers or task.reserved_until_s > self._now:
+            self._candidates = None
+            return placement_module.choose(
+                task, allowed, self._pacer, self._now
+            )
+        required_pace_share = self._pacer.required_pace_share(task, self._now)
+        if self._full.includes(task.stage, required_pace_share):
+            return None
+        key = (task.occurrence, task.stage_number, required_pace_share)
+        if self._candidates is None or key != self._stage_key:
+            self._stage_key = key
+            self._candidates = placement_module.Candidates(
+                task, allowed, self._pacer, required_pace_share, self._now
+            )
+        worker = self._candidates.best()
+        if worker is None and allowed is self.workers:
+            self._record_full(task.stage, required_pace_share)
+        return worker
+
+    def record_start(self, task: pipeline.Task) -> None:
+        """Records that a task was started on the worker chosen for it."""
+        if self._candidates is not None:
+            self._candidates.update_best(task)
+
+    def _record_full(
+        self, stage: pipeline.Stage, required_pace_share: float
+    ) -> None:
+        if not self._candidates.fits_anywhere:
+            self._full.add_unfitting(stage)
+        elif stage.filler and not (stage.label or stage.most_per_worker):
+            self._full.add_too_slow(stage, required_pace_share)
+
+
 def _by_rack(workers: Iterable[fleet.Worker]) -> list[list[fleet.Worker]]:
     """Returns the workers of each rack, followed by all workers."""
     racks: dict[str, list[fleet.Worker]] = {}
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -19,6 +19,24 @@
         assert large == 0.0
 
 
+class TestRoundDelay:
+    def test_long_rounds_leave_the_processor_to_reports(self):
+        """A burst with hundreds of waiting pipelines, reports all the time.
+
+        Each report requests a round. If rounds followed each other at once,
+        ends would not be taken in, and the queue would never shrink.
+        """
+        for took_s in (0.001, 0.02, 0.06):
+            delay_s = pipelineleader.round_delay_s(took_s)
+            assert took_s / (took_s + delay_s) <= 0.34
+
+    def test_is_bounded_by_the_round_interval(self):
+        assert pipelineleader.round_delay_s(0.0) > 0
+        assert (
+            pipelineleader.round_delay_s(9.0) == pipelineleader.ROUND_INTERVAL_S
+        )
+
+
 class TestPollLease:
     def test_reading_the_lease_row_does_not_reset_the_leader_silence(self):
         """The row of a failed leader stays in the store until its lease lapses.
--- a/tests/test_pipelineplacement.py
+++ b/tests/test_pipelineplacement.py
@@ -1,6 +1,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from pomelostair import fleet
 from pomelostair import metrics
 from pomelostair import pacing
 from pomelostair import pipeline
@@ -166,3 +167,85 @@
         assert placement.could_ever_fit(pipelines.stage(), workers)
         labelled = pipelines.stage(label="none")
         assert not placement.could_ever_fit(labelled, workers)
+
+
+STAGES = strategies.builds(
+    lambda millicores, filler, image, limit, target, rack: pipelines.stage(
+        count=12,
+        millicores=millicores,
+        filler=filler,
+        image=image,
+        most_per_worker=limit,
+        latency_target_ms=0.0 if filler else target,
+        rack=rack,
+    ),
+    strategies.sampled_from([500, 1900, 3500, 9000]),
+    strategies.booleans(),
+    strategies.sampled_from("ab"),
+    strategies.sampled_from([0, 2]),
+    strategies.sampled_from([0.0, 18.0]),
+    strategies.sampled_from(["", "r1", "r9"]),
+)
+
+
+def fleet_of(sizes, placed):
+    """Returns workers on which stages run, assigned round-robin."""
+    workers = [
+        pipelines.worker(f"w{n}", cores) for n, cores in enumerate(sizes)
+    ]
+    for number, stage in enumerate(placed):
+        pipelines.place(workers[number % len(workers)], stage)
+    return workers
+
+
+class TestCandidates:
+    @hypothesis.given(
+        strategies.lists(strategies.sampled_from([4, 16, 32]), min_size=1),
+        strategies.lists(STAGES, max_size=12),
+        STAGES,
+    )
+    def test_wide_stage_goes_where_the_full_comparison_sends_it(
+        self, sizes, placed, stage
+    ):
+        item = pipeline.Pipeline(
+            pipelines.declare("wide", stage), 1, pipeline.Progress(), 0.0
+        )
+        tasks = item.tasks(0, 0)
+        pacer = pacing.Pacer(METRICS)
+        compared, ranked = fleet_of(sizes, placed), fleet_of(sizes, placed)
+        candidates = placement.Candidates(
+            tasks[0],
+            ranked,
+            pacer,
+            pacer.required_pace_share(tasks[0], 0.0),
+            0.0,
+        )
+        for task in tasks:
+            expected = choose(task, compared, pacer=pacer)
+            worker = candidates.best()
+            assert (worker and worker.id) == (expected and expected.id)
+            if worker is None:
+                return
+            for chosen in (expected, worker):
+                chosen.add(fleet.Placement(task, 1, chosen, 0.0))
+            candidates.update_best(task)
+
+
+class TestFullDemands:
+    def test_larger_demand_of_the_same_kind_is_included(self):
+        full = placement.FullDemands()
+        full.add_unfitting(pipelines.stage(millicores=2000))
+        assert full.includes(pipelines.stage(millicores=2000), 0.7)
+        assert full.includes(pipelines.stage(millicores=3500), 0.7)
+        assert not full.includes(pipelines.stage(millicores=1900), 0.7)
+        filler = pipelines.stage(millicores=3500, filler=True)
+        assert not full.includes(filler, 0.7)
+
+    def test_filler_that_is_too_slow_anywhere(self):
+        full = placement.FullDemands()
+        noisy = pipelines.stage(millicores=3500, filler=True, image="noisy")
+        full.add_too_slow(noisy, 0.6)
+        assert full.includes(noisy, 0.7)
+        assert not full.includes(noisy, 0.5)
+        light = pipelines.stage(millicores=3500, filler=True, image="light")
+        assert not full.includes(light, 0.7)
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -5,6 +5,7 @@
 from pomelostair import metrics
 from pomelostair import pacing
 from pomelostair import pipeline
+from pomelostair import pipelineplacement as placement_module
 from pomelostair import pipelinestarts
 from tests import pipelines
 
@@ -143,3 +144,36 @@
         failed.pipeline.release(failed, 1.0)
         cluster.start_ready(failed.pipeline, now=1.0)
         assert cluster.attempts.has_attempts(failed)
+
+
+class TestBurst:
+    def test_waiting_pipelines_do_not_compare_all_workers(self, monkeypatch):
+        """A burst of wide pipelines on a fleet that is full.
+
+        Each round would compare every worker for every waiting pipeline, and
+        leave no time to take in the ends that free room.
+        """
+        pacer = pacing.Pacer(METRICS)
+        starter = pipelinestarts.Starter(
+            1, attempts.Attempts(pacer, METRICS), pacer, METRICS
+        )
+        workers = [pipelines.worker(f"w{n}", cores=4) for n in range(50)]
+        for worker in workers:
+            worker.last_report_s = 1.0
+            pipelines.place(worker, pipelines.stage(millicores=3000))
+        wide = pipelines.stage(count=39, millicores=3500)
+        items = [
+            pipeline.Pipeline(
+                pipelines.declare(f"p{n}", wide), 1, pipeline.Progress(), 0.0
+            )
+            for n in range(200)
+        ]
+        compared = []
+        fits = placement_module.fits
+        monkeypatch.setattr(
+            placement_module,
+            "fits",
+            lambda *arguments: compared.append(1) or fits(*arguments),
+        )
+        starter.start_ready(items, workers, pipelines.TABLE, {}, 1.0, 0.0)
+        assert len(compared) <= len(workers)
