--- a/pomelostair/commandapi.py
+++ b/pomelostair/commandapi.py
@@ -19,6 +19,7 @@
 from pomelostair import messages
 from pomelostair import outcome
 from pomelostair import queries
+from pomelostair import responses
 from pomelostair import settings as settings_module
 from pomelostair import stops
 
@@ -141,7 +142,7 @@
             self._parts.metrics.count(
                 "commands_refused", reason=answer.kind.value
             )
-            return ingress.refusal_response(answer)
+            return responses.refusal_response(answer)
         return http.json_response(200, answer)
 
     async def _apply_declarations(
--- a/pomelostair/compose.py
+++ b/pomelostair/compose.py
@@ -1,33 +1,58 @@
 """The composition root: creates the shared parts and loads the plug-ins."""
 
+import importlib
 import random
 
 import pynng
 
-from pomelostair import announcer as _announcer  # noqa: F401
 from pomelostair import bus
 from pomelostair import clock
-from pomelostair import commandapi as _commandapi  # noqa: F401
-from pomelostair import configuration as _configuration  # noqa: F401
-from pomelostair import dispatch as _dispatch  # noqa: F401
 from pomelostair import errors
-from pomelostair import executor as _executor  # noqa: F401
-from pomelostair import exporter as _exporter  # noqa: F401
-from pomelostair import gate as _gate  # noqa: F401
 from pomelostair import httpclient
-from pomelostair import ingress as _ingress  # noqa: F401
-from pomelostair import jobapi as _jobapi  # noqa: F401
 from pomelostair import kernel
-from pomelostair import leader as _leader  # noqa: F401
-from pomelostair import membership as _membership  # noqa: F401
 from pomelostair import metrics as metrics_module
-from pomelostair import pipelineapi as _pipelineapi  # noqa: F401
 from pomelostair import settings as settings_module
-from pomelostair.platform import control as _control  # noqa: F401
-from pomelostair.platform import front as _front  # noqa: F401
 from pomelostair.platform import port as platform_port
 from pomelostair.platform import store as platform_store
 
+# Modules of the plug-ins of each role. Those of other roles are not imported,
+# since imports take most of the time that a process needs to start.
+PLUGIN_MODULES = {
+    settings_module.Role.ENTRY: (
+        "commandapi",
+        "configuration",
+        "dispatch",
+        "idempotency",
+        "ingress",
+        "jobapi",
+        "membership",
+        "queries",
+        "siteorders",
+        "stops",
+    ),
+    settings_module.Role.AGENT: (
+        "announcer",
+        "configuration",
+        "executor",
+        "exporter",
+        "gate",
+        "leader",
+        "membership",
+        "siteorders",
+    ),
+    settings_module.Role.PIPELINE_ENTRY: (
+        "entrypeers",
+        "exporter",
+        "pipelineapi",
+        "pipelineleader",
+        "platform.front",
+    ),
+    settings_module.Role.PIPELINE_AGENT: (
+        "exporter",
+        "pipelineagent",
+        "platform.control",
+    ),
+}
 PLATFORM_CONNECTIONS = 16
 PLATFORM_WATCH_CONNECTIONS = 8  # Separate: long polls must not block others.
 
@@ -38,6 +63,8 @@
     Raises:
         StartError: The process can't listen on an address of the settings.
     """
+    for name in PLUGIN_MODULES[settings.role]:
+        importlib.import_module(f"pomelostair.{name}")
     metrics = metrics_module.Metrics()
     parts = _shared_parts(settings, metrics, _listen(settings, metrics))
     metrics.gauge("bus_sent_bytes", lambda: parts.bus.sent_bytes)
--- a/pomelostair/dispatch.py
+++ b/pomelostair/dispatch.py
@@ -22,6 +22,7 @@
 from pomelostair import messages
 from pomelostair import outcome
 from pomelostair import pauses
+from pomelostair import responses
 from pomelostair import retry
 from pomelostair import routing
 from pomelostair import settings as settings_module
@@ -104,7 +105,7 @@
             service=service,
             urgency=urgency,
         )
-        return ingress.refusal_response(result)
+        return responses.refusal_response(result)
 
     async def _send_with_retries(
         self, service: str, serve: messages.Serve, deadline: float
--- a/pomelostair/exporter.py
+++ b/pomelostair/exporter.py
@@ -3,8 +3,8 @@
 from pomelostair import errors
 from pomelostair import http
 from pomelostair import httpserver
-from pomelostair import ingress
 from pomelostair import kernel
+from pomelostair import responses
 from pomelostair import settings as settings_module
 
 MAX_CONNECTIONS = 16
@@ -28,7 +28,7 @@
                 address,
                 int(port),
                 self._handle_request,
-                ingress.error_response,
+                responses.error_response,
                 http.Limits(
                     max_connections=MAX_CONNECTIONS,
                     max_body_bytes=MAX_BODY_BYTES,
@@ -48,7 +48,7 @@
     async def _handle_request(self, request: http.Request) -> http.Response:
         match request.target.partition("?")[0]:
             case "/metrics":
-                return ingress.metrics_response(self._parts)
+                return responses.metrics_response(self._parts.metrics)
             case "/healthz":
                 return http.json_response(200, {"state": "alive"})
         raise errors.HttpError(404, "bad-request", "use /metrics or /healthz")
--- a/pomelostair/ingress.py
+++ b/pomelostair/ingress.py
@@ -15,63 +15,14 @@
 from pomelostair import log
 from pomelostair import membership
 from pomelostair import messages
-from pomelostair import outcome
+from pomelostair import responses
 from pomelostair import settings as settings_module
 
-RAN_HEADER = "pomelostair-ran"
-
 Route = Callable[[http.Request], Awaitable[http.Response]]
 
-_HTTP_STATUS = {
-    outcome.Kind.BAD_REQUEST: 400,
-    outcome.Kind.UNKNOWN_SERVICE: 404,
-    outcome.Kind.UNKNOWN_JOB: 404,
-    outcome.Kind.CONFLICT: 409,
-    outcome.Kind.DUPLICATE: 409,
-    outcome.Kind.NEVER_FITS: 422,
-    outcome.Kind.LIMITED: 429,
-    outcome.Kind.QUOTA: 429,
-    outcome.Kind.QUEUE_FULL: 503,
-    outcome.Kind.INTERNAL: 500,
-    outcome.Kind.TARGET_FAILED: 502,
-    outcome.Kind.ANSWER_LOST: 504,
-    outcome.Kind.DEADLINE: 504,
-}
-_DEFAULT_HTTP_STATUS = 503
 _INVALID_ESCAPE = re.compile("%(?![0-9A-Fa-f]{2})")
 
 
-def refusal_response(
-    refused: outcome.Refused, status: int | None = None
-) -> http.Response:
-    """Returns the JSON response to a refused request.
-
-    Args:
-        refused: The refusal.
-        status: HTTP status; by default the one of the refusal's kind.
-    """
-    if status is None:
-        status = _HTTP_STATUS.get(refused.kind, _DEFAULT_HTTP_STATUS)
-    headers = ((RAN_HEADER, refused.ran.value),)
-    return http.json_response(status, refused, headers)
-
-
-def error_response(error: errors.HttpError) -> http.Response:
-    """Returns the JSON response to a malformed request or a server error."""
-    kind = outcome.Kind(error.kind)
-    ran = outcome.Ran.NO
-    if kind is outcome.Kind.INTERNAL:
-        ran = outcome.Ran.UNKNOWN
-    refused = outcome.Refused(kind, str(error), ran)
-    return refusal_response(refused, error.status)
-
-
-def metrics_response(parts: kernel.Parts) -> http.Response:
-    """Returns the metrics of a process in the Prometheus text format."""
-    headers = (("content-type", "text/plain; version=0.0.4"),)
-    return http.Response(200, headers, parts.metrics.exposition())
-
-
 @kernel.plugin(settings_module.Role.ENTRY)
 class Ingress(kernel.Plugin):
     """HTTP server for callers, operators and joining processes."""
@@ -85,7 +36,7 @@
         self._draining = False
         address, _, port = parts.settings.http.rpartition(":")
         self._server = httpserver.Server(
-            address, int(port), self._handle_request, error_response
+            address, int(port), self._handle_request, responses.error_response
         )
         self._address = f"{address}:{self._server.port}"
         self._own_entry = messages.EntryAddress(
@@ -152,7 +103,7 @@
         return http.json_response(200, {"state": "ready"})
 
     async def _metrics(self, _request: http.Request) -> http.Response:
-        return metrics_response(self._parts)
+        return responses.metrics_response(self._parts.metrics)
 
     async def _join(self, request: http.Request) -> http.Response:
         try:
--- a/pomelostair/jobapi.py
+++ b/pomelostair/jobapi.py
@@ -16,6 +16,7 @@
 from pomelostair import membership
 from pomelostair import messages
 from pomelostair import outcome
+from pomelostair import responses
 from pomelostair import settings as settings_module
 
 LEADER_TIMEOUT_S = 10.0
@@ -75,7 +76,7 @@
         result = await self.ask_leader(message)
         if isinstance(result, outcome.Refused):
             self._parts.metrics.count("jobs_refused", reason=result.kind.value)
-            return ingress.refusal_response(_with_job_id(message, result))
+            return responses.refusal_response(_with_job_id(message, result))
         return http.json_response(status, result)
 
     async def ask_leader(
--- a/pomelostair/platform/control.py
+++ b/pomelostair/platform/control.py
@@ -6,10 +6,10 @@
 from pomelostair import events
 from pomelostair import http
 from pomelostair import httpserver
-from pomelostair import ingress
 from pomelostair import kernel
 from pomelostair import log
 from pomelostair import pipelineagent
+from pomelostair import responses
 from pomelostair import settings as settings_module
 from pomelostair.platform import decoding
 
@@ -32,7 +32,7 @@
             address,
             int(port),
             self._answer,
-            ingress.error_response,
+            responses.error_response,
             http.Limits(max_connections=64, max_body_bytes=MAX_BODY_BYTES),
         )
 
@@ -51,7 +51,7 @@
                 request, path[len(_DEREGISTER_PATH) :]
             )
         if path == "/metrics":
-            return ingress.metrics_response(self._parts)
+            return responses.metrics_response(self._parts.metrics)
         raise errors.HttpError(404, "bad-request", "no such call")
 
     async def _accept_heartbeat(
--- a/pomelostair/platform/front.py
+++ b/pomelostair/platform/front.py
@@ -7,11 +7,11 @@
 from pomelostair import errors
 from pomelostair import http
 from pomelostair import httpserver
-from pomelostair import ingress
 from pomelostair import kernel
 from pomelostair import outcome
 from pomelostair import pipelineapi
 from pomelostair import queues
+from pomelostair import responses
 from pomelostair import settings as settings_module
 from pomelostair.platform import decoding
 
@@ -58,7 +58,7 @@
 
     async def _answer_readiness(self, request: http.Request) -> http.Response:
         if request.target.startswith("/metrics"):
-            return ingress.metrics_response(self._parts)
+            return responses.metrics_response(self._parts.metrics)
         if self._draining or not self._api.configured:
             return http.json_response(503, {"ready": False})
         return http.json_response(200, {"ready": True})
@@ -126,7 +126,7 @@
 ) -> httpserver.Server:
     host, _, port = address.rpartition(":")
     return httpserver.Server(
-        host, int(port), handler, ingress.error_response, limits
+        host, int(port), handler, responses.error_response, limits
     )
 
 
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -8,7 +8,7 @@
 from pomelostair import errors
 from pomelostair import http
 from pomelostair import httpserver
-from pomelostair import ingress
+from pomelostair import responses
 
 REQUEST = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n"
 WAIT_S = 20.0
@@ -38,7 +38,7 @@
             "127.0.0.1",
             0,
             handle_request,
-            ingress.error_response,
+            responses.error_response,
             http.Limits(**limits),
         )
 
@@ -307,6 +307,6 @@
 class TestErrorPage:
     def test_only_internal_errors_are_reported_as_unknown(self):
         limited = errors.HttpError(503, "limited", "repeat later")
-        assert b'"no"' in ingress.error_response(limited).body
+        assert b'"no"' in responses.error_response(limited).body
         crash = errors.HttpError(500, "internal", "report it")
-        assert b'"unknown"' in ingress.error_response(crash).body
+        assert b'"unknown"' in responses.error_response(crash).body
