--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -232,6 +232,7 @@
         except errors.MessageError as error:
             self._drop("malformed", str(error))
             return
+        self._count_bytes("received", envelope.tag, len(data))
         if envelope.answer:
             await self._accept_answer(envelope, message)
             return
@@ -263,15 +264,20 @@
         self._metrics.count("messages_dropped", reason=reason)
         log.emit(events.Events.MESSAGE_DROPPED, reason=reason, detail=detail)
 
+    def _count_bytes(self, direction: str, tag: str, size: int) -> None:
+        self._metrics.count(f"messages_{direction}", tag=tag)
+        self._metrics.count(f"message_bytes_{direction}", size, tag=tag)
+
     def _count_not_sent(self, reason: str) -> None:
         self._metrics.count("messages_not_sent", reason=reason)
 
     def _encode_message(
         self, message: object, correlation: str, answer: bool
     ) -> bytes:
+        tag = wire.tag_of(message)
         data = wire.encode(
             wire.Envelope(
-                tag=wire.tag_of(message),
+                tag=tag,
                 sender=self._name,
                 incarnation=self._incarnation,
                 reply_to=self._address,
@@ -281,6 +287,7 @@
             )
         )
         self._sent_bytes += len(data)
+        self._count_bytes("sent", tag, len(data))
         return data
 
     @abc.abstractmethod
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -98,6 +98,27 @@
 
         assert pair.run(body) == list(range(50))
 
+    def test_posted_message_arrives_without_waiting(self, pair):
+        async def body():
+            for n in range(5):
+                await pair.a.post(pair.b.address, messages.Nudge(n))
+            await wait_until(lambda: len(pair.received_epochs) == 5)
+
+        pair.run(body)
+        assert sorted(pair.received_epochs) == list(range(5))
+
+    def test_bytes_are_counted_by_kind(self, pair):
+        async def body():
+            await pair.a.call(pair.b.address, messages.Nudge(1), 10.0)
+
+        pair.run(body)
+        tag = wire.tag_of(messages.Nudge(1))
+        sent, received = pair.metrics["a"].counts, pair.metrics["b"].counts
+        assert sent["messages_sent", tag] == 1
+        assert received["messages_received", tag] == 1
+        assert sent["message_bytes_sent", tag] == pair.a.sent_bytes
+        assert received["message_bytes_received", tag] == pair.b.received_bytes
+
     def test_call_without_an_answer_times_out(self, pair):
         call = functools.partial(
             pair.a.call, pair.b.address, messages.Nudge(-1), 0.05
