A new leader begins with what the last one learned about pairs of images

Cause: each leader began with a cautious prior and slowed every filler until it had learned each pair again. The leader stores the best known pairs in a row of at most 48 KB with a commit each 5 s.

--- a/pomelostair/contention.py
+++ b/pomelostair/contention.py
@@ -79,6 +79,19 @@
     latency_ms: float
 
 
+@attrs.frozen
+class Learned:
+    """What one leader learned about images, for the next one.
+
+    Attributes:
+        pairs: Serving image, filler image, mean and variance of the pressure.
+        min_latencies_ms: Lowest reported latency by serving image.
+    """
+
+    pairs: tuple[tuple[str, str, float, float], ...] = ()
+    min_latencies_ms: dict[str, float] = attrs.field(factory=dict)
+
+
 class Contention:
     """Utilizations and pressures learned in one term of a leader."""
 
@@ -170,6 +183,47 @@
         """Drops the state of an attempt that ended."""
         self._serving_states.pop(key, None)
 
+    def learned(self, max_pairs: int) -> Learned:
+        """Returns the pairs of images that are known best.
+
+        Args:
+            max_pairs: Most pairs to return.
+        """
+        known = sorted(
+            self._pressures.items(), key=lambda item: item[1].variance
+        )
+        pairs = tuple(
+            (image, filler_image, estimate.mean, estimate.variance)
+            for (image, filler_image), estimate in known[:max_pairs]
+        )
+        images = {pair[0] for pair in pairs}
+        return Learned(
+            pairs,
+            {
+                image: latency_ms
+                for image, latency_ms in self._min_latencies_ms.items()
+                if image in images
+            },
+        )
+
+    def adopt(self, learned: Learned, now: float) -> None:
+        """Begins with what an earlier leader learned.
+
+        Estimates of its own and values out of range are kept out.
+
+        Args:
+            learned: What it learned.
+            now: Monotonic seconds.
+        """
+        for image, filler_image, mean, variance in learned.pairs[:MAX_PAIRS]:
+            if 0 <= mean <= MAX_PRESSURE and 0 < variance < math.inf:
+                self._pressures.setdefault(
+                    (image, filler_image), _Estimate(mean, variance, now)
+                )
+        for image, latency_ms in learned.min_latencies_ms.items():
+            if latency_ms > 0:
+                self._min_latencies_ms.setdefault(image, latency_ms)
+
     def _update(
         self,
         state: _ServingState,
--- a/pomelostair/pacing.py
+++ b/pomelostair/pacing.py
@@ -103,6 +103,11 @@
             fleet.WorkerKey, tuple[tuple, list[_Headroom]]
         ] = {}
 
+    @property
+    def contention(self) -> contention_module.Contention:
+        """Model of what fillers add to the latency of serving tasks."""
+        return self._contention
+
     def observe(self, worker: fleet.Worker, now: float) -> None:
         """Updates the contention model from a new report of a worker.
 
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -49,6 +49,8 @@
 WATCH_WAIT_S = 2.0
 HELLO_INTERVAL_S = 1.0
 EXPIRY_INTERVAL_S = 5.0
+# Interval at which a leader stores what it has learned about pairs of images.
+LEARNED_INTERVAL_S = 5.0
 VACATE_TIMEOUT_S = 1.5
 # Reports of a worker are answered at this interval unless there is news for its
 # agent. Shorter than the report interval, so that a regular report is answered.
@@ -96,6 +98,7 @@
         self._round_requested = curio.Event()
         self._watched_version = 0
         self._last_renewal_s = 0.0
+        self._stored_learned_s = 0.0
         self._hello_sent_s: dict[str, float] = {}
         advisor = parts.settings.pipelines.advisor
         self._advisor = parts.port.advisor(advisor) if advisor else None
@@ -283,6 +286,7 @@
         declared_ids = await self._read_pipelines(stored_progress)
         if declared_ids is None:
             return False
+        await self._adopt_learned()
         # An earlier leader deleted these declarations, but lost its lease
         # before it deleted their progress.
         for pipeline_id in stored_progress.keys() - declared_ids:
@@ -410,7 +414,10 @@
             if self._renewed_recently:
                 return True
         started_s = self._clock.now()
-        result = await self._lease.commit(*_batch_changes(batch))
+        puts, deletes = _batch_changes(batch)
+        result = await self._lease.commit(
+            puts + self._learned_puts(started_s), deletes
+        )
         self._parts.metrics.record(
             "commit_seconds", self._clock.now() - started_s
         )
@@ -434,6 +441,41 @@
                 return True
         return False
 
+    def _learned_puts(self, now_s: float) -> tuple[store.Put, ...]:
+        """Returns the row of learned pairs of images when it is due.
+
+        A lost row costs the next leader some seconds of learning, so it is not
+        written again after a failed commit.
+        """
+        if (
+            not self.leading
+            or now_s - self._stored_learned_s < LEARNED_INTERVAL_S
+        ):
+            return ()
+        self._stored_learned_s = now_s
+        value = pipelinerows.encode_learned(self._scheduler.contention)
+        return (store.Put(pipelinerows.LEARNED_KEY, value),)
+
+    async def _adopt_learned(self) -> None:
+        """Begins with what earlier leaders learned about pairs of images."""
+        reason = ""
+        match await self._table.read(pipelinerows.LEARNED_KEY):
+            case store.Found(row=row):
+                try:
+                    learned = pipelinerows.decode_learned(row)
+                    self._scheduler.contention.adopt(learned, self._clock.now())
+                except msgspec.MsgspecError as error:
+                    reason = str(error)
+            case outcome.Unavailable(reason=reason):
+                pass
+        if reason:
+            self._parts.metrics.count("rows_ignored")
+            log.emit(
+                events.Events.ROW_IGNORED,
+                key=pipelinerows.LEARNED_KEY,
+                reason=reason,
+            )
+
     @property
     def _renewed_recently(self) -> bool:
         return self._clock.now() - self._last_renewal_s < RENEW_INTERVAL_S
--- a/pomelostair/pipelinerows.py
+++ b/pomelostair/pipelinerows.py
@@ -8,7 +8,9 @@
 """
 
 import attrs
+import msgspec
 
+from pomelostair import contention
 from pomelostair import pipeline
 from pomelostair import store
 
@@ -16,6 +18,10 @@
 PARTITIONS = 8
 PROGRESS_PREFIX = "progress/cell/"
 AGENTS_PREFIX = "agents/cell/"
+LEARNED_KEY = "learned/cell/images"
+# The store limits a row to 64 KiB.
+MAX_LEARNED_BYTES = 48_000
+MAX_LEARNED_PAIRS = 800
 _DECLARATIONS = "job/"
 _CANCELLATIONS = "cancel/"
 
@@ -89,5 +95,24 @@
     return DeclarationRow(pipeline.decode_declaration(row.value), row.version)
 
 
+def encode_learned(model: contention.Contention) -> bytes:
+    """Returns what is known best of a model, as large as a row may be."""
+    max_pairs = MAX_LEARNED_PAIRS
+    while True:
+        value = msgspec.msgpack.encode(model.learned(max_pairs))
+        if len(value) <= MAX_LEARNED_BYTES or not max_pairs:
+            return value
+        max_pairs //= 2
+
+
+def decode_learned(row: store.Row) -> contention.Learned:
+    """Decodes what an earlier leader learned.
+
+    Raises:
+        msgspec.MsgspecError: The value is malformed.
+    """
+    return msgspec.msgpack.decode(row.value, type=contention.Learned)
+
+
 def _prefix_of(pipeline_id: str) -> str:
     return partition_prefix(pipeline.partition(pipeline_id, PARTITIONS))
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -10,6 +10,7 @@
 import attrs
 
 from pomelostair import attempts as attempts_module
+from pomelostair import contention
 from pomelostair import events
 from pomelostair import fleet
 from pomelostair import log
@@ -132,6 +133,11 @@
         """Registry of the pipelines and agents."""
         return self._registry
 
+    @property
+    def contention(self) -> contention.Contention:
+        """Model of what fillers add to the latency of serving tasks."""
+        return self._pacer.contention
+
     @property
     def advice(self) -> pipelineadvice.Advice:
         """Advice tickets for the queues that require them."""
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -139,3 +139,52 @@
             )
             assert 0 < model.utilization(KEY, now) < 1.2
             assert 0 <= model.pressure("service", "x", now) < 20
+
+
+class TestLearned:
+    def test_new_leader_knows_the_pressures_of_the_last_one(self):
+        """A leader is lost on a day with services and noisy fillers.
+
+        A leader that begins with the prior slows every filler until it has
+        learned each pair of images again.
+        """
+        first = contention.Contention()
+        now = 100.0
+        for step in range(40):
+            now += 0.3
+            first.observe(
+                (f"a.0.0.{step % 4}", 1), "svc", 18.0, 8.0, {"light": 0.5}, now
+            )
+        second = contention.Contention()
+        assert first.pressure("svc", "light", now) < second.pressure(
+            "svc", "light", now
+        )
+        second.adopt(first.learned(10), 5.0)
+        assert math.isclose(
+            second.pressure("svc", "light", 5.0),
+            first.pressure("svc", "light", now),
+        )
+        assert second.unloaded_ms("svc", 18.0) == first.unloaded_ms("svc", 18.0)
+
+    def test_best_known_pairs_are_kept(self):
+        model = contention.Contention()
+        pairs = tuple(("s", f"f{n}", 1.0, 0.1 + n) for n in range(9))
+        model.adopt(contention.Learned(pairs), 0.0)
+        assert model.learned(3).pairs == pairs[:3]
+
+    def test_values_out_of_range_are_ignored(self):
+        model = contention.Contention()
+        model.adopt(
+            contention.Learned(
+                (
+                    ("s", "a", math.nan, 1.0),
+                    ("s", "b", -1.0, 1.0),
+                    ("s", "c", 99.0, 1.0),
+                    ("s", "d", 1.0, 0.0),
+                    ("s", "e", 1.0, math.inf),
+                ),
+                {"s": -1.0},
+            ),
+            0.0,
+        )
+        assert model.learned(9) == contention.Learned()
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -1,8 +1,12 @@
 import curio
 import msgspec
+import pytest
 
+from pomelostair import contention
 from pomelostair import pipelineleader
 from pomelostair import pipelinelease
+from pomelostair import pipelinerows
+from pomelostair import pipelinescheduler
 from pomelostair import store
 from tests import test_pipelineapi
 
@@ -63,3 +67,46 @@
             )
 
         harness.run(body)
+
+
+class TestAdoptLearned:
+    @pytest.mark.parametrize(
+        ("value", "pressure"),
+        [
+            (
+                msgspec.msgpack.encode(
+                    contention.Learned((("s", "f", 1.0, 0.01),))
+                ),
+                1.0,
+            ),
+            (b"\xc1", None),
+        ],
+        ids=["stored", "malformed"],
+    )
+    def test_row_of_the_last_leader(self, value, pressure):
+        harness = test_pipelineapi.Harness()
+        leader = harness.host.get(pipelineleader.PipelineLeader)
+        leader._scheduler = pipelinescheduler.PipelineScheduler(
+            2, 0, test_pipelineapi.METRICS, lambda: 0.0, 7.9
+        )
+        put = store.Put(pipelinerows.LEARNED_KEY, value)
+
+        async def body():
+            await harness.table.commit(store.Transaction(puts=(put,)))
+            await leader._adopt_learned()
+
+        harness.run(body)
+        means = [p[2] for p in leader._scheduler.contention.learned(9).pairs]
+        assert means == ([] if pressure is None else [pressure])
+
+
+class TestEncodeLearned:
+    def test_fits_into_a_row(self):
+        model = contention.Contention()
+        pairs = tuple(
+            (f"service-{n:080d}", f"filler-{n:080d}", 1.0, 1.0)
+            for n in range(2000)
+        )
+        model.adopt(contention.Learned(pairs), 0.0)
+        value = pipelinerows.encode_learned(model)
+        assert 0 < len(value) <= pipelinerows.MAX_LEARNED_BYTES
