Malformed rows and listings stop neither a leader nor an agent

Cause: a listing with a short row, an unexpected error of a worker's client, or one unreadable row of the store raised out of the agent's hold task or the leader's recovery. The hold task then ended, so that the leases of the worker lapsed; the leader crashed again in each term.

A listing is decoded by type. An agent goes on after an unexpected error, and fences a start off. A pipeline whose progress is unreadable is not scheduled, since its tasks could run twice; an agent whose registration is unreadable may have work until its leases lapse; an unreadable lease row is never replaced.

--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -104,6 +104,7 @@
         446, logging.WARNING, "leases of earlier leaders have lapsed"
     )
     HEARTBEAT_IGNORED = Event(447, logging.WARNING, "heartbeat ignored")
+    WORKER_CALL_CRASHED = Event(448, logging.ERROR, "call of a worker crashed")
     PIPELINE_LEADER_FOUND = Event(450, logging.INFO, "leader discovered")
     PIPELINE_LEADER_LOST = Event(451, logging.WARNING, "no leader known")
     PIPELINES_RECOVERED = Event(452, logging.INFO, "pipelines recovered")
--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -11,6 +11,7 @@
 
 import attrs
 import curio
+import msgspec
 
 from pomelostair import bus as bus_module
 from pomelostair import clock as clock_module
@@ -310,7 +311,15 @@
         """Reads the leader from its lease row in the store."""
         match await self._parts.table.read(pipelinelease.KEY):
             case store.Found(row=row):
-                lease = pipelinelease.decode(row).row
+                try:
+                    lease = pipelinelease.decode(row).row
+                except msgspec.MsgspecError as error:
+                    log.emit(
+                        events.Events.ROW_IGNORED,
+                        key=row.key,
+                        reason=str(error),
+                    )
+                    return
                 if lease.epoch >= self._leader.epoch and not lease.vacated:
                     await self._report_to(
                         messages.LeaderInfo(
@@ -386,18 +395,15 @@
     async def _execute(
         self, worker: _Worker, order: messages.Order, epoch: int
     ) -> None:
-        outcome_name, reason = messages.DONE, ""
-        match order.kind:
-            case messages.START:
-                outcome_name, reason = await self._start(worker, order, epoch)
-            case messages.STOP:
+        try:
+            outcome_name, reason = await self._call_worker(worker, order, epoch)
+        except (Exception, curio.TaskTimeout) as error:  # noqa: BLE001 - the leader waits for a result
+            self._record_worker_error(worker, order.kind, error)
+            outcome_name, reason = messages.REFUSED, "error"
+            if order.kind != messages.PACE:
+                # The call may have been sent.
                 await self._stop(worker, order, epoch)
-            case messages.PACE:
-                result = await worker.client.pace(
-                    order, _fencing_token(epoch, worker)
-                )
-                if not isinstance(result, ports.Accepted):
-                    outcome_name, reason = messages.REFUSED, result.reason
+                outcome_name = messages.FENCED_OFF
         log.emit(
             events.Events.ORDER_CARRIED_OUT,
             kind=order.kind,
@@ -416,6 +422,23 @@
             )
         )
 
+    async def _call_worker(
+        self, worker: _Worker, order: messages.Order, epoch: int
+    ) -> tuple[str, str]:
+        """Executes an order; returns its outcome and the reason for it."""
+        match order.kind:
+            case messages.START:
+                return await self._start(worker, order, epoch)
+            case messages.STOP:
+                await self._stop(worker, order, epoch)
+            case messages.PACE:
+                result = await worker.client.pace(
+                    order, _fencing_token(epoch, worker)
+                )
+                if not isinstance(result, ports.Accepted):
+                    return messages.REFUSED, result.reason
+        return messages.DONE, ""
+
     async def _start(
         self, worker: _Worker, order: messages.Order, epoch: int
     ) -> tuple[str, str]:
@@ -496,7 +519,23 @@
             if not self._leader.epoch:
                 await curio.sleep(NO_LEADER_POLL_S)
                 continue
-            await self._hold(worker)
+            try:
+                await self._hold(worker)
+            except (Exception, curio.TaskTimeout) as error:  # noqa: BLE001 - leases lapse without further calls
+                self._record_worker_error(worker, "hold", error)
+                await curio.sleep(RETRY_S)
+
+    def _record_worker_error(
+        self, worker: _Worker, call: str, error: BaseException
+    ) -> None:
+        self._parts.metrics.count("worker_calls_crashed", call=call)
+        log.emit(
+            events.Events.WORKER_CALL_CRASHED,
+            exc_info=True,
+            worker=worker.heartbeat.worker,
+            call=call,
+            reason=repr(error),
+        )
 
     def _hold_wait_ms(self, worker: _Worker, acknowledged: int) -> int:
         """Returns how long a `hold` call may wait for an end."""
--- a/pomelostair/pipelineapi.py
+++ b/pomelostair/pipelineapi.py
@@ -9,6 +9,7 @@
 
 import attrs
 import curio
+import msgspec
 
 from pomelostair import bus as bus_module
 from pomelostair import clock as clock_module
@@ -278,7 +279,12 @@
             pipelinerows.progress_key(pipeline_id)
         )
         if isinstance(progress, store.Found):
-            stored = pipeline.decode_progress(progress.row.value)
+            try:
+                stored = pipeline.decode_progress(progress.row.value)
+            except msgspec.MsgspecError as error:
+                return _store_unavailable(
+                    f"row {progress.row.key} is malformed: {error}"
+                )
             if stored.phase in pipeline.TERMINAL_PHASES:
                 return Status(stored.phase)
         declaration = await self._table.read(
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -97,6 +97,9 @@
         self._commit_requested = curio.Event()
         self._round_requested = curio.Event()
         self._watched_version = 0
+        # Pipelines whose progress could not be decoded. They are not scheduled,
+        # since tasks that are done would run again.
+        self._unreadable: set[str] = set()
         self._last_renewal_s = 0.0
         self._stored_learned_s = 0.0
         self._hello_sent_s: dict[str, float] = {}
@@ -266,6 +269,7 @@
             started_s: Clock reading at the start of the term.
             lapsed_s: Seconds since the previous lease lapsed.
         """
+        self._unreadable.clear()
         progress, agents = await self._scan_all(
             (pipelinerows.PROGRESS_PREFIX, pipelinerows.AGENTS_PREFIX)
         )
@@ -273,12 +277,16 @@
             return False
         stored_progress: dict[str, pipeline.Progress] = {}
         for row in progress.rows:
-            pipeline_id = row.key.rpartition("/")[2]
-            stored_progress[pipeline_id] = pipeline.decode_progress(row.value)
+            pipeline_id = pipelinerows.pipeline_id_of(row.key)
+            try:
+                stored_progress[pipeline_id] = pipeline.decode_progress(
+                    row.value
+                )
+            except msgspec.MsgspecError as error:
+                self._unreadable.add(pipeline_id)
+                self._record_ignored_row(row.key, str(error))
         registrations = {
-            row.key.rpartition("/")[2]: msgspec.msgpack.decode(
-                row.value, type=fleet.Registration
-            )
+            row.key.rpartition("/")[2]: self._decode_registration(row)
             for row in agents.rows
         }
         leases_lapse_s = started_s + self._max_lease_s - max(0.0, lapsed_s)
@@ -293,6 +301,22 @@
             self._scheduler.forget(pipeline_id)
         return True
 
+    def _decode_registration(self, row: store.Row) -> fleet.Registration:
+        """Decodes the registration of an agent.
+
+        Without it, work that an earlier leader started may run on the agent's
+        host until its leases have lapsed.
+        """
+        try:
+            return pipelinerows.decode_registration(row)
+        except msgspec.MsgspecError as error:
+            self._record_ignored_row(row.key, str(error))
+            return fleet.Registration("")
+
+    def _record_ignored_row(self, key: str, reason: str) -> None:
+        self._parts.metrics.count("rows_ignored")
+        log.emit(events.Events.ROW_IGNORED, key=key, reason=reason)
+
     async def _read_pipelines(
         self, stored_progress: dict[str, pipeline.Progress]
     ) -> set[str] | None:
@@ -361,6 +385,8 @@
                 case pipelinerows.DeclarationRow(
                     declaration=declaration, version=version
                 ):
+                    if declaration.id in self._unreadable:
+                        return
                     progress = (stored_progress or {}).get(declaration.id)
                     self._scheduler.registry.add(
                         declaration,
@@ -371,8 +397,7 @@
                 case pipelinerows.CancellationRow(id=pipeline_id):
                     self._scheduler.cancel(pipeline_id)
         except (msgspec.MsgspecError, ValueError) as error:
-            self._parts.metrics.count("rows_ignored")
-            log.emit(events.Events.ROW_IGNORED, key=row.key, reason=str(error))
+            self._record_ignored_row(row.key, str(error))
 
     async def _watch_rows(self) -> None:
         """Applies the rows that entries store while this process leads."""
@@ -469,12 +494,7 @@
             case outcome.Unavailable(reason=reason):
                 pass
         if reason:
-            self._parts.metrics.count("rows_ignored")
-            log.emit(
-                events.Events.ROW_IGNORED,
-                key=pipelinerows.LEARNED_KEY,
-                reason=reason,
-            )
+            self._record_ignored_row(pipelinerows.LEARNED_KEY, reason)
 
     @property
     def _renewed_recently(self) -> bool:
--- a/pomelostair/pipelinelease.py
+++ b/pomelostair/pipelinelease.py
@@ -65,7 +65,11 @@
 
 
 def decode(row: store.Row) -> ObservedLease:
-    """Decodes the lease row."""
+    """Decodes the lease row.
+
+    Raises:
+        msgspec.MsgspecError: The value is malformed.
+    """
     return ObservedLease(
         msgspec.msgpack.decode(row.value, type=LeaseRow), row.version
     )
@@ -136,10 +140,19 @@
         return (time.earliest_ms - row.end_ms) / 1000
 
     async def read_lease(self) -> ObservedLease | outcome.Unavailable:
-        """Reads the lease row."""
+        """Reads the lease row.
+
+        A malformed row is unavailable: an epoch that restarted at 1 would be
+        refused by every worker.
+        """
         match await self._table.read(KEY):
             case store.Found(row=row):
-                return decode(row)
+                try:
+                    return decode(row)
+                except msgspec.MsgspecError as error:
+                    return outcome.Unavailable(
+                        f"remove the malformed row {KEY}: {error}"
+                    )
             case store.Absent():
                 return ObservedLease()
             case unavailable:
--- a/pomelostair/pipelinerows.py
+++ b/pomelostair/pipelinerows.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from pomelostair import contention
+from pomelostair import fleet
 from pomelostair import pipeline
 from pomelostair import store
 
@@ -95,6 +96,15 @@
     return DeclarationRow(pipeline.decode_declaration(row.value), row.version)
 
 
+def decode_registration(row: store.Row) -> fleet.Registration:
+    """Decodes the registration of an agent.
+
+    Raises:
+        msgspec.MsgspecError: The value is malformed.
+    """
+    return msgspec.msgpack.decode(row.value, type=fleet.Registration)
+
+
 def encode_learned(model: contention.Contention) -> bytes:
     """Returns what is known best of a model, as large as a row may be."""
     max_pairs = MAX_LEARNED_PAIRS
--- a/pomelostair/platform/minion.py
+++ b/pomelostair/platform/minion.py
@@ -69,14 +69,35 @@
     fence: int
 
 
+class RunningRow(msgspec.Struct, array_like=True):
+    """A running attempt, an array without field names."""
+
+    task: str
+    attempt: int
+    checkpoint: str
+    percent: float
+    load: float = 0
+
+
+class EndedRow(msgspec.Struct, array_like=True):
+    """An ended attempt, an array without field names.
+
+    `number` counts the ends of the worker's incarnation.
+    """
+
+    number: int
+    task: str
+    attempt: int
+    end: str
+    checkpoint: str
+
+
 class HoldAnswerBody(msgspec.Struct):
-    """Answer to a hold; attempts and ends are arrays without field names."""
+    """Answer to a hold."""
 
     clock_ms: int = msgspec.field(name="clockMs")
-    # Task, attempt, checkpoint, percent, load.
-    running: list[tuple] = []
-    # Number of the end, task, attempt, kind of end, checkpoint.
-    ended: list[tuple] = []
+    running: list[RunningRow] = []
+    ended: list[EndedRow] = []
     born: int | None = None
 
 
@@ -177,12 +198,15 @@
 
 
 def _to_hold_answer(body: HoldAnswerBody) -> ports.HoldAnswer:
-    running = tuple(
-        (row[0], row[1], row[2], row[3], row[4] if len(row) > 4 else 0)
-        for row in body.running
-    )
+    running = tuple(map(msgspec.structs.astuple, body.running))
     ended = tuple(
-        (row[0], row[1], row[2], _ENDS_BY_NAME[row[3]], row[4])
+        (
+            row.number,
+            row.task,
+            row.attempt,
+            _ENDS_BY_NAME[row.end],
+            row.checkpoint,
+        )
         for row in body.ended
     )
     return ports.HoldAnswer(
--- /dev/null
+++ b/tests/platform/test_minion.py
@@ -0,0 +1,75 @@
+import json
+
+import curio
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from pomelostair import http
+from pomelostair import pipeline
+from pomelostair import ports
+from pomelostair.platform import minion
+
+RUNNING = ["a.0.0.0", 1, "", 41, 3]
+ENDED = [58, "a.0.0.1", 1, "done", ""]
+VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(max_size=8),
+    lambda inner: strategies.lists(inner, max_size=3),
+    max_leaves=6,
+)
+
+
+def hold(body):
+    """Returns the client's outcome of a `hold` that got a body as answer."""
+    client = minion.MinionClient("127.0.0.1:1", "w1")
+
+    async def answer(_request, _timeout_s):
+        return http.Response(200, (), body)
+
+    client._client.request = answer
+    return curio.run(client.hold, 1, 0, 1000, 0)
+
+
+def listing(running=(), ended=()):
+    document = {"clockMs": 9, "running": list(running), "ended": list(ended)}
+    return json.dumps(document).encode()
+
+
+class TestHold:
+    def test_lists(self):
+        answer = hold(listing([RUNNING, RUNNING[:4]], [ENDED]))
+        assert answer.running == (
+            ("a.0.0.0", 1, "", 41, 3),
+            ("a.0.0.0", 1, "", 41, 0),
+        )
+        assert answer.ended == ((58, "a.0.0.1", 1, pipeline.End.DONE, ""),)
+
+    @pytest.mark.parametrize(
+        ("running", "ended"),
+        [
+            ([RUNNING[:2]], []),
+            ([[7, *RUNNING[1:]]], []),
+            ([[*RUNNING[:3], "half"]], []),
+            ([], [ENDED[:3]]),
+            ([], [[*ENDED[:3], "vanished", ""]]),
+            ([], [["58", *ENDED[1:]]]),
+        ],
+    )
+    def test_malformed_row_is_no_answer(self, running, ended):
+        assert isinstance(hold(listing(running, ended)), ports.NoAnswer)
+
+    @hypothesis.given(
+        strategies.lists(strategies.lists(VALUES, max_size=6), max_size=3),
+        strategies.lists(strategies.lists(VALUES, max_size=6), max_size=3),
+    )
+    def test_any_lists_are_an_answer_or_none(self, running, ended):
+        outcome = hold(listing(running, ended))
+        assert isinstance(outcome, ports.HoldAnswer | ports.NoAnswer)
+
+    @hypothesis.given(strategies.binary(max_size=60))
+    def test_any_bytes_are_no_answer(self, body):
+        assert isinstance(hold(body), ports.NoAnswer)
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -7,6 +7,7 @@
 from pomelostair import kernel
 from pomelostair import metrics
 from pomelostair import pipelineagent
+from pomelostair import pipelinelease
 from pomelostair import pipelinemessages as messages
 from pomelostair import ports
 from pomelostair import queues
@@ -411,3 +412,58 @@
             )
 
         harness.run(body)
+
+
+class TestUnexpectedErrors:
+    """A worker's client raises what no caller expects."""
+
+    def test_leases_are_extended_after_a_failed_hold(self):
+        harness = Harness()
+        client = harness.port.client
+        answer = client.hold
+        failures = iter([RuntimeError("boom"), KeyError("row")])
+
+        async def hold(*arguments):
+            error = next(failures, None)
+            if error is not None:
+                raise error
+            return await answer(*arguments)
+
+        client.hold = hold
+
+        async def body():
+            await harness.heartbeat()
+            await harness.instruct()
+            await harness.wait_until(lambda: any(h for h in client.holds))
+
+        harness.run(body)
+
+    def test_start_that_failed_is_fenced_off_and_reported(self):
+        harness = Harness()
+        client = harness.port.client
+
+        async def start(*_arguments):
+            raise RuntimeError("boom")
+
+        client.start = start
+
+        async def body():
+            await harness.heartbeat()
+            await harness.instruct(start_order())
+            await harness.wait_until(harness.results)
+            assert harness.results()[0] == (1, messages.FENCED_OFF)
+            late_start = client.runner.start("a.0.0.0", 1, 5000, 1 << 31 | 7)
+            assert late_start == "old"
+
+        harness.run(body)
+
+    def test_malformed_lease_row_names_no_leader(self):
+        harness = Harness()
+        put = store.Put(pipelinelease.KEY, b"\xc1")
+
+        async def body():
+            await harness.parts.table.commit(store.Transaction(puts=(put,)))
+            await harness.agent._find_leader_in_store()
+            assert not harness.agent._leader.bus
+
+        harness.run(body)
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -3,11 +3,14 @@
 import pytest
 
 from pomelostair import contention
+from pomelostair import outcome
+from pomelostair import pipeline
 from pomelostair import pipelineleader
 from pomelostair import pipelinelease
 from pomelostair import pipelinerows
 from pomelostair import pipelinescheduler
 from pomelostair import store
+from tests import pipelines
 from tests import test_pipelineapi
 
 
@@ -110,3 +113,58 @@
         model.adopt(contention.Learned(pairs), 0.0)
         value = pipelinerows.encode_learned(model)
         assert 0 < len(value) <= pipelinerows.MAX_LEARNED_BYTES
+
+
+class TestMalformedRows:
+    """Rows of another writer; see `pipelinerows` for those of this one."""
+
+    def recover(self, *puts):
+        """Returns a harness and its leader, which has read the rows."""
+        harness = test_pipelineapi.Harness()
+        leader = harness.host.get(pipelineleader.PipelineLeader)
+        leader._scheduler = pipelinescheduler.PipelineScheduler(
+            2, 0, test_pipelineapi.METRICS, lambda: 0.0, 7.9
+        )
+
+        async def body():
+            for put in puts:
+                await harness.table.commit(store.Transaction(puts=(put,)))
+            assert await leader._recover(0.0, 0.0)
+
+        harness.run(body)
+        return harness, leader
+
+    def test_pipeline_without_readable_progress_is_not_scheduled(self):
+        """Its tasks that are done must not run again."""
+        names = ("00000000000000a1", "00000000000000a2")
+        declarations = [
+            store.Put(
+                pipelinerows.declaration_key(name),
+                pipeline.encode(pipelines.declare(name)),
+            )
+            for name in names
+        ]
+        key = pipelinerows.progress_key(names[0])
+        harness, leader = self.recover(*declarations, store.Put(key, b"\xc1"))
+        assert list(leader._scheduler.registry.pipelines) == [names[1]]
+        shown = harness.run(lambda: harness.api.show(names[0]))
+        assert isinstance(shown, outcome.Refused)
+
+    def test_agent_without_readable_registration_may_have_work(self):
+        _, leader = self.recover(
+            store.Put(f"{pipelinerows.AGENTS_PREFIX}w1", b"\xc1")
+        )
+        assert leader._scheduler.unreported_agents == ("w1",)
+
+    def test_lease_row_is_unavailable(self):
+        harness = test_pipelineapi.Harness()
+        leader = harness.host.get(pipelineleader.PipelineLeader)
+        put = store.Put(pipelinelease.KEY, b"\xc1")
+
+        async def body():
+            await harness.table.commit(store.Transaction(puts=(put,)))
+            observed = await leader._lease.read_lease()
+            assert isinstance(observed, outcome.Unavailable)
+            assert pipelinelease.KEY in observed.reason
+
+        harness.run(body)
