Spread services share workers, others are packed by image

Services were placed by size alone: spread ones each opened workers of their own, compact ones filled the rest of those.

bench/filler_bench.py plays services and fillers without a network.

A serving task now goes where it takes the least capacity from fillers, and spread services are placed first. Caution of 0.3 standard deviations instead of 0.7: a cautious filler waits longer than it takes to learn the pair.

The tests of test_pipelinestarts.TestServicesOnMostOfTheCapacity failed before.

--- a/pomelostair/contention.py
+++ b/pomelostair/contention.py
@@ -45,7 +45,7 @@
 MEASUREMENT_SD = 0.04
 LAG_CORRECTION_SD_FACTOR = 0.4
 # Standard deviations by which a conservative estimate exceeds the mean.
-CAUTION_SDS = 0.7
+CAUTION_SDS = 0.3
 # A conservative pressure below this counts as 0.
 NEGLIGIBLE_PRESSURE = 0.5
 MAX_PAIRS = 10_000
--- a/pomelostair/pipelineorder.py
+++ b/pomelostair/pipelineorder.py
@@ -59,17 +59,26 @@
             lasting pipelines.
         slack_s: Time that it can still wait without missing its objective.
             For lasting pipelines, minus the cores of the largest task.
+        spread: Whether the tasks are spread over workers. Such lasting
+            pipelines go before others, so that they share the same workers.
     """
 
     outlook: Outlook
     priority: int
     parts_left: int
     slack_s: float
+    spread: bool = False
 
     @property
-    def key(self) -> tuple[int, int, int, float]:
+    def key(self) -> tuple[int, int, int, bool, float]:
         """Sort key of the rank."""
-        return (self.outlook, self.priority, self.parts_left, self.slack_s)
+        return (
+            self.outlook,
+            self.priority,
+            self.parts_left,
+            not self.spread,
+            self.slack_s,
+        )
 
 
 def remaining_s(item: pipeline.Pipeline) -> float:
@@ -117,7 +126,11 @@
             s.demand.millicores for s in declaration.stages
         )
         return Rank(
-            Outlook.IN_TIME, queue.priority, 0, -largest_millicores / 1000
+            Outlook.IN_TIME,
+            queue.priority,
+            0,
+            -largest_millicores / 1000,
+            spread=any(s.most_per_worker for s in declaration.stages),
         )
     if declaration.timed:
         return Rank(Outlook.IN_TIME, queue.priority, PARTS, 0.0)
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -1,7 +1,7 @@
 """Choice of the worker on which an attempt starts.
 
 Regular tasks go to the worker with the most unused processor time. Serving
-tasks are packed onto few workers, by image where possible. Fillers use only
+tasks are packed by image, onto few workers. Fillers use only
 capacity that is left over. They go where they can run at full pace without
 slowing serving tasks, and leave workers without serving tasks to fillers that
 could run nowhere else.
@@ -35,13 +35,12 @@
 # elsewhere; for regular tasks it is a bonus of the other workers. Workers
 # without serving tasks are left to fillers that slow serving tasks.
 NO_SERVING_PENALTY_MILLICORES = 50_000
-# For a serving task: bonus of a worker that serves the same image, and penalty
-# for each other image served there. Serving tasks are packed densely, so that
-# some workers stay available to fillers that would slow them.
-SAME_IMAGE_BONUS_MILLICORES = 3_000
-OTHER_IMAGE_PENALTY_MILLICORES = 1_000
-# Penalty of a worker without serving tasks for a serving task.
-FIRST_SERVING_PENALTY_MILLICORES = 100_000
+# Assumed share of the serving images that a filler image slows little. Half of
+# the pairs that the platform's days show have a pressure below 2.
+LIGHT_PAIR_SHARE = 0.45
+# Penalty of a worker for a serving task for each millicore that it has free.
+# Among similar workers, the fullest is chosen.
+FREE_CAPACITY_PENALTY = 0.05
 # Time for which a success shows that a worker is healthy.
 RECENT_SUCCESS_S = 10.0
 
@@ -146,19 +145,31 @@
 def _serving_score(stage: pipeline.Stage, worker: fleet.Worker) -> float:
     """Returns the score of a worker for a serving task.
 
-    Tight fits score higher, since they leave the most room on other workers.
+    The score is minus the capacity for fillers that the task takes away. A
+    filler can use the unused processor time of a worker only if it slows none
+    of the images served there, so each further image reduces the usable share
+    by the factor `LIGHT_PAIR_SHARE`. Tasks of one image are thus kept together,
+    tasks that have to be spread share workers, and whole workers stay free.
     """
     images = {
         p.task.stage.image
         for p in worker.placements.values()
         if p.task.stage.latency_target_ms
     }
-    value = float(stage.demand.millicores - worker.free.millicores)
-    if not images:
-        return value - FIRST_SERVING_PENALTY_MILLICORES
-    if stage.image in images:
-        value += SAME_IMAGE_BONUS_MILLICORES
-    return value - OTHER_IMAGE_PENALTY_MILLICORES * len(images - {stage.image})
+    unused_millicores = (
+        worker.state.capacity.millicores
+        - fleet.SERVING_USE_SHARE * worker.serving_millicores
+    )
+    unused_with_task_millicores = (
+        unused_millicores - fleet.SERVING_USE_SHARE * stage.demand.millicores
+    )
+    usable_share = LIGHT_PAIR_SHARE ** len(images)
+    usable_share_with_task = LIGHT_PAIR_SHARE ** len(images | {stage.image})
+    return (
+        unused_with_task_millicores * usable_share_with_task
+        - unused_millicores * usable_share
+        - FREE_CAPACITY_PENALTY * worker.free.millicores
+    )
 
 
 def choose(
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -28,6 +28,15 @@
         [
             ("bench/pipeline_cost.py", "--workers", "3,6", "--rounds", "1"),
             ("bench/tasks_bench.py", "--seconds", "3", "--seeds", "1"),
+            (
+                "bench/filler_bench.py",
+                "--workers",
+                "6",
+                "--seconds",
+                "28",
+                "--seeds",
+                "1",
+            ),
         ],
         ids=lambda arguments: arguments[0],
     )
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -106,6 +106,71 @@
         assert recent.state is fleet.AttemptState.STOPPING
 
 
+class TestServicesOnMostOfTheCapacity:
+    """Services, half of them spread, that fill five in six workers at once.
+
+    Guards against spread services that each start on workers of their own, so
+    that nearly every worker serves some image that a filler slows.
+    """
+
+    WORKERS = 30
+    SPREAD_SERVICES = 5
+    SPREAD_TASKS = 10
+    COMPACT_SERVICES = 5
+    COMPACT_TASKS = 15
+    TASKS_PER_WORKER = 5
+
+    def start_services(self):
+        """Starts all services; returns the images served by each worker."""
+        pacer = pacing.Pacer(METRICS)
+        placed = attempts.Attempts(pacer, METRICS)
+        starter = pipelinestarts.Starter(1, placed, pacer, METRICS)
+        workers = [
+            pipelines.worker(f"w{n:02}", cores=32, now=1.0)
+            for n in range(self.WORKERS)
+        ]
+        items = []
+        for number in range(self.SPREAD_SERVICES + self.COMPACT_SERVICES):
+            spread = number % 2
+            stage = pipelines.stage(
+                self.SPREAD_TASKS if spread else self.COMPACT_TASKS,
+                # Neighbours in the order of sizes differ in their spread.
+                millicores=6000 + 40 * number,
+                lasting=True,
+                latency_target_ms=18.0,
+                image=f"service-{number}",
+                most_per_worker=1 if spread else 0,
+            )
+            declared = pipelines.declare(f"p{number}", stage)
+            items.append(
+                pipeline.Pipeline(declared, 1, pipeline.Progress(), 0.0)
+            )
+        starter.start_ready(items, workers, pipelines.TABLE, {}, 1.0, 0.0)
+        assert all(item.started for item in items)
+        return [
+            {p.task.stage.image for p in worker.placements.values()}
+            for worker in workers
+        ]
+
+    def test_spread_services_share_workers(self):
+        images = self.start_services()
+        shared = [served for served in images if len(served) > 1]
+        assert len(shared) == self.SPREAD_TASKS
+
+    def test_other_services_have_workers_of_their_own(self):
+        images = self.start_services()
+        own = [served for served in images if len(served) == 1]
+        tasks = self.COMPACT_SERVICES * self.COMPACT_TASKS
+        assert len(own) == tasks / self.TASKS_PER_WORKER
+
+    def test_remaining_workers_stay_free_for_fillers(self):
+        images = self.start_services()
+        used = self.SPREAD_TASKS + self.COMPACT_SERVICES * (
+            self.COMPACT_TASKS // self.TASKS_PER_WORKER
+        )
+        assert sum(not served for served in images) == self.WORKERS - used
+
+
 class TestGatherDelay:
     def test_services_submitted_together_are_packed_largest_first(self):
         """Guards against packing each service as it arrives.
