--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -21,8 +21,9 @@
 from pomelostair import resources
 
 # A filler starts only where at least this share of its requested millicores is
-# unused. With less it would run too slowly to meet its objective.
-MIN_FILLER_SHARE = 0.7
+# unused. With less it would run too slowly to meet its objective, as soon as
+# the services on the worker are busier than on average.
+MIN_FILLER_SHARE = 1.0
 # Factor on the unused processor time of a worker outside the rack of the data.
 # The platform's remoteFactor is 1.5 to 2.
 OFF_RACK_FACTOR = 0.5
@@ -31,10 +32,13 @@
 # SUFFICIENT_PACE_SHARE count the same.
 FULL_PACE_BONUS_MILLICORES = 200_000
 SUFFICIENT_PACE_SHARE = 0.9
-# Penalty of a worker without serving tasks for work that would run as fast
-# elsewhere; for regular tasks it is a bonus of the other workers. Workers
-# without serving tasks are left to fillers that slow serving tasks.
-NO_SERVING_PENALTY_MILLICORES = 50_000
+# Bonus of workers with serving tasks for regular tasks. Workers without them
+# are left to fillers that slow serving tasks.
+SERVING_BONUS_MILLICORES = 50_000
+# Penalty of a worker without serving tasks for a filler. It is below the
+# capacity of a worker, so that light fillers do not crowd the workers with
+# serving tasks while others are idle.
+NO_SERVING_PENALTY_MILLICORES = 15_000
 # Assumed share of the serving images that a filler image slows little. Half of
 # the pairs that the platform's days show have a pressure below 2.
 LIGHT_PAIR_SHARE = 0.45
@@ -138,7 +142,7 @@
     elif stage.latency_target_ms:
         return _serving_score(stage, worker)
     elif worker.serving_millicores:
-        value += NO_SERVING_PENALTY_MILLICORES
+        value += SERVING_BONUS_MILLICORES
     return value
 
 
--- a/tests/test_pipelineplacement.py
+++ b/tests/test_pipelineplacement.py
@@ -1,6 +1,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from pomelostair import contention
 from pomelostair import fleet
 from pomelostair import metrics
 from pomelostair import pacing
@@ -50,6 +51,12 @@
         filler = task_of(pipelines.stage(millicores=4000, filler=True))
         assert choose(filler, [worker]) is None
 
+    def test_filler_waits_for_all_of_its_processor_time(self):
+        worker = pipelines.worker()
+        pipelines.place(worker, pipelines.stage(millicores=28_500))
+        filler = task_of(pipelines.stage(millicores=4000, filler=True))
+        assert choose(filler, [worker]) is None
+
     def test_serving_tasks_are_packed_by_image(self):
         """Spreading serving tasks leaves no worker to disruptive fillers."""
         workers = [pipelines.worker(f"w{n}") for n in range(4)]
@@ -80,6 +87,27 @@
         heavy = task_of(pipelines.stage(1, 16_000, filler=True, image="heavy"))
         assert choose(heavy, [serving, idle]) is idle
 
+    def test_light_fillers_do_not_crowd_a_service_beside_an_idle_worker(self):
+        """Load: light fillers for half of the capacity, one worker is idle.
+
+        Services use up to 0.6 of their request, so that more than three of the
+        fillers would be slowed beside this one.
+        """
+        workers = [pipelines.worker("serving"), pipelines.worker("idle")]
+        service = pipelines.stage(
+            millicores=28_000, latency_target_ms=18.0, image="service"
+        )
+        pipelines.place(workers[0], service)
+        pacer = pacing.Pacer(metrics.Metrics())
+        pacer.contention.adopt(
+            contention.Learned((("service", "light", 0.0, 1e-6),)), 0.0
+        )
+        filler = pipelines.stage(millicores=4000, filler=True, image="light")
+        for _ in range(6):
+            chosen = choose(task_of(filler), workers, pacer=pacer)
+            pipelines.place(chosen, filler)
+        assert 1 <= workers[0].filler_millicores // 4000 <= 3
+
     def test_moving_task_goes_to_worker_that_reserved_room(self):
         roomy, tight = pipelines.worker("roomy"), pipelines.worker("tight")
         service = pipelines.stage(
