--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -305,6 +305,20 @@
         """Whether any task has ever been started."""
         return self._started
 
+    @property
+    def idle(self) -> bool:
+        """Whether tasks are ready and no attempt is placed."""
+        stages = self._declaration.stages
+        unblocked_count = sum(
+            count
+            for (occurrence, number), count in self._unfinished_counts.items()
+            if not any(
+                self._unfinished_counts[occurrence, before]
+                for before in stages[number].after
+            )
+        )
+        return 0 < unblocked_count == len(self._ready)
+
     def next_due_ms(self) -> int | None:
         """Returns when the next unopened occurrence is due, None if none is."""
         if self.ended or not self._declaration.timed:
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -62,13 +62,20 @@
     )
 
 
-def fits(task: pipeline.Task, worker: fleet.Worker, now: float) -> bool:
+def fits(
+    task: pipeline.Task,
+    worker: fleet.Worker,
+    now: float,
+    min_filler_share: float = MIN_FILLER_SHARE,
+) -> bool:
     """Returns whether the free resources of a worker cover a task.
 
     Args:
         task: A task that does not run on the worker.
         worker: The worker.
         now: Monotonic seconds.
+        min_filler_share: Share of its requested millicores that must be unused
+            for a filler; with 0, it may slow other fillers.
     """
     demand = task.stage.demand
     if worker.reservations:
@@ -83,7 +90,10 @@
         return False
     if not task.stage.filler:
         return free.millicores >= demand.millicores
-    return unused_millicores >= demand.millicores * MIN_FILLER_SHARE
+    return (
+        min_filler_share <= 0
+        or unused_millicores >= demand.millicores * min_filler_share
+    )
 
 
 def meets_constraints(
@@ -182,6 +192,7 @@
     pacer: pacing.Pacer,
     now: float,
     required_pace_share: float | None = None,
+    min_filler_share: float = MIN_FILLER_SHARE,
 ) -> fleet.Worker | None:
     """Returns the best worker for a task, None if none has room.
 
@@ -197,13 +208,16 @@
         now: Monotonic seconds.
         required_pace_share: Lowest share of full pace at which a filler
             starts, None for the requirement of the pacer.
+        min_filler_share: Share of its requested millicores that must be unused
+            for a filler.
     """
     if required_pace_share is None:
         required_pace_share = pacer.required_pace_share(task, now)
     candidates = [
         worker
         for worker in workers
-        if fits(task, worker, now) and meets_constraints(task, worker, now)
+        if fits(task, worker, now, min_filler_share)
+        and meets_constraints(task, worker, now)
     ]
     if task.avoided_workers:
         untried = [w for w in candidates if w.id not in task.avoided_workers]
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -28,6 +28,8 @@
 MAX_LOST_PROGRESS_PERCENT = 10
 # Most ready tasks that one round considers.
 MAX_CONSIDERED_TASKS = 600
+# Most starts of one round for pipelines that have waited too long.
+MAX_OVERDUE_STARTS = 20
 
 
 class Starter:
@@ -106,13 +108,17 @@
             service: _Search(same_service, self._pacer, now)
             for service, same_service in schedulable.items()
         }
+        overdue_starts = 0
         for _, _, item, queue in ranked:
-            if considered >= MAX_CONSIDERED_TASKS:
-                return
-            considered += len(item.ready)
-            self._start_pipeline(item, queue, searches[queue.service], now)
-            for placement in slowed.get(item.id, ()):
-                self._move(placement, schedulable[queue.service], now)
+            if considered < MAX_CONSIDERED_TASKS:
+                considered += len(item.ready)
+                self._start_pipeline(item, queue, searches[queue.service], now)
+                for placement in slowed.get(item.id, ()):
+                    self._move(placement, schedulable[queue.service], now)
+            if overdue_starts < MAX_OVERDUE_STARTS:
+                overdue_starts += self._start_overdue(
+                    item, queue, schedulable[queue.service], now
+                )
 
     def _start_pipeline(
         self,
@@ -154,6 +160,48 @@
             self._start(task, worker, self._next_attempt(task), now)
             search.record_start(task)
 
+    def _start_overdue(
+        self,
+        item: pipeline.Pipeline,
+        queue: queues.Queue,
+        workers: list[fleet.Worker],
+        now: float,
+    ) -> bool:
+        """Starts a filler of a pipeline that has waited long with none running.
+
+        While there is more work than processor time, the pipelines that rank
+        last find none unused. One task of each runs all the same and shares
+        the time of other fillers, so that every pipeline makes progress.
+
+        Returns:
+            Whether a task was started.
+        """
+        task = next(iter(item.ready.values()), None)
+        if (
+            task is None
+            or not task.stage.filler
+            or task.stage.gang
+            or queue.advice is not None
+            or task.not_before_s > now
+            or now - task.ready_since_s < pacing.MAX_START_DELAY_S
+            or not item.idle
+            or self._attempts.has_attempts(task)
+        ):
+            return False
+        worker = placement_module.choose(
+            task,
+            workers,
+            self._pacer,
+            now,
+            required_pace_share=0.0,
+            min_filler_share=0.0,
+        )
+        if worker is None:
+            return False
+        self._metrics.count("overdue_starts")
+        self._start(task, worker, self._next_attempt(task), now)
+        return True
+
     def _workers_with_ticket(
         self,
         task: pipeline.Task,
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -171,6 +171,48 @@
         assert sum(not served for served in images) == self.WORKERS - used
 
 
+class TestMoreFillersThanProcessorTime:
+    """Fillers that rank first use all processor time for a long time.
+
+    Guards against accepted pipelines that never run, such as those whose
+    objective had passed when all processes restarted.
+    """
+
+    def start_waiting(self, waited_s, ahead=()):
+        cluster = TwoWorkers()
+        for worker in (cluster.busy, cluster.empty):
+            pipelines.place(worker, FILLER)
+        declared = pipelines.declare(
+            "waiting", pipelines.stage(3, millicores=2000, filler=True)
+        )
+        waiting = pipeline.Pipeline(declared, 1, pipeline.Progress(), 0.0)
+        cluster.start_ready(*ahead, waiting, now=waited_s)
+        return waiting
+
+    def test_pipeline_waits_while_there_is_no_processor_time(self):
+        waiting = self.start_waiting(pacing.MAX_START_DELAY_S - 1)
+        assert not waiting.started
+
+    def test_one_task_starts_after_the_longest_delay(self):
+        waiting = self.start_waiting(pacing.MAX_START_DELAY_S + 1)
+        assert waiting.started
+        assert len(waiting.ready) == 2
+
+    def test_it_starts_behind_any_number_of_ready_tasks(self):
+        wide = pipelines.stage(
+            pipelinestarts.MAX_CONSIDERED_TASKS, millicores=9000
+        )
+        now = pacing.MAX_START_DELAY_S + 1
+        ahead = pipeline.Pipeline(
+            pipelines.declare("ahead", wide, submitted_ms=-500),
+            1,
+            pipeline.Progress(),
+            now,
+        )
+        waiting = self.start_waiting(now, (ahead,))
+        assert waiting.started
+
+
 class TestGatherDelay:
     def test_services_submitted_together_are_packed_largest_first(self):
         """Guards against packing each service as it arrives.
