--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -28,7 +28,11 @@
 MAX_LOST_PROGRESS_PERCENT = 10
 # Most ready tasks that one round considers.
 MAX_CONSIDERED_TASKS = 600
-# Most starts of one round for pipelines that have waited too long.
+# Time after which an idle pipeline that misses its objective starts one filler
+# without unused processor time. By the platform's rules, no accepted pipeline
+# may be idle for 3 s while the workers have room for it.
+MAX_IDLE_S = 2.0
+# Most such starts of one round.
 MAX_OVERDUE_STARTS = 20
 
 
@@ -101,21 +105,24 @@
                 if queue is None or queue.service not in schedulable:
                     continue
                 rank = pipelineorder.rank(item, queue, unix_ms)
-                ranked.append((rank.key, item.id, item, queue))
-        ranked.sort(key=lambda row: row[:2])
+                ranked.append((rank, item, queue))
+        ranked.sort(key=lambda row: (row[0].key, row[1].id))
         considered = 0
         searches = {
             service: _Search(same_service, self._pacer, now)
             for service, same_service in schedulable.items()
         }
         overdue_starts = 0
-        for _, _, item, queue in ranked:
+        for rank, item, queue in ranked:
             if considered < MAX_CONSIDERED_TASKS:
                 considered += len(item.ready)
                 self._start_pipeline(item, queue, searches[queue.service], now)
                 for placement in slowed.get(item.id, ()):
                     self._move(placement, schedulable[queue.service], now)
-            if overdue_starts < MAX_OVERDUE_STARTS:
+            if (
+                rank.outlook >= pipelineorder.Outlook.LATE
+                and overdue_starts < MAX_OVERDUE_STARTS
+            ):
                 overdue_starts += self._start_overdue(
                     item, queue, schedulable[queue.service], now
                 )
@@ -167,11 +174,11 @@
         workers: list[fleet.Worker],
         now: float,
     ) -> bool:
-        """Starts a filler of a pipeline that has waited long with none running.
+        """Starts a filler of a pipeline that waits with no attempt placed.
 
-        While there is more work than processor time, the pipelines that rank
-        last find none unused. One task of each runs all the same and shares
-        the time of other fillers, so that every pipeline makes progress.
+        While there is more work than processor time, the pipelines that miss
+        their objectives find none unused. One task of each runs all the same
+        and shares the time of other fillers, so that each makes progress.
 
         Returns:
             Whether a task was started.
@@ -183,7 +190,7 @@
             or task.stage.gang
             or queue.advice is not None
             or task.not_before_s > now
-            or now - task.ready_since_s < pacing.MAX_START_DELAY_S
+            or now - task.ready_since_s < MAX_IDLE_S
             or not item.idle
             or self._attempts.has_attempts(task)
         ):
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -178,23 +178,28 @@
     objective had passed when all processes restarted.
     """
 
-    def start_waiting(self, waited_s, ahead=()):
+    def start_waiting(self, waited_s, submitted_ms=-30_000, ahead=()):
         cluster = TwoWorkers()
         for worker in (cluster.busy, cluster.empty):
             pipelines.place(worker, FILLER)
         declared = pipelines.declare(
-            "waiting", pipelines.stage(3, millicores=2000, filler=True)
+            "waiting",
+            pipelines.stage(3, millicores=2000, filler=True),
+            submitted_ms=submitted_ms,
         )
         waiting = pipeline.Pipeline(declared, 1, pipeline.Progress(), 0.0)
         cluster.start_ready(*ahead, waiting, now=waited_s)
         return waiting
 
-    def test_pipeline_waits_while_there_is_no_processor_time(self):
-        waiting = self.start_waiting(pacing.MAX_START_DELAY_S - 1)
-        assert not waiting.started
+    def test_pipeline_waits_while_it_may_meet_its_objective(self):
+        now = pipelinestarts.MAX_IDLE_S + 0.1
+        assert not self.start_waiting(now, submitted_ms=0).started
 
-    def test_one_task_starts_after_the_longest_delay(self):
-        waiting = self.start_waiting(pacing.MAX_START_DELAY_S + 1)
+    def test_pipeline_waits_for_unused_processor_time_first(self):
+        assert not self.start_waiting(pipelinestarts.MAX_IDLE_S - 0.1).started
+
+    def test_one_task_starts_after_the_longest_idle_time(self):
+        waiting = self.start_waiting(pipelinestarts.MAX_IDLE_S + 0.1)
         assert waiting.started
         assert len(waiting.ready) == 2
 
@@ -202,15 +207,11 @@
         wide = pipelines.stage(
             pipelinestarts.MAX_CONSIDERED_TASKS, millicores=9000
         )
-        now = pacing.MAX_START_DELAY_S + 1
+        now = pipelinestarts.MAX_IDLE_S + 0.1
         ahead = pipeline.Pipeline(
-            pipelines.declare("ahead", wide, submitted_ms=-500),
-            1,
-            pipeline.Progress(),
-            now,
+            pipelines.declare("ahead", wide), 1, pipeline.Progress(), now
         )
-        waiting = self.start_waiting(now, (ahead,))
-        assert waiting.started
+        assert self.start_waiting(now, ahead=(ahead,)).started
 
 
 class TestGatherDelay:
