--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -29,9 +29,13 @@
 # Most ready tasks that one round considers.
 MAX_CONSIDERED_TASKS = 600
 # Time after which an idle pipeline that misses its objective starts one filler
-# without unused processor time. By the platform's rules, no accepted pipeline
-# may be idle for 3 s while the workers have room for it.
+# without unused processor time, while counted work uses less than
+# BUSY_SHARE of the capacity and while it uses more. By the platform's rules, no
+# accepted pipeline may be idle for 3 s in the first case. In the second, each
+# such start slows fillers that could still be in time.
 MAX_IDLE_S = 2.0
+MAX_BUSY_IDLE_S = pacing.MAX_START_DELAY_S
+BUSY_SHARE = 0.5
 # Most such starts of one round.
 MAX_OVERDUE_STARTS = 20
 
@@ -113,6 +117,10 @@
             for service, same_service in schedulable.items()
         }
         overdue_starts = 0
+        max_idle_s = {
+            service: _max_idle_s(same_service)
+            for service, same_service in schedulable.items()
+        }
         for rank, item, queue in ranked:
             if considered < MAX_CONSIDERED_TASKS:
                 considered += len(item.ready)
@@ -124,7 +132,11 @@
                 and overdue_starts < MAX_OVERDUE_STARTS
             ):
                 overdue_starts += self._start_overdue(
-                    item, queue, schedulable[queue.service], now
+                    item,
+                    queue,
+                    schedulable[queue.service],
+                    max_idle_s[queue.service],
+                    now,
                 )
 
     def _start_pipeline(
@@ -172,6 +184,7 @@
         item: pipeline.Pipeline,
         queue: queues.Queue,
         workers: list[fleet.Worker],
+        max_idle_s: float,
         now: float,
     ) -> bool:
         """Starts a filler of a pipeline that waits with no attempt placed.
@@ -190,7 +203,7 @@
             or task.stage.gang
             or queue.advice is not None
             or task.not_before_s > now
-            or now - task.ready_since_s < MAX_IDLE_S
+            or now - task.ready_since_s < max_idle_s
             or not item.idle
             or self._attempts.has_attempts(task)
         ):
@@ -445,6 +458,13 @@
             self._full.add_too_slow(stage, required_pace_share)
 
 
+def _max_idle_s(workers: list[fleet.Worker]) -> float:
+    """Returns how long a late pipeline may be idle on the given workers."""
+    used = sum(worker.used.millicores for worker in workers)
+    capacity = sum(worker.state.capacity.millicores for worker in workers)
+    return MAX_IDLE_S if used < BUSY_SHARE * capacity else MAX_BUSY_IDLE_S
+
+
 def _by_rack(workers: Iterable[fleet.Worker]) -> list[list[fleet.Worker]]:
     """Returns the workers of each rack, followed by all workers."""
     racks: dict[str, list[fleet.Worker]] = {}
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -178,10 +178,15 @@
     objective had passed when all processes restarted.
     """
 
-    def start_waiting(self, waited_s, submitted_ms=-30_000, ahead=()):
+    def start_waiting(
+        self, waited_s, submitted_ms=-30_000, ahead=(), counted_millicores=0
+    ):
         cluster = TwoWorkers()
         for worker in (cluster.busy, cluster.empty):
             pipelines.place(worker, FILLER)
+        pipelines.place(
+            cluster.empty, pipelines.stage(millicores=counted_millicores)
+        )
         declared = pipelines.declare(
             "waiting",
             pipelines.stage(3, millicores=2000, filler=True),
@@ -203,6 +208,14 @@
         assert waiting.started
         assert len(waiting.ready) == 2
 
+    def test_it_waits_longer_while_counted_work_uses_most_capacity(self):
+        for waited_s, started in (
+            (pipelinestarts.MAX_IDLE_S + 0.1, False),
+            (pipelinestarts.MAX_BUSY_IDLE_S + 0.1, True),
+        ):
+            waiting = self.start_waiting(waited_s, counted_millicores=4000)
+            assert waiting.started is started
+
     def test_it_starts_behind_any_number_of_ready_tasks(self):
         wide = pipelines.stage(
             pipelinestarts.MAX_CONSIDERED_TASKS, millicores=9000
