An agent executes no start whose stop has arrived too

Traced: an agent was cut off from 17.2 to 22.1 s. Starts were ordered at 17.6, the pipeline was cancelled at 18.5 and stops were ordered. At 23.3 the leader repeated both, and the agent executed them side by side, so that cancelled work ran for 0.3 s, five seconds after its cancellation was acknowledged. The test failed before.

--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -387,7 +387,23 @@
         ]
         if message.report_interval_ms:
             worker.schedule.interval_s = message.report_interval_ms / 1000
-        for order in worker.take_orders(message.confirmed, message.orders):
+        orders = worker.take_orders(message.confirmed, message.orders)
+        stopped = {
+            (order.task, order.attempt)
+            for order in orders
+            if order.kind == messages.STOP
+        }
+        for order in orders:
+            if (
+                order.kind != messages.STOP
+                and (order.task, order.attempt) in stopped
+            ):
+                # While an agent is cut off, the start and the stop of an
+                # attempt may both come to wait. The start is then too late.
+                self._record_result(
+                    worker, order, message.seat.epoch, messages.REFUSED, "stop"
+                )
+                continue
             await curio.spawn(
                 self._execute, worker, order, message.seat.epoch, daemon=True
             )
@@ -404,6 +420,16 @@
                 # The call may have been sent.
                 await self._stop(worker, order, epoch)
                 outcome_name = messages.FENCED_OFF
+        self._record_result(worker, order, epoch, outcome_name, reason)
+
+    def _record_result(
+        self,
+        worker: _Worker,
+        order: messages.Order,
+        epoch: int,
+        outcome_name: str,
+        reason: str,
+    ) -> None:
         log.emit(
             events.Events.ORDER_CARRIED_OUT,
             kind=order.kind,
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -231,6 +231,24 @@
 
         harness.run(body)
 
+    def test_start_is_not_executed_if_its_stop_has_arrived_too(self):
+        """An agent that was cut off receives both at once."""
+        harness = Harness()
+        stop = messages.Order(2, messages.STOP, "a.0.0.0", 1)
+
+        async def body():
+            await harness.heartbeat()
+            await harness.instruct(lease_end_ms=8000)
+            await harness.instruct(
+                start_order(), stop, start_order(3, task="a.0.0.1")
+            )
+            await harness.wait_until(lambda: len(harness.results()) >= 3)
+            started = harness.port.client.runner.started
+            assert [row[0] for row in started] == ["a.0.0.1"]
+            assert (1, messages.REFUSED) in harness.results()
+
+        harness.run(body)
+
     def test_orders_before_a_confirmed_number_are_not_awaited(self):
         """An agent that restarts misses orders that are never sent again."""
         harness = Harness()
