A start order rests on a report of its agent and expires with it

The start and the stop wait in two messages in the connection to the agent that is cut off; on its return the agent executes the first before it reads the second. Each message now names the agent's report that it rests on, so that the agent can date it by its own clock; a start that rests on a report older than 2.7 s is refused, as the platform's cancel_ms is 3 s.

--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -53,6 +53,12 @@
 GONE_REPORT_S = 10.0
 # Least remaining lease for the start of an attempt.
 MIN_START_LEASE_MS = 1000
+# Age of the report on which a start order rests after which it is refused. The
+# platform's cancel_ms, the time from the acknowledgement of a cancellation to
+# the last start, is at least 3 s.
+START_TTL_S = 2.7
+# Reports whose times are kept, to date the leader's messages.
+DATED_REPORTS = 256
 CLOCK_DRIFT = 0.02  # The platform bounds the drift of its clocks by 2 %.
 FULL_PACE_PERCENT = 100  # Every attempt starts at full pace.
 # Low bits of a fencing token. With up to 22 bits for the epoch above these 31,
@@ -165,6 +171,7 @@
         self._predecessors: dict[tuple[str, int], list[tuple[str, int]]] = {}
         self._sequence = 0
         self._last_report_s = -math.inf
+        self._report_sent_s: dict[int, float] = {}
         parts.bus.handle(messages.Instructions, self._on_instructions)
         parts.bus.handle(messages.LeaderHello, self._on_hello)
         parts.metrics.gauge("workers_known", lambda: len(self._workers))
@@ -393,21 +400,33 @@
             for order in orders
             if order.kind == messages.STOP
         }
+        is_outdated = self._is_outdated(message)
         for order in orders:
-            if (
+            # While an agent is cut off, the start and the stop of an attempt
+            # may both come to wait, in one message or in two.
+            if (is_outdated and order.kind == messages.START) or (
                 order.kind != messages.STOP
                 and (order.task, order.attempt) in stopped
             ):
-                # While an agent is cut off, the start and the stop of an
-                # attempt may both come to wait. The start is then too late.
                 self._record_result(
-                    worker, order, message.seat.epoch, messages.REFUSED, "stop"
+                    worker,
+                    order,
+                    message.seat.epoch,
+                    messages.REFUSED,
+                    "outdated",
                 )
                 continue
             await curio.spawn(
                 self._execute, worker, order, message.seat.epoch, daemon=True
             )
 
+    def _is_outdated(self, message: messages.Instructions) -> bool:
+        """Returns whether a message rests on too old a report."""
+        if not message.report:
+            return False
+        sent_s = self._report_sent_s.get(message.report, -math.inf)
+        return self._clock.now() - sent_s > START_TTL_S
+
     async def _execute(
         self, worker: _Worker, order: messages.Order, epoch: int
     ) -> None:
@@ -691,6 +710,8 @@
                 del self._gone_since_s[key]
         self._sequence += 1
         self._last_report_s = now_s
+        self._report_sent_s[self._sequence] = now_s
+        self._report_sent_s.pop(self._sequence - DATED_REPORTS, None)
         report = messages.AgentReport(
             self._parts.settings.name,
             self._leader.epoch,
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -598,6 +598,7 @@
                 orders,
                 worker.confirmed_order,
                 int(1000 * self._scheduler.report_interval_s(worker)),
+                self._scheduler.last_report(worker.agent),
             ),
         )
 
--- a/pomelostair/pipelinemessages.py
+++ b/pomelostair/pipelinemessages.py
@@ -235,6 +235,8 @@
             confirmed; no earlier one is sent again.
         report_interval_ms: Interval at which the agent reports the worker if
             there is no news, 0 to leave it unchanged.
+        report: Number of the agent's last report that the leader has applied, 0
+            if it tells none. It dates the message by the agent's own clock.
     """
 
     seat: LeaderInfo
@@ -246,6 +248,7 @@
     orders: tuple[Order, ...] = ()
     confirmed: int = 0
     report_interval_ms: int = 0
+    report: int = 0
 
 
 @wire.message("pipeline-row-stored")
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -313,6 +313,11 @@
         """Returns the orders to send to a worker now."""
         return worker.orders_to_send(now, RESEND_AFTER_S)
 
+    def last_report(self, agent: str) -> int:
+        """Returns the number of an agent's last report, 0 without any."""
+        reports = self._report_sequences.get(agent)
+        return 0 if reports is None else reports.sequence
+
     def report_interval_s(self, worker: fleet.Worker) -> float:
         """Returns how often a worker without news is to be reported."""
         if worker.filler_millicores and worker.serving_millicores:
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -1,6 +1,7 @@
 import random
 
 import curio
+import pytest
 
 from pomelostair import bus as bus_module
 from pomelostair import clock as clock_module
@@ -249,6 +250,41 @@
 
         harness.run(body)
 
+    def test_start_that_rests_on_a_recent_report_is_executed(self):
+        harness = Harness()
+
+        async def body():
+            await harness.heartbeat()
+            await harness.instruct(lease_end_ms=8000)
+            await harness.wait_until(lambda: harness.reports)
+            await harness.instruct(
+                start_order(), report=harness.reports[-1].sequence
+            )
+            await harness.wait_until(lambda: harness.port.client.runner.started)
+
+        harness.run(body)
+
+    @pytest.mark.parametrize("known", [True, False])
+    def test_start_that_rests_on_an_old_report_is_refused(
+        self, known, monkeypatch
+    ):
+        """Messages to an agent that was cut off arrive seconds later."""
+        if known:
+            monkeypatch.setattr(pipelineagent, "START_TTL_S", -1.0)
+        harness = Harness()
+
+        async def body():
+            await harness.heartbeat()
+            await harness.instruct(lease_end_ms=8000)
+            await harness.wait_until(lambda: harness.reports)
+            report = harness.reports[-1].sequence if known else 1_000_000
+            await harness.instruct(start_order(), report=report)
+            await harness.wait_until(harness.results)
+            assert harness.results()[0] == (1, messages.REFUSED)
+            assert not harness.port.client.runner.started
+
+        harness.run(body)
+
     def test_orders_before_a_confirmed_number_are_not_awaited(self):
         """An agent that restarts misses orders that are never sent again."""
         harness = Harness()
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -218,6 +218,10 @@
                 message, "bus", agent_incarnation, fleet.now
             )
         assert fleet.scheduler.workers[key].state.clock_ms == 1
+        assert fleet.scheduler.last_report("agent-w1") == 1
+
+    def test_agent_without_reports_has_no_last_one(self):
+        assert simfleet.Fleet().scheduler.last_report("agent-w9") == 0
 
 
 class TestTakeover:
