A forgotten pipeline with an uncommitted change does not crash the leader

Cause: an end that arrives late marks an expired pipeline as changed. When its rows were deleted before the next commit, or while a commit that failed was on its way, the commit raised KeyError, and the leader's term ended with it.

--- a/pomelostair/pipelineregistry.py
+++ b/pomelostair/pipelineregistry.py
@@ -134,6 +134,7 @@
         """
         self._pipelines.pop(pipeline_id, None)
         self._stored_phases.pop(pipeline_id, None)
+        self._changed.pop(pipeline_id, None)
         self._to_remove.append(pipeline_id)
 
     def confirm(self, batch: Batch) -> None:
@@ -217,7 +218,9 @@
 
     def requeue(self, batch: Batch) -> None:
         """Schedules a batch again that was certainly not stored."""
-        self._changed.update(dict.fromkeys(batch.progress))
+        self._changed.update(
+            (name, None) for name in batch.progress if name in self._pipelines
+        )
         self._changed_agents = {**batch.agents, **self._changed_agents}
         self._to_remove.extend(batch.removed)
 
