Workers whose leases have lapsed do not delay a new leader

At 18.5 s a new leader took over and started nothing that was accepted before until 26.2 s: the lost worker was registered as possibly having work, and its agent, which reported that its leases had lapsed, never counted as reconciled. The leader also removed and added that worker four times a second.

A worker with lapsed leases has no work, so it counts as reconciled. Its registration is removed, also that of a host that is lost with its agent, so that only one leader ever waits for it. It gets no work before it is registered again.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -144,6 +144,12 @@
         lives = sorted([*retained, *reported], key=lambda known: known.key)
         return Registration(bus, tuple(lives))
 
+    def without(self, key: WorkerKey) -> "Registration":
+        """Returns the registration without an incarnation that has no work."""
+        return Registration(
+            self.bus, tuple(known for known in self.lives if known.key != key)
+        )
+
 
 @attrs.frozen
 class Reservation:
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -285,12 +285,17 @@
             except msgspec.MsgspecError as error:
                 self._unreadable.add(pipeline_id)
                 self._record_ignored_row(row.key, str(error))
-        registrations = {
-            row.key.rpartition("/")[2]: self._decode_registration(row)
-            for row in agents.rows
-        }
+        registrations: dict[str, fleet.Registration] = {}
+        unreadable: list[str] = []
+        for row in agents.rows:
+            name = row.key.rpartition("/")[2]
+            try:
+                registrations[name] = pipelinerows.decode_registration(row)
+            except msgspec.MsgspecError as error:
+                unreadable.append(name)
+                self._record_ignored_row(row.key, str(error))
         leases_lapse_s = started_s + self._max_lease_s - max(0.0, lapsed_s)
-        self._scheduler.expect_agents(registrations, leases_lapse_s)
+        self._scheduler.expect_agents(registrations, leases_lapse_s, unreadable)
         declared_ids = await self._read_pipelines(stored_progress)
         if declared_ids is None:
             return False
@@ -301,18 +306,6 @@
             self._scheduler.forget(pipeline_id)
         return True
 
-    def _decode_registration(self, row: store.Row) -> fleet.Registration:
-        """Decodes the registration of an agent.
-
-        Without it, work that an earlier leader started may run on the agent's
-        host until its leases have lapsed.
-        """
-        try:
-            return pipelinerows.decode_registration(row)
-        except msgspec.MsgspecError as error:
-            self._record_ignored_row(row.key, str(error))
-            return fleet.Registration("")
-
     def _record_ignored_row(self, key: str, reason: str) -> None:
         self._parts.metrics.count("rows_ignored")
         log.emit(events.Events.ROW_IGNORED, key=key, reason=reason)
@@ -574,11 +567,17 @@
 
     async def _send_hellos(self, now_s: float) -> None:
         """Asks agents that have not yet reported to do so."""
+        buses = self._scheduler.agents
         for agent in self._scheduler.unreported_agents:
-            if now_s - self._hello_sent_s.get(agent, 0.0) > HELLO_INTERVAL_S:
+            if (
+                agent in buses
+                and now_s - self._hello_sent_s.get(agent, 0.0)
+                > HELLO_INTERVAL_S
+            ):
                 self._hello_sent_s[agent] = now_s
-                bus = self._scheduler.agents[agent]
-                await self._send(bus, messages.LeaderHello(self._leader_info))
+                await self._send(
+                    buses[agent], messages.LeaderHello(self._leader_info)
+                )
 
     async def _send_instructions(
         self,
@@ -639,12 +638,13 @@
         if message.epoch < self._lease.epoch:
             await self._send(bus, messages.LeaderHello(self._leader_info))
             return
-        for worker in self._scheduler.apply_report(
+        workers = self._scheduler.apply_report(
             message, bus, envelope.incarnation, now_s
-        ):
+        )
+        for worker in workers:
             if worker.needs_answer(now_s, GRANT_INTERVAL_S):
                 await self._answer_report(worker, now_s)
-        if not message.workers:
+        if not workers:
             await self._send(
                 bus, messages.Instructions(self._leader_info, "", 0, 0, 0, 0)
             )
--- a/pomelostair/pipelineregistry.py
+++ b/pomelostair/pipelineregistry.py
@@ -58,7 +58,10 @@
         self._timed: dict[str, pipeline.Pipeline] = {}
         self._changed: dict[str, None] = {}
         self._agents: dict[str, fleet.Registration] = {}
+        # Registrations as they will be stored after the next commits.
+        self._latest_agents: dict[str, fleet.Registration] = {}
         self._changed_agents: dict[str, fleet.Registration] = {}
+        self._committing_agents: dict[str, fleet.Registration] = {}
         self._to_remove: list[str] = []
 
     @property
@@ -80,6 +83,7 @@
     def set_agents(self, agents: dict[str, fleet.Registration]) -> None:
         """Sets the agents whose registrations earlier leaders stored."""
         self._agents = dict(agents)
+        self._latest_agents = dict(agents)
 
     def register_agent(
         self,
@@ -96,17 +100,45 @@
             reported: Incarnations of workers that it reports.
             complete: Whether it reports every incarnation on its host.
         """
-        latest = self._changed_agents.get(agent) or self._agents.get(agent)
+        latest = self._latest_agents.get(agent)
         previous = latest or fleet.Registration(bus)
         updated = previous.with_reported(bus, reported, complete)
         if updated != latest:
-            self._changed_agents[agent] = updated
+            self._change_agent(agent, updated)
+
+    def unregister(self, agent: str, key: fleet.WorkerKey) -> None:
+        """Schedules the removal of an incarnation whose leases have lapsed.
+
+        Later leaders then do not wait for its leases. It gets no work before it
+        is registered again.
+
+        Args:
+            agent: Name of its agent.
+            key: Worker id and incarnation.
+        """
+        latest = self._latest_agents.get(agent)
+        if latest is not None and latest.without(key) != latest:
+            self._change_agent(agent, latest.without(key))
+
+    def _change_agent(
+        self, agent: str, registration: fleet.Registration
+    ) -> None:
+        self._latest_agents[agent] = registration
+        self._changed_agents[agent] = registration
 
     def is_registered(self, agent: str, key: fleet.WorkerKey) -> bool:
-        """Returns whether an incarnation is stored as possibly having work."""
-        registration = self._agents.get(agent)
-        return registration is not None and any(
-            known.key == key for known in registration.lives
+        """Returns whether an incarnation is stored as possibly having work.
+
+        A commit that has not ended yet must not remove it either.
+        """
+        stored = self._agents.get(agent)
+        return stored is not None and all(
+            any(known.key == key for known in registration.lives)
+            for registration in (
+                stored,
+                self._committing_agents.get(agent, stored),
+                self._latest_agents.get(agent, stored),
+            )
         )
 
     def mark_changed(self, item: pipeline.Pipeline) -> None:
@@ -142,6 +174,7 @@
         for name, progress in batch.progress.items():
             self._stored_phases[name] = progress.phase
         self._agents.update(batch.agents)
+        self._committing_agents = {}
 
     @property
     def pipelines(self) -> dict[str, pipeline.Pipeline]:
@@ -211,6 +244,7 @@
         agents = dict(list(self._changed_agents.items())[:MAX_AGENTS])
         for name in agents:
             del self._changed_agents[name]
+        self._committing_agents = agents
         removed = tuple(self._to_remove)[:MAX_REMOVED]
         del self._to_remove[:MAX_REMOVED]
         ends = {} if self._changed else ends
@@ -222,6 +256,7 @@
             (name, None) for name in batch.progress if name in self._pipelines
         )
         self._changed_agents = {**batch.agents, **self._changed_agents}
+        self._committing_agents = {}
         self._to_remove.extend(batch.removed)
 
     def expired(self, retention_ms: float) -> tuple[str, ...]:
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -6,6 +6,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 
 import attrs
 
@@ -111,6 +112,10 @@
         # continue from there if they are reported again.
         self._last_numbers: dict[fleet.WorkerKey, tuple[int, int]] = {}
         self._report_sequences: dict[str, _ReportSequence] = {}
+        # Incarnations whose agents report that their leases have lapsed.
+        self._lapsed: set[fleet.WorkerKey] = set()
+        # Incarnations of agents that may run work of earlier terms, none if
+        # they are unknown.
         self._unreported: dict[str, tuple[fleet.KnownIncarnation, ...]] = {}
         self._earlier_leases_end_s = 0.0
         self._pacer = pacing.Pacer(metrics)
@@ -213,7 +218,10 @@
         self._queues = table
 
     def expect_agents(
-        self, agents: dict[str, fleet.Registration], earlier_leases_end_s: float
+        self,
+        agents: dict[str, fleet.Registration],
+        earlier_leases_end_s: float,
+        unreadable: Iterable[str] = (),
     ) -> None:
         """Sets the agents that earlier leaders may have given work to.
 
@@ -221,11 +229,15 @@
             agents: Their registrations by name.
             earlier_leases_end_s: Monotonic time at which all leases of earlier
                 leaders have certainly lapsed.
+            unreadable: Names of agents with malformed registrations.
         """
         self._registry.set_agents(agents)
-        self._unreported = {
-            name: registration.lives for name, registration in agents.items()
-        }
+        self._unreported = dict.fromkeys(unreadable, ())
+        self._unreported.update(
+            (name, registration.lives)
+            for name, registration in agents.items()
+            if registration.lives
+        )
         self._earlier_leases_end_s = earlier_leases_end_s
 
     def cancel(self, pipeline_id: str) -> None:
@@ -254,7 +266,8 @@
         attempts that have started since.
 
         Returns:
-            The workers that the report lists.
+            The workers that the report lists, without those that may have no
+            work since their leases have lapsed.
         """
         reports = self._report_sequences.setdefault(
             message.agent, _ReportSequence(agent_incarnation)
@@ -262,11 +275,14 @@
         if not reports.accept(agent_incarnation, message.sequence):
             self._metrics.count("reports_overtaken")
             return []
+        for state in message.workers:
+            self._apply_lapse(state, now)
         reported = tuple(
             fleet.KnownIncarnation(
                 worker, incarnation, message.addresses.get(worker, "")
             )
             for worker, incarnation in message.lives
+            if (worker, incarnation) not in self._lapsed
         )
         self._registry.register_agent(
             message.agent, bus, reported, message.complete
@@ -276,7 +292,7 @@
         workers = []
         for state in message.workers:
             key = (state.worker, state.life)
-            if key in self._ended_since_s:
+            if key in self._ended_since_s or key in self._lapsed:
                 continue
             workers.append(
                 self._apply_state(
@@ -357,6 +373,19 @@
         self._remove_missing(worker, state, now)
         return worker
 
+    def _apply_lapse(self, state: messages.WorkerState, now: float) -> None:
+        """Records whether the leases of an incarnation have lapsed.
+
+        Nothing runs on it then, and its agent starts nothing without a further
+        grant.
+        """
+        key = (state.worker, state.life)
+        if not state.lapsed:
+            self._lapsed.discard(key)
+        elif key not in self._lapsed:
+            self._lapsed.add(key)
+            self._remove_worker(key, now, "its leases have lapsed", ended=False)
+
     def _add_worker(
         self, state: messages.WorkerState, agent: str, bus: str, now: float
     ) -> fleet.Worker:
@@ -383,11 +412,17 @@
         return worker
 
     def _all_reconciled(self, keys: tuple[fleet.WorkerKey, ...]) -> bool:
-        """Returns whether each incarnation is reconciled or has ended."""
+        """Returns whether each is reconciled, has ended or has lost its leases.
+
+        Args:
+            keys: Worker ids and incarnations.
+        """
         for key in keys:
             worker = self._workers.get(key)
-            if key not in self._ended_since_s and not (
-                worker and worker.reconciled
+            if (
+                key not in self._ended_since_s
+                and key not in self._lapsed
+                and not (worker and worker.reconciled)
             ):
                 return False
         return True
@@ -702,13 +737,11 @@
 
     def _expire_workers(self, now: float) -> None:
         for key, worker in list(self._workers.items()):
-            if (
-                worker.state.lapsed
-                or now - worker.lease_granted_s > self._max_lease_s
-            ):
+            if now - worker.lease_granted_s > self._max_lease_s:
                 self._remove_worker(
                     key, now, "its leases have lapsed", ended=False
                 )
+                self._unregister(worker.agent, key)
         for key, ended_s in list(self._ended_since_s.items()):
             if now - ended_s > ENDED_RETENTION_S:
                 del self._ended_since_s[key]
@@ -718,8 +751,19 @@
                 events.Events.EARLIER_LEASES_LAPSED,
                 agents=list(self._unreported),
             )
+            for agent, expected in self._unreported.items():
+                for known in expected:
+                    if not self._all_reconciled((known.key,)):
+                        self._unregister(agent, known.key)
             self._unreported.clear()
 
+    def _unregister(self, agent: str, key: fleet.WorkerKey) -> None:
+        """Stores that an incarnation has no work, as its leases have lapsed."""
+        self._registry.unregister(agent, key)
+        worker = self._workers.get(key)
+        if worker is not None:
+            worker.registered = False
+
     def _may_start(self, item: pipeline.Pipeline) -> bool:
         """Returns whether no earlier leader can have running attempts of it."""
         return not self._unreported or item.version > self._lease_version
--- a/tests/test_pipelineregistry.py
+++ b/tests/test_pipelineregistry.py
@@ -1,12 +1,66 @@
+from pomelostair import fleet
 from pomelostair import pipeline
 from pomelostair import pipelineregistry
 from tests import pipelines
 
+KEY = ("w1", 1)
+LIFE = fleet.KnownIncarnation(*KEY)
+
 
 def make_registry():
     return pipelineregistry.PipelineRegistry(lambda: 0.0, lambda _: False)
 
 
+def commit(registry):
+    batch = registry.next_batch({})
+    registry.confirm(batch)
+    return batch
+
+
+class TestAgents:
+    def test_incarnation_is_registered_once_it_is_stored(self):
+        registry = make_registry()
+        registry.register_agent("a", "bus", (LIFE,), True)
+        assert not registry.is_registered("a", KEY)
+        commit(registry)
+        assert registry.is_registered("a", KEY)
+
+    def test_unregistered_incarnation_is_removed_from_the_store(self):
+        registry = make_registry()
+        registry.register_agent("a", "bus", (LIFE,), True)
+        commit(registry)
+        registry.unregister("a", KEY)
+        assert not registry.is_registered("a", KEY)
+        assert not commit(registry).agents["a"].lives
+        registry.unregister("a", KEY)
+        assert not registry.has_uncommitted
+
+    def test_removal_on_its_way_to_the_store_outlasts_a_registration(self):
+        """Until the later registration is stored, too, no work may start."""
+        registry = make_registry()
+        registry.register_agent("a", "bus", (LIFE,), True)
+        commit(registry)
+        registry.unregister("a", KEY)
+        removal = registry.next_batch({})
+        registry.register_agent("a", "bus", (LIFE,), True)
+        assert not registry.is_registered("a", KEY)
+        registry.confirm(removal)
+        assert not registry.is_registered("a", KEY)
+        commit(registry)
+        assert registry.is_registered("a", KEY)
+
+    def test_registration_on_its_way_to_the_store_is_not_lost(self):
+        other = fleet.KnownIncarnation("w2", 1)
+        registry = make_registry()
+        registry.register_agent("a", "bus", (LIFE,), True)
+        commit(registry)
+        registry.register_agent("a", "bus", (LIFE, other), True)
+        batch = registry.next_batch({})
+        registry.unregister("a", KEY)
+        registry.confirm(batch)
+        assert commit(registry).agents["a"].lives == (other,)
+
+
 class TestForget:
     def test_changed_pipeline_may_be_forgotten_before_its_commit(self):
         """An end that arrives late marks an expired pipeline as changed."""
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -4,12 +4,14 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from pomelostair import events
 from pomelostair import pipeline
 from pomelostair import pipelinemessages as messages
 from tests import pipelines
 from tests import simfleet
 
 COMPLETED = pipeline.Phase.COMPLETED
+GONE = events.Events.PIPELINE_WORKER_GONE
 
 
 def started_runs(fleet):
@@ -220,6 +222,34 @@
         assert fleet.scheduler.workers[key].state.clock_ms == 1
         assert fleet.scheduler.last_report("agent-w1") == 1
 
+    def test_worker_without_leases_is_removed_once(self, caplog):
+        """Its agent reports the lapsed leases several times a second."""
+        caplog.set_level("INFO")
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.run_for(1)
+        key = ("w1", fleet.hosts["w1"].runner.born_ms)
+        fleet.hosts["w1"].partitioned = True
+        lapsed = pipelines.worker_state(
+            *key, fresh=False, reachable=False, lapsed=True
+        )
+        for sequence in range(10):
+            report = messages.AgentReport(
+                "agent-w1", 1, 10_000_000 + sequence, True, (key,), (lapsed,)
+            )
+            fleet.scheduler.apply_report(report, "bus", "life", fleet.now)
+            fleet.step()
+        gone = [r for r in caplog.records if r.event == GONE.value.number]
+        assert len(gone) == 1
+        assert not fleet.agents["agent-w1"].lives
+        fleet.hosts["w1"].partitioned = False
+        fleet.hosts["w1"].epoch = 0
+        state = pipelines.worker_state(*key)
+        report = messages.AgentReport(
+            "agent-w1", 1, 20_000_000, True, (key,), (state,)
+        )
+        fleet.scheduler.apply_report(report, "bus", "life", fleet.now)
+        assert key in fleet.scheduler.workers
+
     def test_agent_without_reports_has_no_last_one(self):
         assert simfleet.Fleet().scheduler.last_report("agent-w9") == 0
 
@@ -256,6 +286,60 @@
         on_w2 = [t for t, w in fleet.running() if w == "w2"]
         assert sum(task.startswith("a.") for task in on_w2) == 2
 
+    def test_worker_without_leases_does_not_delay_older_work(self):
+        """A worker that is lost for good must not delay each later leader.
+
+        Its agent still lists it, and reports that its leases have lapsed.
+        """
+        fleet = simfleet.Fleet(names=("w1", "w2"))
+        fleet.run_for(1)
+        fleet.submit("a", pipelines.stage(2, estimate_ms=30_000))
+        key = ("w1", fleet.hosts["w1"].runner.born_ms)
+        fleet.hosts["w1"].partitioned = True
+        fleet.start_leader()
+        fleet.run_for(0.3)
+        assert fleet.scheduler.unreported_agents == ("agent-w1",)
+        assert not fleet.running()
+        lapsed = pipelines.worker_state(
+            *key, fresh=False, reachable=False, lapsed=True
+        )
+        report = messages.AgentReport("agent-w1", 2, 1, True, (key,), (lapsed,))
+        fleet.scheduler.apply_report(report, "bus", "life", fleet.now)
+        assert not fleet.scheduler.unreported_agents
+        fleet.run_for(0.3)
+        assert [worker for _, worker in fleet.running()] == ["w2", "w2"]
+
+    def test_lost_host_delays_one_leader_only(self):
+        """Its agent is lost, too, and reports nothing to later leaders."""
+        fleet = simfleet.Fleet(names=("w1", "w2"))
+        fleet.run_for(1)
+        fleet.hosts["w1"].partitioned = True
+        fleet.start_leader()
+        fleet.run_for(simfleet.LEASE_S + 1)
+        fleet.start_leader()
+        fleet.run_for(0.3)
+        assert not fleet.scheduler.unreported_agents
+
+    def test_host_lost_during_a_term_does_not_delay_the_next_leader(self):
+        fleet = simfleet.Fleet(names=("w1", "w2"))
+        fleet.run_for(1)
+        fleet.hosts["w1"].partitioned = True
+        fleet.run_for(simfleet.LEASE_S + 1)
+        fleet.start_leader()
+        fleet.run_for(0.3)
+        assert not fleet.scheduler.unreported_agents
+
+    def test_returned_worker_gets_work_again(self):
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.run_for(1)
+        fleet.hosts["w1"].partitioned = True
+        fleet.run_for(simfleet.LEASE_S + 1)
+        fleet.hosts["w1"].partitioned = False
+        fleet.submit("a")
+        fleet.run_for(3)
+        assert fleet.phase("a") is COMPLETED
+        assert fleet.agents["agent-w1"].lives
+
     def test_report_without_lists_does_not_reconcile_the_agent(self):
         fleet = simfleet.Fleet(names=("w1",))
         fleet.run_for(1)
