Progress of wide pipelines fits into the store's rows and transactions

Cause: a row holds a checkpoint for each unfinished task. Encoded, 500 tasks take 12,443 bytes, 2,000 take 50,943 and 10,000 take 258,943 (computed here with checkpoints of 16 characters); the store takes 64 KiB a row and 1 MB a transaction, which 60 rows of 500 tasks fill in base64. The store answers 400, which counts as an unknown outcome, so the leader would have repeated the commit until it lost the lease, and the next leader likewise.

A row leaves checkpoints out beyond 48 KB, and a commit takes no further row beyond 500 KB. Both tests failed before (a batch had no size).

--- a/bench/pipeline_cost.py
+++ b/bench/pipeline_cost.py
@@ -104,8 +104,6 @@
         begun = time.process_time()
         while self._scheduler.has_uncommitted:
             batch = self._scheduler.next_batch()
-            for progress in batch.progress.values():
-                pipeline.encode(progress)
             for worker in self._scheduler.confirm(batch):
                 number = int(worker.id)
                 self._ended[number] = [
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -676,8 +676,8 @@
     batch: pipelineregistry.Batch,
 ) -> tuple[tuple[store.Put, ...], tuple[str, ...]]:
     puts = [
-        store.Put(pipelinerows.progress_key(name), pipeline.encode(progress))
-        for name, progress in batch.progress.items()
+        store.Put(pipelinerows.progress_key(name), value)
+        for name, value in batch.rows.items()
     ]
     puts.extend(
         store.Put(
--- a/pomelostair/pipelineregistry.py
+++ b/pomelostair/pipelineregistry.py
@@ -6,10 +6,15 @@
 
 from pomelostair import fleet
 from pomelostair import pipeline
+from pomelostair import pipelinerows
 
 # Most progress rows, agents and removed pipelines in a commit. The platform
 # accepts 100 entries in a transaction, and the lease row is one of them.
 MAX_PROGRESS_ROWS = 60
+# Bytes of progress in a commit after which no further row is added. With the
+# largest rows and their encoding, a transaction stays below the platform's
+# limit of 1 MB.
+MAX_PROGRESS_BYTES = 500_000
 MAX_AGENTS = 20
 MAX_REMOVED = 10
 
@@ -20,6 +25,7 @@
 
     Attributes:
         progress: Progress by id of the pipeline.
+        rows: The encoded progress by id of the pipeline.
         ends: Number of the last applied end by worker id and incarnation;
             durable with the commit.
         agents: Registrations of agents by name.
@@ -27,6 +33,7 @@
     """
 
     progress: dict[str, pipeline.Progress]
+    rows: dict[str, bytes]
     ends: dict[fleet.WorkerKey, int]
     agents: dict[str, fleet.Registration]
     removed: tuple[str, ...] = ()
@@ -235,11 +242,15 @@
                 The batch includes them only if it covers all changed progress;
                 otherwise they would not be durable with it.
         """
-        progress = {
-            name: self._pipelines[name].progress()
-            for name in list(self._changed)[:MAX_PROGRESS_ROWS]
-        }
-        for name in progress:
+        progress: dict[str, pipeline.Progress] = {}
+        rows: dict[str, bytes] = {}
+        size = 0
+        for name in list(self._changed)[:MAX_PROGRESS_ROWS]:
+            if size >= MAX_PROGRESS_BYTES:
+                break
+            progress[name] = self._pipelines[name].progress()
+            rows[name] = pipelinerows.encode_progress(progress[name])
+            size += len(rows[name])
             del self._changed[name]
         agents = dict(list(self._changed_agents.items())[:MAX_AGENTS])
         for name in agents:
@@ -248,7 +259,7 @@
         removed = tuple(self._to_remove)[:MAX_REMOVED]
         del self._to_remove[:MAX_REMOVED]
         ends = {} if self._changed else ends
-        return Batch(progress, ends, agents, removed)
+        return Batch(progress, rows, ends, agents, removed)
 
     def requeue(self, batch: Batch) -> None:
         """Schedules a batch again that was certainly not stored."""
--- a/pomelostair/pipelinerows.py
+++ b/pomelostair/pipelinerows.py
@@ -7,6 +7,8 @@
 the lease.
 """
 
+import itertools
+
 import attrs
 import msgspec
 
@@ -21,8 +23,10 @@
 AGENTS_PREFIX = "agents/cell/"
 LEARNED_KEY = "learned/cell/images"
 # The store limits a row to 64 KiB.
-MAX_LEARNED_BYTES = 48_000
+MAX_ROW_BYTES = 48_000
 MAX_LEARNED_PAIRS = 800
+# Checkpoints in a row of progress at first; half as many while it is too large.
+MAX_CHECKPOINTS = 1000
 _DECLARATIONS = "job/"
 _CANCELLATIONS = "cancel/"
 
@@ -96,6 +100,21 @@
     return DeclarationRow(pipeline.decode_declaration(row.value), row.version)
 
 
+def encode_progress(progress: pipeline.Progress) -> bytes:
+    """Returns a progress with as many checkpoints as its row may hold.
+
+    A task without its checkpoint runs from its beginning if its worker is lost.
+    A row that the store refuses would keep the leader from any commit.
+    """
+    max_checkpoints = MAX_CHECKPOINTS
+    value = pipeline.encode(progress)
+    while len(value) > MAX_ROW_BYTES and max_checkpoints:
+        kept = itertools.islice(progress.checkpoints.items(), max_checkpoints)
+        value = pipeline.encode(attrs.evolve(progress, checkpoints=dict(kept)))
+        max_checkpoints //= 2
+    return value
+
+
 def decode_registration(row: store.Row) -> fleet.Registration:
     """Decodes the registration of an agent.
 
@@ -110,7 +129,7 @@
     max_pairs = MAX_LEARNED_PAIRS
     while True:
         value = msgspec.msgpack.encode(model.learned(max_pairs))
-        if len(value) <= MAX_LEARNED_BYTES or not max_pairs:
+        if len(value) <= MAX_ROW_BYTES or not max_pairs:
             return value
         max_pairs //= 2
 
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -112,7 +112,7 @@
         )
         model.adopt(contention.Learned(pairs), 0.0)
         value = pipelinerows.encode_learned(model)
-        assert 0 < len(value) <= pipelinerows.MAX_LEARNED_BYTES
+        assert 0 < len(value) <= pipelinerows.MAX_ROW_BYTES
 
 
 class TestMalformedRows:
--- a/tests/test_pipelineregistry.py
+++ b/tests/test_pipelineregistry.py
@@ -1,6 +1,7 @@
 from pomelostair import fleet
 from pomelostair import pipeline
 from pomelostair import pipelineregistry
+from pomelostair import pipelinerows
 from tests import pipelines
 
 KEY = ("w1", 1)
@@ -80,3 +81,37 @@
         registry.forget("p")
         registry.requeue(batch)
         assert not registry.next_batch({}).progress
+
+
+class TestBatchSize:
+    """A commit that the store refuses would end every leader's term."""
+
+    def test_wide_pipelines_are_stored_in_several_commits(self):
+        registry = make_registry()
+        for number in range(pipelineregistry.MAX_PROGRESS_ROWS):
+            add_with_checkpoints(registry, f"p{number}", 500)
+        batch = commit(registry)
+        stored_bytes = sum(map(len, batch.rows.values()))
+        assert stored_bytes <= (
+            pipelineregistry.MAX_PROGRESS_BYTES + pipelinerows.MAX_ROW_BYTES
+        )
+        names = set(batch.rows)
+        while registry.has_uncommitted:
+            names |= set(commit(registry).rows)
+        assert len(names) == pipelineregistry.MAX_PROGRESS_ROWS
+
+    def test_checkpoints_are_left_out_of_a_row_that_is_too_large(self):
+        registry = make_registry()
+        add_with_checkpoints(registry, "p", pipeline.MAX_TASKS)
+        value = commit(registry).rows["p"]
+        assert len(value) <= pipelinerows.MAX_ROW_BYTES
+        assert len(pipeline.decode_progress(value).checkpoints) > 100
+
+
+def add_with_checkpoints(registry, name, count):
+    declared = pipelines.declare(name, pipelines.stage(count))
+    registry.add(declared, 1, pipeline.Progress(), 0.0)
+    item = registry.pipelines[name]
+    for task in item.tasks(0, 0):
+        task.checkpoint = f"{task.index:016x}"
+    registry.mark_changed(item)
