Malformed and repeated submissions harm neither the leader's memory nor its rows

Causes, found by reading for messages that take a process down: a submission with a billion occurrences without due times, or with due times in the past, made every leader open them all at once; a stored row with a dependency on a later stage raised IndexError in each leader's recovery; negative demands added to the capacity of workers; the progress of a timed pipeline kept every done occurrence, so that its row outgrew the store's limit after some thousand runs; a body of any size was sent to the store, whose refusal has an unknown outcome.

Submissions are checked when they are decoded, stored rows when they are read. Occurrences are dropped once they and all earlier ones are done, and overdue ones open within the limit of tasks.

The new tests failed before, but for the two of what stays accepted.

--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -88,6 +88,22 @@
     first_run_ms: int = 0
     interval_ms: int = 0
 
+    def __attrs_post_init__(self):
+        """Checks what every leader relies on.
+
+        Raises:
+            ValueError: The stages are malformed.
+        """
+        for number, stage in enumerate(self.stages):
+            if any(not 0 <= before < number for before in stage.after):
+                raise ValueError(
+                    f"stage {number} must depend on earlier stages"
+                )
+        opened_at_once = 1 if self.timed else max(1, self.occurrences)
+        task_count = sum(stage.count for stage in self.stages)
+        if task_count * opened_at_once > MAX_TASKS:
+            raise ValueError(f"a pipeline may open at most {MAX_TASKS} tasks")
+
     @property
     def timed(self) -> bool:
         """Whether the occurrences have due times."""
@@ -163,6 +179,8 @@
         checkpoints: Latest checkpoints of unfinished tasks, by
             "OCCURRENCE.STAGE.INDEX".
         ended_ms: Unix milliseconds of the end, 0 before.
+        done_occurrences: Number of the first occurrences of a timed pipeline
+            all of whose tasks are done; they are left out of `done`.
     """
 
     phase: Phase = Phase.QUEUED
@@ -170,6 +188,7 @@
     failed: dict[str, list[int]] = attrs.field(factory=dict)
     checkpoints: dict[str, str] = attrs.field(factory=dict)
     ended_ms: int = 0
+    done_occurrences: int = 0
 
 
 @attrs.define(eq=False)
@@ -254,7 +273,8 @@
         self._ended_ms = progress.ended_ms
         self._tasks: dict[tuple[int, int], list[Task]] = {}
         self._unfinished_counts: dict[tuple[int, int], int] = {}
-        self._opened: set[int] = set()
+        self._done_occurrences = progress.done_occurrences
+        self._opened: set[int] = set(range(self._done_occurrences))
         self._ready: dict[str, Task] = {}
         self._started = progress.phase is not Phase.QUEUED
         self._stored_progress = progress
@@ -331,6 +351,8 @@
     def open_due(self, unix_ms: float, now: float) -> bool:
         """Opens the occurrences that are due.
 
+        While `MAX_TASKS` tasks are open, further ones wait.
+
         Args:
             unix_ms: Unix milliseconds.
             now: Monotonic seconds.
@@ -340,7 +362,11 @@
         """
         opened = False
         due_ms = self.next_due_ms()
-        while due_ms is not None and unix_ms >= due_ms:
+        while (
+            due_ms is not None
+            and unix_ms >= due_ms
+            and sum(map(len, self._tasks.values())) < MAX_TASKS
+        ):
             self.open_occurrence(len(self._opened), now)
             opened = True
             due_ms = self.next_due_ms()
@@ -433,6 +459,7 @@
         if not self._unfinished_counts[stage]:
             for number in range(len(self._declaration.stages)):
                 self._unblock(task.occurrence, number, now)
+            self._drop_done_occurrences()
             self._complete_if_done(unix_ms)
         return True
 
@@ -493,7 +520,14 @@
                 done[f"{occurrence}.{number}"] = bits.to_bytes(size, "little")
         if self.ended:
             checkpoints.clear()
-        return Progress(self._phase, done, failed, checkpoints, self._ended_ms)
+        return Progress(
+            self._phase,
+            done,
+            failed,
+            checkpoints,
+            self._ended_ms,
+            self._done_occurrences,
+        )
 
     def _unblock(self, occurrence: int, number: int, now: float) -> None:
         stage = self._declaration.stages[number]
@@ -508,6 +542,25 @@
                 task.ready_since_s = now
                 self._ready[task.id] = task
 
+    def _drop_done_occurrences(self) -> None:
+        """Drops the tasks of the first occurrences once all are done.
+
+        A timed pipeline may run for months, so its state must not grow with
+        the number of occurrences.
+        """
+        stages = range(len(self._declaration.stages))
+        while self._declaration.timed and (
+            self._done_occurrences in self._opened
+            and not any(
+                self._unfinished_counts[self._done_occurrences, number]
+                for number in stages
+            )
+        ):
+            for number in stages:
+                del self._tasks[self._done_occurrences, number]
+                del self._unfinished_counts[self._done_occurrences, number]
+            self._done_occurrences += 1
+
     def _complete_if_done(self, unix_ms: int) -> None:
         all_opened = len(self._opened) >= self._declaration.occurrences
         if (
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -478,7 +478,12 @@
             placement = self._attempts.get((task_id, attempt))
             if placement is not None and placement.worker is not worker:
                 placement = None
-            task = self._registry.find_task(task_id)
+            # The task of an earlier occurrence may be dropped already.
+            task = (
+                self._registry.find_task(task_id)
+                if placement is None
+                else placement.task
+            )
             log.emit(
                 events.Events.ATTEMPT_ENDED,
                 task=task_id,
--- a/pomelostair/platform/decoding.py
+++ b/pomelostair/platform/decoding.py
@@ -4,6 +4,8 @@
 whose platform name is misleading.
 """
 
+import typing
+
 import msgspec
 
 from pomelostair import errors
@@ -12,18 +14,21 @@
 from pomelostair import queues
 from pomelostair import resources
 
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
 
 class StepBody(msgspec.Struct):
     """A stage of a submission, which the platform calls a step.
 
-    Absent fields are 0, false or empty; an absent `count` is 1.
+    Absent fields are 0, false or empty; an absent `count` is 1. Negative
+    numbers are malformed, since they would add to the capacity of a worker.
     """
 
-    count: int = 1
-    cpu: int = 0  # In thousandths of a core.
-    memory_mb: int = msgspec.field(default=0, name="memMb")
-    gpu: int = 0  # Number of accelerators.
-    estimate_ms: int = msgspec.field(default=0, name="estimateMs")
+    count: _Count = 1
+    cpu: _Count = 0  # In thousandths of a core.
+    memory_mb: _Count = msgspec.field(default=0, name="memMb")
+    gpu: _Count = 0  # Number of accelerators.
+    estimate_ms: _Count = msgspec.field(default=0, name="estimateMs")
     after: list[int] = []
     checkpointing: bool = False
     gang: bool = False
@@ -31,15 +36,17 @@
     requires: str = ""  # A label that the worker must have.
     affinity: str = ""  # Rack that holds the input data.
     # Not a flag: maximum number of the step's tasks on one worker.
-    anti_affinity: int = msgspec.field(default=0, name="antiAffinity")
+    anti_affinity: _Count = msgspec.field(default=0, name="antiAffinity")
     speculative: bool = False
     perpetual: bool = False  # Runs until the submission is cancelled.
     image: str = ""
-    target_ms: float = msgspec.field(default=0.0, name="targetMs")
+    target_ms: typing.Annotated[float, msgspec.Meta(ge=0)] = msgspec.field(
+        default=0.0, name="targetMs"
+    )
     fills: bool = False  # Uses only processor time that is otherwise idle.
     # Not a flag: number of tasks that the scheduler may make unavailable at the
     # same time.
-    skippable: int = 0
+    skippable: _Count = 0
 
 
 class SubmissionBody(msgspec.Struct):
@@ -48,9 +55,9 @@
     spec: str = ""  # Payload that is passed to every task.
     steps: list[StepBody] = []
     # Total number of occurrences, including the first one.
-    repeats: int = 0
-    first_run_ms: int = msgspec.field(default=0, name="firstRunMs")
-    interval_ms: int = msgspec.field(default=0, name="intervalMs")
+    repeats: _Count = 0
+    first_run_ms: _Count = msgspec.field(default=0, name="firstRunMs")
+    interval_ms: _Count = msgspec.field(default=0, name="intervalMs")
 
 
 class AdviceBody(msgspec.Struct):
@@ -119,6 +126,9 @@
 _WORKER_STATES = ("ready", "draining")
 # Submissions with more tasks are rejected as malformed.
 MAX_TASKS = pipeline.MAX_TASKS
+# Larger bodies are rejected: with all fields of 64 stages named, the row of a
+# submission has to fit into the store's 64 KiB.
+MAX_SUBMISSION_BYTES = 24_000
 
 
 def decode_submission(
@@ -129,6 +139,8 @@
     Raises:
         MessageError: It is malformed; the message names the remedy.
     """
+    if len(data) > MAX_SUBMISSION_BYTES:
+        raise errors.MessageError(f"send at most {MAX_SUBMISSION_BYTES} bytes")
     try:
         body = msgspec.json.decode(data, type=SubmissionBody)
     except (msgspec.MsgspecError, ValueError) as error:
@@ -137,7 +149,10 @@
         ) from error
     if not body.steps or len(body.steps) > pipeline.MAX_STAGES:
         raise errors.MessageError(f"send 1 to {pipeline.MAX_STAGES} steps")
-    if sum(max(1, step.count) for step in body.steps) > MAX_TASKS:
+    # Occurrences without a due time start at once.
+    opened_at_once = 1 if body.first_run_ms else max(1, body.repeats)
+    task_count = sum(max(1, step.count) for step in body.steps)
+    if task_count * opened_at_once > MAX_TASKS:
         raise errors.MessageError(f"send at most {MAX_TASKS} tasks")
     for number, step in enumerate(body.steps):
         if any(not 0 <= before < number for before in step.after):
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -89,12 +89,34 @@
             b'{"spec":"x","steps":[{"after":[0]}]}',
             b'{"spec":"x","steps":[{"count":20000}]}',
             b'{"spec":"\xff","steps":[{}]}',
+            b'{"spec":"x","steps":[{"cpu":-4000}]}',
+            b'{"spec":"x","steps":[{"memMb":-1}]}',
+            b'{"spec":"x","steps":[{"targetMs":-1.5}]}',
+            b'{"spec":"x","steps":[{}],"repeats":1000000000}',
+            b'{"spec":"%s","steps":[{}]}' % (b"x" * 30_000),
         ],
+        ids=lambda body: body[:50].decode(errors="replace"),
     )
     def test_malformed_submission_raises_message_error(self, body):
         with pytest.raises(errors.MessageError):
             decoding.decode_submission(body, "5c", "q", 99)
 
+    def test_repeated_submission_with_due_times_is_accepted(self):
+        declaration = decode(
+            steps=[{}], repeats=1_000_000, firstRunMs=1000, intervalMs=5000
+        )
+        assert declaration.occurrences == 1_000_000
+
+    def test_row_of_the_largest_submission_fits_into_the_store(self):
+        step = {**STEP_BODY, "requires": "b" * 40, "image": "i" * 40}
+        body = {"spec": "x" * 4000, "steps": [step] * pipeline.MAX_STAGES}
+        body["steps"][-1] = {**step, "after": list(range(63)), "affinity": "r"}
+        data = json.dumps(body).encode()
+        padding = decoding.MAX_SUBMISSION_BYTES - len(data)
+        body["spec"] += "x" * padding
+        row = pipeline.encode(decode(**body))
+        assert len(row) <= 48_000
+
 
 class TestHeartbeat:
     def test_last_label_becomes_rack(self):
