--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -258,6 +258,7 @@
             later have higher versions.
         progress: Progress that an earlier leader stored.
         now: Monotonic seconds.
+        age_s: Time since the acceptance.
     """
 
     def __init__(
@@ -266,8 +267,10 @@
         version: int,
         progress: Progress,
         now: float,
+        age_s: float = 0.0,
     ):
         self._declaration = declaration
+        self._accepted_s = now - age_s
         self._version = version
         self._phase = progress.phase
         self._ended_ms = progress.ended_ms
@@ -339,6 +342,14 @@
         )
         return 0 < unblocked_count == len(self._ready)
 
+    def age_s(self, now: float) -> float:
+        """Returns the time since the acceptance.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        return max(0.0, now - self._accepted_s)
+
     def next_due_ms(self) -> int | None:
         """Returns when the next unopened occurrence is due, None if none is."""
         if self.ended or not self._declaration.timed:
--- a/pomelostair/pipelineorder.py
+++ b/pomelostair/pipelineorder.py
@@ -108,14 +108,14 @@
 def rank(
     item: pipeline.Pipeline,
     queue: queues.Queue | None,
-    unix_ms: float,
+    now: float,
 ) -> Rank:
     """Returns the position of a pipeline.
 
     Args:
         item: The pipeline.
         queue: Its queue, None if it is no longer configured.
-        unix_ms: Time of day in Unix milliseconds.
+        now: Monotonic seconds.
     """
     declaration = item.declaration
     if queue is None:
@@ -137,7 +137,7 @@
     objective_s = (
         queue.stretch * declaration.critical_path_ms() + queue.objective_ms
     ) / 1000
-    age_s = max(0.0, (unix_ms - declaration.submitted_ms) / 1000)
+    age_s = item.age_s(now)
     estimated_s = remaining_s(item)
     slack_s = objective_s - age_s - estimated_s
     optimistic_s = age_s + estimated_s * OPTIMISTIC_FACTOR
--- a/pomelostair/pipelineregistry.py
+++ b/pomelostair/pipelineregistry.py
@@ -48,15 +48,19 @@
     """Pipelines and agents during one term of a leader.
 
     Args:
+        term_version: Version of the lease row that began the term; pipelines
+            with a higher version were accepted after it.
         unix_ms: Returns the current Unix time in milliseconds.
         has_attempts: Returns whether an attempt of a task may be running.
     """
 
     def __init__(
         self,
+        term_version: int,
         unix_ms: Callable[[], float],
         has_attempts: Callable[[pipeline.Task], bool],
     ):
+        self._term_version = term_version
         self._unix_ms = unix_ms
         self._has_attempts = has_attempts
         self._pipelines: dict[str, pipeline.Pipeline] = {}
@@ -195,10 +199,18 @@
         progress: pipeline.Progress,
         now: float,
     ) -> None:
-        """Adds an accepted pipeline, unless it is present."""
+        """Adds an accepted pipeline, unless it is present.
+
+        The age of one that was accepted in this term does not depend on the
+        times of day of two hosts, which may jump.
+        """
         if declaration.id in self._pipelines:
             return
-        item = pipeline.Pipeline(declaration, version, progress, now)
+        age_s = 0.0
+        if version <= self._term_version:
+            age_ms = self._unix_ms() - declaration.submitted_ms
+            age_s = max(0.0, age_ms / 1000)
+        item = pipeline.Pipeline(declaration, version, progress, now, age_s)
         self._pipelines[item.id] = item
         self._stored_phases[item.id] = progress.phase
         if not item.ended:
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -121,7 +121,7 @@
         self._pacer = pacing.Pacer(metrics)
         self._attempts = attempts_module.Attempts(self._pacer, metrics)
         self._registry = pipelineregistry.PipelineRegistry(
-            unix_ms, self._attempts.has_attempts
+            lease_version, unix_ms, self._attempts.has_attempts
         )
         self._starter = pipelinestarts.Starter(
             epoch, self._attempts, self._pacer, metrics
@@ -320,7 +320,6 @@
             self._queues,
             slowed,
             now,
-            self._unix_ms(),
         )
 
     def orders_to_send(
@@ -546,7 +545,7 @@
                 events.Events.PIPELINE_ENDED,
                 pipeline=item.id,
                 phase=item.phase.value,
-                age_ms=int(self._unix_ms()) - item.declaration.submitted_ms,
+                age_ms=int(item.age_s(now) * 1000),
             )
             self._close_pipeline(item)
 
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -81,7 +81,6 @@
         table: queues.QueueTable,
         slowed: dict[str, list[fleet.Placement]],
         now: float,
-        unix_ms: float,
     ) -> None:
         """Starts ready tasks, in the order of the pipelines' ranks.
 
@@ -94,7 +93,6 @@
             table: Current configuration of the queues.
             slowed: Attempts that should move, by id of the pipeline.
             now: Monotonic seconds.
-            unix_ms: Unix milliseconds.
         """
         schedulable: dict[str, list[fleet.Worker]] = {}
         for worker in workers:
@@ -108,7 +106,7 @@
                 queue = table.by_name(item.declaration.queue)
                 if queue is None or queue.service not in schedulable:
                     continue
-                rank = pipelineorder.rank(item, queue, unix_ms)
+                rank = pipelineorder.rank(item, queue, now)
                 ranked.append((rank, item, queue))
         ranked.sort(key=lambda row: (row[0].key, row[1].id))
         considered = 0
--- a/tests/test_pipelineadvice.py
+++ b/tests/test_pipelineadvice.py
@@ -115,7 +115,7 @@
         def run_round(now):
             for worker in workers:
                 worker.last_report_s = now
-            starter.start_ready([item], workers, TABLE, {}, now, 0.0)
+            starter.start_ready([item], workers, TABLE, {}, now)
 
         run_round(1.0)
         assert not item.started
@@ -139,7 +139,7 @@
         for now, tickets in ((1.0, {"w0": "t"}), (1.1, {"w1": "t"})):
             for worker in workers:
                 worker.last_report_s = now
-            starter.start_ready([item], workers, TABLE, {}, now, 0.0)
+            starter.start_ready([item], workers, TABLE, {}, now)
             assert not item.started
             request = starter.advice.next_request()
             starter.advice.apply_answer(
@@ -149,7 +149,7 @@
                 tickets,
                 now,
             )
-        starter.start_ready([item], workers, TABLE, {}, 1.2, 0.0)
+        starter.start_ready([item], workers, TABLE, {}, 1.2)
         assert (
             len(workers[0].unconfirmed_orders)
             == len(workers[1].unconfirmed_orders)
--- a/tests/test_pipelineorder.py
+++ b/tests/test_pipelineorder.py
@@ -13,11 +13,13 @@
     declared = pipelines.declare(
         name, *stages, queue=queue, submitted_ms=submitted_ms, **fields
     )
-    return pipeline.Pipeline(declared, 1, pipeline.Progress(), 0.0)
+    return pipeline.Pipeline(
+        declared, 1, pipeline.Progress(), submitted_ms / 1000
+    )
 
 
-def rank(item, unix_ms, queue=pipelines.QUEUE):
-    return pipelineorder.rank(item, queue, unix_ms)
+def rank(item, now_ms, queue=pipelines.QUEUE):
+    return pipelineorder.rank(item, queue, now_ms / 1000)
 
 
 class TestRank:
--- a/tests/test_pipelineregistry.py
+++ b/tests/test_pipelineregistry.py
@@ -5,11 +5,14 @@
 from tests import pipelines
 
 KEY = ("w1", 1)
+TERM = 7  # Version of the lease row.
 LIFE = fleet.KnownIncarnation(*KEY)
 
 
 def make_registry():
-    return pipelineregistry.PipelineRegistry(lambda: 0.0, lambda _: False)
+    return pipelineregistry.PipelineRegistry(
+        TERM, lambda: 60_000.0, lambda _: False
+    )
 
 
 def commit(registry):
@@ -62,6 +65,25 @@
         assert commit(registry).agents["a"].lives == (other,)
 
 
+class TestAge:
+    """The times of day of an entry and the leader differ while one jumps."""
+
+    def age_s(self, version, submitted_ms, later_s=0.0):
+        registry = make_registry()
+        declared = pipelines.declare("p", submitted_ms=submitted_ms)
+        registry.add(declared, version, pipeline.Progress(), 1000.0)
+        return registry.pipelines["p"].age_s(1000.0 + later_s)
+
+    def test_pipeline_of_this_term_is_timed_by_the_leaders_clock(self):
+        for submitted_ms in (0, 60_000, 99_000):
+            assert self.age_s(TERM + 1, submitted_ms) == 0.0
+            assert self.age_s(TERM + 1, submitted_ms, 2.5) == 2.5
+
+    def test_age_of_an_earlier_pipeline_is_taken_from_the_time_of_day(self):
+        assert self.age_s(TERM, 58_000, 1.0) == 3.0
+        assert self.age_s(TERM, 99_000, 1.0) == 1.0
+
+
 class TestForget:
     def test_changed_pipeline_may_be_forgotten_before_its_commit(self):
         """An end that arrives late marks an expired pipeline as changed."""
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -45,7 +45,6 @@
             pipelines.TABLE,
             by_pipeline,
             now,
-            0.0,
         )
 
 
@@ -145,7 +144,7 @@
             items.append(
                 pipeline.Pipeline(declared, 1, pipeline.Progress(), 0.0)
             )
-        starter.start_ready(items, workers, pipelines.TABLE, {}, 1.0, 0.0)
+        starter.start_ready(items, workers, pipelines.TABLE, {}, 1.0)
         assert all(item.started for item in items)
         return [
             {p.task.stage.image for p in worker.placements.values()}
@@ -179,7 +178,7 @@
     """
 
     def start_waiting(
-        self, waited_s, submitted_ms=-30_000, ahead=(), counted_millicores=0
+        self, waited_s, age_s=30.0, ahead=(), counted_millicores=0
     ):
         cluster = TwoWorkers()
         for worker in (cluster.busy, cluster.empty):
@@ -190,15 +189,16 @@
         declared = pipelines.declare(
             "waiting",
             pipelines.stage(3, millicores=2000, filler=True),
-            submitted_ms=submitted_ms,
         )
-        waiting = pipeline.Pipeline(declared, 1, pipeline.Progress(), 0.0)
+        waiting = pipeline.Pipeline(
+            declared, 1, pipeline.Progress(), 0.0, age_s
+        )
         cluster.start_ready(*ahead, waiting, now=waited_s)
         return waiting
 
     def test_pipeline_waits_while_it_may_meet_its_objective(self):
         now = pipelinestarts.MAX_IDLE_S + 0.1
-        assert not self.start_waiting(now, submitted_ms=0).started
+        assert not self.start_waiting(now, age_s=0.0).started
 
     def test_pipeline_waits_for_unused_processor_time_first(self):
         assert not self.start_waiting(pipelinestarts.MAX_IDLE_S - 0.1).started
@@ -296,5 +296,5 @@
             "fits",
             lambda *arguments: compared.append(1) or fits(*arguments),
         )
-        starter.start_ready(items, workers, pipelines.TABLE, {}, 1.0, 0.0)
+        starter.start_ready(items, workers, pipelines.TABLE, {}, 1.0)
         assert len(compared) <= len(workers)
