--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -175,6 +175,8 @@
         bus: Bus URL of its agent.
         state: Latest state that its agent reported.
         last_report_s: Monotonic time of the latest report.
+        last_listed_s: Monotonic time of the latest report with a new list of
+            what runs.
         lease_granted_s: Monotonic time of the latest lease grant.
         registered: Whether its registration as a worker that may have work is
             durable.
@@ -217,6 +219,7 @@
     state: messages.WorkerState
     last_report_s: float
     lease_granted_s: float
+    last_listed_s: float = 0.0
     registered: bool = False
     reconciled: bool = False
     placements: dict[AttemptKey, Placement] = attrs.field(factory=dict)
--- a/pomelostair/pipelinemonitor.py
+++ b/pomelostair/pipelinemonitor.py
@@ -94,29 +94,13 @@
         for placement in list(worker.placements.values()):
             if self._pacer.should_move(placement, now):
                 to_move.append(placement)
-            if self._is_stalled(placement, now):
+            if _is_stalled(placement):
                 self._metrics.count("attempts_stalled")
                 placement.task.avoided_workers.add(worker.id)
                 self.suspect(worker, now, "its attempts make no progress")
                 self._attempts.stop(placement, "it makes no progress")
         return to_move
 
-    def _is_stalled(self, placement: fleet.Placement, now: float) -> bool:
-        if (
-            placement.state is not fleet.AttemptState.RUNNING
-            or not placement.reported
-            or placement.pace_percent < pacing.FULL_PERCENT
-            or placement.progress_percent >= 100
-        ):
-            return False
-        stage = placement.task.stage
-        if stage.lasting:
-            return now - placement.last_progress_s > MAX_LASTING_START_S
-        limit_s = max(STALL_S, STALL_SHARE * stage.estimate_ms / 1000)
-        if stage.filler and placement.worker.unused_millicores < 0:
-            limit_s *= CONTENDED_STALL_FACTOR
-        return now - placement.last_progress_s > limit_s
-
     def _drain(self, worker: fleet.Worker) -> None:
         """Stops the attempts that would not end before a worker leaves."""
         for placement in list(worker.placements.values()):
@@ -147,3 +131,26 @@
                 for_s=SUSPECT_S,
             )
         worker.suspect_until_s = now + SUSPECT_S
+
+
+def _is_stalled(placement: fleet.Placement) -> bool:
+    """Returns whether reports show that an attempt makes no progress.
+
+    A time without reports shows nothing, as the attempt may have progressed
+    while the agent, the leader or the link between them was slow.
+    """
+    if (
+        placement.state is not fleet.AttemptState.RUNNING
+        or not placement.reported
+        or placement.pace_percent < pacing.FULL_PERCENT
+        or placement.progress_percent >= 100
+    ):
+        return False
+    stage = placement.task.stage
+    stalled_s = placement.worker.last_listed_s - placement.last_progress_s
+    if stage.lasting:
+        return stalled_s > MAX_LASTING_START_S
+    limit_s = max(STALL_S, STALL_SHARE * stage.estimate_ms / 1000)
+    if stage.filler and placement.worker.unused_millicores < 0:
+        limit_s *= CONTENDED_STALL_FACTOR
+    return stalled_s > limit_s
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -365,6 +365,7 @@
         if not state.fresh or not state.reachable:
             return worker
         worker.reconciled = True
+        worker.last_listed_s = now
         self._apply_ends(worker, state, now)
         self._apply_running(worker, state, now)
         self._pacer.observe(worker, now)
