A store that does not answer one process delays no operation

The renewal waited for its answer for 2 s, the lease lasts 1.8 s, so the leader lost it although its peers could have renewed it. The same holds for each lost answer of the store. Afterwards, an operation each 0.3 s, a caller's or the leader's, tried the silent store first and waited 2 s.

- Operations without an answer are given up after 0.8 s, or four times the recent answer times of a slow store, at most 2 s.
- A circuit breaker, taken out of RelayTable, fails operations at once while the store does not serve this process; a read in the background probes it.
Peers without the store answer relayed operations at once, too, so that a caller is refused at once while nobody reaches the store.

test_unreachable_store_is_retried_after_the_probe_interval is replaced by the tests of the breaker (an operation that probes would wait); the refusals, the interval and the return are checked as before.

--- a/pomelostair/entrypeers.py
+++ b/pomelostair/entrypeers.py
@@ -9,6 +9,7 @@
 import curio
 
 from pomelostair import bus as bus_module
+from pomelostair import circuitbreaker
 from pomelostair import clock as clock_module
 from pomelostair import errors
 from pomelostair import events
@@ -61,10 +62,11 @@
             for bus in parts.settings.pipelines.seeds
             if bus != parts.bus.address
         }
-        self._table = relaytable.RelayTable(
-            parts.table, parts.bus, self._clock, self.peers
+        direct_table = circuitbreaker.CircuitBreakerTable(
+            parts.table, self._clock
         )
-        self._relay = relaytable.Relay(parts.table)
+        self._table = relaytable.RelayTable(direct_table, parts.bus, self.peers)
+        self._relay = relaytable.Relay(direct_table)
         self._leader = messages.LeaderInfo()
         self._leader_update_s = 0.0
         self._queues = queues.QueueTable()
@@ -88,7 +90,7 @@
         parts.bus.handle(messages.QueuesQuery, self._on_queues_query)
         parts.metrics.gauge("queues_version", lambda: self._queues.version)
         parts.metrics.gauge("leader_epoch", lambda: self._leader.epoch)
-        parts.metrics.gauge("store_reached", lambda: self._table.is_reachable)
+        parts.metrics.gauge("store_reached", lambda: not direct_table.is_open)
 
     @property
     def table(self) -> store.Table:
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -723,6 +723,7 @@
         """
         if ended:
             self._ended_since_s[key] = now
+            self._lapsed.discard(key)
         worker = self._workers.pop(key, None)
         if worker is None:
             return
--- a/pomelostair/platform/store.py
+++ b/pomelostair/platform/store.py
@@ -23,6 +23,13 @@
 MAX_CLOCK_DRIFT_SHARE = 0.02
 # Time for the answer of a watch, in addition to the requested wait.
 WATCH_TIMEOUT_MARGIN_S = 1.0
+# An operation without an answer is given up after this multiple of the recent
+# answer times, but not before MIN_TIMEOUT_S: a slow store takes half a second,
+# and a leader must notice a silent one well before its lease ends.
+TIMEOUT_FACTOR = 4.0
+MIN_TIMEOUT_S = 0.8
+# Share of the longest recent answer time that is kept with each answer.
+ANSWER_TIME_DECAY = 0.8
 MAX_PAGE_ROWS = 500  # The platform returns at most 500 rows per answer.
 _PREFIX_END = "\x7f"  # Sorts after every character that occurs in keys.
 
@@ -138,6 +145,32 @@
         )
 
 
+class AdaptiveTimeout:
+    """Timeout of operations that follows their recent answer times.
+
+    Args:
+        max_s: Longest timeout, in seconds.
+    """
+
+    def __init__(self, max_s: float):
+        self._max_s = max_s
+        self._answer_s = 0.0
+
+    @property
+    def seconds(self) -> float:
+        """Timeout of the next operation."""
+        adapted_s = max(MIN_TIMEOUT_S, TIMEOUT_FACTOR * self._answer_s)
+        return min(self._max_s, adapted_s)
+
+    def record_answer(self, took_s: float) -> None:
+        """Records how long an answer took."""
+        self._answer_s = max(took_s, ANSWER_TIME_DECAY * self._answer_s)
+
+    def record_timeout(self) -> None:
+        """Doubles the timeout, as the answer may only have been slow."""
+        self._answer_s = 2 * self.seconds / TIMEOUT_FACTOR
+
+
 class RowsTable(store.Table):
     """The platform's table service.
 
@@ -145,7 +178,7 @@
         client: Client of the store for short requests.
         watch_client: Client of the store for long polls.
         metrics: Counts the operations by outcome.
-        timeout_s: Timeout of an operation, except a watch.
+        timeout_s: Longest timeout of an operation, except a watch.
     """
 
     def __init__(
@@ -158,7 +191,8 @@
         self._client = client
         self._watch_client = watch_client
         self._metrics = metrics
-        self._timeout_s = timeout_s
+        self._read_timeout = AdaptiveTimeout(timeout_s)
+        self._commit_timeout = AdaptiveTimeout(timeout_s)
         self._clock = _StoreClock()
 
     async def read(self, key: str) -> store.ReadResult:
@@ -233,12 +267,16 @@
     async def _send_transaction(
         self, request: http.Request, sent_s: float
     ) -> outcome.CommitResult:
+        timeout_s = self._commit_timeout.seconds
         try:
-            response = await self._client.request(request, self._timeout_s)
+            response = await self._client.request(request, timeout_s)
         except errors.NotSentError as error:
             return outcome.Unavailable(str(error))
         except errors.AnswerLostError as error:
+            if _boottime_s() - sent_s >= timeout_s:
+                self._commit_timeout.record_timeout()
             return outcome.Unknown(str(error))
+        self._commit_timeout.record_answer(_boottime_s() - sent_s)
         if response.status in (429, 503):
             return outcome.Unavailable(f"status {response.status}")
         if response.status not in (200, 412):
@@ -263,10 +301,15 @@
     ) -> RowsBody | store.HistoryGone | outcome.Unavailable:
         target = f"{path}?{parse.urlencode(query)}"
         sent_s = _boottime_s()
-        response = await _get(client, target, timeout_s or self._timeout_s)
+        is_watch = timeout_s is not None
+        if timeout_s is None:
+            timeout_s = self._read_timeout.seconds
+        response = await _get(client, target, timeout_s)
         self._count_operation(operation, response)
         if isinstance(response, outcome.Unavailable):
             return response
+        if not is_watch:
+            self._read_timeout.record_answer(_boottime_s() - sent_s)
         if response.status == 410:
             return store.HistoryGone()
         if response.status != 200:
--- a/pomelostair/relaytable.py
+++ b/pomelostair/relaytable.py
@@ -7,19 +7,13 @@
 from collections.abc import Callable
 
 from pomelostair import bus as bus_module
-from pomelostair import clock as clock_module
-from pomelostair import events
-from pomelostair import log
+from pomelostair import circuitbreaker
 from pomelostair import outcome
 from pomelostair import pipelinemessages as messages
 from pomelostair import store
 
 RELAY_TIMEOUT_S = 1.5  # Longer than one transaction of a slow store.
 MAX_PEERS = 2  # Further peers are likely refused for the same reason.
-# While the store is unreachable, one operation per interval tries it first.
-PROBE_INTERVAL_S = 0.3
-# Consecutive refusals after which the store is considered unreachable.
-FAILURES_UNTIL_UNREACHABLE = 2
 MAX_RELAYED_WATCH_S = 0.5  # A relayed watch occupies the peer's connection.
 
 
@@ -29,41 +23,24 @@
     Args:
         direct_table: The store as accessed by this process.
         bus: Bus of this process.
-        clock: Source of monotonic time.
         peers: Returns the bus URLs of peers, preferred ones first.
     """
 
     def __init__(
         self,
-        direct_table: store.Table,
+        direct_table: circuitbreaker.CircuitBreakerTable,
         bus: bus_module.Bus,
-        clock: clock_module.Clock,
         peers: Callable[[], tuple[str, ...]],
     ):
         self._direct_table = direct_table
         self._bus = bus
-        self._clock = clock
         self._peers = peers
-        self._is_reachable = True
-        self._consecutive_failures = 0
-        self._last_probe_s = 0.0
-        self._state_since_s = clock.now()
-
-    @property
-    def is_reachable(self) -> bool:
-        """Whether the store serves this process.
-
-        It turns false after `FAILURES_UNTIL_UNREACHABLE` refusals in a row or
-        a missing answer, and true with the next answer.
-        """
-        return self._is_reachable
 
     async def read(self, key: str) -> store.ReadResult:
         """Reads one row."""
-        if self._should_try_store():
-            result = self._record_result(await self._direct_table.read(key))
-            if not isinstance(result, outcome.Unavailable):
-                return result
+        result = await self._direct_table.read(key)
+        if not isinstance(result, outcome.Unavailable):
+            return result
         answer = await self._relay(messages.RelayedRead(key))
         if not isinstance(answer, messages.RelayedResult):
             return outcome.Unavailable(answer.reason)
@@ -75,12 +52,9 @@
         self, prefix: str, after: str = "", limit: int = 500
     ) -> store.ScanResult:
         """Reads rows in key order."""
-        if self._should_try_store():
-            result = self._record_result(
-                await self._direct_table.scan(prefix, after, limit)
-            )
-            if not isinstance(result, outcome.Unavailable):
-                return result
+        result = await self._direct_table.scan(prefix, after, limit)
+        if not isinstance(result, outcome.Unavailable):
+            return result
         answer = await self._relay(messages.RelayedScan(prefix, after, limit))
         if not isinstance(answer, messages.RelayedResult):
             return outcome.Unavailable(answer.reason)
@@ -90,12 +64,9 @@
         self, table: str, after: int, wait_s: float
     ) -> store.WatchResult:
         """Waits for changes of rows of one table."""
-        if self._should_try_store():
-            result = self._record_result(
-                await self._direct_table.watch(table, after, wait_s)
-            )
-            if not isinstance(result, outcome.Unavailable):
-                return result
+        result = await self._direct_table.watch(table, after, wait_s)
+        if not isinstance(result, outcome.Unavailable):
+            return result
         wait_s = min(wait_s, MAX_RELAYED_WATCH_S)
         answer = await self._relay(messages.RelayedWatch(table, after, wait_s))
         if not isinstance(answer, messages.RelayedResult):
@@ -108,12 +79,9 @@
         self, transaction: store.Transaction
     ) -> outcome.CommitResult:
         """Applies a transaction."""
-        if self._should_try_store():
-            result = self._record_result(
-                await self._direct_table.commit(transaction)
-            )
-            if not isinstance(result, outcome.Unavailable):
-                return result
+        result = await self._direct_table.commit(transaction)
+        if not isinstance(result, outcome.Unavailable):
+            return result
         answer = await self._relay(messages.RelayedCommit(transaction))
         if not isinstance(answer, messages.RelayedResult):
             return answer
@@ -127,43 +95,6 @@
         """Returns the store's time, None before the store first answered."""
         return self._direct_table.time()
 
-    def _should_try_store(self) -> bool:
-        if self._is_reachable:
-            return True
-        now = self._clock.now()
-        if now - self._last_probe_s < PROBE_INTERVAL_S:
-            return False
-        self._last_probe_s = now
-        return True
-
-    def _record_result(self, result):
-        """Updates the reachability of the store from a result; returns it.
-
-        A single refusal may come from a rate limit, so that it does not count
-        as unreachable; a missing answer does.
-        """
-        match result:
-            case outcome.Unavailable():
-                self._consecutive_failures += 1
-            case outcome.Unknown():
-                self._consecutive_failures += FAILURES_UNTIL_UNREACHABLE
-            case _:
-                self._consecutive_failures = 0
-        is_reachable = self._consecutive_failures < FAILURES_UNTIL_UNREACHABLE
-        if is_reachable != self._is_reachable:
-            now = self._clock.now()
-            event = events.Events.STORE_BACK
-            if not is_reachable:
-                event = events.Events.STORE_LOST
-            log.emit(
-                event,
-                reason=getattr(result, "reason", ""),
-                after_s=round(now - self._state_since_s, 3),
-            )
-            self._state_since_s = self._last_probe_s = now
-        self._is_reachable = is_reachable
-        return result
-
     async def _relay(
         self, message: object
     ) -> messages.RelayedResult | outcome.Unavailable | outcome.Unknown:
@@ -193,11 +124,13 @@
 class Relay:
     """Performs relayed operations for peers that the store refuses.
 
+    While the store serves this process neither, they fail at once.
+
     Args:
         direct_table: The store as accessed by this process.
     """
 
-    def __init__(self, direct_table: store.Table):
+    def __init__(self, direct_table: circuitbreaker.CircuitBreakerTable):
         self._direct_table = direct_table
 
     async def answer(self, message: object) -> messages.RelayedResult:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,9 +1,12 @@
 import curio
+import pytest
 
 from pomelostair import httpclient
 from pomelostair import httpserver
 from pomelostair import metrics
 from pomelostair import outcome
+from pomelostair import pipelineleader
+from pomelostair import pipelinelease
 from pomelostair import store
 from pomelostair.platform import store as platform_store
 from pomelostair_standins import platform as platform_standin
@@ -56,6 +59,37 @@
             assert platform_store.join_key(row) == key
 
 
+class TestAdaptiveTimeout:
+    def make_timeout(self, *answers_s):
+        timeout = platform_store.AdaptiveTimeout(2.0)
+        for took_s in answers_s:
+            timeout.record_answer(took_s)
+        return timeout
+
+    def test_silent_store_is_noticed_before_the_lease_ends(self):
+        """Else each lost answer of the store would cost the lease."""
+        renewal_s = (
+            pipelineleader.RENEW_INTERVAL_S + pipelineleader.COMMIT_WINDOW_S
+        )
+        timeout_s = self.make_timeout(0.008).seconds
+        assert renewal_s + timeout_s < 0.8 * pipelinelease.LEASE_S
+
+    def test_slow_store_has_more_time(self):
+        slow = self.make_timeout(0.008, 0.4)
+        assert slow.seconds == pytest.approx(1.6)
+        for _ in range(20):
+            slow.record_answer(0.008)
+        assert slow.seconds == platform_store.MIN_TIMEOUT_S
+
+    def test_timeout_doubles_up_to_the_limit(self):
+        timeout = self.make_timeout()
+        expected_s = platform_store.MIN_TIMEOUT_S
+        for _ in range(3):
+            assert timeout.seconds == pytest.approx(min(expected_s, 2.0))
+            timeout.record_timeout()
+            expected_s *= 2
+
+
 class TestRowsTable:
     def test_committed_row_is_read_and_scanned(self):
         harness = StoreHarness()
--- a/tests/test_relaytable.py
+++ b/tests/test_relaytable.py
@@ -1,6 +1,7 @@
 import curio
 
 from pomelostair import bus as bus_module
+from pomelostair import circuitbreaker
 from pomelostair import clock as clock_module
 from pomelostair import metrics
 from pomelostair import outcome
@@ -30,7 +31,7 @@
         async def main():
             bus = self._bus("own")
             peer = self._bus("peer")
-            relay = relaytable.Relay(self.peer_table)
+            relay = relaytable.Relay(self._direct_table(self.peer_table))
 
             async def answer(message, envelope):
                 await peer.reply(envelope, await relay.answer(message))
@@ -45,15 +46,17 @@
             for one in (bus, peer):
                 await curio.spawn(one.run, daemon=True)
             table = relaytable.RelayTable(
-                self.own_table,
+                self._direct_table(self.own_table),
                 bus,
-                self.clock,
                 lambda: tuple(self.peer_addresses),
             )
             return await curio.timeout_after(20, body, table)
 
         return curio.run(main)
 
+    def _direct_table(self, table):
+        return circuitbreaker.CircuitBreakerTable(table, self.clock)
+
     def _bus(self, name):
         return bus_module.MemoryBus(
             name, f"memory:{name}", METRICS, self.network
@@ -119,23 +122,37 @@
 
         assert isinstance(harness.run(body), outcome.Unknown)
 
-    def test_unreachable_store_is_retried_after_the_probe_interval(self):
+    def test_silent_store_delays_no_operation_while_a_peer_serves(self):
+        """Guards against waiting for a store that answers only other hosts."""
+        harness = Harness()
+        harness.own_table.faults = [Fault.LOST_REQUEST]
+
+        async def body(table):
+            await table.commit(TRANSACTION)
+            harness.own_table.frozen = True
+            async with curio.timeout_after(1):
+                first = await table.commit(TRANSACTION)
+                harness.clock.advance(1.0)
+                return first, await table.read(KEY)
+
+        first, read = harness.run(body)
+        assert isinstance(first, outcome.Committed)
+        assert read.row.value == b"1"
+
+    def test_peer_without_the_store_answers_at_once(self):
         harness = Harness()
         harness.own_table.down = True
+        harness.peer_table.faults = [Fault.LOST_REQUEST]
 
         async def body(table):
-            await table.read(KEY)
-            assert table.is_reachable
-            await table.read(KEY)
-            assert not table.is_reachable
-            harness.own_table.down = False
-            await table.read(KEY)
-            assert not table.is_reachable
-            harness.clock.advance(relaytable.PROBE_INTERVAL_S + 0.1)
-            await table.read(KEY)
-            return table.is_reachable
-
-        assert harness.run(body)
+            first = await table.commit(TRANSACTION)
+            harness.peer_table.frozen = True
+            async with curio.timeout_after(1):
+                return first, await table.commit(TRANSACTION)
+
+        first, second = harness.run(body)
+        assert isinstance(first, outcome.Unknown)
+        assert isinstance(second, outcome.Unavailable)
 
     def test_refused_watch_is_relayed(self):
         harness = Harness()
