A submission outlasts a short outage of the store

Callers retry four times, so that several had used up their retries when the store was back within their time.

A write that was certainly not applied is repeated for a quarter of the caller's time, then refused with the time to return. The new test failed before.

--- a/pomelostair/pipelineapi.py
+++ b/pomelostair/pipelineapi.py
@@ -26,9 +26,12 @@
 from pomelostair import settings as settings_module
 from pomelostair import store
 
-# Pause before retrying a write that was certainly not applied.
-RETRY_S = 0.05
-MAX_WRITE_ATTEMPTS = 2
+# Pauses between the attempts of a write that was certainly not applied.
+RETRY_MIN_S = 0.05
+RETRY_MAX_S = 0.2
+# Share of the caller's timeout after which such a write is refused. Outages of
+# the store may be shorter, and the caller retries only a few times.
+HOLD_SHARE = 0.25
 # Pause before repeating a write whose outcome is unknown.
 UNKNOWN_RETRY_S = 0.1
 # Longest wait for the leader's answer before the status is read from the store.
@@ -108,9 +111,7 @@
         started_s = self._clock.now()
         key = pipelinerows.declaration_key(declaration.id)
         put = store.Put(key, pipeline.encode(declaration))
-        result = await self._insert(
-            put, started_s + timeout_s * (1 - ANSWER_TIME_SHARE)
-        )
+        result = await self._insert(put, started_s, timeout_s)
         took_s = self._clock.now() - started_s
         self._parts.metrics.record(
             "submission_seconds",
@@ -147,7 +148,6 @@
             timeout_s: Time that the caller waits for the answer.
         """
         started_s = self._clock.now()
-        deadline_s = started_s + timeout_s * (1 - ANSWER_TIME_SHARE)
         declaration = await self._table.read(
             pipelinerows.declaration_key(pipeline_id)
         )
@@ -159,7 +159,9 @@
                 self._record_refusal("cancel", pipeline_id, queue, refusal, 0.0)
                 return refusal
         key = pipelinerows.cancellation_key(pipeline_id)
-        result = await self._insert(store.Put(key, b"\x01"), deadline_s)
+        result = await self._insert(
+            store.Put(key, b"\x01"), started_s, timeout_s
+        )
         if isinstance(result, outcome.Refused):
             took_s = self._clock.now() - started_s
             self._record_refusal("cancel", pipeline_id, queue, result, took_s)
@@ -195,24 +197,28 @@
         return counts.get(queue.name, 0)
 
     async def _insert(
-        self, put: store.Put, deadline_s: float
+        self, put: store.Put, started_s: float, timeout_s: float
     ) -> outcome.Committed | outcome.Refused:
         """Writes a row, unless it exists.
 
-        Retries until the deadline. A write whose outcome is unknown is safe to
-        repeat, since it is conditional.
+        A write whose outcome is unknown is safe to repeat, since it is
+        conditional. It is repeated as long as the caller waits, one that was
+        certainly not applied only for a part of that time.
 
         Args:
             put: The row.
-            deadline_s: Clock reading at which retrying ends.
+            started_s: Clock reading at the start of the request.
+            timeout_s: Time that the caller waits for the answer.
 
         Returns:
             Committed with version 0 if the row already existed.
         """
         transaction = store.Transaction((store.Check(put.key, 0),), (put,))
+        deadline_s = started_s + timeout_s * (1 - ANSWER_TIME_SHARE)
+        refuse_s = started_s + timeout_s * HOLD_SHARE
         maybe_written = False
-        failed_attempts = 0
         reason = ""
+        pause_s = RETRY_MIN_S
         while self._clock.now() < deadline_s:
             result = await self._commit_before(transaction, deadline_s)
             match result:
@@ -223,13 +229,13 @@
                 case outcome.Unknown(reason=reason):
                     maybe_written = True
                 case outcome.Unavailable(reason=reason):
-                    failed_attempts += 1
                     if (
                         not maybe_written
-                        and failed_attempts >= MAX_WRITE_ATTEMPTS
+                        and self._clock.now() + pause_s > refuse_s
                     ):
                         return _store_unavailable(reason)
-            await curio.sleep(UNKNOWN_RETRY_S if maybe_written else RETRY_S)
+            await curio.sleep(UNKNOWN_RETRY_S if maybe_written else pause_s)
+            pause_s = min(2 * pause_s, RETRY_MAX_S)
         if maybe_written:
             return outcome.Refused(
                 outcome.Kind.ANSWER_LOST,
--- a/tests/test_pipelineapi.py
+++ b/tests/test_pipelineapi.py
@@ -115,6 +115,19 @@
         assert refused.ran is outcome.Ran.UNKNOWN
         assert isinstance(stored, store.Found)
 
+    def test_short_outage_of_the_store_refuses_no_caller(self):
+        """A caller that is refused at once may use up its few retries."""
+        harness = Harness()
+
+        async def body():
+            harness.table.down = True
+            task = await curio.spawn(harness.submit, 3.0)
+            await curio.sleep(0.3)
+            harness.table.down = False
+            return await task.join()
+
+        assert harness.run(body) == pipelineapi.Accepted()
+
     def test_unavailable_store_is_reported_before_the_deadline(self):
         harness = Harness()
 
