--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -107,6 +107,8 @@
         self._max_lease_s = max_lease_s
         self._queues = queues.QueueTable()
         self._workers: dict[fleet.WorkerKey, fleet.Worker] = {}
+        # Workers with ends that are applied but not acknowledged yet.
+        self._unacknowledged: set[fleet.WorkerKey] = set()
         self._ended_since_s: dict[fleet.WorkerKey, float] = {}
         # Last order number and last applied result of removed workers, which
         # continue from there if they are reported again.
@@ -151,17 +153,14 @@
     @property
     def has_uncommitted(self) -> bool:
         """Whether any state is not yet committed to the store."""
-        return self._registry.has_uncommitted or any(
-            w.applied_end > w.acknowledged_end for w in self._workers.values()
-        )
+        return self._registry.has_uncommitted or bool(self._unacknowledged)
 
     def next_batch(self) -> pipelineregistry.Batch:
         """Returns the changes that the next commit stores."""
         return self._registry.next_batch(
             {
-                key: worker.applied_end
-                for key, worker in self._workers.items()
-                if worker.applied_end > worker.acknowledged_end
+                key: self._workers[key].applied_end
+                for key in self._unacknowledged
             }
         )
 
@@ -183,6 +182,8 @@
             if worker is not None and number > worker.acknowledged_end:
                 worker.acknowledged_end = number
                 to_notify.append(worker)
+                if worker.applied_end <= number:
+                    self._unacknowledged.discard(key)
         return to_notify
 
     def forget(self, pipeline_id: str) -> None:
@@ -475,6 +476,7 @@
             if number <= worker.applied_end:
                 continue
             worker.applied_end = number
+            self._unacknowledged.add((worker.id, worker.incarnation))
             placement = self._attempts.get((task_id, attempt))
             if placement is not None and placement.worker is not worker:
                 placement = None
@@ -725,6 +727,7 @@
             self._ended_since_s[key] = now
             self._lapsed.discard(key)
         worker = self._workers.pop(key, None)
+        self._unacknowledged.discard(key)
         if worker is None:
             return
         self._last_numbers[key] = (
