The first list of a worker for a new leader is not delayed

The first hold call under its epoch waited up to 0.4 s for an end, as any other.

The test failed before.

--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -88,6 +88,7 @@
         unconfirmed_results: Results that the leader has not confirmed.
         last_result: Number of the last result.
         listing: Its latest answer to a `hold` call.
+        listed_epoch: Epoch of the leader under which that call was made.
         reachable: Whether it answered the last call.
         wake: Set to call `hold` again at once.
         schedule: Decides when it is reported.
@@ -106,6 +107,7 @@
     unconfirmed_results: list[messages.OrderResult] = attrs.field(factory=list)
     last_result: int = 0
     listing: ports.HoldAnswer | None = None
+    listed_epoch: int = 0
     reachable: bool = True
     wake: curio.Event = attrs.field(factory=curio.Event)
     schedule: reportschedule.ReportSchedule = attrs.field(
@@ -583,10 +585,16 @@
         )
 
     def _hold_wait_ms(self, worker: _Worker, acknowledged: int) -> int:
-        """Returns how long a `hold` call may wait for an end."""
+        """Returns how long a `hold` call may wait for an end.
+
+        A new leader starts no earlier work before it has every worker's list,
+        so its first one is not delayed.
+        """
         listing = worker.listing
-        if listing is None or any(
-            row[0] > acknowledged for row in listing.ended
+        if (
+            listing is None
+            or worker.listed_epoch != self._leader.epoch
+            or any(row[0] > acknowledged for row in listing.ended)
         ):
             return 0
         return min(int(worker.schedule.interval_s * 1000), MAX_HOLD_WAIT_MS)
@@ -635,6 +643,7 @@
                 worker=worker.heartbeat.worker,
             )
         worker.listing = listing
+        worker.listed_epoch = self._leader.epoch
         predecessors = self._predecessors.pop(worker.key, ())
         self._gone_since_s.update(
             dict.fromkeys(predecessors, self._clock.now())
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -29,8 +29,10 @@
         self.down = False
         self.lose_starts = False
         self.holds = []
+        self.waits_ms = []
 
     async def hold(self, fence, acknowledged, lease_end_ms, wait_ms):
+        self.waits_ms.append(wait_ms)
         await curio.sleep(wait_ms / 1000 / 10)
         if self.down:
             return ports.NoAnswer("down")
@@ -186,6 +188,27 @@
 
         harness.run(body)
 
+    def test_first_list_for_a_new_leader_is_not_delayed(self):
+        """A new leader starts no earlier work before it has every list."""
+        harness = Harness()
+        client = harness.port.client
+        successor = messages.LeaderInfo(2, "edge", "memory:edge")
+
+        async def body():
+            await harness.heartbeat()
+            await harness.instruct()
+            await harness.wait_until(
+                lambda: client.waits_ms[-3:] and all(client.waits_ms[-3:])
+            )
+            before = len(client.waits_ms)
+            hello = messages.LeaderHello(successor)
+            await harness.leader_bus.send("memory:agent", hello)
+            await harness.wait_until(lambda: len(client.waits_ms) > before + 2)
+            assert client.waits_ms[before] == 0
+            assert all(client.waits_ms[before + 1 :])
+
+        harness.run(body)
+
     def test_nothing_starts_without_a_grant(self):
         harness = Harness()
 
