A restarted agent calls the workers that its registration names

The leader was back at 35.16 s, the agents at 35.3 s, but each knew its worker only from the next heartbeat, the last at 36.22 s; until then nothing that was accepted before could start.

The registration of an agent now holds what its worker reported. An agent that starts reads it and calls the worker. One that neither answers with its incarnation nor sends a heartbeat is not reported, and dropped after 3 s.

The tests of TestRegisteredWorkers failed before.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -89,17 +89,31 @@
         worker: Id of the worker.
         life: Incarnation of the worker: Unix milliseconds of its start.
         address: HTTP address at which it accepts orders, empty if unknown.
+        service: Service that it belongs to, empty if unknown.
+        rack: Its rack.
+        labels: Its labels.
+        capacity: Its total resources.
     """
 
     worker: str
     life: int
     address: str = ""
+    service: str = ""
+    rack: str = ""
+    labels: tuple[str, ...] = ()
+    capacity: resources.Resources = resources.Resources()
 
     @property
     def key(self) -> WorkerKey:
         """Worker id and incarnation."""
         return self.worker, self.life
 
+    def with_details_of(self, known: "KnownIncarnation") -> "KnownIncarnation":
+        """Returns this incarnation, with what an earlier report said of it."""
+        if self.service:
+            return self
+        return attrs.evolve(known, address=self.address or known.address)
+
     def is_succeeded_by(self, other: "KnownIncarnation") -> bool:
         """Returns whether another incarnation proves that this one has ended.
 
@@ -134,6 +148,11 @@
             reported: Incarnations that the agent reports.
             complete: Whether it reports every incarnation on its host.
         """
+        earlier = {known.key: known for known in self.lives}
+        reported = tuple(
+            other.with_details_of(earlier.get(other.key, other))
+            for other in reported
+        )
         retained = [
             known
             for known in self.lives
--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -16,10 +16,12 @@
 from pomelostair import bus as bus_module
 from pomelostair import clock as clock_module
 from pomelostair import events
+from pomelostair import fleet
 from pomelostair import kernel
 from pomelostair import log
 from pomelostair import pipelinelease
 from pomelostair import pipelinemessages as messages
+from pomelostair import pipelinerows
 from pomelostair import ports
 from pomelostair import reportschedule
 from pomelostair import settings as settings_module
@@ -119,6 +121,11 @@
         """Worker id and incarnation."""
         return self.heartbeat.worker, self.heartbeat.incarnation
 
+    @property
+    def confirmed(self) -> bool:
+        """Whether it has sent a heartbeat or answered a `hold` call."""
+        return self.heartbeat.sequence >= 0 or self.listing is not None
+
     def take_orders(
         self, confirmed: int, orders: tuple[messages.Order, ...]
     ) -> list[messages.Order]:
@@ -181,7 +188,9 @@
 
     async def run(self) -> None:
         """Sends reports, or looks for a leader, until cancelled."""
+        await curio.spawn(self._adopt_registered_workers, daemon=True)
         while True:
+            self._drop_unconfirmed_workers()
             if self._clock.now() - self._leader_contact_s > LEADER_TIMEOUT_S:
                 await self._find_leader()
                 await curio.sleep(FIND_INTERVAL_S)
@@ -191,6 +200,41 @@
                     await self._report(())
                 await curio.sleep(RUN_POLL_S)
 
+    async def _adopt_registered_workers(self) -> None:
+        """Calls the workers that an earlier process of this agent reported.
+
+        Otherwise their work is unknown until their next heartbeats.
+        """
+        name = self._parts.settings.name
+        match await self._parts.table.read(
+            f"{pipelinerows.AGENTS_PREFIX}{name}"
+        ):
+            case store.Found(row=row):
+                pass
+            case _:
+                return
+        try:
+            registration = pipelinerows.decode_registration(row)
+        except msgspec.MsgspecError as error:
+            log.emit(events.Events.ROW_IGNORED, key=row.key, reason=str(error))
+            return
+        for known in registration.lives:
+            if known.service and not any(
+                known.worker == other.heartbeat.worker
+                or known.address == other.heartbeat.address
+                for other in self._workers.values()
+            ):
+                await self.update_worker(
+                    _registered_heartbeat(known, self._parts.settings.zone)
+                )
+
+    def _drop_unconfirmed_workers(self) -> None:
+        """Drops registered workers of which there is no sign in time."""
+        if self._clock.now() - self._started_s > DISCOVERY_S:
+            for key, worker in list(self._workers.items()):
+                if not worker.confirmed:
+                    del self._workers[key]
+
     async def update_worker(self, heartbeat: ports.WorkerHeartbeat) -> None:
         """Applies a heartbeat; one of an earlier incarnation is ignored."""
         key = (heartbeat.worker, heartbeat.incarnation)
@@ -726,7 +770,7 @@
             self._leader.epoch,
             self._sequence,
             now_s - self._started_s > DISCOVERY_S,
-            tuple(self._workers),
+            tuple(w.key for w in self._workers.values() if w.confirmed),
             tuple(
                 _worker_state(
                     worker, fresh, results, self._lease_has_lapsed(worker)
@@ -738,6 +782,7 @@
             {
                 w.heartbeat.worker: w.heartbeat.address
                 for w in self._workers.values()
+                if w.confirmed
             },
         )
         await self._parts.bus.post(self._leader.bus, report)
@@ -755,6 +800,26 @@
     return (epoch << _INCARNATION_BITS) | incarnation_bits
 
 
+def _registered_heartbeat(
+    known: fleet.KnownIncarnation, zone: str
+) -> ports.WorkerHeartbeat:
+    """Returns a heartbeat for a registered worker that any real one follows."""
+    return ports.WorkerHeartbeat(
+        worker=known.worker,
+        incarnation=known.life,
+        address=known.address,
+        service=known.service,
+        zone=zone,
+        rack=known.rack,
+        labels=known.labels,
+        capacity=known.capacity,
+        draining=False,
+        remaining_ms=0,
+        clock_ms=0,
+        sequence=-1,
+    )
+
+
 def _worker_state(
     worker: _Worker,
     fresh: bool,
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -278,13 +278,7 @@
             return []
         for state in message.workers:
             self._apply_lapse(state, now)
-        reported = tuple(
-            fleet.KnownIncarnation(
-                worker, incarnation, message.addresses.get(worker, "")
-            )
-            for worker, incarnation in message.lives
-            if (worker, incarnation) not in self._lapsed
-        )
+        reported = _known_incarnations(message, self._lapsed)
         self._registry.register_agent(
             message.agent, bus, reported, message.complete
         )
@@ -776,3 +770,30 @@
     def _may_start(self, item: pipeline.Pipeline) -> bool:
         """Returns whether no earlier leader can have running attempts of it."""
         return not self._unreported or item.version > self._lease_version
+
+
+def _known_incarnations(
+    message: messages.AgentReport, lapsed: set[fleet.WorkerKey]
+) -> tuple[fleet.KnownIncarnation, ...]:
+    """Returns the incarnations that a report names and that may have work."""
+    states = {(state.worker, state.life): state for state in message.workers}
+    reported = []
+    for key in message.lives:
+        if key in lapsed:
+            continue
+        address = message.addresses.get(key[0], "")
+        state = states.get(key)
+        if state is None:
+            reported.append(fleet.KnownIncarnation(*key, address))
+            continue
+        reported.append(
+            fleet.KnownIncarnation(
+                *key,
+                address,
+                state.service,
+                state.rack,
+                state.labels,
+                state.capacity,
+            )
+        )
+    return tuple(reported)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -93,3 +93,20 @@
             messages.Order(6, messages.STOP, "a.0.0.0", 1)
         ]
         assert worker.confirmed_order == 5
+
+
+class TestRegistration:
+    KNOWN = fleet.KnownIncarnation("w1", 1, "a:1", "s", "r1", ("a",))
+
+    def test_report_without_details_keeps_earlier_ones(self):
+        """Else the row would be written with each second report."""
+        registration = fleet.Registration("bus", (self.KNOWN,))
+        brief = fleet.KnownIncarnation("w1", 1, "a:1")
+        updated = registration.with_reported("bus", (brief,), True)
+        assert updated == registration
+
+    def test_details_follow_the_latest_report(self):
+        registration = fleet.Registration("bus", (self.KNOWN,))
+        changed = attrs.evolve(self.KNOWN, labels=("b",))
+        updated = registration.with_reported("bus", (changed,), True)
+        assert updated.lives == (changed,)
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -1,15 +1,18 @@
 import random
 
 import curio
+import msgspec
 import pytest
 
 from pomelostair import bus as bus_module
 from pomelostair import clock as clock_module
+from pomelostair import fleet
 from pomelostair import kernel
 from pomelostair import metrics
 from pomelostair import pipelineagent
 from pomelostair import pipelinelease
 from pomelostair import pipelinemessages as messages
+from pomelostair import pipelinerows
 from pomelostair import ports
 from pomelostair import queues
 from pomelostair import resources
@@ -491,6 +494,85 @@
         harness.run(body)
 
 
+class TestRegisteredWorkers:
+    """Workers that an earlier process of the agent had reported.
+
+    All processes were killed and started again, while the workers run on.
+    """
+
+    def restart(self, incarnation=7, **details):
+        known = fleet.KnownIncarnation(
+            "w1",
+            incarnation,
+            "127.0.0.1:2",
+            **{"service": "s", "rack": "r1", "labels": ("a",), **details},
+        )
+        registration = fleet.Registration("memory:agent", (known,))
+        harness = Harness()
+
+        async def register():
+            key = f"{pipelinerows.AGENTS_PREFIX}agent-w1"
+            put = store.Put(key, msgspec.msgpack.encode(registration))
+            await harness.parts.table.commit(store.Transaction(puts=(put,)))
+
+        curio.run(register)
+        return harness
+
+    def test_are_listed_before_their_next_heartbeat(self):
+        harness = self.restart()
+
+        async def body():
+            await harness.instruct()
+            await harness.wait_until(
+                lambda: any(r.workers for r in harness.reports)
+            )
+            report = next(r for r in harness.reports if r.workers)
+            assert report.lives == (("w1", 7),)
+            assert report.workers[0].service == "s"
+            assert report.workers[0].labels == ("a",)
+            assert report.workers[0].fresh
+            await harness.heartbeat(draining=True)
+            await harness.wait_until(
+                lambda: (
+                    harness.reports[-1].workers
+                    and harness.reports[-1].workers[0].draining
+                )
+            )
+
+        harness.run(body)
+
+    @pytest.mark.parametrize(
+        ("incarnation", "down"), [(6, False), (7, True)], ids=["other", "down"]
+    )
+    def test_are_not_reported_without_a_sign_of_life(self, incarnation, down):
+        harness = self.restart(incarnation)
+        harness.port.client.down = down
+
+        async def body():
+            await harness.instruct()
+            await harness.wait_until(lambda: len(harness.reports) > 2)
+            assert not any(r.lives or r.addresses for r in harness.reports)
+            harness.agent._started_s -= pipelineagent.DISCOVERY_S
+            await harness.wait_until(lambda: not harness.agent._workers)
+            assert not any(r.gone for r in harness.reports)
+
+        harness.run(body)
+
+    def test_are_not_called_after_a_heartbeat_of_a_successor(self):
+        harness = self.restart(incarnation=6)
+
+        async def body():
+            await harness.heartbeat()
+            await harness.instruct()
+            await harness.wait_until(lambda: harness.reports)
+            await curio.sleep(0.1)
+            assert [w.key for w in harness.agent._workers.values()] == [
+                ("w1", 7)
+            ]
+
+        harness.run(body)
+
+
 class TestUnexpectedErrors:
     """A worker's client raises what no caller expects."""
 
