A failure that a later answer has overtaken does not open the circuit

Operations in flight when the store falls silent fail up to 2 s later, possibly after it is back; each of them would have opened the circuit again for 0.3 s. Found by reading; the test failed before.

--- a/pomelostair/circuitbreaker.py
+++ b/pomelostair/circuitbreaker.py
@@ -35,6 +35,7 @@
         self._is_probing = False
         self._consecutive_failures = 0
         self._last_probe_s = 0.0
+        self._last_answer_s = 0.0
         self._state_since_s = clock.now()
         self._reason = ""
 
@@ -74,9 +75,9 @@
         return self._table.time()
 
     async def _perform(self, operation, *arguments):
-        if not self._is_open:
-            return self._record(await operation(*arguments))
         now_s = self._clock.now()
+        if not self._is_open:
+            return self._record(await operation(*arguments), now_s)
         if (
             not self._is_probing
             and now_s - self._last_probe_s >= PROBE_INTERVAL_S
@@ -87,13 +88,23 @@
         return outcome.Unavailable(self._reason)
 
     async def _probe(self) -> None:
+        started_s = self._clock.now()
         try:
-            self._record(await self._table.read(PROBE_KEY))
+            self._record(await self._table.read(PROBE_KEY), started_s)
         finally:
             self._is_probing = False
 
-    def _record(self, result):
-        """Opens or closes the circuit after a result; returns the result."""
+    def _record(self, result, started_s: float):
+        """Opens or closes the circuit after a result; returns the result.
+
+        Args:
+            result: Result of an operation.
+            started_s: Start of the operation. If the store has answered a later
+                one, a failure of this one is outdated.
+        """
+        failed = isinstance(result, outcome.Unavailable | outcome.Unknown)
+        if failed and started_s < self._last_answer_s:
+            return result
         match result:
             case outcome.Unavailable(reason=reason):
                 self._consecutive_failures += 1
@@ -104,6 +115,7 @@
             case _:
                 self._consecutive_failures = 0
                 self._reason = ""
+                self._last_answer_s = max(self._last_answer_s, started_s)
         is_open = self._consecutive_failures >= FAILURES_UNTIL_OPEN
         if is_open != self._is_open:
             now_s = self._clock.now()
--- a/tests/test_circuitbreaker.py
+++ b/tests/test_circuitbreaker.py
@@ -97,3 +97,24 @@
                     assert isinstance(refused, outcome.Unavailable)
 
         curio.run(body)
+
+    def test_outdated_failure_does_not_open_the_circuit(self, harness):
+        """Operations that were lost fail long after the store is back."""
+        harness.store.frozen = True
+
+        async def lost_commit(_transaction):
+            await harness.store.wait_while_frozen()
+            return outcome.Unknown("no answer")
+
+        harness.store.commit = lost_commit
+
+        async def body():
+            lost = await curio.spawn(harness.table.commit, TRANSACTION)
+            await curio.sleep(0.01)
+            harness.clock.advance(1.0)
+            await harness.table.scan("pipelines/1/")
+            harness.store.frozen = False
+            assert isinstance(await lost.join(), outcome.Unknown)
+            assert not harness.table.is_open
+
+        curio.run(body)
