Occurrences are counted, not collected

They are opened in order, so that a set of all opened ones is not needed; it grew with the number of occurrences of a pipeline that repeats for months.

--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -277,16 +277,19 @@
         self._tasks: dict[tuple[int, int], list[Task]] = {}
         self._unfinished_counts: dict[tuple[int, int], int] = {}
         self._done_occurrences = progress.done_occurrences
-        self._opened: set[int] = set(range(self._done_occurrences))
+        # Occurrences are opened in order.
+        self._next_occurrence = self._done_occurrences
         self._ready: dict[str, Task] = {}
         self._started = progress.phase is not Phase.QUEUED
         self._stored_progress = progress
-        if not declaration.timed:
-            for occurrence in range(max(1, declaration.occurrences)):
-                self.open_occurrence(occurrence, now)
-        else:
-            for name in progress.done:
-                self.open_occurrence(int(name.partition(".")[0]), now)
+        opened_count = max(1, declaration.occurrences)
+        if declaration.timed:
+            opened_count = 1 + max(
+                (int(name.partition(".")[0]) for name in progress.done),
+                default=self._done_occurrences - 1,
+            )
+        while self._next_occurrence < opened_count:
+            self._open_next_occurrence(now)
 
     @property
     def id(self) -> str:
@@ -354,10 +357,9 @@
         """Returns when the next unopened occurrence is due, None if none is."""
         if self.ended or not self._declaration.timed:
             return None
-        number = len(self._opened)
-        if number >= self._declaration.occurrences:
+        if self._next_occurrence >= self._declaration.occurrences:
             return None
-        return self._declaration.due_ms(number)
+        return self._declaration.due_ms(self._next_occurrence)
 
     def open_due(self, unix_ms: float, now: float) -> bool:
         """Opens the occurrences that are due.
@@ -378,41 +380,11 @@
             and unix_ms >= due_ms
             and sum(map(len, self._tasks.values())) < MAX_TASKS
         ):
-            self.open_occurrence(len(self._opened), now)
+            self._open_next_occurrence(now)
             opened = True
             due_ms = self.next_due_ms()
         return opened
 
-    def open_occurrence(self, occurrence: int, now: float) -> None:
-        """Creates the tasks of an occurrence, with their stored progress."""
-        if occurrence in self._opened:
-            return
-        self._opened.add(occurrence)
-        for number, stage in enumerate(self._declaration.stages):
-            bits = int.from_bytes(
-                self._stored_progress.done.get(f"{occurrence}.{number}", b""),
-                "little",
-            )
-            tasks = []
-            for index in range(stage.count):
-                task = Task(self, occurrence, number, index)
-                task.failed_attempts = set(
-                    self._stored_progress.failed.get(task.key, ())
-                )
-                task.last_attempt = max(task.failed_attempts, default=0)
-                task.checkpoint = self._stored_progress.checkpoints.get(
-                    task.key, ""
-                )
-                if bits >> index & 1:
-                    task.phase = TaskPhase.DONE
-                tasks.append(task)
-            self._tasks[occurrence, number] = tasks
-            self._unfinished_counts[occurrence, number] = sum(
-                task.phase is not TaskPhase.DONE for task in tasks
-            )
-        for number in range(len(self._declaration.stages)):
-            self._unblock(occurrence, number, now)
-
     def task(self, key: str) -> Task | None:
         """Returns the task with a key, or None if it is unknown."""
         try:
@@ -540,6 +512,35 @@
             self._done_occurrences,
         )
 
+    def _open_next_occurrence(self, now: float) -> None:
+        """Creates the tasks of an occurrence, with their stored progress."""
+        occurrence = self._next_occurrence
+        self._next_occurrence += 1
+        for number, stage in enumerate(self._declaration.stages):
+            bits = int.from_bytes(
+                self._stored_progress.done.get(f"{occurrence}.{number}", b""),
+                "little",
+            )
+            tasks = []
+            for index in range(stage.count):
+                task = Task(self, occurrence, number, index)
+                task.failed_attempts = set(
+                    self._stored_progress.failed.get(task.key, ())
+                )
+                task.last_attempt = max(task.failed_attempts, default=0)
+                task.checkpoint = self._stored_progress.checkpoints.get(
+                    task.key, ""
+                )
+                if bits >> index & 1:
+                    task.phase = TaskPhase.DONE
+                tasks.append(task)
+            self._tasks[occurrence, number] = tasks
+            self._unfinished_counts[occurrence, number] = sum(
+                task.phase is not TaskPhase.DONE for task in tasks
+            )
+        for number in range(len(self._declaration.stages)):
+            self._unblock(occurrence, number, now)
+
     def _unblock(self, occurrence: int, number: int, now: float) -> None:
         stage = self._declaration.stages[number]
         if self.ended or any(
@@ -561,7 +562,7 @@
         """
         stages = range(len(self._declaration.stages))
         while self._declaration.timed and (
-            self._done_occurrences in self._opened
+            self._done_occurrences < self._next_occurrence
             and not any(
                 self._unfinished_counts[self._done_occurrences, number]
                 for number in stages
@@ -573,7 +574,7 @@
             self._done_occurrences += 1
 
     def _complete_if_done(self, unix_ms: int) -> None:
-        all_opened = len(self._opened) >= self._declaration.occurrences
+        all_opened = self._next_occurrence >= self._declaration.occurrences
         if (
             all_opened
             and not self.ended
