Scans of the store keep the longest timeout

The timeout that follows the answer times, at least 0.8 s, was used for scans, too. A page holds up to 1 MB, which takes as long over a link of 10 Mbit/s, so that the recovery of a leader on such a host might never have ended. Found by reading the change; the test failed before.

--- a/pomelostair/platform/store.py
+++ b/pomelostair/platform/store.py
@@ -191,6 +191,7 @@
         self._client = client
         self._watch_client = watch_client
         self._metrics = metrics
+        self._max_timeout_s = timeout_s
         self._read_timeout = AdaptiveTimeout(timeout_s)
         self._commit_timeout = AdaptiveTimeout(timeout_s)
         self._clock = _StoreClock()
@@ -199,9 +200,17 @@
         """Reads one row."""
         table, part, name = split_key(key)
         query = {"table": table, "part": part, "from": name, "limit": 1}
-        body = await self._fetch_rows("read", "/rows-get", query, self._client)
+        sent_s = _boottime_s()
+        body = await self._fetch_rows(
+            "read",
+            "/rows-get",
+            query,
+            self._client,
+            self._read_timeout.seconds,
+        )
         if not isinstance(body, RowsBody):
             return _as_unavailable(body)
+        self._read_timeout.record_answer(_boottime_s() - sent_s)
         if not body.rows or body.rows[0].key != name:
             return store.Absent()
         row = _decode_row(body.rows[0])
@@ -210,7 +219,10 @@
     async def scan(
         self, prefix: str, after: str = "", limit: int = MAX_PAGE_ROWS
     ) -> store.ScanResult:
-        """Reads rows in key order; the prefix names one table and part."""
+        """Reads rows in key order; the prefix names one table and part.
+
+        A page may take long on a slow link, so its timeout is the longest.
+        """
         table, part, first = split_key(prefix)
         start = split_key(after)[2] + "\x00" if after else first
         query = {
@@ -220,7 +232,9 @@
             "to": first + _PREFIX_END,
             "limit": min(limit, MAX_PAGE_ROWS),
         }
-        body = await self._fetch_rows("scan", "/rows-get", query, self._client)
+        body = await self._fetch_rows(
+            "scan", "/rows-get", query, self._client, self._max_timeout_s
+        )
         if not isinstance(body, RowsBody):
             return _as_unavailable(body)
         rows = tuple(r for r in map(_decode_row, body.rows) if r is not None)
@@ -297,19 +311,14 @@
         path: str,
         query: dict[str, object],
         client: httpclient.Client,
-        timeout_s: float | None = None,
+        timeout_s: float,
     ) -> RowsBody | store.HistoryGone | outcome.Unavailable:
         target = f"{path}?{parse.urlencode(query)}"
         sent_s = _boottime_s()
-        is_watch = timeout_s is not None
-        if timeout_s is None:
-            timeout_s = self._read_timeout.seconds
         response = await _get(client, target, timeout_s)
         self._count_operation(operation, response)
         if isinstance(response, outcome.Unavailable):
             return response
-        if not is_watch:
-            self._read_timeout.record_answer(_boottime_s() - sent_s)
         if response.status == 410:
             return store.HistoryGone()
         if response.status != 200:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -91,6 +91,22 @@
 
 
 class TestRowsTable:
+    def test_page_may_take_longer_than_a_row(self):
+        """Guards a recovery over a slow link, which reads many rows at once."""
+        harness = StoreHarness()
+
+        async def body():
+            slow_ms = 1000 * (platform_store.MIN_TIMEOUT_S + 0.3)
+            await harness.set_faults(slow_ms=slow_ms)
+            return (
+                await harness.table.scan("progress/cell/"),
+                await harness.table.read(KEY),
+            )
+
+        page, row = harness.run(body)
+        assert isinstance(page, store.Page)
+        assert isinstance(row, outcome.Unavailable)
+
     def test_committed_row_is_read_and_scanned(self):
         harness = StoreHarness()
 
