A refused start does not restart the wait of its task

A late pipeline that is idle starts one task after 2 s. An attempt that never ran started this time anew, so that one refused start made it over 4 s.

--- a/pomelostair/attempts.py
+++ b/pomelostair/attempts.py
@@ -42,9 +42,14 @@
         placement.worker.add(placement)
 
     def remove(self, placement: fleet.Placement, now: float) -> None:
-        """Removes an attempt that has certainly ended; releases its task."""
+        """Removes an attempt that has certainly ended; releases its task.
+
+        An attempt that never ran does not interrupt the wait of its task, which
+        thus gets a start in time however often a start is refused.
+        """
+        task = placement.task
         self.detach(placement)
-        self.release(placement.task, now)
+        self.release(task, now if placement.reported else task.ready_since_s)
 
     def detach(self, placement: fleet.Placement) -> None:
         """Removes an attempt without changing the phase of its task."""
@@ -61,8 +66,13 @@
         else:
             self._by_task.pop(task.id, None)
 
-    def release(self, task: pipeline.Task, now: float) -> None:
-        """Makes a task ready again unless another attempt may be running."""
+    def release(self, task: pipeline.Task, since_s: float) -> None:
+        """Makes a task ready again unless another attempt may be running.
+
+        Args:
+            task: The task.
+            since_s: Monotonic time since which it waits.
+        """
         if (
             task.id in self._by_task
             or task.pipeline.ended
@@ -70,11 +80,11 @@
         ):
             return
         if task.stage.gang:
-            self._release_gang(task, now)
+            self._release_gang(task, since_s)
         else:
-            task.pipeline.release(task, now)
+            task.pipeline.release(task, since_s)
 
-    def _release_gang(self, task: pipeline.Task, now: float) -> None:
+    def _release_gang(self, task: pipeline.Task, since_s: float) -> None:
         """Stops the other members of a gang; once none runs, makes all ready.
 
         The members resume from a common checkpoint.
@@ -88,7 +98,7 @@
         checkpoint = next((m.checkpoint for m in members if m.checkpoint), "")
         for member in members:
             member.checkpoint = checkpoint
-            task.pipeline.release(member, now)
+            task.pipeline.release(member, since_s)
 
     def stop(self, placement: fleet.Placement, reason: str) -> None:
         """Orders the stop of an attempt, unless it is already stopping."""
--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -419,11 +419,16 @@
         if self._phase is Phase.QUEUED:
             self._phase = Phase.RUNNING
 
-    def release(self, task: Task, now: float) -> None:
-        """Makes a placed task ready again after its last attempt ended."""
+    def release(self, task: Task, since_s: float) -> None:
+        """Makes a placed task ready again after its last attempt ended.
+
+        Args:
+            task: The task.
+            since_s: Monotonic time since which it waits.
+        """
         if task.phase is TaskPhase.PLACED:
             task.phase = TaskPhase.READY
-            task.ready_since_s = now
+            task.ready_since_s = since_s
             if not self.ended:
                 self._ready[task.id] = task
 
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -152,7 +152,7 @@
 
     Attributes:
         address: HTTP address of both.
-        timeout_ms: Timeout of one operation.
+        timeout_ms: Longest timeout of one operation.
     """
 
     address: str = _endpoint_field()
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -1,5 +1,7 @@
 """Starts of ready tasks, and moves of fillers that services slow down."""
 
+import pytest
+
 from pomelostair import attempts
 from pomelostair import fleet
 from pomelostair import metrics
@@ -208,6 +210,29 @@
         assert waiting.started
         assert len(waiting.ready) == 2
 
+    @pytest.mark.parametrize("ran", [False, True])
+    def test_refused_start_does_not_restart_the_wait(self, ran):
+        """Else a task whose starts are refused would stay idle for too long."""
+        cluster = TwoWorkers()
+        for worker in (cluster.busy, cluster.empty):
+            pipelines.place(worker, FILLER)
+        waiting = pipeline.Pipeline(
+            pipelines.declare(
+                "waiting", pipelines.stage(millicores=2000, filler=True)
+            ),
+            1,
+            pipeline.Progress(),
+            0.0,
+            30.0,
+        )
+        now = pipelinestarts.MAX_IDLE_S + 0.1
+        cluster.start_ready(waiting, now=now)
+        (placement,) = cluster.attempts.of_task(waiting.tasks(0, 0)[0])
+        placement.reported = ran
+        cluster.attempts.remove(placement, now + 0.3)
+        cluster.start_ready(waiting, now=now + 0.5)
+        assert bool(waiting.ready) is ran
+
     def test_it_waits_longer_while_counted_work_uses_most_capacity(self):
         for waited_s, started in (
             (pipelinestarts.MAX_IDLE_S + 0.1, False),
