--- a/pomelostair/circuitbreaker.py
+++ b/pomelostair/circuitbreaker.py
@@ -14,6 +14,7 @@
 
 # While the circuit is open, one read per interval probes the store.
 PROBE_INTERVAL_S = 0.3
+# No such row exists; any answer shows that the store serves this process.
 PROBE_KEY = "lease/cell/probe"
 # Consecutive refusals after which the circuit opens. A single one may come from
 # a rate limit; a missing answer opens it at once.
--- a/pomelostair/pipelinemessages.py
+++ b/pomelostair/pipelinemessages.py
@@ -170,7 +170,8 @@
         sequence: Number of the report; increases within an agent process.
         complete: Whether every worker on the host has had time to send the
             agent a heartbeat.
-        lives: Id and incarnation of each known worker on the host.
+        lives: Id and incarnation of each worker on the host that has sent a
+            heartbeat to the agent or answered it.
         workers: States of those workers that changed.
         gone: Id and incarnation of each worker that has ended and certainly
             runs nothing any more.
--- a/pomelostair/pipelinerows.py
+++ b/pomelostair/pipelinerows.py
@@ -25,7 +25,8 @@
 # The store limits a row to 64 KiB.
 MAX_ROW_BYTES = 48_000
 MAX_LEARNED_PAIRS = 800
-# Checkpoints in a row of progress at first; half as many while it is too large.
+# Most checkpoints in a row of progress that is too large with all of them;
+# halved until the row fits.
 MAX_CHECKPOINTS = 1000
 _DECLARATIONS = "job/"
 _CANCELLATIONS = "cancel/"
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -116,8 +116,8 @@
         self._report_sequences: dict[str, _ReportSequence] = {}
         # Incarnations whose agents report that their leases have lapsed.
         self._lapsed: set[fleet.WorkerKey] = set()
-        # Incarnations of agents that may run work of earlier terms, none if
-        # they are unknown.
+        # By agent, the incarnations of its workers that may run work of earlier
+        # terms; empty if its registration is malformed.
         self._unreported: dict[str, tuple[fleet.KnownIncarnation, ...]] = {}
         self._earlier_leases_end_s = 0.0
         self._pacer = pacing.Pacer(metrics)
