--- a/pomelostair/explain.py
+++ b/pomelostair/explain.py
@@ -41,6 +41,7 @@
     _Events.PIPELINE_WORKER_GONE,
     _Events.PIPELINE_WORKER_SUSPECT,
     _Events.PIPELINE_FITS_NOWHERE,
+    _Events.TASK_WAITS,
     _Events.ADVICE_FAILED,
     _Events.STORE_LOST,
     _Events.STORE_BACK,
@@ -275,9 +276,9 @@
     lines: list[LogLine], request_lines: tuple[LogLine, ...]
 ) -> list[str]:
     causes = []
-    for previous, current in zip(
-        request_lines, request_lines[1:], strict=False
-    ):
+    # A reported wait is a cause of the gap in which it falls.
+    steps = [o for o in request_lines if o.event is not _Events.TASK_WAITS]
+    for previous, current in zip(steps, steps[1:], strict=False):
         gap_s = current.at_s - previous.at_s
         if gap_s < MIN_GAP_S or current.event not in _GAP_DESCRIPTIONS:
             continue
@@ -311,7 +312,10 @@
 def _may_explain(line: LogLine, gap_end: LogLine) -> bool:
     """Returns whether a context event may explain a gap.
 
-    An event of a worker explains only gaps that end on the same worker.
+    An event of a worker explains only gaps that end on the same worker, and
+    a reported wait only those of its task.
     """
+    if line.event is _Events.TASK_WAITS:
+        return line.fields.get("task") == gap_end.fields.get("task")
     worker = line.fields.get("worker")
     return worker is None or worker == gap_end.fields.get("worker")
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -24,6 +24,7 @@
 from pomelostair import pipelinepacking
 from pomelostair import pipelineregistry
 from pomelostair import pipelinestarts
+from pomelostair import pipelinewaits
 from pomelostair import queues
 
 # Pipelines that must fail on a worker, with no success in between, before the
@@ -134,6 +135,9 @@
         self._monitor = pipelinemonitor.WorkerMonitor(
             self._workers, self._attempts, self._pacer, metrics
         )
+        self._wait_monitor = pipelinewaits.WaitMonitor(
+            self._workers, self._attempts, self._pacer, metrics
+        )
 
     @property
     def registry(self) -> pipelineregistry.PipelineRegistry:
@@ -316,6 +320,13 @@
             slowed,
             now,
         )
+        self._wait_monitor.check(
+            self._registry.open.values(),
+            lambda task: self._may_start(task.pipeline),
+            self._queues,
+            self.unreported_agents,
+            now,
+        )
 
     def orders_to_send(
         self, worker: fleet.Worker, now: float
--- /dev/null
+++ b/pomelostair/pipelinewaits.py
@@ -0,0 +1,176 @@
+"""Reports ready tasks that are not started for long, and why."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import enum
+
+from pomelostair import attempts as attempts_module
+from pomelostair import events
+from pomelostair import fleet
+from pomelostair import log
+from pomelostair import metrics as metrics_module
+from pomelostair import pacing
+from pomelostair import pipeline
+from pomelostair import pipelineplacement as placement_module
+from pomelostair import queues
+
+# Wait after which a task is reported.
+REPORT_AFTER_S = 2.0
+CHECK_INTERVAL_S = 1.0
+# Most tasks that are reported after one check.
+MAX_REPORTED = 20
+
+
+class Reason(enum.Enum):
+    """Why a ready task is not started.
+
+    Attributes:
+        EARLIER_LEADER: An earlier leader may have started it.
+        NO_QUEUE: Its queue is not configured.
+        NO_WORKER: No worker of its service accepts attempts.
+        NO_ROOM: No worker has room for it.
+        CONSTRAINTS: No worker with room has its label, or its spread limit is
+            reached on them.
+        UNPROVEN: It failed before, and the workers with room have no recent
+            success.
+        PACE: It is a filler, and would run too slowly wherever it fits.
+        DELAY: It is tried again after a delay.
+    """
+
+    EARLIER_LEADER = "earlier-leader"
+    NO_QUEUE = "no-queue"
+    NO_WORKER = "no-worker"
+    NO_ROOM = "no-room"
+    CONSTRAINTS = "constraints"
+    UNPROVEN = "unproven"
+    PACE = "pace"
+    DELAY = "delay"
+
+
+# Usual on a full fleet, so that only tasks that last are reported for them.
+_USUAL_REASONS = frozenset({Reason.NO_ROOM, Reason.CONSTRAINTS, Reason.PACE})
+
+
+def reason_for(
+    task: pipeline.Task,
+    workers: list[fleet.Worker],
+    pacer: pacing.Pacer,
+    now: float,
+) -> Reason:
+    """Returns why a task that may start is not started.
+
+    Args:
+        task: A task that is ready.
+        workers: Workers of its service that accept new attempts.
+        pacer: Predicts the pace of fillers.
+        now: Monotonic seconds.
+    """
+    if not workers:
+        return Reason.NO_WORKER
+    if task.not_before_s > now:
+        return Reason.DELAY
+    fitting = [w for w in workers if placement_module.fits(task, w, now)]
+    if not fitting:
+        return Reason.NO_ROOM
+    if not any(
+        placement_module.meets_constraints(task, w, now) for w in fitting
+    ):
+        return Reason.CONSTRAINTS
+    if task.avoided_workers and (
+        placement_module.choose(task, workers, pacer, now, 0.0) is None
+    ):
+        return Reason.UNPROVEN
+    return Reason.PACE if task.stage.filler else Reason.DELAY
+
+
+class WaitMonitor:
+    """Reports long waits, once each, during one term of a leader.
+
+    Args:
+        workers: All workers by id and incarnation; the scheduler changes them.
+        attempts: Attempts that may be running.
+        pacer: Predicts the pace of fillers.
+        metrics: Registry that counts the reported waits.
+    """
+
+    def __init__(
+        self,
+        workers: dict[fleet.WorkerKey, fleet.Worker],
+        attempts: attempts_module.Attempts,
+        pacer: pacing.Pacer,
+        metrics: metrics_module.Metrics,
+    ):
+        self._workers = workers
+        self._attempts = attempts
+        self._pacer = pacer
+        self._metrics = metrics
+        self._next_check_s = 0.0
+        self._reported: dict[str, float] = {}
+
+    def check(
+        self,
+        items: Iterable[pipeline.Pipeline],
+        may_start: Callable[[pipeline.Task], bool],
+        table: queues.QueueTable,
+        unreported_agents: tuple[str, ...],
+        now: float,
+    ) -> None:
+        """Reports the waits that have become long since the last check.
+
+        Args:
+            items: Pipelines that have not ended.
+            may_start: Returns whether no earlier leader can have started a
+                task.
+            table: Current configuration of the queues.
+            unreported_agents: Agents that may run work of earlier leaders.
+            now: Monotonic seconds.
+        """
+        if now < self._next_check_s:
+            return
+        self._next_check_s = now + CHECK_INTERVAL_S
+        waiting = [
+            task
+            for item in items
+            if item.ready and (item.declaration.lasting or item.idle)
+            for task in item.ready.values()
+            if now - task.ready_since_s >= REPORT_AFTER_S
+            and not self._attempts.has_attempts(task)
+        ]
+        self._reported = {
+            task.id: self._reported[task.id]
+            for task in waiting
+            if self._reported.get(task.id) == task.ready_since_s
+        }
+        schedulable: dict[str, list[fleet.Worker]] = {}
+        for worker in self._workers.values() if waiting else ():
+            if worker.is_schedulable(now):
+                schedulable.setdefault(worker.state.service, []).append(worker)
+        left = MAX_REPORTED
+        for task in waiting:
+            if not left:
+                return
+            if task.id in self._reported:
+                continue
+            queue = table.by_name(task.pipeline.declaration.queue)
+            if queue is None:
+                reason = Reason.NO_QUEUE
+            elif not may_start(task):
+                reason = Reason.EARLIER_LEADER
+            else:
+                reason = reason_for(
+                    task, schedulable.get(queue.service, []), self._pacer, now
+                )
+            left -= 1
+            self._reported[task.id] = task.ready_since_s
+            if reason in _USUAL_REASONS and not task.stage.lasting:
+                continue
+            self._metrics.count("long_waits", reason=reason.value)
+            log.emit(
+                events.Events.TASK_WAITS,
+                task=task.id,
+                reason=reason.value,
+                waited_ms=int((now - task.ready_since_s) * 1000),
+                avoids=len(task.avoided_workers),
+                workers=sum(map(len, schedulable.values())),
+                unreported=list(unreported_agents),
+            )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -139,6 +139,20 @@
         assert "a.0.0.0 waited for a start for 4.5 s" in cause
         assert "edge: cell lease lost (epoch=3)" in cause
 
+    def test_reason_of_a_reported_wait_is_named(self, record_log):
+        fleet = simfleet.Fleet(names=("w1", "w2"))
+        recorder = record_log("edge", lambda: fleet.now)
+        fleet.run_for(1)
+        fleet.submit("a", pipelines.stage(estimate_ms=30_000))
+        fleet.run_for(0.2)
+        ((_, worker),) = fleet.running()
+        fleet.hosts[worker].partitioned = True
+        fleet.start_leader()
+        fleet.run_for(simfleet.LEASE_S + 1)
+        found = causes(recorder, "a")
+        (waited,) = [cause for cause in found if "waited for a start" in cause]
+        assert "reason=earlier-leader" in waited
+
 
 class TestRestartedTask:
     def test_lost_worker_is_named(self, record_log):
