A task that failed once does not wait for successes elsewhere to be outdated

What callers saw: LOST. A ready task with room for it stood still for up to 10 s. Cause: after a failure, a stall or a refusal, placement.choose accepted only workers with a success in the last 10 s while there was any in the service, also if those were full. Class: a preference that was applied as a requirement, without a bound. Fix: the preference holds for 2 s, as the platform allows 3 s of idleness, and not for lasting tasks, whose failures are not limited. Then workers without a failure since their last success come first. Evidence: test_failed_task_is_not_idle_while_a_sound_worker_has_room and test_lasting_task_waits_for_no_success_elsewhere fail on the code before (None instead of the idle worker). test_failed_task_goes_only_to_worker_with_recent_success demanded an unbounded wait; its replacement demands the wait within the bound, and the new tests demand its end.

--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -47,6 +47,9 @@
 FREE_CAPACITY_PENALTY = 0.05
 # Time for which a success shows that a worker is healthy.
 RECENT_SUCCESS_S = 10.0
+# Longest time for which a task that has room is not started. By the platform's
+# rules, no accepted pipeline may be idle for 3 s.
+MAX_IDLE_S = 2.0
 
 
 def has_recent_success(worker: fleet.Worker, now: float) -> bool:
@@ -197,9 +200,8 @@
     """Returns the best worker for a task, None if none has room.
 
     A task that moves goes to the worker that has reserved room for it. A task
-    that has failed prefers workers on which it has not failed. If any worker
-    had a recent success, it starts only on such workers, and not where it
-    failed, since further failures fail the pipeline.
+    that has failed prefers workers with a recent success on which it has not
+    failed, and waits up to `MAX_IDLE_S` for one of them.
 
     Args:
         task: A task that is ready.
@@ -220,16 +222,7 @@
         and meets_constraints(task, worker, now)
     ]
     if task.avoided_workers:
-        untried = [w for w in candidates if w.id not in task.avoided_workers]
-        recently_successful = [w for w in untried if has_recent_success(w, now)]
-        any_recently_successful = any(
-            has_recent_success(w, now) for w in workers
-        )
-        candidates = (
-            recently_successful
-            if any_recently_successful
-            else untried or candidates
-        )
+        candidates = _preferred_for_retry(task, candidates, workers, now)
     candidates = [
         w for w in candidates if w.has_reservation_for(task, now)
     ] or candidates
@@ -241,6 +234,32 @@
     return best
 
 
+def _preferred_for_retry(
+    task: pipeline.Task,
+    candidates: list[fleet.Worker],
+    workers: list[fleet.Worker],
+    now: float,
+) -> list[fleet.Worker]:
+    """Returns the best candidates for a task that has avoided workers.
+
+    Args:
+        task: The task.
+        candidates: Workers on which it fits.
+        workers: Workers of its service that accept new attempts.
+        now: Monotonic seconds.
+    """
+    untried = [w for w in candidates if w.id not in task.avoided_workers]
+    proven = [w for w in untried if has_recent_success(w, now)]
+    # Further failures fail the pipeline, unless the task is a lasting one.
+    may_wait = not task.stage.lasting and now - task.ready_since_s < MAX_IDLE_S
+    if proven or (
+        may_wait and any(has_recent_success(w, now) for w in workers)
+    ):
+        return proven
+    not_failing = [w for w in untried if w.last_failure_s <= w.last_success_s]
+    return not_failing or untried or candidates
+
+
 def _score_if_paced(
     task: pipeline.Task,
     worker: fleet.Worker,
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -29,11 +29,9 @@
 # Most ready tasks that one round considers.
 MAX_CONSIDERED_TASKS = 600
 # Time after which an idle pipeline that misses its objective starts one filler
-# without unused processor time, while counted work uses less than
-# BUSY_SHARE of the capacity and while it uses more. By the platform's rules, no
-# accepted pipeline may be idle for 3 s in the first case. In the second, each
-# such start slows fillers that could still be in time.
-MAX_IDLE_S = 2.0
+# without unused processor time while counted work uses at least BUSY_SHARE of
+# the capacity; while it uses less, the time is `pipelineplacement.MAX_IDLE_S`.
+# Each such start slows fillers that could still be in time.
 MAX_BUSY_IDLE_S = pacing.MAX_START_DELAY_S
 BUSY_SHARE = 0.5
 # Most such starts of one round.
@@ -460,7 +458,9 @@
     """Returns how long a late pipeline may be idle on the given workers."""
     used = sum(worker.used.millicores for worker in workers)
     capacity = sum(worker.state.capacity.millicores for worker in workers)
-    return MAX_IDLE_S if used < BUSY_SHARE * capacity else MAX_BUSY_IDLE_S
+    if used < BUSY_SHARE * capacity:
+        return placement_module.MAX_IDLE_S
+    return MAX_BUSY_IDLE_S
 
 
 def _by_rack(workers: Iterable[fleet.Worker]) -> list[list[fleet.Worker]]:
--- a/tests/test_pipelineplacement.py
+++ b/tests/test_pipelineplacement.py
@@ -10,6 +10,8 @@
 from tests import pipelines
 
 METRICS = metrics.Metrics()
+# By the platform's rules, no task with room is idle for this long.
+PLATFORM_IDLE_S = 3.0
 
 
 def task_of(stage):
@@ -141,17 +143,39 @@
         task = task_of(pipelines.stage(rack="r1"))
         assert choose(task, [near, far]) is near
 
-    def test_failed_task_goes_only_to_worker_with_recent_success(self):
-        new = pipelines.worker("new")
-        proven = pipelines.worker("proven", last_success_s=5.0)
-        failing = pipelines.worker(
-            "failing", last_success_s=4.0, last_failure_s=5.0
-        )
+    def test_failed_task_goes_to_worker_with_recent_success(self):
+        new, proven, failing = workers = workers_to_retry_on()
+        task = task_of(pipelines.stage())
+        task.avoided_workers.add("other")
+        task.ready_since_s = 6.0
+        assert choose(task, workers, now=6.0) is proven
+        pipelines.place(proven, pipelines.stage(millicores=32_000))
+        assert choose(task, workers, now=6.0) is None
+        assert choose(task, workers, now=7.0) is None
+
+    def test_failed_task_is_not_idle_while_a_sound_worker_has_room(self):
+        """Guards against a LOST task that waits for successes to be outdated.
+
+        The workers with a recent success are full, and another one has room.
+        """
+        new, proven, failing = workers = workers_to_retry_on()
+        pipelines.place(proven, pipelines.stage(millicores=32_000))
         task = task_of(pipelines.stage())
         task.avoided_workers.add("other")
-        assert choose(task, [new, proven, failing], now=6.0) is proven
+        task.ready_since_s = 6.0
+        now = 6.0 + PLATFORM_IDLE_S
+        assert choose(task, workers, now=now) is new
+        pipelines.place(new, pipelines.stage(millicores=32_000))
+        assert choose(task, workers, now=now) is failing
+
+    def test_lasting_task_waits_for_no_success_elsewhere(self):
+        """Guards against a LOST service: its failures are not limited."""
+        new, proven, failing = workers = workers_to_retry_on()
         pipelines.place(proven, pipelines.stage(millicores=32_000))
-        assert choose(task, [new, proven, failing], now=6.0) is None
+        task = task_of(pipelines.stage(lasting=True))
+        task.avoided_workers.add("other")
+        task.ready_since_s = 6.0
+        assert choose(task, workers, now=6.0) is new
 
     def test_failed_task_avoids_its_worker_while_others_have_room(self):
         failed = pipelines.worker("failed")
@@ -187,6 +211,15 @@
             assert memory_mb <= worker.state.capacity.memory_mb
 
 
+def workers_to_retry_on():
+    """Returns workers without any end, with a success and with a failure."""
+    return [
+        pipelines.worker("new"),
+        pipelines.worker("proven", last_success_s=5.0),
+        pipelines.worker("failing", last_success_s=4.0, last_failure_s=5.0),
+    ]
+
+
 class TestCouldEverFit:
     def test_stage_larger_than_every_worker_never_fits(self):
         workers = [pipelines.worker(cores=32)]
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -199,14 +199,14 @@
         return waiting
 
     def test_pipeline_waits_while_it_may_meet_its_objective(self):
-        now = pipelinestarts.MAX_IDLE_S + 0.1
+        now = placement_module.MAX_IDLE_S + 0.1
         assert not self.start_waiting(now, age_s=0.0).started
 
     def test_pipeline_waits_for_unused_processor_time_first(self):
-        assert not self.start_waiting(pipelinestarts.MAX_IDLE_S - 0.1).started
+        assert not self.start_waiting(placement_module.MAX_IDLE_S - 0.1).started
 
     def test_one_task_starts_after_the_longest_idle_time(self):
-        waiting = self.start_waiting(pipelinestarts.MAX_IDLE_S + 0.1)
+        waiting = self.start_waiting(placement_module.MAX_IDLE_S + 0.1)
         assert waiting.started
         assert len(waiting.ready) == 2
 
@@ -225,7 +225,7 @@
             0.0,
             30.0,
         )
-        now = pipelinestarts.MAX_IDLE_S + 0.1
+        now = placement_module.MAX_IDLE_S + 0.1
         cluster.start_ready(waiting, now=now)
         (placement,) = cluster.attempts.of_task(waiting.tasks(0, 0)[0])
         placement.reported = ran
@@ -235,7 +235,7 @@
 
     def test_it_waits_longer_while_counted_work_uses_most_capacity(self):
         for waited_s, started in (
-            (pipelinestarts.MAX_IDLE_S + 0.1, False),
+            (placement_module.MAX_IDLE_S + 0.1, False),
             (pipelinestarts.MAX_BUSY_IDLE_S + 0.1, True),
         ):
             waiting = self.start_waiting(waited_s, counted_millicores=4000)
@@ -245,7 +245,7 @@
         wide = pipelines.stage(
             pipelinestarts.MAX_CONSIDERED_TASKS, millicores=9000
         )
-        now = pipelinestarts.MAX_IDLE_S + 0.1
+        now = placement_module.MAX_IDLE_S + 0.1
         ahead = pipeline.Pipeline(
             pipelines.declare("ahead", wide), 1, pipeline.Progress(), now
         )
