A delayed task does not hide the others of its idle pipeline

Cause: _start_overdue looked at the first ready task only. One that waits after a refusal kept the others of its pipeline from the start that is due after 2 s. Fix: the first task that may start now is taken. Evidence: test_task_that_is_delayed_hides_no_other fails on the code before: no attempt of the second task.

--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -192,17 +192,21 @@
         Returns:
             Whether a task was started.
         """
-        task = next(iter(item.ready.values()), None)
-        if (
-            task is None
-            or not task.stage.filler
-            or task.stage.gang
-            or queue.advice is not None
-            or task.not_before_s > now
-            or now - task.ready_since_s < max_idle_s
-            or not item.idle
-            or self._attempts.has_attempts(task)
-        ):
+        if queue.advice is not None or not item.idle:
+            return False
+        task = next(
+            (
+                task
+                for task in item.ready.values()
+                if task.stage.filler
+                and not task.stage.gang
+                and task.not_before_s <= now
+                and now - task.ready_since_s >= max_idle_s
+                and not self._attempts.has_attempts(task)
+            ),
+            None,
+        )
+        if task is None:
             return False
         worker = placement_module.choose(
             task,
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -233,6 +233,27 @@
         cluster.start_ready(waiting, now=now + 0.5)
         assert bool(waiting.ready) is ran
 
+    def test_task_that_is_delayed_hides_no_other(self):
+        """Guards against a LOST pipeline whose first task was refused."""
+        cluster = TwoWorkers()
+        for worker in (cluster.busy, cluster.empty):
+            pipelines.place(worker, FILLER)
+        waiting = pipeline.Pipeline(
+            pipelines.declare(
+                "waiting", pipelines.stage(2, millicores=2000, filler=True)
+            ),
+            1,
+            pipeline.Progress(),
+            0.0,
+            30.0,
+        )
+        first, second = waiting.tasks(0, 0)
+        now = 3.0
+        first.not_before_s = now + 0.2
+        cluster.start_ready(waiting, now=now)
+        assert cluster.attempts.has_attempts(second)
+        assert not cluster.attempts.has_attempts(first)
+
     def test_it_waits_longer_while_counted_work_uses_most_capacity(self):
         for waited_s, started in (
             (placement_module.MAX_IDLE_S + 0.1, False),
