A lasting task does not wait for workers on which it cannot run

A task that is to last did not run for 9.78 s, with room for it. The users' record: attempt 3 is stopped at 49.416 s, the next attempt is the first one of epoch 4, at 59.197 s. Cause: a new leader knows nothing of attempts on workers that have not reported to it, so it held back all earlier pipelines until each of them had reported or all earlier leases had lapsed: 1.8 s for the lease and 7.9 s for the grants, and anew with each further leader. A task whose stop had been ordered before the leader was lost stood still for all of that. Class: a wait for the whole fleet where only a part of it matters. Fix: progress names the workers on which a lasting task may be running. A start of such a task is ordered once that is stored; the lease row says whether all leaders so far kept to it. A new leader starts a lasting task as soon as those workers are accounted for. Incarnations are accounted for one by one, not agent by agent. Evidence: TestRecordedPlacements::test_service_that_was_being_moved_does_not_wait_for_other_workers and five others fail on the code before.

--- a/pomelostair/attempts.py
+++ b/pomelostair/attempts.py
@@ -40,6 +40,7 @@
         self._by_key[placement.key] = placement
         self._by_task.setdefault(placement.task.id, []).append(placement)
         placement.worker.add(placement)
+        placement.task.placed_on.add(placement.worker.key)
 
     def remove(self, placement: fleet.Placement, now: float) -> None:
         """Removes an attempt that has certainly ended; releases its task.
@@ -61,6 +62,7 @@
         remaining = [
             p for p in self._by_task.get(task.id, ()) if p is not placement
         ]
+        task.placed_on = {p.worker.key for p in remaining}
         if remaining:
             self._by_task[task.id] = remaining
         else:
--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -58,6 +58,7 @@
         fenced_off: Whether the worker has confirmed that it has stopped the
             attempt or will not start it.
         stop_reason: Why it is being stopped.
+        ticket: Ticket by which the advisor allows its start, empty for none.
     """
 
     task: pipeline.Task
@@ -74,6 +75,7 @@
     last_progress_s: float = 0.0
     fenced_off: bool = False
     stop_reason: str = ""
+    ticket: str = ""
 
     @property
     def key(self) -> AttemptKey:
@@ -264,6 +266,11 @@
     last_pace_step_s: float = 0.0
     reservations: dict[str, Reservation] = attrs.field(factory=dict)
 
+    @property
+    def key(self) -> WorkerKey:
+        """Worker id and incarnation."""
+        return self.id, self.incarnation
+
     @property
     def free(self) -> resources.Resources:
         """Capacity that no placement uses."""
--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -181,6 +181,9 @@
         ended_ms: Unix milliseconds of the end, 0 before.
         done_occurrences: Number of the first occurrences of a timed pipeline
             all of whose tasks are done; they are left out of `done`.
+        placed: Id and incarnation of each worker on which an attempt of a
+            lasting task may be running, by "OCCURRENCE.STAGE.INDEX"; tasks
+            without any are left out. None if they are not known.
     """
 
     phase: Phase = Phase.QUEUED
@@ -189,6 +192,7 @@
     checkpoints: dict[str, str] = attrs.field(factory=dict)
     ended_ms: int = 0
     done_occurrences: int = 0
+    placed: dict[str, list[tuple[str, int]]] | None = None
 
 
 @attrs.define(eq=False)
@@ -210,6 +214,10 @@
         not_before_s: Monotonic time before which it is not tried again.
         reserved_until_s: Monotonic time until which a worker may have room
             reserved for it.
+        placed_on: Id and incarnation of each worker on which an attempt of
+            this term may be running.
+        earlier_placed_on: The same of attempts of earlier terms, for a lasting
+            task; None if they are not known.
     """
 
     pipeline: "Pipeline"
@@ -224,6 +232,8 @@
     ready_since_s: float = 0.0
     not_before_s: float = 0.0
     reserved_until_s: float = 0.0
+    placed_on: set[tuple[str, int]] = attrs.field(factory=set)
+    earlier_placed_on: frozenset[tuple[str, int]] | None = None
     stage: Stage = attrs.field(init=False)
     id: str = attrs.field(init=False)
 
@@ -488,6 +498,31 @@
         self._ready.clear()
         return True
 
+    def forget_earlier_attempts(self) -> bool:
+        """Records that no attempt of an earlier term is left to be found.
+
+        Returns:
+            Whether it was not known for all lasting tasks where they ran.
+        """
+        was_unknown = False
+        for task in self.unfinished():
+            if task.stage.lasting:
+                was_unknown |= task.earlier_placed_on is None
+                task.earlier_placed_on = frozenset()
+        return was_unknown
+
+    def _placed(self) -> dict[str, list[tuple[str, int]]] | None:
+        placed: dict[str, list[tuple[str, int]]] = {}
+        for task in self.unfinished():
+            if not task.stage.lasting:
+                continue
+            if task.earlier_placed_on is None:
+                return None
+            workers = task.earlier_placed_on | task.placed_on
+            if workers:
+                placed[task.key] = sorted(workers)
+        return placed
+
     def progress(self) -> Progress:
         """Returns the progress to store."""
         done: dict[str, bytes] = {}
@@ -515,6 +550,7 @@
             checkpoints,
             self._ended_ms,
             self._done_occurrences,
+            self._placed() if self._declaration.lasting else None,
         )
 
     def _open_next_occurrence(self, now: float) -> None:
@@ -536,6 +572,10 @@
                 task.checkpoint = self._stored_progress.checkpoints.get(
                     task.key, ""
                 )
+                if self._stored_progress.placed is not None:
+                    task.earlier_placed_on = frozenset(
+                        self._stored_progress.placed.get(task.key, ())
+                    )
                 if bits >> index & 1:
                     task.phase = TaskPhase.DONE
                 tasks.append(task)
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -230,7 +230,9 @@
         self._scheduler.set_queues(self._peers.queues)
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._commit_at_intervals)
-            await group.spawn(self._recover_and_watch, lapsed_s)
+            await group.spawn(
+                self._recover_and_watch, lapsed_s, observed.placements_recorded
+            )
             await group.spawn(self._schedule)
             await group.spawn(self._delete_expired_at_intervals)
             await group.spawn(self._request_tickets)
@@ -244,9 +246,11 @@
             self._parts.bus.address,
         )
 
-    async def _recover_and_watch(self, lapsed_s: float) -> None:
+    async def _recover_and_watch(
+        self, lapsed_s: float, placements_recorded: bool
+    ) -> None:
         started_s = self._clock.now()
-        while not await self._recover(started_s, lapsed_s):
+        while not await self._recover(started_s, lapsed_s, placements_recorded):
             await curio.sleep(RETRY_S)
         self._leading = True
         self._peers.update_leader(self._leader_info)
@@ -262,12 +266,16 @@
         )
         await self._watch_rows()
 
-    async def _recover(self, started_s: float, lapsed_s: float) -> bool:
+    async def _recover(
+        self, started_s: float, lapsed_s: float, placements_recorded: bool
+    ) -> bool:
         """Reads the stored state; returns whether that succeeded.
 
         Args:
             started_s: Clock reading at the start of the term.
             lapsed_s: Seconds since the previous lease lapsed.
+            placements_recorded: Whether the progress names every worker on
+                which a lasting task may be running.
         """
         self._unreadable.clear()
         progress, agents = await self._scan_all(
@@ -295,7 +303,9 @@
                 unreadable.append(name)
                 self._record_ignored_row(row.key, str(error))
         leases_lapse_s = started_s + self._max_lease_s - max(0.0, lapsed_s)
-        self._scheduler.expect_agents(registrations, leases_lapse_s, unreadable)
+        self._scheduler.expect_agents(
+            registrations, leases_lapse_s, unreadable, placements_recorded
+        )
         declared_ids = await self._read_pipelines(stored_progress)
         if declared_ids is None:
             return False
@@ -384,7 +394,7 @@
                     self._scheduler.registry.add(
                         declaration,
                         version,
-                        progress or pipeline.Progress(),
+                        progress or pipeline.Progress(placed={}),
                         self._clock.now(),
                     )
                 case pipelinerows.CancellationRow(id=pipeline_id):
@@ -428,13 +438,15 @@
         scheduler = self._scheduler
         batch = scheduler.next_batch()
         if batch.is_empty and batch.ends and self._lease.is_held:
-            await self._acknowledge_ends(scheduler.confirm(batch))
+            await self._notify_agents(scheduler.confirm(batch))
             if self._renewed_recently:
                 return True
         started_s = self._clock.now()
         puts, deletes = _batch_changes(batch)
         result = await self._lease.commit(
-            puts + self._learned_puts(started_s), deletes
+            puts + self._learned_puts(started_s),
+            deletes,
+            scheduler.placements_recorded,
         )
         self._parts.metrics.record(
             "commit_seconds", self._clock.now() - started_s
@@ -442,7 +454,7 @@
         match result:
             case outcome.Committed():
                 self._last_renewal_s = started_s
-                await self._acknowledge_ends(scheduler.confirm(batch))
+                await self._notify_agents(scheduler.confirm(batch))
                 if scheduler.has_uncommitted:
                     await self._commit_requested.set()
                 return True
@@ -493,9 +505,14 @@
     def _renewed_recently(self) -> bool:
         return self._clock.now() - self._last_renewal_s < RENEW_INTERVAL_S
 
-    async def _acknowledge_ends(self, workers: list[fleet.Worker]) -> None:
+    async def _notify_agents(self, workers: list[fleet.Worker]) -> None:
+        """Acknowledges ends and sends the orders that a commit released."""
+        now_s = self._clock.now()
         for worker in workers:
-            await self._send_instructions(worker, 0)
+            orders: tuple[messages.Order, ...] = ()
+            if worker.unconfirmed_orders and self._lease.is_held:
+                orders = self._scheduler.orders_to_send(worker, now_s)
+            await self._send_instructions(worker, 0, orders)
 
     async def _schedule(self) -> None:
         took_s = 0.0
--- a/pomelostair/pipelinelease.py
+++ b/pomelostair/pipelinelease.py
@@ -41,6 +41,8 @@
         end_ms: Reading of the store's clock at which the lease has certainly
             lapsed.
         vacated: Whether the holder has given up the lease.
+        placements_recorded: Whether the progress of the pipelines names every
+            worker on which a lasting task may be running.
     """
 
     epoch: int
@@ -49,6 +51,7 @@
     token: str
     end_ms: float
     vacated: bool = False
+    placements_recorded: bool = False
 
 
 @attrs.frozen
@@ -63,6 +66,14 @@
     row: LeaseRow | None = None
     version: int = 0
 
+    @property
+    def placements_recorded(self) -> bool:
+        """Whether all placements of lasting tasks are recorded.
+
+        Before the first lease, there is none.
+        """
+        return self.row is None or self.row.placements_recorded
+
 
 def decode(row: store.Row) -> ObservedLease:
     """Decodes the lease row.
@@ -168,7 +179,14 @@
             Whether this process now holds the lease.
         """
         epoch = 1 if observed.row is None else observed.row.epoch + 1
-        self._row = LeaseRow(epoch, self._holder, self._bus, "", 0.0)
+        self._row = LeaseRow(
+            epoch,
+            self._holder,
+            self._bus,
+            "",
+            0.0,
+            placements_recorded=observed.placements_recorded,
+        )
         self._version = observed.version
         result = await self.commit((), ())
         if not isinstance(result, outcome.Committed):
@@ -177,7 +195,10 @@
         return True
 
     async def commit(
-        self, puts: tuple[store.Put, ...], deletes: tuple[str, ...]
+        self,
+        puts: tuple[store.Put, ...],
+        deletes: tuple[str, ...],
+        placements_recorded: bool | None = None,
     ) -> outcome.Committed | outcome.Conflict | outcome.Unavailable:
         """Writes rows and renews the lease in one transaction.
 
@@ -187,18 +208,24 @@
         Args:
             puts: Rows to write.
             deletes: Keys of rows to delete.
+            placements_recorded: See `LeaseRow`; None leaves it unchanged.
         """
         async with self._commit_lock:
-            return await self._commit(puts, deletes)
+            return await self._commit(puts, deletes, placements_recorded)
 
     async def _commit(
-        self, puts: tuple[store.Put, ...], deletes: tuple[str, ...]
+        self,
+        puts: tuple[store.Put, ...],
+        deletes: tuple[str, ...],
+        placements_recorded: bool | None,
     ) -> outcome.Committed | outcome.Conflict | outcome.Unavailable:
         assert self._row is not None
         start_s = self._clock.now()
         row = attrs.evolve(
             self._row, token=uuid.uuid4().hex, end_ms=self._end_ms()
         )
+        if placements_recorded is not None:
+            row = attrs.evolve(row, placements_recorded=placements_recorded)
         transaction = store.Transaction(
             (store.Check(KEY, self._version),),
             (store.Put(KEY, msgspec.msgpack.encode(row)), *puts),
--- a/pomelostair/pipelinerows.py
+++ b/pomelostair/pipelinerows.py
@@ -102,9 +102,10 @@
 
 
 def encode_progress(progress: pipeline.Progress) -> bytes:
-    """Returns a progress with as many checkpoints as its row may hold.
+    """Returns a progress with as much of it as its row may hold.
 
     A task without its checkpoint runs from its beginning if its worker is lost.
+    A lasting task without its worker waits for all workers if the leader is.
     A row that the store refuses would keep the leader from any commit.
     """
     max_checkpoints = MAX_CHECKPOINTS
@@ -113,6 +114,10 @@
         kept = itertools.islice(progress.checkpoints.items(), max_checkpoints)
         value = pipeline.encode(attrs.evolve(progress, checkpoints=dict(kept)))
         max_checkpoints //= 2
+    if len(value) > MAX_ROW_BYTES:
+        value = pipeline.encode(
+            attrs.evolve(progress, checkpoints={}, placed=None)
+        )
     return value
 
 
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -121,13 +121,21 @@
         # terms; empty if its registration is malformed.
         self._unreported: dict[str, tuple[fleet.KnownIncarnation, ...]] = {}
         self._earlier_leases_end_s = 0.0
+        # Whether earlier leaders recorded every placement of a lasting task.
+        self._earlier_placements_recorded = True
+        # Pipelines whose stored progress may lack placements of lasting tasks.
+        self._unrecorded: set[str] | None = None
         self._pacer = pacing.Pacer(metrics)
         self._attempts = attempts_module.Attempts(self._pacer, metrics)
         self._registry = pipelineregistry.PipelineRegistry(
             lease_version, unix_ms, self._attempts.has_attempts
         )
         self._starter = pipelinestarts.Starter(
-            epoch, self._attempts, self._pacer, metrics
+            epoch,
+            self._attempts,
+            self._pacer,
+            metrics,
+            self._registry.mark_changed,
         )
         self._packer = pipelinepacking.Packer(
             self._attempts, self._pacer, self._starter.advice, metrics
@@ -168,15 +176,25 @@
             }
         )
 
+    @property
+    def placements_recorded(self) -> bool:
+        """Whether the store names every placement of a lasting task.
+
+        The next leader then need not wait for all workers to start one.
+        """
+        return self._earlier_placements_recorded or self._unrecorded == set()
+
     def confirm(self, batch: pipelineregistry.Batch) -> list[fleet.Worker]:
         """Records that a batch is durable.
 
         Returns:
-            Workers whose ends are newly acknowledged; their agents must be
-            notified.
+            Workers whose ends are newly acknowledged, or that have new orders;
+            their agents must be notified.
         """
         self._registry.confirm(batch)
-        to_notify = []
+        if self._unrecorded:
+            self._unrecorded -= batch.progress.keys()
+        to_notify = self._starter.release_recorded(batch.progress)
         for worker in self._workers.values() if batch.agents else ():
             worker.registered = self._registry.is_registered(
                 worker.agent, (worker.id, worker.incarnation)
@@ -185,7 +203,8 @@
             worker = self._workers.get(key)
             if worker is not None and number > worker.acknowledged_end:
                 worker.acknowledged_end = number
-                to_notify.append(worker)
+                if worker not in to_notify:
+                    to_notify.append(worker)
                 if worker.applied_end <= number:
                     self._unacknowledged.discard(key)
         return to_notify
@@ -227,6 +246,7 @@
         agents: dict[str, fleet.Registration],
         earlier_leases_end_s: float,
         unreadable: Iterable[str] = (),
+        placements_recorded: bool = False,
     ) -> None:
         """Sets the agents that earlier leaders may have given work to.
 
@@ -235,6 +255,8 @@
             earlier_leases_end_s: Monotonic time at which all leases of earlier
                 leaders have certainly lapsed.
             unreadable: Names of agents with malformed registrations.
+            placements_recorded: Whether the stored progress names every worker
+                on which earlier leaders placed a lasting task.
         """
         self._registry.set_agents(agents)
         self._unreported = dict.fromkeys(unreadable, ())
@@ -244,6 +266,7 @@
             if registration.lives
         )
         self._earlier_leases_end_s = earlier_leases_end_s
+        self._earlier_placements_recorded = placements_recorded
 
     def cancel(self, pipeline_id: str) -> None:
         """Cancels a pipeline at the request of its caller."""
@@ -298,9 +321,8 @@
                     state, message.agent, bus, agent_incarnation, now
                 )
             )
-        complete = message.complete and self._all_reconciled(message.lives)
-        if complete or self._expected_reconciled(message.agent, reported):
-            self._unreported.pop(message.agent, None)
+        if message.agent in self._unreported:
+            self._update_unreported(message, reported)
         return workers
 
     def run_round(self, now: float) -> None:
@@ -313,16 +335,19 @@
                 name = placement.task.pipeline.id
                 slowed.setdefault(name, []).append(placement)
         self._packer.pack(self._workers.values(), now)
+        if not self._unreported:
+            self._forget_earlier_attempts()
         self._starter.start_ready(
-            [i for i in self._registry.open.values() if self._may_start(i)],
+            [i for i in self._registry.open.values() if self._may_start_any(i)],
             self._workers.values(),
             self._queues,
             slowed,
             now,
+            self._may_start,
         )
         self._wait_monitor.check(
             self._registry.open.values(),
-            lambda task: self._may_start(task.pipeline),
+            self._may_start,
             self._queues,
             self.unreported_agents,
             now,
@@ -433,23 +458,42 @@
                 return False
         return True
 
-    def _expected_reconciled(
-        self, agent: str, reported: tuple[fleet.KnownIncarnation, ...]
+    def _update_unreported(
+        self,
+        message: messages.AgentReport,
+        reported: tuple[fleet.KnownIncarnation, ...],
+    ) -> None:
+        """Drops incarnations that run no unknown work of earlier terms.
+
+        Args:
+            message: Report of an agent.
+            reported: Incarnations that it names and that may have work.
+        """
+        expected = self._unreported[message.agent]
+        left = tuple(
+            known
+            for known in expected
+            if not self._is_accounted_for(known, reported)
+        )
+        complete = message.complete and self._all_reconciled(message.lives)
+        if complete or (expected and not left):
+            del self._unreported[message.agent]
+        else:
+            self._unreported[message.agent] = left
+
+    def _is_accounted_for(
+        self,
+        known: fleet.KnownIncarnation,
+        reported: tuple[fleet.KnownIncarnation, ...],
     ) -> bool:
-        """Returns whether every incarnation that may have work is reconciled.
+        """Returns whether the attempts of an incarnation are known.
 
-        Instead of an incarnation, its successor may be reconciled: this proves
+        Instead of the incarnation, its successor may be reconciled: this proves
         that the earlier one has ended and that late orders to it are refused.
         """
-        expected = self._unreported.get(agent, ())
-        return bool(expected) and all(
-            self._all_reconciled((known.key,))
-            or any(
-                known.is_succeeded_by(other)
-                and self._all_reconciled((other.key,))
-                for other in reported
-            )
-            for known in expected
+        return self._all_reconciled((known.key,)) or any(
+            known.is_succeeded_by(other) and self._all_reconciled((other.key,))
+            for other in reported
         )
 
     def _apply_agent_restart(
@@ -778,9 +822,46 @@
         if worker is not None:
             worker.registered = False
 
-    def _may_start(self, item: pipeline.Pipeline) -> bool:
-        """Returns whether no earlier leader can have running attempts of it."""
-        return not self._unreported or item.version > self._lease_version
+    def _forget_earlier_attempts(self) -> None:
+        """Applies, once, that all attempts of earlier terms are known."""
+        if self._unrecorded is not None:
+            return
+        self._unrecorded = set()
+        for item in self._registry.open.values():
+            if not item.declaration.lasting:
+                continue
+            item.forget_earlier_attempts()
+            if not self._earlier_placements_recorded:
+                self._registry.mark_changed(item)
+                self._unrecorded.add(item.id)
+
+    def _may_start_any(self, item: pipeline.Pipeline) -> bool:
+        """Returns whether any task of a pipeline may be allowed to start."""
+        return (
+            not self._unreported
+            or item.version > self._lease_version
+            or item.declaration.lasting
+        )
+
+    def _may_start(self, task: pipeline.Task) -> bool:
+        """Returns whether no attempt of an earlier term can be running."""
+        if not self._unreported or task.pipeline.version > self._lease_version:
+            return True
+        if not task.stage.lasting or task.earlier_placed_on is None:
+            return False
+        if not self._earlier_placements_recorded:
+            return False
+        return not any(map(self._may_run_earlier_work, task.earlier_placed_on))
+
+    def _may_run_earlier_work(self, key: fleet.WorkerKey) -> bool:
+        """Returns whether an incarnation may run work of earlier terms.
+
+        One that no registration names has ended, or its leases have lapsed.
+        """
+        return any(
+            not expected or any(known.key == key for known in expected)
+            for expected in self._unreported.values()
+        )
 
 
 def _known_incarnations(
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -1,6 +1,8 @@
 """Starts the ready tasks of the pipelines, once per scheduling round."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 import attrs
 
@@ -46,6 +48,7 @@
         attempts: Attempts that may be running.
         pacer: Pacer that predicts the latency of serving tasks.
         metrics: Registry that counts the starts.
+        record: Schedules the progress of a pipeline for storage.
     """
 
     def __init__(
@@ -54,8 +57,13 @@
         attempts: attempts_module.Attempts,
         pacer: pacing.Pacer,
         metrics: metrics_module.Metrics,
+        record: Callable[[pipeline.Pipeline], None],
     ):
         self._epoch = epoch
+        self._record = record
+        # Attempts of lasting tasks whose workers are not stored yet, by
+        # pipeline.
+        self._unrecorded: dict[str, list[fleet.Placement]] = {}
         self._attempts = attempts
         self._pacer = pacer
         self._metrics = metrics
@@ -69,6 +77,7 @@
 
     def forget(self, pipeline_id: str) -> None:
         """Drops the state of a pipeline."""
+        self._unrecorded.pop(pipeline_id, None)
         self._unplaceable.discard(pipeline_id)
         self._advice.forget(pipeline_id)
 
@@ -79,6 +88,7 @@
         table: queues.QueueTable,
         slowed: dict[str, list[fleet.Placement]],
         now: float,
+        may_start: Callable[[pipeline.Task], bool] = lambda task: True,
     ) -> None:
         """Starts ready tasks, in the order of the pipelines' ranks.
 
@@ -86,11 +96,13 @@
         run at a higher pace.
 
         Args:
-            items: Pipelines whose tasks may start.
+            items: Pipelines that have not ended.
             workers: All workers.
             table: Current configuration of the queues.
             slowed: Attempts that should move, by id of the pipeline.
             now: Monotonic seconds.
+            may_start: Returns whether no earlier leader can have started a
+                task.
         """
         schedulable: dict[str, list[fleet.Worker]] = {}
         for worker in workers:
@@ -120,7 +132,9 @@
         for rank, item, queue in ranked:
             if considered < MAX_CONSIDERED_TASKS:
                 considered += len(item.ready)
-                self._start_pipeline(item, queue, searches[queue.service], now)
+                self._start_pipeline(
+                    item, queue, searches[queue.service], now, may_start
+                )
                 for placement in slowed.get(item.id, ()):
                     self._move(placement, schedulable[queue.service], now)
             if (
@@ -133,6 +147,7 @@
                     schedulable[queue.service],
                     max_idle_s[queue.service],
                     now,
+                    may_start,
                 )
 
     def _start_pipeline(
@@ -141,6 +156,7 @@
         queue: queues.Queue,
         search: "_Search",
         now: float,
+        may_start: Callable[[pipeline.Task], bool],
     ) -> None:
         workers = search.workers
         search.begin_pipeline()
@@ -149,6 +165,8 @@
         for task in list(item.ready.values()):
             if task.not_before_s > now or self._attempts.has_attempts(task):
                 continue
+            if not may_start(task):
+                continue
             is_first_start = task.stage.lasting and not task.last_attempt
             if is_first_start and now - task.ready_since_s < GATHER_DELAY_S:
                 continue
@@ -164,7 +182,7 @@
                     )
                 allowed = permitted[step]
             if task.stage.gang:
-                self._start_gang(task, allowed, now)
+                self._start_gang(task, allowed, now, may_start)
                 continue
             worker = search.choose(task, allowed)
             if worker is None:
@@ -182,6 +200,7 @@
         workers: list[fleet.Worker],
         max_idle_s: float,
         now: float,
+        may_start: Callable[[pipeline.Task], bool],
     ) -> bool:
         """Starts a filler of a pipeline that waits with no attempt placed.
 
@@ -203,6 +222,7 @@
                 and task.not_before_s <= now
                 and now - task.ready_since_s >= max_idle_s
                 and not self._attempts.has_attempts(task)
+                and may_start(task)
             ),
             None,
         )
@@ -305,7 +325,11 @@
         )
 
     def _start_gang(
-        self, task: pipeline.Task, workers: list[fleet.Worker], now: float
+        self,
+        task: pipeline.Task,
+        workers: list[fleet.Worker],
+        now: float,
+        may_start: Callable[[pipeline.Task], bool],
     ) -> None:
         """Starts all members of a gang, or none.
 
@@ -315,6 +339,7 @@
         if any(
             m.phase is not pipeline.TaskPhase.READY
             or self._attempts.has_attempts(m)
+            or not may_start(m)
             for m in members
         ):
             return
@@ -364,18 +389,58 @@
         self._attempts.attach(placement)
         return placement
 
+    def release_recorded(
+        self, stored: Mapping[str, pipeline.Progress]
+    ) -> list[fleet.Worker]:
+        """Orders the starts of lasting tasks whose workers are stored now.
+
+        Args:
+            stored: Progress that was stored, by id of the pipeline.
+
+        Returns:
+            Workers with new orders.
+        """
+        released = []
+        for pipeline_id in stored.keys() & self._unrecorded.keys():
+            placed = stored[pipeline_id].placed
+            left = []
+            for placement in self._unrecorded.pop(pipeline_id):
+                task = placement.task
+                if (
+                    self._attempts.get(placement.key) is not placement
+                    or placement.state is not fleet.AttemptState.ORDERED
+                ):
+                    continue
+                # Without a record, the next leader waits for all workers.
+                if (
+                    placed is not None
+                    and placement.worker.key not in placed.get(task.key, ())
+                ):
+                    left.append(placement)
+                    continue
+                self._enqueue_start(placement)
+                if placement.worker not in released:
+                    released.append(placement.worker)
+            if left:
+                self._unrecorded[pipeline_id] = left
+        return released
+
     def _order_start(self, placement: fleet.Placement, now: float) -> None:
+        """Orders the start of an attempt; of a lasting task once it is stored.
+
+        The next leader knows then where the task may be running, and does not
+        wait for other workers before it starts it.
+        """
         task = placement.task
         worker = placement.worker
         task.pipeline.place(task, placement.attempt)
-        worker.enqueue_order(
-            messages.START,
-            placement,
-            payload=task.pipeline.declaration.payload,
-            checkpoint=task.checkpoint,
-            percent=placement.pace_percent,
-            ticket=self._advice.ticket(task, worker, now) or "",
-        )
+        placement.ticket = self._advice.ticket(task, worker, now) or ""
+        if task.stage.lasting:
+            task.earlier_placed_on = frozenset()
+            self._unrecorded.setdefault(task.pipeline.id, []).append(placement)
+            self._record(task.pipeline)
+        else:
+            self._enqueue_start(placement)
         self._metrics.count("starts_ordered")
         log.emit(
             events.Events.START_ORDERED,
@@ -391,6 +456,17 @@
             pace=placement.pace_percent,
         )
 
+    def _enqueue_start(self, placement: fleet.Placement) -> None:
+        task = placement.task
+        placement.worker.enqueue_order(
+            messages.START,
+            placement,
+            payload=task.pipeline.declaration.payload,
+            checkpoint=task.checkpoint,
+            percent=placement.pace_percent,
+            ticket=placement.ticket,
+        )
+
 
 class _Search:
     """Search for room on the workers of a service in one round.
--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -74,6 +74,7 @@
         self.agents = {}
         self.hosts = {name: Host(name, runner.Runner(1)) for name in names}
         self.finished = []
+        self.placements_recorded = True
         self.start_leader()
 
     def start_leader(self, gap_s=0.0):
@@ -88,10 +89,12 @@
             LEASE_S,
         )
         self.scheduler.set_queues(pipelines.TABLE)
-        self.scheduler.expect_agents(self.agents, self.now + LEASE_S)
+        self.scheduler.expect_agents(
+            self.agents, self.now + LEASE_S, (), self.placements_recorded
+        )
         for declared, version in self.rows.values():
             progress = self.stored_progress.get(
-                declared.id, pipeline.Progress()
+                declared.id, pipeline.Progress(placed={})
             )
             self.scheduler.registry.add(declared, version, progress, self.now)
         for name in self.cancelled:
@@ -105,7 +108,7 @@
         )
         self.rows[name] = (declared, self.version)
         self.scheduler.registry.add(
-            declared, self.version, pipeline.Progress(), self.now
+            declared, self.version, pipeline.Progress(placed={}), self.now
         )
 
     def cancel(self, name):
@@ -118,6 +121,7 @@
         host = self.hosts[name]
         old_runner = host.runner
         host.runner = runner.Runner(old_runner.born_ms + 1, old_runner.work_ms)
+        host.runner.lasting = old_runner.lasting
         host.lease_limit_ms = 0.0
         host.acknowledged = host.last_order = 0
         host.results.clear()
@@ -273,6 +277,7 @@
                 worker_runner.start(order.task, order.attempt, until_ms, fence)
 
     def _commit(self):
+        self.placements_recorded = self.scheduler.placements_recorded
         batch = self.scheduler.next_batch()
         self.stored_progress.update(batch.progress)
         self.agents.update(batch.agents)
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -213,6 +213,40 @@
                         assert before.checkpoint == after.checkpoint
 
 
+class TestPlacements:
+    def service(self, progress):
+        return pipeline.Pipeline(
+            pipelines.declare(
+                "a", pipelines.stage(2, lasting=True), pipelines.stage()
+            ),
+            1,
+            progress,
+            0.0,
+        )
+
+    def test_both_terms_are_stored_until_the_earlier_one_is_accounted_for(self):
+        item = self.service(pipeline.Progress(placed={"0.0.1": [("w1", 1)]}))
+        item.tasks(0, 0)[1].placed_on.add(("w2", 7))
+        item.tasks(0, 1)[0].placed_on.add(("w3", 1))
+        assert item.progress().placed == {"0.0.1": [("w1", 1), ("w2", 7)]}
+        stored = pipeline.decode_progress(pipeline.encode(item.progress()))
+        assert self.service(stored).progress().placed == item.progress().placed
+        assert not item.forget_earlier_attempts()
+        assert item.progress().placed == {"0.0.1": [("w2", 7)]}
+
+    def test_unknown_ones_stay_unknown_until_all_attempts_are_known(self):
+        item = self.service(pipeline.Progress())
+        assert item.progress().placed is None
+        assert item.forget_earlier_attempts()
+        assert item.progress().placed == {}
+
+    def test_pipeline_that_ends_by_itself_stores_none(self):
+        item = pipeline.Pipeline(
+            pipelines.declare("a"), 1, pipeline.Progress(placed={}), 0.0
+        )
+        assert item.progress().placed is None
+
+
 class TestDeclaration:
     def test_critical_path_is_the_longest_dependency_chain(self):
         declared = pipelines.declare(
--- a/tests/test_pipelineadvice.py
+++ b/tests/test_pipelineadvice.py
@@ -108,7 +108,9 @@
     def test_tasks_start_only_on_workers_with_a_ticket(self):
         pacer = pacing.Pacer(METRICS)
         tracker = attempts.Attempts(pacer, METRICS)
-        starter = pipelinestarts.Starter(1, tracker, pacer, METRICS)
+        starter = pipelinestarts.Starter(
+            1, tracker, pacer, METRICS, lambda item: None
+        )
         workers = [pipelines.worker("w1"), pipelines.worker("w2")]
         item = make_pipeline("a", pipelines.stage(3))
 
@@ -131,7 +133,9 @@
     def test_gang_waits_until_all_members_have_tickets(self):
         pacer = pacing.Pacer(METRICS)
         tracker = attempts.Attempts(pacer, METRICS)
-        starter = pipelinestarts.Starter(1, tracker, pacer, METRICS)
+        starter = pipelinestarts.Starter(
+            1, tracker, pacer, METRICS, lambda item: None
+        )
         workers = [pipelines.worker(f"w{n}", cores=4) for n in range(3)]
         item = make_pipeline(
             "a", pipelines.stage(2, millicores=4000, gang=True)
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -129,7 +129,7 @@
         async def body():
             for put in puts:
                 await harness.table.commit(store.Transaction(puts=(put,)))
-            assert await leader._recover(0.0, 0.0)
+            assert await leader._recover(0.0, 0.0, True)
 
         harness.run(body)
         return harness, leader
--- a/tests/test_pipelinelease.py
+++ b/tests/test_pipelinelease.py
@@ -1,4 +1,7 @@
+import attrs
 import curio
+import msgspec
+import pytest
 
 from pomelostair import clock as clock_module
 from pomelostair import outcome
@@ -182,3 +185,34 @@
             assert not lease.is_held
 
         curio.run(main)
+
+
+class TestRecordedPlacements:
+    def test_first_leader_finds_none_that_is_not_recorded(self):
+        async def main():
+            lease = LeaseHarness().new_lease("a")
+            assert (await lease.read_lease()).placements_recorded
+
+        curio.run(main)
+
+    @pytest.mark.parametrize("recorded", [True, False])
+    def test_next_leader_learns_whether_all_are_recorded(self, recorded):
+        async def main():
+            harness = LeaseHarness()
+            first = await harness.acquired_lease("a")
+            await first.commit(PUTS, (), recorded)
+            await first.commit(PUTS, ())
+            await first.vacate()
+            second = await harness.acquired_lease("b")
+            observed = await second.read_lease()
+            assert observed.placements_recorded is recorded
+            assert observed.row.epoch == 2
+
+        curio.run(main)
+
+    def test_leader_without_the_field_records_none(self):
+        """Guards against two runs after an older version of the program led."""
+        row = attrs.asdict(pipelinelease.LeaseRow(1, "a", "bus-a", "t", 0.0))
+        del row["placements_recorded"]
+        stored = store.Row(pipelinelease.KEY, msgspec.msgpack.encode(row), 1)
+        assert not pipelinelease.decode(stored).placements_recorded
--- a/tests/test_pipelineregistry.py
+++ b/tests/test_pipelineregistry.py
@@ -129,6 +129,21 @@
         assert len(value) <= pipelinerows.MAX_ROW_BYTES
         assert len(pipeline.decode_progress(value).checkpoints) > 100
 
+    def test_placements_are_left_out_of_a_row_that_is_too_large(self):
+        """The next leader then waits for all workers, as for no record."""
+        registry = make_registry()
+        wide = pipelines.stage(pipeline.MAX_TASKS, lasting=True)
+        registry.add(
+            pipelines.declare("p", wide), 1, pipeline.Progress(placed={}), 0.0
+        )
+        item = registry.pipelines["p"]
+        for task in item.tasks(0, 0):
+            task.placed_on.add(KEY)
+        registry.mark_changed(item)
+        value = commit(registry).rows["p"]
+        assert len(value) <= pipelinerows.MAX_ROW_BYTES
+        assert pipeline.decode_progress(value).placed is None
+
 
 def add_with_checkpoints(registry, name, count):
     declared = pipelines.declare(name, pipelines.stage(count))
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -476,6 +476,146 @@
         assert numbers == sorted(set(numbers))
 
 
+class TestRecordedPlacements:
+    """The store names the workers on which lasting tasks may be running."""
+
+    def start_service(self, names=("w1", "w2", "w3"), **fields):
+        """Returns a fleet with a lasting task, and the task's host."""
+        fleet = simfleet.Fleet(names)
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.lasting = True
+        fleet.submit("a", pipelines.stage(lasting=True, **fields))
+        fleet.run_for(1)
+        ((_, name),) = fleet.running()
+        return fleet, fleet.hosts[name]
+
+    def stop(self, fleet, host):
+        """Stops the task, as a leader does that moves it."""
+        (key,) = host.runner.runs
+        placement = fleet.scheduler._attempts.get(
+            (key, host.runner.runs[key].number)
+        )
+        fleet.scheduler._attempts.stop(placement, "it moves")
+
+    def test_service_that_was_being_moved_does_not_wait_for_other_workers(self):
+        """Guards against a LOST service after a change of the leader.
+
+        The leader is lost after it has ordered the stop of a task that moves,
+        and together with it a worker that has nothing to do with the task.
+        """
+        fleet, host = self.start_service()
+        self.stop(fleet, host)
+        other = next(h for h in fleet.hosts.values() if h is not host)
+        other.partitioned = True
+        for worker in fleet.scheduler.workers.values():
+            fleet._deliver(
+                fleet.hosts[worker.id],
+                fleet.scheduler.orders_to_send(worker, fleet.now),
+            )
+        fleet.start_leader(gap_s=1.8)
+        fleet.run_for(0.5)
+        assert fleet.scheduler.unreported_agents == (f"agent-{other.name}",)
+        assert [task for task, _ in fleet.running()] == ["a.0.0.0"]
+
+    def test_service_does_not_wait_anew_with_each_leader(self):
+        """Guards against a LOST service while several leaders are lost."""
+        fleet, host = self.start_service()
+        other = next(h for h in fleet.hosts.values() if h is not host)
+        other.partitioned = True
+        fleet.restart_worker(host.name)
+        for _ in range(3):
+            fleet.start_leader(gap_s=1.8)
+            fleet.run_for(0.5)
+            assert [task for task, _ in fleet.running()] == ["a.0.0.0"]
+
+    def test_service_on_a_silent_worker_waits_for_its_leases(self):
+        fleet, host = self.start_service()
+        host.partitioned = True
+        fleet.start_leader()
+        waited_s = 0.0
+        while len(fleet.running()) == 1 and host.runner.runs:
+            fleet.step()
+            waited_s += 0.1
+        assert waited_s > 4
+        assert all(task == "a.0.0.0" for task, _ in fleet.running())
+        while not fleet.running():
+            fleet.step()
+            waited_s += 0.1
+        assert waited_s < simfleet.LEASE_S + 0.5
+
+    def test_start_is_ordered_only_once_its_worker_is_stored(self):
+        """Guards against two runs of a service after a change of the leader."""
+        fleet = simfleet.Fleet(names=("w1", "w2"))
+        fleet.run_for(1)
+        commit = fleet._commit
+        fleet._commit = lambda: None
+        fleet.submit("a", pipelines.stage(lasting=True))
+        fleet.run_for(2)
+        assert not started_runs(fleet)
+        fleet._commit = commit
+        fleet.run_for(0.3)
+        assert len(started_runs(fleet)) == 1
+        ((worker, _),) = fleet.stored_progress["a"].placed["0.0.0"]
+        assert fleet.hosts[worker].runner.runs
+
+    def test_start_is_not_ordered_on_a_worker_that_has_ended_meanwhile(self):
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.hosts["w1"].runner.lasting = True
+        fleet.run_for(1)
+        commit = fleet._commit
+        fleet._commit = lambda: None
+        fleet.submit("a", pipelines.stage(lasting=True))
+        fleet.run_for(0.5)
+        fleet.restart_worker("w1")
+        fleet.run_for(0.2)
+        fleet._commit = commit
+        fleet.run_for(1)
+        assert len(started_runs(fleet)) == 1
+        assert fleet.stored_progress["a"].placed == {"0.0.0": [("w1", 2)]}
+
+    def test_later_placement_is_not_taken_for_the_stored_one(self):
+        """A commit on its way does not store what was decided since."""
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.run_for(1)
+        fleet.submit("a", pipelines.stage(2, lasting=True))
+        fleet.scheduler.registry.mark_changed(
+            fleet.scheduler.registry.pipelines["a"]
+        )
+        batch = fleet.scheduler.next_batch()
+        fleet._commit = lambda: None
+        fleet.run_for(0.5)
+        fleet.scheduler.confirm(batch)
+        (worker,) = fleet.scheduler.workers.values()
+        assert worker.placements
+        assert not worker.unconfirmed_orders
+
+    def test_leader_after_one_without_records_waits_and_then_records(self):
+        """Guards against two runs while versions of the program change."""
+        fleet, host = self.start_service(names=("w1", "w2"))
+        other = next(h for h in fleet.hosts.values() if h is not host)
+        other.partitioned = True
+        fleet.restart_worker(host.name)
+        fleet.placements_recorded = False
+        fleet.start_leader()
+        fleet.run_for(2)
+        assert not fleet.running()
+        assert not fleet.placements_recorded
+        fleet.run_for(simfleet.LEASE_S)
+        assert [task for task, _ in fleet.running()] == ["a.0.0.0"]
+        assert fleet.placements_recorded
+        assert fleet.stored_progress["a"].placed
+
+    def test_service_that_never_started_waits_for_nobody(self):
+        fleet = simfleet.Fleet(names=("w1", "w2"))
+        fleet.run_for(1)
+        fleet.submit("a", pipelines.stage(lasting=True))
+        fleet.hosts["w1"].partitioned = True
+        fleet.start_leader()
+        fleet.run_for(1)
+        assert fleet.running() == [("a.0.0.0", "w2")]
+
+
 class TestGang:
     def test_members_start_together_or_not_at_all(self):
         fleet = simfleet.Fleet(names=("w1", "w2"), cores=4)
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -23,7 +23,10 @@
     def __init__(self):
         pacer = pacing.Pacer(METRICS)
         self.attempts = attempts.Attempts(pacer, METRICS)
-        self.starter = pipelinestarts.Starter(1, self.attempts, pacer, METRICS)
+        self.recorded = []
+        self.starter = pipelinestarts.Starter(
+            1, self.attempts, pacer, METRICS, self.recorded.append
+        )
         self.busy = pipelines.worker("busy", cores=8)
         self.empty = pipelines.worker("empty", cores=8)
         pipelines.place(self.busy, pipelines.stage(millicores=6000))
@@ -125,7 +128,9 @@
         """Starts all services; returns the images served by each worker."""
         pacer = pacing.Pacer(METRICS)
         placed = attempts.Attempts(pacer, METRICS)
-        starter = pipelinestarts.Starter(1, placed, pacer, METRICS)
+        starter = pipelinestarts.Starter(
+            1, placed, pacer, METRICS, lambda item: None
+        )
         workers = [
             pipelines.worker(f"w{n:02}", cores=32, now=1.0)
             for n in range(self.WORKERS)
@@ -322,7 +327,11 @@
         """
         pacer = pacing.Pacer(METRICS)
         starter = pipelinestarts.Starter(
-            1, attempts.Attempts(pacer, METRICS), pacer, METRICS
+            1,
+            attempts.Attempts(pacer, METRICS),
+            pacer,
+            METRICS,
+            lambda item: None,
         )
         workers = [pipelines.worker(f"w{n}", cores=4) for n in range(50)]
         for worker in workers:
