Waits for silent workers do not add up over several leaders

A host that is lost with its agent some seconds before the leader delayed all earlier work until 7.9 s after the lease of the lost leader, and each further leader that was lost began that wait anew. Cause: the next leader knew only when the lease of the last one had ended, not that a worker had got no grant for seconds before. Class: a bound that is reset with each takeover instead of being handed over. Fix: the lease row lists silent workers with the time, by the store's clock, at which their leases lapse. A listed worker gets no grant until a row without it is stored, so that the next leader may rely on it. The gap without a leader now passes on the simulated workers, too.

--- /dev/null
+++ b/pomelostair/pipelinegrants.py
@@ -0,0 +1,114 @@
+"""Which incarnations of workers may be granted leases, and when theirs lapse.
+
+The leader stores, with each renewal of its own lease, when the leases of silent
+workers lapse. The next leader then waits for such a worker no longer than that,
+however many leaders are lost meanwhile. A listed worker gets no grant before a
+renewal without it is stored.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from pomelostair import fleet
+
+# Time without a list after which a worker counts as silent. Lists are several
+# times as frequent.
+SILENT_S = fleet.REPORT_FRESH_S
+# Time from the start of a term after which a worker that has not reported
+# counts as silent. Agents report at once to a new leader.
+FIRST_REPORT_S = 0.5
+# Most listed workers; the lease row is written several times a second. The next
+# leader waits for the others as long as a lease granted last may last.
+MAX_LISTED = 100
+
+
+class Grants:
+    """Grants of leases during one term of a leader.
+
+    Args:
+        max_lease_s: Longest time that a lease granted now can last.
+    """
+
+    def __init__(self, max_lease_s: float):
+        self._max_lease_s = max_lease_s
+        self._began_s = 0.0
+        self._earlier_lapse_s: dict[fleet.WorkerKey, float] = {}
+        self._other_earlier_lapse_s = 0.0
+        # Workers that the stored lease row lists, and that the one lists which
+        # is being stored.
+        self._stored: frozenset[fleet.WorkerKey] = frozenset()
+        self._pending: frozenset[fleet.WorkerKey] = frozenset()
+
+    def begin(
+        self,
+        listed: Mapping[fleet.WorkerKey, float],
+        other_lapse_s: float,
+        now: float,
+    ) -> None:
+        """Begins the term.
+
+        Args:
+            listed: Monotonic time at which the leases of each worker lapse that
+                the lease row lists.
+            other_lapse_s: The same for all other workers.
+            now: Monotonic seconds.
+        """
+        self._began_s = now
+        self._earlier_lapse_s = {
+            key: min(lapse_s, other_lapse_s) for key, lapse_s in listed.items()
+        }
+        self._other_earlier_lapse_s = other_lapse_s
+        self._stored = frozenset(listed)
+
+    def earlier_lapse_s(self, key: fleet.WorkerKey | None = None) -> float:
+        """Returns when all leases that earlier leaders granted have lapsed.
+
+        Args:
+            key: Worker id and incarnation, None for unknown ones.
+        """
+        if key is None:
+            return self._other_earlier_lapse_s
+        return self._earlier_lapse_s.get(key, self._other_earlier_lapse_s)
+
+    def may_grant(self, key: fleet.WorkerKey) -> bool:
+        """Returns whether a worker may be granted a lease now."""
+        return key not in self._stored and key not in self._pending
+
+    def list_silent(
+        self,
+        workers: Iterable[fleet.Worker],
+        unreported: Iterable[fleet.WorkerKey],
+        now: float,
+    ) -> dict[fleet.WorkerKey, float]:
+        """Returns the silent workers with the times at which leases lapse.
+
+        They get no grants until the outcome of storing them is known, and as
+        long as they are stored.
+
+        Args:
+            workers: Workers that have reported in this term.
+            unreported: Incarnations that have not, and may run earlier work.
+            now: Monotonic seconds.
+        """
+        listed = {
+            worker.key: worker.lease_granted_s + self._max_lease_s
+            for worker in workers
+            if now - max(worker.lease_granted_s, worker.last_listed_s)
+            >= SILENT_S
+        }
+        is_reported_late = now - self._began_s >= FIRST_REPORT_S
+        for key in unreported:
+            if is_reported_late or key in self._stored:
+                listed.setdefault(key, self.earlier_lapse_s(key))
+        listed = dict(list(listed.items())[:MAX_LISTED])
+        self._pending = frozenset(listed)
+        return listed
+
+    def confirm(self) -> None:
+        """Records that the workers listed last are stored."""
+        self._stored = self._pending
+        self._pending = frozenset()
+
+    def cancel(self) -> None:
+        """Records that the workers listed last are certainly not stored."""
+        self._pending = frozenset()
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -103,6 +103,9 @@
         self._last_renewal_s = 0.0
         self._stored_learned_s = 0.0
         self._hello_sent_s: dict[str, float] = {}
+        # Workers that reported although the stored lease row lists them as
+        # silent; they are granted leases once a row without them is stored.
+        self._withheld: set[fleet.WorkerKey] = set()
         advisor = parts.settings.pipelines.advisor
         self._advisor = parts.port.advisor(advisor) if advisor else None
         parts.bus.handle(messages.AgentReport, self._on_report)
@@ -228,10 +231,11 @@
             self._max_lease_s,
         )
         self._scheduler.set_queues(self._peers.queues)
+        self._withheld.clear()
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._commit_at_intervals)
             await group.spawn(
-                self._recover_and_watch, lapsed_s, observed.placements_recorded
+                self._recover_and_watch, lapsed_s, observed.handover
             )
             await group.spawn(self._schedule)
             await group.spawn(self._delete_expired_at_intervals)
@@ -247,10 +251,10 @@
         )
 
     async def _recover_and_watch(
-        self, lapsed_s: float, placements_recorded: bool
+        self, lapsed_s: float, handover: pipelinelease.Handover
     ) -> None:
         started_s = self._clock.now()
-        while not await self._recover(started_s, lapsed_s, placements_recorded):
+        while not await self._recover(started_s, lapsed_s, handover):
             await curio.sleep(RETRY_S)
         self._leading = True
         self._peers.update_leader(self._leader_info)
@@ -267,15 +271,17 @@
         await self._watch_rows()
 
     async def _recover(
-        self, started_s: float, lapsed_s: float, placements_recorded: bool
+        self,
+        started_s: float,
+        lapsed_s: float,
+        handover: pipelinelease.Handover,
     ) -> bool:
         """Reads the stored state; returns whether that succeeded.
 
         Args:
             started_s: Clock reading at the start of the term.
             lapsed_s: Seconds since the previous lease lapsed.
-            placements_recorded: Whether the progress names every worker on
-                which a lasting task may be running.
+            handover: What the previous leader left in the lease row.
         """
         self._unreadable.clear()
         progress, agents = await self._scan_all(
@@ -304,7 +310,17 @@
                 self._record_ignored_row(row.key, str(error))
         leases_lapse_s = started_s + self._max_lease_s - max(0.0, lapsed_s)
         self._scheduler.expect_agents(
-            registrations, leases_lapse_s, unreadable, placements_recorded
+            registrations,
+            leases_lapse_s,
+            started_s,
+            unreadable,
+            handover.placements_recorded,
+            {
+                (silent.worker, silent.life): self._lease.local_time_s(
+                    silent.end_ms
+                )
+                for silent in handover.silent
+            },
         )
         declared_ids = await self._read_pipelines(stored_progress)
         if declared_ids is None:
@@ -437,16 +453,22 @@
         """Commits pending changes; returns whether the lease may be kept."""
         scheduler = self._scheduler
         batch = scheduler.next_batch()
-        if batch.is_empty and batch.ends and self._lease.is_held:
+        if (
+            batch.is_empty
+            and batch.ends
+            and self._lease.is_held
+            and not self._withheld
+        ):
             await self._notify_agents(scheduler.confirm(batch))
             if self._renewed_recently:
                 return True
         started_s = self._clock.now()
         puts, deletes = _batch_changes(batch)
+        handover = self._handover(started_s) if self.leading else None
         result = await self._lease.commit(
             puts + self._learned_puts(started_s),
             deletes,
-            scheduler.placements_recorded,
+            handover,
         )
         self._parts.metrics.record(
             "commit_seconds", self._clock.now() - started_s
@@ -454,12 +476,15 @@
         match result:
             case outcome.Committed():
                 self._last_renewal_s = started_s
+                if handover is not None:
+                    await self._grant_withheld()
                 await self._notify_agents(scheduler.confirm(batch))
                 if scheduler.has_uncommitted:
                     await self._commit_requested.set()
                 return True
             case outcome.Unavailable(reason=reason):
                 scheduler.registry.requeue(batch)
+                scheduler.grants.cancel()
                 self._parts.metrics.count("commits_failed")
                 log.emit(
                     events.Events.LEASE_RENEWAL_FAILED,
@@ -471,6 +496,28 @@
                 return True
         return False
 
+    def _handover(self, now_s: float) -> pipelinelease.Handover:
+        """Returns what the next leader learns from the lease row."""
+        silent = []
+        listed = self._scheduler.list_silent(now_s)
+        for (worker, life), lapse_s in listed.items():
+            end_ms = self._lease.store_time_ms(lapse_s)
+            if end_ms is not None:
+                silent.append(pipelinelease.LeaseEnd(worker, life, end_ms))
+        return pipelinelease.Handover(
+            self._scheduler.placements_recorded, tuple(silent)
+        )
+
+    async def _grant_withheld(self) -> None:
+        """Grants leases to workers that the stored row no longer lists."""
+        self._scheduler.grants.confirm()
+        withheld, self._withheld = self._withheld, set()
+        now_s = self._clock.now()
+        for key in withheld:
+            worker = self._scheduler.workers.get(key)
+            if worker is not None:
+                await self._answer_report(worker, now_s)
+
     def _learned_puts(self, now_s: float) -> tuple[store.Put, ...]:
         """Returns the row of learned pairs of images when it is due.
 
@@ -666,13 +713,15 @@
                 bus, messages.Instructions(self._leader_info, "", 0, 0, 0, 0)
             )
         await self._round_requested.set()
-        if self._scheduler.has_uncommitted:
+        if self._scheduler.has_uncommitted or self._withheld:
             await self._commit_requested.set()
 
     async def _answer_report(self, worker: fleet.Worker, now_s: float) -> None:
         """Grants a further lease and acknowledges ends and results."""
         lease_end_ms = 0
-        if worker.state.fresh and worker.state.reachable:
+        if not self._scheduler.grants.may_grant(worker.key):
+            self._withheld.add(worker.key)
+        elif worker.state.fresh and worker.state.reachable:
             lease_end_ms = worker.state.clock_ms + self._grant_ms
             worker.lease_granted_s = now_s
         worker.instructed_s = now_s
--- a/pomelostair/pipelinelease.py
+++ b/pomelostair/pipelinelease.py
@@ -6,6 +6,7 @@
 store's clock is past the end, the lease has lapsed.
 """
 
+import math
 import uuid
 
 import attrs
@@ -29,6 +30,36 @@
 RETRY_MAX_S = 0.3
 
 
+@attrs.frozen
+class LeaseEnd:
+    """When the leases of a silent worker have lapsed.
+
+    Attributes:
+        worker: Id of the worker.
+        life: Its incarnation.
+        end_ms: Reading of the store's clock at which they have certainly
+            lapsed.
+    """
+
+    worker: str
+    life: int
+    end_ms: float
+
+
+@attrs.frozen
+class Handover:
+    """What the next leader learns from the lease row.
+
+    Attributes:
+        placements_recorded: Whether the progress of the pipelines names every
+            worker on which a lasting task may be running.
+        silent: Workers that got no grant since the row was stored.
+    """
+
+    placements_recorded: bool = False
+    silent: tuple[LeaseEnd, ...] = ()
+
+
 @attrs.frozen
 class LeaseRow:
     """Value of the lease row.
@@ -41,8 +72,7 @@
         end_ms: Reading of the store's clock at which the lease has certainly
             lapsed.
         vacated: Whether the holder has given up the lease.
-        placements_recorded: Whether the progress of the pipelines names every
-            worker on which a lasting task may be running.
+        handover: What the next leader learns.
     """
 
     epoch: int
@@ -51,7 +81,7 @@
     token: str
     end_ms: float
     vacated: bool = False
-    placements_recorded: bool = False
+    handover: Handover = Handover()
 
 
 @attrs.frozen
@@ -67,12 +97,11 @@
     version: int = 0
 
     @property
-    def placements_recorded(self) -> bool:
-        """Whether all placements of lasting tasks are recorded.
-
-        Before the first lease, there is none.
-        """
-        return self.row is None or self.row.placements_recorded
+    def handover(self) -> Handover:
+        """What its holder leaves to the next; the first one finds nothing."""
+        if self.row is None:
+            return Handover(placements_recorded=True)
+        return self.row.handover
 
 
 def decode(row: store.Row) -> ObservedLease:
@@ -150,6 +179,39 @@
             return -SLOW_LEASE_S
         return (time.earliest_ms - row.end_ms) / 1000
 
+    def local_time_s(self, store_ms: float) -> float:
+        """Returns when the store's clock is certainly past a reading.
+
+        Args:
+            store_ms: Reading of the store's clock.
+
+        Returns:
+            Reading of this process's clock; infinity before the store first
+            answered.
+        """
+        time = self._table.time()
+        if time is None:
+            return math.inf
+        ahead_s = (store_ms - time.earliest_ms) / 1000
+        if ahead_s > 0:
+            ahead_s *= 1 + MAX_CLOCK_DRIFT_SHARE
+        return self._clock.now() + ahead_s
+
+    def store_time_ms(self, local_s: float) -> float | None:
+        """Returns a reading of the store's clock that is not before a time.
+
+        Args:
+            local_s: Reading of this process's clock.
+
+        Returns:
+            The reading; None before the store first answered.
+        """
+        time = self._table.time()
+        if time is None:
+            return None
+        ahead_s = max(0.0, local_s - self._clock.now())
+        return time.latest_ms + ahead_s * 1000 * (1 + MAX_CLOCK_DRIFT_SHARE)
+
     async def read_lease(self) -> ObservedLease | outcome.Unavailable:
         """Reads the lease row.
 
@@ -185,7 +247,7 @@
             self._bus,
             "",
             0.0,
-            placements_recorded=observed.placements_recorded,
+            handover=observed.handover,
         )
         self._version = observed.version
         result = await self.commit((), ())
@@ -198,7 +260,7 @@
         self,
         puts: tuple[store.Put, ...],
         deletes: tuple[str, ...],
-        placements_recorded: bool | None = None,
+        handover: Handover | None = None,
     ) -> outcome.Committed | outcome.Conflict | outcome.Unavailable:
         """Writes rows and renews the lease in one transaction.
 
@@ -208,24 +270,25 @@
         Args:
             puts: Rows to write.
             deletes: Keys of rows to delete.
-            placements_recorded: See `LeaseRow`; None leaves it unchanged.
+            handover: What the next leader learns; None leaves it unchanged.
         """
         async with self._commit_lock:
-            return await self._commit(puts, deletes, placements_recorded)
+            return await self._commit(puts, deletes, handover)
 
     async def _commit(
         self,
         puts: tuple[store.Put, ...],
         deletes: tuple[str, ...],
-        placements_recorded: bool | None,
+        handover: Handover | None,
     ) -> outcome.Committed | outcome.Conflict | outcome.Unavailable:
         assert self._row is not None
         start_s = self._clock.now()
         row = attrs.evolve(
-            self._row, token=uuid.uuid4().hex, end_ms=self._end_ms()
+            self._row,
+            token=uuid.uuid4().hex,
+            end_ms=self._end_ms(),
+            handover=handover or self._row.handover,
         )
-        if placements_recorded is not None:
-            row = attrs.evolve(row, placements_recorded=placements_recorded)
         transaction = store.Transaction(
             (store.Check(KEY, self._version),),
             (store.Put(KEY, msgspec.msgpack.encode(row)), *puts),
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -7,6 +7,8 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
+import types
 
 import attrs
 
@@ -19,6 +21,7 @@
 from pomelostair import pacing
 from pomelostair import pipeline
 from pomelostair import pipelineadvice
+from pomelostair import pipelinegrants
 from pomelostair import pipelinemessages as messages
 from pomelostair import pipelinemonitor
 from pomelostair import pipelinepacking
@@ -120,7 +123,7 @@
         # By agent, the incarnations of its workers that may run work of earlier
         # terms; empty if its registration is malformed.
         self._unreported: dict[str, tuple[fleet.KnownIncarnation, ...]] = {}
-        self._earlier_leases_end_s = 0.0
+        self._grants = pipelinegrants.Grants(max_lease_s)
         # Whether earlier leaders recorded every placement of a lasting task.
         self._earlier_placements_recorded = True
         # Pipelines whose stored progress may lack placements of lasting tasks.
@@ -162,6 +165,20 @@
         """Advice tickets for the queues that require them."""
         return self._starter.advice
 
+    @property
+    def grants(self) -> pipelinegrants.Grants:
+        """Grants of leases to the workers."""
+        return self._grants
+
+    def list_silent(self, now: float) -> dict[fleet.WorkerKey, float]:
+        """Returns the silent workers, see `pipelinegrants.Grants`."""
+        unreported = [
+            known.key
+            for expected in self._unreported.values()
+            for known in expected
+        ]
+        return self._grants.list_silent(self._workers.values(), unreported, now)
+
     @property
     def has_uncommitted(self) -> bool:
         """Whether any state is not yet committed to the store."""
@@ -245,8 +262,10 @@
         self,
         agents: dict[str, fleet.Registration],
         earlier_leases_end_s: float,
+        now: float,
         unreadable: Iterable[str] = (),
         placements_recorded: bool = False,
+        silent: Mapping[fleet.WorkerKey, float] = types.MappingProxyType({}),
     ) -> None:
         """Sets the agents that earlier leaders may have given work to.
 
@@ -254,9 +273,12 @@
             agents: Their registrations by name.
             earlier_leases_end_s: Monotonic time at which all leases of earlier
                 leaders have certainly lapsed.
+            now: Monotonic seconds.
             unreadable: Names of agents with malformed registrations.
             placements_recorded: Whether the stored progress names every worker
                 on which earlier leaders placed a lasting task.
+            silent: Workers that the lease row lists, each with the monotonic
+                time at which its leases have certainly lapsed.
         """
         self._registry.set_agents(agents)
         self._unreported = dict.fromkeys(unreadable, ())
@@ -265,7 +287,7 @@
             for name, registration in agents.items()
             if registration.lives
         )
-        self._earlier_leases_end_s = earlier_leases_end_s
+        self._grants.begin(silent, earlier_leases_end_s, now)
         self._earlier_placements_recorded = placements_recorded
 
     def cancel(self, pipeline_id: str) -> None:
@@ -804,16 +826,25 @@
             if now - ended_s > ENDED_RETENTION_S:
                 del self._ended_since_s[key]
                 self._last_numbers.pop(key, None)
-        if self._unreported and now > self._earlier_leases_end_s:
-            log.emit(
-                events.Events.EARLIER_LEASES_LAPSED,
-                agents=list(self._unreported),
-            )
-            for agent, expected in self._unreported.items():
-                for known in expected:
-                    if not self._all_reconciled((known.key,)):
-                        self._unregister(agent, known.key)
-            self._unreported.clear()
+        self._expire_unreported(now)
+
+    def _expire_unreported(self, now: float) -> None:
+        """Drops unreported incarnations whose leases have lapsed."""
+        lapsed_agents = []
+        for agent, expected in list(self._unreported.items()):
+            left = []
+            for known in expected:
+                if now <= self._grants.earlier_lapse_s(known.key):
+                    left.append(known)
+                elif not self._all_reconciled((known.key,)):
+                    self._unregister(agent, known.key)
+            if left or (not expected and now <= self._grants.earlier_lapse_s()):
+                self._unreported[agent] = tuple(left)
+            else:
+                del self._unreported[agent]
+                lapsed_agents.append(agent)
+        if lapsed_agents:
+            log.emit(events.Events.EARLIER_LEASES_LAPSED, agents=lapsed_agents)
 
     def _unregister(self, agent: str, key: fleet.WorkerKey) -> None:
         """Stores that an incarnation has no work, as its leases have lapsed."""
--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -75,11 +75,19 @@
         self.hosts = {name: Host(name, runner.Runner(1)) for name in names}
         self.finished = []
         self.placements_recorded = True
+        self.silent = {}
         self.start_leader()
 
     def start_leader(self, gap_s=0.0):
-        """Replaces the leader by a new one, which reads the stored state."""
+        """Replaces the leader by a new one, which reads the stored state.
+
+        Args:
+            gap_s: Time without a leader, in which the workers go on.
+        """
         self.now += gap_s
+        for host in self.hosts.values():
+            host.runner.advance(gap_s * 1000)
+            self._record_ends(host)
         self.epoch += 1
         self.scheduler = pipelinescheduler.PipelineScheduler(
             self.epoch,
@@ -90,7 +98,12 @@
         )
         self.scheduler.set_queues(pipelines.TABLE)
         self.scheduler.expect_agents(
-            self.agents, self.now + LEASE_S, (), self.placements_recorded
+            self.agents,
+            self.now + LEASE_S,
+            self.now,
+            (),
+            self.placements_recorded,
+            self.silent,
         )
         for declared, version in self.rows.values():
             progress = self.stored_progress.get(
@@ -217,10 +230,11 @@
         for worker in self.scheduler.apply_report(
             report, "bus", "life", self.now
         ):
-            worker.lease_granted_s = self.now
-            host.lease_limit_ms = max(
-                host.lease_limit_ms, worker_runner.clock_ms + GRANT_MS
-            )
+            if self.scheduler.grants.may_grant(worker.key):
+                worker.lease_granted_s = self.now
+                host.lease_limit_ms = max(
+                    host.lease_limit_ms, worker_runner.clock_ms + GRANT_MS
+                )
             host.acknowledged = max(host.acknowledged, worker.acknowledged_end)
             host.results = [
                 r for r in host.results if r.sequence > worker.applied_result
@@ -278,6 +292,8 @@
 
     def _commit(self):
         self.placements_recorded = self.scheduler.placements_recorded
+        self.silent = self.scheduler.list_silent(self.now)
+        self.scheduler.grants.confirm()
         batch = self.scheduler.next_batch()
         self.stored_progress.update(batch.progress)
         self.agents.update(batch.agents)
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -129,7 +129,7 @@
         async def body():
             for put in puts:
                 await harness.table.commit(store.Transaction(puts=(put,)))
-            assert await leader._recover(0.0, 0.0, True)
+            assert await leader._recover(0.0, 0.0, pipelinelease.Handover())
 
         harness.run(body)
         return harness, leader
@@ -168,3 +168,62 @@
             assert pipelinelease.KEY in observed.reason
 
         harness.run(body)
+
+
+class TestSilentWorkers:
+    def test_grant_waits_for_a_row_without_the_worker(self):
+        """Guards against a next leader that counts on leases having lapsed."""
+        harness = test_pipelineapi.Harness()
+        leader = harness.host.get(pipelineleader.PipelineLeader)
+        harness.table.time = harness.table.table.time
+        sent = []
+
+        async def send(bus, message):
+            sent.append(message)
+
+        leader._send = send
+
+        async def body():
+            assert await leader._lease.acquire(pipelinelease.ObservedLease())
+            now_s = leader._clock.now()
+            scheduler = leader._scheduler = pipelinescheduler.PipelineScheduler(
+                1, 0, test_pipelineapi.METRICS, lambda: 0.0, 7.9
+            )
+            worker = pipelines.worker("w1", now=now_s)
+            worker.last_listed_s = now_s
+            scheduler.workers[worker.key] = worker
+            scheduler.expect_agents(
+                {}, now_s, now_s, silent={worker.key: now_s + 5.0}
+            )
+            leader._leading = True
+            await leader._answer_report(worker, now_s)
+            assert [m.lease_end_ms for m in sent] == [0]
+            assert await leader._commit()
+            assert sent[-1].lease_end_ms > 0
+            observed = await leader._lease.read_lease()
+            assert not observed.handover.silent
+
+        harness.run(body)
+
+    def test_row_lists_a_silent_worker_by_the_clock_of_the_store(self):
+        harness = test_pipelineapi.Harness()
+        leader = harness.host.get(pipelineleader.PipelineLeader)
+        harness.table.time = harness.table.table.time
+
+        async def body():
+            assert await leader._lease.acquire(pipelinelease.ObservedLease())
+            now_s = leader._clock.now()
+            leader._scheduler = pipelinescheduler.PipelineScheduler(
+                1, 0, test_pipelineapi.METRICS, lambda: 0.0, 7.9
+            )
+            worker = pipelines.worker("w1", now=now_s - 5.0)
+            leader._scheduler.workers[worker.key] = worker
+            leader._leading = True
+            assert await leader._commit()
+            observed = await leader._lease.read_lease()
+            (silent,) = observed.handover.silent
+            assert (silent.worker, silent.life) == worker.key
+            lapse_s = leader._lease.local_time_s(silent.end_ms)
+            assert 2.9 <= lapse_s - now_s < 3.5
+
+        harness.run(body)
--- a/tests/test_pipelinelease.py
+++ b/tests/test_pipelinelease.py
@@ -1,3 +1,5 @@
+import math
+
 import attrs
 import curio
 import msgspec
@@ -191,7 +193,7 @@
     def test_first_leader_finds_none_that_is_not_recorded(self):
         async def main():
             lease = LeaseHarness().new_lease("a")
-            assert (await lease.read_lease()).placements_recorded
+            assert (await lease.read_lease()).handover.placements_recorded
 
         curio.run(main)
 
@@ -200,12 +202,12 @@
         async def main():
             harness = LeaseHarness()
             first = await harness.acquired_lease("a")
-            await first.commit(PUTS, (), recorded)
+            await first.commit(PUTS, (), pipelinelease.Handover(recorded))
             await first.commit(PUTS, ())
             await first.vacate()
             second = await harness.acquired_lease("b")
             observed = await second.read_lease()
-            assert observed.placements_recorded is recorded
+            assert observed.handover.placements_recorded is recorded
             assert observed.row.epoch == 2
 
         curio.run(main)
@@ -213,6 +215,54 @@
     def test_leader_without_the_field_records_none(self):
         """Guards against two runs after an older version of the program led."""
         row = attrs.asdict(pipelinelease.LeaseRow(1, "a", "bus-a", "t", 0.0))
-        del row["placements_recorded"]
+        del row["handover"]
         stored = store.Row(pipelinelease.KEY, msgspec.msgpack.encode(row), 1)
-        assert not pipelinelease.decode(stored).placements_recorded
+        assert not pipelinelease.decode(stored).handover.placements_recorded
+
+
+class TestStoreTime:
+    """Times that the lease row names, by the store's clock."""
+
+    def test_a_time_survives_the_way_there_and_back_as_a_later_one(self):
+        async def main():
+            harness = LeaseHarness()
+            lease = await harness.acquired_lease("a")
+            end_s = harness.clock.now() + 5.0
+            end_ms = lease.store_time_ms(end_s)
+            harness.clock.advance(2.0)
+            back_s = harness.new_lease("b").local_time_s(end_ms)
+            assert end_s <= back_s < end_s + 0.5
+
+        curio.run(main)
+
+    def test_past_time_is_not_later_than_now(self):
+        async def main():
+            harness = LeaseHarness()
+            lease = await harness.acquired_lease("a")
+            end_ms = lease.store_time_ms(harness.clock.now() + 1.0)
+            harness.clock.advance(3.0)
+            assert lease.local_time_s(end_ms) <= harness.clock.now()
+
+        curio.run(main)
+
+    def test_unknown_time_of_the_store_bounds_nothing(self):
+        lease = LeaseHarness().new_lease("a")
+        lease._table.time = lambda: None
+        assert lease.store_time_ms(1.0) is None
+        assert lease.local_time_s(1.0) == math.inf
+
+
+class TestHandover:
+    def test_silent_workers_reach_the_next_leader(self):
+        async def main():
+            harness = LeaseHarness()
+            first = await harness.acquired_lease("a")
+            silent = (pipelinelease.LeaseEnd("w1", 7, 1234.5),)
+            await first.commit(PUTS, (), pipelinelease.Handover(True, silent))
+            await first.vacate()
+            second = await harness.acquired_lease("b")
+            observed = await second.read_lease()
+            assert observed.row.epoch == 2
+            assert observed.handover.silent == silent
+
+        curio.run(main)
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -476,6 +476,75 @@
         assert numbers == sorted(set(numbers))
 
 
+class TestSilentWorkers:
+    """The lease row tells when the leases of silent workers lapse."""
+
+    def lose_host(self):
+        """Returns a fleet, one host of which is lost with its only task."""
+        fleet = simfleet.Fleet(names=("w1", "w2"))
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 60_000
+        fleet.submit("a", pipelines.stage(estimate_ms=60_000))
+        fleet.run_for(1)
+        ((_, name),) = fleet.running()
+        fleet.hosts[name].partitioned = True
+        return fleet, fleet.hosts[name]
+
+    def wait_for_restart(self, fleet, lost_host):
+        while len(started_runs(fleet)) < 2:
+            fleet.step()
+        assert not lost_host.runner.runs
+
+    def test_worker_lost_before_its_leader_delays_the_next_one_no_longer(self):
+        """Guards against a wait that begins anew with a change of the leader.
+
+        Work of the lost worker, and all other work that is ready, stood still.
+        """
+        fleet, lost_host = self.lose_host()
+        lost_s = fleet.now
+        fleet.run_for(5)
+        fleet.start_leader(gap_s=1.8)
+        self.wait_for_restart(fleet, lost_host)
+        assert fleet.now - lost_s < simfleet.LEASE_S + 0.5
+
+    def test_several_leaders_in_a_row_do_not_add_up_their_waits(self):
+        """Guards against work that stands still while leaders are lost."""
+        fleet, lost_host = self.lose_host()
+        fleet.start_leader(gap_s=1.8)
+        taken_over_s = fleet.now
+        for _ in range(2):
+            fleet.run_for(1)
+            fleet.start_leader(gap_s=1.8)
+        self.wait_for_restart(fleet, lost_host)
+        assert fleet.now - taken_over_s < simfleet.LEASE_S + 0.5
+
+    def test_worker_that_is_heard_of_again_keeps_its_work(self):
+        fleet, host = self.lose_host()
+        fleet.run_for(4)
+        assert list(fleet.silent) == [(host.name, 1)]
+        host.partitioned = False
+        fleet.run_for(0.3)
+        assert not fleet.silent
+        fleet.run_for(10)
+        assert len(started_runs(fleet)) == 1
+        assert host.runner.runs
+
+    def test_listed_worker_gets_no_grant_before_the_list_is_stored_anew(self):
+        """Guards against a next leader that counts on leases having lapsed."""
+        fleet, host = self.lose_host()
+        fleet.run_for(4)
+        commit = fleet._commit
+        fleet._commit = lambda: None
+        granted_ms = host.lease_limit_ms
+        host.partitioned = False
+        fleet.run_for(1)
+        assert host.lease_limit_ms == granted_ms
+        fleet._commit = commit
+        fleet.run_for(0.2)
+        assert host.lease_limit_ms > granted_ms
+
+
 class TestRecordedPlacements:
     """The store names the workers on which lasting tasks may be running."""
 
