A long poll of the store does not lengthen the leader's lease

Cause: the bounds of the store's clock came from its latest answer alone. The answer to a watch is up to 2 s old by its request, so the next commit wrote a lease that ended up to 2 s too late. Class: newer information taken for better information. Fix: an answer narrows the bounds that are known; a clock that begins anew is followed.

--- a/pomelostair/platform/store.py
+++ b/pomelostair/platform/store.py
@@ -113,12 +113,15 @@
 
 
 class _StoreClock:
-    """Bounds the store's monotonic clock, based on its latest answer."""
+    """Bounds the store's monotonic clock, based on its answers.
+
+    The reading in an answer to a long poll is old by an unknown part of the
+    poll, so it must not loosen the bounds that an earlier answer gave.
+    """
 
     def __init__(self):
-        self._reading_ms = 0.0
-        self._sent_s = 0.0
-        self._received_s = 0.0
+        self._bounds: store.StoreTime | None = None
+        self._updated_s = 0.0
 
     def update(self, reading_ms: float, sent_s: float) -> None:
         """Records a reading of the store's clock.
@@ -127,21 +130,33 @@
             reading_ms: Reading in the answer; 0 if the answer had none.
             sent_s: Local time at which the request was sent.
         """
-        if reading_ms > 0:
-            self._reading_ms = reading_ms
-            self._sent_s = sent_s
-            self._received_s = _boottime_s()
+        if reading_ms <= 0:
+            return
+        now_s = _boottime_s()
+        took_ms = (now_s - sent_s) * (1 + MAX_CLOCK_DRIFT_SHARE) * 1000
+        earliest_ms, latest_ms = reading_ms, reading_ms + took_ms
+        known = self._bounds_at(now_s)
+        if known is not None:
+            tighter_earliest_ms = max(earliest_ms, known.earliest_ms)
+            tighter_latest_ms = min(latest_ms, known.latest_ms)
+            # Otherwise the clock has begun anew.
+            if tighter_earliest_ms <= tighter_latest_ms:
+                earliest_ms = tighter_earliest_ms
+                latest_ms = tighter_latest_ms
+        self._bounds = store.StoreTime(earliest_ms, latest_ms)
+        self._updated_s = now_s
 
     def bounds(self) -> store.StoreTime | None:
         """Returns the current bounds, None before the first reading."""
-        if not self._reading_ms:
+        return self._bounds_at(_boottime_s())
+
+    def _bounds_at(self, now_s: float) -> store.StoreTime | None:
+        if self._bounds is None:
             return None
-        now_s = _boottime_s()
-        min_elapsed_s = (now_s - self._received_s) * (1 - MAX_CLOCK_DRIFT_SHARE)
-        max_elapsed_s = (now_s - self._sent_s) * (1 + MAX_CLOCK_DRIFT_SHARE)
+        elapsed_ms = (now_s - self._updated_s) * 1000
         return store.StoreTime(
-            self._reading_ms + min_elapsed_s * 1000,
-            self._reading_ms + max_elapsed_s * 1000,
+            self._bounds.earliest_ms + elapsed_ms * (1 - MAX_CLOCK_DRIFT_SHARE),
+            self._bounds.latest_ms + elapsed_ms * (1 + MAX_CLOCK_DRIFT_SHARE),
         )
 
 
