Results of a restarted agent count after its worker's leases had lapsed

What callers saw or would see: LOST. A task whose start the worker refused stayed placed for the rest of the term. Cause: an incarnation that was removed when its leases had lapsed, and is reported again, continued with the number of the last applied result, but not with the incarnation of its agent. So a restart of the agent in between went unnoticed, and the results of its new process, which count from 1, were taken for old ones. Class: numbers of one process compared with those of another. Fix: the agent's incarnation is kept with the numbers. Evidence: test_refusal_after_the_leases_lapsed_is_applied[3] fails on the code before (running instead of completed, for as long as it is watched); without earlier results it passes.

--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -114,9 +114,9 @@
         # Workers with ends that are applied but not acknowledged yet.
         self._unacknowledged: set[fleet.WorkerKey] = set()
         self._ended_since_s: dict[fleet.WorkerKey, float] = {}
-        # Last order number and last applied result of removed workers, which
-        # continue from there if they are reported again.
-        self._last_numbers: dict[fleet.WorkerKey, tuple[int, int]] = {}
+        # Last order number, last applied result and incarnation of the agent of
+        # removed workers, which continue from there if they are reported again.
+        self._last_numbers: dict[fleet.WorkerKey, tuple[int, int, str]] = {}
         self._report_sequences: dict[str, _ReportSequence] = {}
         # Incarnations whose agents report that their leases have lapsed.
         self._lapsed: set[fleet.WorkerKey] = set()
@@ -448,9 +448,11 @@
         worker.registered = self._registry.is_registered(
             agent, (worker.id, worker.incarnation)
         )
-        worker.last_order_number, worker.applied_result = (
-            self._last_numbers.pop((worker.id, worker.incarnation), (0, 0))
-        )
+        (
+            worker.last_order_number,
+            worker.applied_result,
+            worker.agent_incarnation,
+        ) = self._last_numbers.pop(worker.key, (0, 0, ""))
         for name, incarnation in list(self._workers):
             if name == state.worker and incarnation < state.life:
                 self._remove_worker((name, incarnation), now, "it restarted")
@@ -804,6 +806,7 @@
         self._last_numbers[key] = (
             worker.last_order_number,
             worker.applied_result,
+            worker.agent_incarnation,
         )
         log.emit(
             events.Events.PIPELINE_WORKER_GONE,
--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -40,6 +40,7 @@
         results: Results of orders that the leader has not applied yet.
         last_result: Sequence number of the last result.
         epoch: Epoch of the leader that the agent last reported to.
+        agent_incarnation: Incarnation of the agent's process.
     """
 
     name: str
@@ -53,6 +54,7 @@
     results: list = attrs.field(factory=list)
     last_result: int = 0
     epoch: int = 0
+    agent_incarnation: str = "life"
 
 
 class Fleet:
@@ -139,6 +141,13 @@
         host.acknowledged = host.last_order = 0
         host.results.clear()
 
+    def restart_agent(self, name):
+        """Restarts the agent of a worker; its numbers begin anew."""
+        host = self.hosts[name]
+        host.agent_incarnation += "+"
+        host.last_order = host.last_result = 0
+        host.results.clear()
+
     def run_for(self, seconds, step_s=0.1):
         """Advances the time in steps."""
         for _ in range(round(seconds / step_s)):
@@ -228,7 +237,7 @@
             {host.name: f"{host.name}:1"},
         )
         for worker in self.scheduler.apply_report(
-            report, "bus", "life", self.now
+            report, "bus", host.agent_incarnation, self.now
         ):
             if self.scheduler.grants.may_grant(worker.key):
                 worker.lease_granted_s = self.now
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -3,6 +3,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 
 from pomelostair import events
 from pomelostair import pipeline
@@ -172,6 +173,35 @@
         assert set(done.values()) == {1}
 
 
+class TestRestartedAgent:
+    @pytest.mark.parametrize("earlier_orders", [0, 3])
+    def test_refusal_after_the_leases_lapsed_is_applied(self, earlier_orders):
+        """Guards against a LOST task whose refused start is never noticed.
+
+        The results of the agent's new process count from 1. The leader took
+        them for results that it had applied before the worker was removed.
+        """
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.run_for(1)
+        for number in range(earlier_orders):
+            fleet.submit(f"p{number}")
+            fleet.run_for(1)
+        host = fleet.hosts["w1"]
+        host.partitioned = True
+        fleet.run_for(simfleet.LEASE_S + 1)
+        assert not fleet.scheduler.workers
+        fleet.restart_agent("w1")
+        host.partitioned = False
+        start, refusals = host.runner.start, ["room"]
+        host.runner.start = lambda *order: (
+            refusals.pop() if refusals else start(*order)
+        )
+        fleet.submit("late")
+        fleet.run_for(5)
+        assert not refusals
+        assert fleet.phase("late") is COMPLETED
+
+
 class TestReports:
     def test_overtaken_report_removes_nothing(self):
         """Guards against applying reports out of order.
