Tasks that can't start do not use up a round

Cause: a round considers 600 ready tasks, and counted each ready task of a pipeline, also those that may not start yet or have no worker with their label. Services rank first, so 600 of them hid all other work, for up to 7.9 s after a change of the leader and for as long as the label is missing. Class: a budget spent on what costs nothing. Fix: a task counts once a worker was looked for.

--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -28,7 +28,7 @@
 GATHER_DELAY_S = 0.3
 # Largest progress that a move may lose.
 MAX_LOST_PROGRESS_PERCENT = 10
-# Most ready tasks that one round considers.
+# Most ready tasks for which one round looks for a worker.
 MAX_CONSIDERED_TASKS = 600
 # Time after which an idle pipeline that misses its objective starts one filler
 # without unused processor time while counted work uses at least BUSY_SHARE of
@@ -131,8 +131,7 @@
         }
         for rank, item, queue in ranked:
             if considered < MAX_CONSIDERED_TASKS:
-                considered += len(item.ready)
-                self._start_pipeline(
+                considered += self._start_pipeline(
                     item, queue, searches[queue.service], now, may_start
                 )
                 for placement in slowed.get(item.id, ()):
@@ -157,8 +156,14 @@
         search: "_Search",
         now: float,
         may_start: Callable[[pipeline.Task], bool],
-    ) -> None:
+    ) -> int:
+        """Starts the ready tasks of a pipeline for which there is room.
+
+        Returns:
+            Number of tasks for which it looked for a worker.
+        """
         workers = search.workers
+        considered = 0
         search.begin_pipeline()
         stages_without_worker: set[int] = set()
         permitted: dict[str, list[fleet.Worker]] = {}
@@ -173,6 +178,7 @@
             unrestricted = not task.avoided_workers
             if unrestricted and task.stage_number in stages_without_worker:
                 continue
+            considered += 1
             allowed = workers
             if queue.advice is not None:
                 step = pipelineadvice.step_name(task)
@@ -192,6 +198,7 @@
                 continue
             self._start(task, worker, self._next_attempt(task), now)
             search.record_start(task)
+        return considered
 
     def _start_overdue(
         self,
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -37,7 +37,9 @@
         self.attempts.attach(placement)
         return placement
 
-    def start_ready(self, *items, slowed=(), now=1.0):
+    def start_ready(
+        self, *items, slowed=(), now=1.0, may_start=lambda task: True
+    ):
         self.busy.last_report_s = self.empty.last_report_s = now
         by_pipeline = {}
         for placement in slowed:
@@ -50,6 +52,7 @@
             pipelines.TABLE,
             by_pipeline,
             now,
+            may_start,
         )
 
 
@@ -318,6 +321,40 @@
         assert cluster.attempts.has_attempts(failed)
 
 
+class TestWorkBehindServices:
+    @pytest.mark.parametrize("label", ["", "nowhere"])
+    def test_services_that_can_not_start_hide_no_other_work(self, label):
+        """Guards against work that stands still behind any number of services.
+
+        They rank first, and wait for an earlier leader or for a worker with
+        their label.
+        """
+        cluster = TwoWorkers()
+        services = pipeline.Pipeline(
+            pipelines.declare(
+                "services",
+                pipelines.stage(
+                    pipelinestarts.MAX_CONSIDERED_TASKS + 1,
+                    lasting=True,
+                    label=label,
+                ),
+            ),
+            1,
+            pipeline.Progress(),
+            0.0,
+        )
+        other = pipeline.Pipeline(
+            pipelines.declare("other"), 1, pipeline.Progress(), 0.0
+        )
+        cluster.start_ready(
+            services,
+            other,
+            may_start=lambda task: bool(label) or task.pipeline is other,
+        )
+        assert other.started
+        assert not services.started
+
+
 class TestBurst:
     def test_waiting_pipelines_do_not_compare_all_workers(self, monkeypatch):
         """A burst of wide pipelines on a fleet that is full.
