A proven worker without the pace hides no other from a retried filler

What callers saw or would see: LOST, as for the preference for proven workers. Cause: the best group of workers was taken before their paces were compared. A filler that had failed found nothing while a proven worker was too slow for it. Class: a preference that was applied as a requirement. Fix: the groups are tried in turn. Evidence: test_proven_worker_without_the_pace_hides_no_other fails on the code before.

--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -221,26 +221,30 @@
         if fits(task, worker, now, min_filler_share)
         and meets_constraints(task, worker, now)
     ]
+    groups = [candidates]
     if task.avoided_workers:
-        candidates = _preferred_for_retry(task, candidates, workers, now)
-    candidates = [
-        w for w in candidates if w.has_reservation_for(task, now)
-    ] or candidates
-    best, best_score = None, 0.0
-    for worker in candidates:
-        value = _score_if_paced(task, worker, pacer, required_pace_share, now)
-        if value is not None and (best is None or value > best_score):
-            best, best_score = worker, value
-    return best
-
-
-def _preferred_for_retry(
+        groups = _groups_for_retry(task, candidates, workers, now)
+    for group in groups:
+        reserved = [w for w in group if w.has_reservation_for(task, now)]
+        best, best_score = None, 0.0
+        for worker in reserved or group:
+            value = _score_if_paced(
+                task, worker, pacer, required_pace_share, now
+            )
+            if value is not None and (best is None or value > best_score):
+                best, best_score = worker, value
+        if best is not None:
+            return best
+    return None
+
+
+def _groups_for_retry(
     task: pipeline.Task,
     candidates: list[fleet.Worker],
     workers: list[fleet.Worker],
     now: float,
-) -> list[fleet.Worker]:
-    """Returns the best candidates for a task that has avoided workers.
+) -> list[list[fleet.Worker]]:
+    """Returns the candidates for a task that has avoided workers, best first.
 
     Args:
         task: The task.
@@ -252,12 +256,10 @@
     proven = [w for w in untried if has_recent_success(w, now)]
     # Further failures fail the pipeline, unless the task is a lasting one.
     may_wait = not task.stage.lasting and now - task.ready_since_s < MAX_IDLE_S
-    if proven or (
-        may_wait and any(has_recent_success(w, now) for w in workers)
-    ):
-        return proven
+    if may_wait and any(has_recent_success(w, now) for w in workers):
+        return [proven]
     not_failing = [w for w in untried if w.last_failure_s <= w.last_success_s]
-    return not_failing or untried or candidates
+    return [proven, not_failing, untried, candidates]
 
 
 def _score_if_paced(
--- a/tests/test_pipelineplacement.py
+++ b/tests/test_pipelineplacement.py
@@ -168,6 +168,24 @@
         pipelines.place(new, pipelines.stage(millicores=32_000))
         assert choose(task, workers, now=now) is failing
 
+    def test_proven_worker_without_the_pace_hides_no_other(self):
+        """Guards against a LOST filler: its retry fits only a slow worker."""
+        new, proven, _ = workers_to_retry_on()
+
+        class Pacer(pacing.Pacer):
+            def available_pace_share(self, task, worker, now):
+                return 0.1 if worker is proven else 1.0
+
+            def required_pace_share(self, task, now):
+                return 0.5
+
+        task = task_of(pipelines.stage(filler=True))
+        task.avoided_workers.add("other")
+        task.ready_since_s = 6.0
+        workers = [new, proven]
+        now = 6.0 + PLATFORM_IDLE_S
+        assert choose(task, workers, now, Pacer(METRICS)) is new
+
     def test_lasting_task_waits_for_no_success_elsewhere(self):
         """Guards against a LOST service: its failures are not limited."""
         new, proven, failing = workers = workers_to_retry_on()
