A large task does not hide the small ones of its idle pipeline

Cause: the start that is due after 2 s was tried for one task. If that one had no room, a smaller one of another stage stayed hidden. Fix: one task of each stage is tried; pipelines without fillers are passed over. Evidence: test_large_task_hides_no_small_one_of_another_stage fails on the code before.

--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -114,6 +114,11 @@
         """Whether any stage runs until the pipeline is cancelled."""
         return any(stage.lasting for stage in self.stages)
 
+    @property
+    def has_filler(self) -> bool:
+        """Whether any stage uses only processor time that is left over."""
+        return any(stage.filler for stage in self.stages)
+
     def due_ms(self, occurrence: int) -> int:
         """Returns the Unix milliseconds at which an occurrence is due."""
         return self.first_run_ms + occurrence * self.interval_ms
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -138,6 +138,7 @@
                     self._move(placement, schedulable[queue.service], now)
             if (
                 rank.outlook >= pipelineorder.Outlook.LATE
+                and item.declaration.has_filler
                 and overdue_starts < MAX_OVERDUE_STARTS
             ):
                 overdue_starts += self._start_overdue(
@@ -220,34 +221,33 @@
         """
         if queue.advice is not None or not item.idle:
             return False
-        task = next(
-            (
-                task
-                for task in item.ready.values()
-                if task.stage.filler
-                and not task.stage.gang
-                and task.not_before_s <= now
-                and now - task.ready_since_s >= max_idle_s
-                and not self._attempts.has_attempts(task)
-                and may_start(task)
-            ),
-            None,
-        )
-        if task is None:
-            return False
-        worker = placement_module.choose(
-            task,
-            workers,
-            self._pacer,
-            now,
-            required_pace_share=0.0,
-            min_filler_share=0.0,
-        )
-        if worker is None:
-            return False
-        self._metrics.count("overdue_starts")
-        self._start(task, worker, self._next_attempt(task), now)
-        return True
+        tried: set[tuple[int, int]] = set()
+        for task in item.ready.values():
+            stage = (task.occurrence, task.stage_number)
+            if (
+                stage in tried
+                or not task.stage.filler
+                or task.stage.gang
+                or task.not_before_s > now
+                or now - task.ready_since_s < max_idle_s
+                or self._attempts.has_attempts(task)
+                or not may_start(task)
+            ):
+                continue
+            tried.add(stage)
+            worker = placement_module.choose(
+                task,
+                workers,
+                self._pacer,
+                now,
+                required_pace_share=0.0,
+                min_filler_share=0.0,
+            )
+            if worker is not None:
+                self._metrics.count("overdue_starts")
+                self._start(task, worker, self._next_attempt(task), now)
+                return True
+        return False
 
     def _workers_with_ticket(
         self,
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -262,6 +262,24 @@
         assert cluster.attempts.has_attempts(second)
         assert not cluster.attempts.has_attempts(first)
 
+    def test_large_task_hides_no_small_one_of_another_stage(self):
+        """Guards against a LOST pipeline whose first stage fits nowhere."""
+        cluster = TwoWorkers()
+        for worker in (cluster.busy, cluster.empty):
+            pipelines.place(worker, FILLER)
+        large = pipelines.stage(memory_mb=1_000_000, filler=True)
+        small = pipelines.stage(millicores=2000, filler=True)
+        waiting = pipeline.Pipeline(
+            pipelines.declare("waiting", large, small),
+            1,
+            pipeline.Progress(),
+            0.0,
+            30.0,
+        )
+        cluster.start_ready(waiting, now=3.0)
+        (task,) = waiting.tasks(0, 1)
+        assert cluster.attempts.has_attempts(task)
+
     def test_it_waits_longer_while_counted_work_uses_most_capacity(self):
         for waited_s, started in (
             (placement_module.MAX_IDLE_S + 0.1, False),
