A restarted agent is complete once unseen workers run nothing

A worker is cut off from its agent, the agent restarts, and the leader changes. Cause: an agent said after 3 s that it reports every worker of its host. A worker that had not shown itself by then was dropped from the registration, although leases that the agent's earlier process had extended last for 5 s. The next leader started its work elsewhere. Class: absence of a sign taken for proof of an end. Fix: an agent is complete once such leases have lapsed as well. Evidence: test_agent_is_complete_once_unseen_workers_run_nothing fails on the code before (complete at 3.1 s).

--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -47,6 +47,7 @@
 # Age of this process after which every worker on its host has sent a heartbeat:
 # two intervals of the workers' heartbeats and a margin.
 DISCOVERY_S = 3.0
+LAPSE_MARGIN_S = 0.25  # Delay between reading a clock and using the value.
 # Time without a report after which the agent tells the leader which workers the
 # host has.
 REPORT_INTERVAL_S = 0.8
@@ -167,6 +168,12 @@
         self._started_s = self._clock.now()
         self._port = parts.port
         self._hold_ms = parts.settings.pipelines.hold_ms
+        # A worker that has not shown itself by then runs nothing, either: the
+        # leases that an earlier process of this agent extended have lapsed.
+        self._complete_after_s = max(
+            DISCOVERY_S,
+            self._hold_ms / 1000 * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_S,
+        )
         self._leader = messages.LeaderInfo()
         self._leader_contact_s = 0.0
         self._leader_lost = False
@@ -769,7 +776,7 @@
             self._parts.settings.name,
             self._leader.epoch,
             self._sequence,
-            now_s - self._started_s > DISCOVERY_S,
+            now_s - self._started_s > self._complete_after_s,
             tuple(w.key for w in self._workers.values() if w.confirmed),
             tuple(
                 _worker_state(
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -225,6 +225,32 @@
         harness.run(body)
 
 
+class TestCompleteReports:
+    def test_agent_is_complete_once_unseen_workers_run_nothing(self):
+        """Guards against two runs of a task.
+
+        The agent has restarted, and its worker is cut off from it. The leases
+        that its earlier process extended last for the duration of a hold.
+        """
+        harness = Harness()
+        hold_s = harness.parts.settings.pipelines.hold_ms / 1000
+        harness.agent._accept_leader(LEADER)
+
+        async def complete_at(age_s):
+            harness.agent._started_s = harness.agent._clock.now() - age_s
+            harness.reports.clear()
+            await harness.agent._report(())
+            await harness.wait_until(lambda: harness.reports)
+            return harness.reports[-1].complete
+
+        async def body():
+            assert not await complete_at(pipelineagent.DISCOVERY_S + 0.1)
+            assert not await complete_at(hold_s)
+            assert await complete_at(hold_s * 1.02 + 0.5)
+
+        harness.run(body)
+
+
 class TestOrders:
     def test_repeated_order_is_executed_once(self):
         harness = Harness()
