--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -304,7 +304,7 @@
                 default=self._done_occurrences - 1,
             )
         while self._next_occurrence < opened_count:
-            self._open_next_occurrence(now)
+            self._open_next_occurrence(now, progress.placed)
 
     @property
     def id(self) -> str:
@@ -395,7 +395,7 @@
             and unix_ms >= due_ms
             and sum(map(len, self._tasks.values())) < MAX_TASKS
         ):
-            self._open_next_occurrence(now)
+            self._open_next_occurrence(now, {})
             opened = True
             due_ms = self.next_due_ms()
         return opened
@@ -558,8 +558,17 @@
             self._placed() if self._declaration.lasting else None,
         )
 
-    def _open_next_occurrence(self, now: float) -> None:
-        """Creates the tasks of an occurrence, with their stored progress."""
+    def _open_next_occurrence(
+        self,
+        now: float,
+        earlier_placed: dict[str, list[tuple[str, int]]] | None,
+    ) -> None:
+        """Creates the tasks of an occurrence, with their stored progress.
+
+        Args:
+            now: Monotonic seconds.
+            earlier_placed: Stored placements, see `Progress.placed`.
+        """
         occurrence = self._next_occurrence
         self._next_occurrence += 1
         for number, stage in enumerate(self._declaration.stages):
@@ -577,9 +586,9 @@
                 task.checkpoint = self._stored_progress.checkpoints.get(
                     task.key, ""
                 )
-                if self._stored_progress.placed is not None:
+                if earlier_placed is not None:
                     task.earlier_placed_on = frozenset(
-                        self._stored_progress.placed.get(task.key, ())
+                        earlier_placed.get(task.key, ())
                     )
                 if bits >> index & 1:
                     task.phase = TaskPhase.DONE
--- a/pomelostair/pipelinegrants.py
+++ b/pomelostair/pipelinegrants.py
@@ -14,9 +14,6 @@
 # Time without a list after which a worker counts as silent. Lists are several
 # times as frequent.
 SILENT_S = fleet.REPORT_FRESH_S
-# Time from the start of a term after which a worker that has not reported
-# counts as silent. Agents report at once to a new leader.
-FIRST_REPORT_S = 0.5
 # Most listed workers; the lease row is written several times a second. The next
 # leader waits for the others as long as a lease granted last may last.
 MAX_LISTED = 100
@@ -31,19 +28,19 @@
 
     def __init__(self, max_lease_s: float):
         self._max_lease_s = max_lease_s
-        self._began_s = 0.0
         self._earlier_lapse_s: dict[fleet.WorkerKey, float] = {}
         self._other_earlier_lapse_s = 0.0
         # Workers that the stored lease row lists, and that the one lists which
         # is being stored.
         self._stored: frozenset[fleet.WorkerKey] = frozenset()
         self._pending: frozenset[fleet.WorkerKey] = frozenset()
+        # Whether a row of this term that admits of grants is stored.
+        self._announced = False
 
     def begin(
         self,
         listed: Mapping[fleet.WorkerKey, float],
         other_lapse_s: float,
-        now: float,
     ) -> None:
         """Begins the term.
 
@@ -51,9 +48,7 @@
             listed: Monotonic time at which the leases of each worker lapse that
                 the lease row lists.
             other_lapse_s: The same for all other workers.
-            now: Monotonic seconds.
         """
-        self._began_s = now
         self._earlier_lapse_s = {
             key: min(lapse_s, other_lapse_s) for key, lapse_s in listed.items()
         }
@@ -72,11 +67,15 @@
 
     def may_grant(self, key: fleet.WorkerKey) -> bool:
         """Returns whether a worker may be granted a lease now."""
-        return key not in self._stored and key not in self._pending
+        return (
+            self._announced
+            and key not in self._stored
+            and key not in self._pending
+        )
 
     def list_silent(
         self,
-        workers: Iterable[fleet.Worker],
+        workers: Mapping[fleet.WorkerKey, fleet.Worker],
         unreported: Iterable[fleet.WorkerKey],
         now: float,
     ) -> dict[fleet.WorkerKey, float]:
@@ -86,26 +85,26 @@
         long as they are stored.
 
         Args:
-            workers: Workers that have reported in this term.
+            workers: Workers that have reported in this term, by key.
             unreported: Incarnations that have not, and may run earlier work.
             now: Monotonic seconds.
         """
         listed = {
-            worker.key: worker.lease_granted_s + self._max_lease_s
-            for worker in workers
+            key: worker.lease_granted_s + self._max_lease_s
+            for key, worker in workers.items()
             if now - max(worker.lease_granted_s, worker.last_listed_s)
             >= SILENT_S
         }
-        is_reported_late = now - self._began_s >= FIRST_REPORT_S
         for key in unreported:
-            if is_reported_late or key in self._stored:
-                listed.setdefault(key, self.earlier_lapse_s(key))
+            if key not in workers:
+                listed[key] = self.earlier_lapse_s(key)
         listed = dict(list(listed.items())[:MAX_LISTED])
         self._pending = frozenset(listed)
         return listed
 
     def confirm(self) -> None:
         """Records that the workers listed last are stored."""
+        self._announced = True
         self._stored = self._pending
         self._pending = frozenset()
 
--- a/pomelostair/pipelinelease.py
+++ b/pomelostair/pipelinelease.py
@@ -54,10 +54,14 @@
         placements_recorded: Whether the progress of the pipelines names every
             worker on which a lasting task may be running.
         silent: Workers that got no grant since the row was stored.
+        grants_end_ms: Reading of the store's clock after which no leader so far
+            grants leases; None if the holder grants them until its own lease
+            ends.
     """
 
     placements_recorded: bool = False
     silent: tuple[LeaseEnd, ...] = ()
+    grants_end_ms: float | None = None
 
 
 @attrs.frozen
@@ -83,6 +87,13 @@
     vacated: bool = False
     handover: Handover = Handover()
 
+    @property
+    def grants_end_ms(self) -> float:
+        """Reading of the store's clock after which no leader grants leases."""
+        if self.handover.grants_end_ms is None:
+            return self.end_ms
+        return self.handover.grants_end_ms
+
 
 @attrs.frozen
 class ObservedLease:
@@ -98,10 +109,12 @@
 
     @property
     def handover(self) -> Handover:
-        """What its holder leaves to the next; the first one finds nothing."""
+        """What its holder leaves to a next leader that has granted nothing."""
         if self.row is None:
-            return Handover(placements_recorded=True)
-        return self.row.handover
+            return Handover()
+        return attrs.evolve(
+            self.row.handover, grants_end_ms=self.row.grants_end_ms
+        )
 
 
 def decode(row: store.Row) -> ObservedLease:
@@ -174,10 +187,14 @@
 
     def lapsed_for_s(self, row: LeaseRow) -> float:
         """Returns the time since a lease has lapsed, negative before it has."""
+        return self.elapsed_since_s(row.end_ms)
+
+    def elapsed_since_s(self, store_ms: float) -> float:
+        """Returns the least time since a reading of the store's clock."""
         time = self._table.time()
         if time is None:
             return -SLOW_LEASE_S
-        return (time.earliest_ms - row.end_ms) / 1000
+        return (time.earliest_ms - store_ms) / 1000
 
     def local_time_s(self, store_ms: float) -> float:
         """Returns when the store's clock is certainly past a reading.
--- a/pomelostair/pipelineregistry.py
+++ b/pomelostair/pipelineregistry.py
@@ -152,6 +152,18 @@
             )
         )
 
+    def replace_malformed(self, agent: str) -> None:
+        """Schedules an empty registration in place of a malformed one.
+
+        Later leaders then do not wait for the leases of unknown workers.
+        """
+        if agent not in self._latest_agents:
+            self._change_agent(agent, fleet.Registration(""))
+
+    def is_changed(self, pipeline_id: str) -> bool:
+        """Returns whether progress of a pipeline waits to be stored."""
+        return pipeline_id in self._changed
+
     def mark_changed(self, item: pipeline.Pipeline) -> None:
         """Schedules the progress of a pipeline for storage."""
         self._changed[item.id] = None
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -25,6 +25,7 @@
 from pomelostair import pipelinemessages as messages
 from pomelostair import pipelinemonitor
 from pomelostair import pipelinepacking
+from pomelostair import pipelinereconciliation
 from pomelostair import pipelineregistry
 from pomelostair import pipelinestarts
 from pomelostair import pipelinewaits
@@ -120,13 +121,12 @@
         self._report_sequences: dict[str, _ReportSequence] = {}
         # Incarnations whose agents report that their leases have lapsed.
         self._lapsed: set[fleet.WorkerKey] = set()
-        # By agent, the incarnations of its workers that may run work of earlier
-        # terms; empty if its registration is malformed.
-        self._unreported: dict[str, tuple[fleet.KnownIncarnation, ...]] = {}
+        self._reconciliation = pipelinereconciliation.Reconciliation()
         self._grants = pipelinegrants.Grants(max_lease_s)
         # Whether earlier leaders recorded every placement of a lasting task.
-        self._earlier_placements_recorded = True
-        # Pipelines whose stored progress may lack placements of lasting tasks.
+        self._earlier_placements_recorded = False
+        # Pipelines whose stored progress may lack placements of lasting tasks;
+        # None until all attempts of earlier terms are known.
         self._unrecorded: set[str] | None = None
         self._pacer = pacing.Pacer(metrics)
         self._attempts = attempts_module.Attempts(self._pacer, metrics)
@@ -172,12 +172,9 @@
 
     def list_silent(self, now: float) -> dict[fleet.WorkerKey, float]:
         """Returns the silent workers, see `pipelinegrants.Grants`."""
-        unreported = [
-            known.key
-            for expected in self._unreported.values()
-            for known in expected
-        ]
-        return self._grants.list_silent(self._workers.values(), unreported, now)
+        return self._grants.list_silent(
+            self._workers, self._reconciliation.keys, now
+        )
 
     @property
     def has_uncommitted(self) -> bool:
@@ -210,8 +207,16 @@
         """
         self._registry.confirm(batch)
         if self._unrecorded:
-            self._unrecorded -= batch.progress.keys()
-        to_notify = self._starter.release_recorded(batch.progress)
+            # A batch on its way may be older than what has to be recorded.
+            self._unrecorded.difference_update(
+                name
+                for name in batch.progress
+                if not self._registry.is_changed(name)
+            )
+        to_notify = {
+            worker.key: worker
+            for worker in self._starter.release_recorded(batch.progress)
+        }
         for worker in self._workers.values() if batch.agents else ():
             worker.registered = self._registry.is_registered(
                 worker.agent, (worker.id, worker.incarnation)
@@ -220,11 +225,10 @@
             worker = self._workers.get(key)
             if worker is not None and number > worker.acknowledged_end:
                 worker.acknowledged_end = number
-                if worker not in to_notify:
-                    to_notify.append(worker)
+                to_notify[key] = worker
                 if worker.applied_end <= number:
                     self._unacknowledged.discard(key)
-        return to_notify
+        return list(to_notify.values())
 
     def forget(self, pipeline_id: str) -> None:
         """Drops the state of a pipeline whose declaration was removed."""
@@ -244,7 +248,7 @@
     @property
     def unreported_agents(self) -> tuple[str, ...]:
         """Agents that may run work of earlier terms not yet reported."""
-        return tuple(self._unreported)
+        return self._reconciliation.agents
 
     @property
     def agents(self) -> dict[str, str]:
@@ -262,7 +266,6 @@
         self,
         agents: dict[str, fleet.Registration],
         earlier_leases_end_s: float,
-        now: float,
         unreadable: Iterable[str] = (),
         placements_recorded: bool = False,
         silent: Mapping[fleet.WorkerKey, float] = types.MappingProxyType({}),
@@ -273,7 +276,6 @@
             agents: Their registrations by name.
             earlier_leases_end_s: Monotonic time at which all leases of earlier
                 leaders have certainly lapsed.
-            now: Monotonic seconds.
             unreadable: Names of agents with malformed registrations.
             placements_recorded: Whether the stored progress names every worker
                 on which earlier leaders placed a lasting task.
@@ -281,13 +283,8 @@
                 time at which its leases have certainly lapsed.
         """
         self._registry.set_agents(agents)
-        self._unreported = dict.fromkeys(unreadable, ())
-        self._unreported.update(
-            (name, registration.lives)
-            for name, registration in agents.items()
-            if registration.lives
-        )
-        self._grants.begin(silent, earlier_leases_end_s, now)
+        self._reconciliation.begin(agents, unreadable)
+        self._grants.begin(silent, earlier_leases_end_s)
         self._earlier_placements_recorded = placements_recorded
 
     def cancel(self, pipeline_id: str) -> None:
@@ -343,8 +340,7 @@
                     state, message.agent, bus, agent_incarnation, now
                 )
             )
-        if message.agent in self._unreported:
-            self._update_unreported(message, reported)
+        self._account_for(message, reported)
         return workers
 
     def run_round(self, now: float) -> None:
@@ -357,7 +353,7 @@
                 name = placement.task.pipeline.id
                 slowed.setdefault(name, []).append(placement)
         self._packer.pack(self._workers.values(), now)
-        if not self._unreported:
+        if self._reconciliation.is_complete:
             self._forget_earlier_attempts()
         self._starter.start_ready(
             [i for i in self._registry.open.values() if self._may_start_any(i)],
@@ -482,7 +478,7 @@
                 return False
         return True
 
-    def _update_unreported(
+    def _account_for(
         self,
         message: messages.AgentReport,
         reported: tuple[fleet.KnownIncarnation, ...],
@@ -493,17 +489,12 @@
             message: Report of an agent.
             reported: Incarnations that it names and that may have work.
         """
-        expected = self._unreported[message.agent]
-        left = tuple(
-            known
-            for known in expected
-            if not self._is_accounted_for(known, reported)
+        if message.complete and self._all_reconciled(message.lives):
+            self._reconciliation.drop(message.agent)
+            return
+        self._reconciliation.account_for(
+            message.agent, lambda known: self._is_accounted_for(known, reported)
         )
-        complete = message.complete and self._all_reconciled(message.lives)
-        if complete or (expected and not left):
-            del self._unreported[message.agent]
-        else:
-            self._unreported[message.agent] = left
 
     def _is_accounted_for(
         self,
@@ -833,21 +824,18 @@
 
     def _expire_unreported(self, now: float) -> None:
         """Drops unreported incarnations whose leases have lapsed."""
-        lapsed_agents = []
-        for agent, expected in list(self._unreported.items()):
-            left = []
-            for known in expected:
-                if now <= self._grants.earlier_lapse_s(known.key):
-                    left.append(known)
-                elif not self._all_reconciled((known.key,)):
+        dropped = self._reconciliation.expire(now, self._grants.earlier_lapse_s)
+        for agent, lapsed in dropped:
+            if not lapsed:
+                self._registry.replace_malformed(agent)
+            for known in lapsed:
+                if not self._all_reconciled((known.key,)):
                     self._unregister(agent, known.key)
-            if left or (not expected and now <= self._grants.earlier_lapse_s()):
-                self._unreported[agent] = tuple(left)
-            else:
-                del self._unreported[agent]
-                lapsed_agents.append(agent)
-        if lapsed_agents:
-            log.emit(events.Events.EARLIER_LEASES_LAPSED, agents=lapsed_agents)
+        if dropped:
+            log.emit(
+                events.Events.EARLIER_LEASES_LAPSED,
+                agents=[agent for agent, _ in dropped],
+            )
 
     def _unregister(self, agent: str, key: fleet.WorkerKey) -> None:
         """Stores that an incarnation has no work, as its leases have lapsed."""
@@ -872,29 +860,24 @@
     def _may_start_any(self, item: pipeline.Pipeline) -> bool:
         """Returns whether any task of a pipeline may be allowed to start."""
         return (
-            not self._unreported
+            self._reconciliation.is_complete
             or item.version > self._lease_version
             or item.declaration.lasting
         )
 
     def _may_start(self, task: pipeline.Task) -> bool:
         """Returns whether no attempt of an earlier term can be running."""
-        if not self._unreported or task.pipeline.version > self._lease_version:
+        if (
+            self._reconciliation.is_complete
+            or task.pipeline.version > self._lease_version
+        ):
             return True
         if not task.stage.lasting or task.earlier_placed_on is None:
             return False
         if not self._earlier_placements_recorded:
             return False
-        return not any(map(self._may_run_earlier_work, task.earlier_placed_on))
-
-    def _may_run_earlier_work(self, key: fleet.WorkerKey) -> bool:
-        """Returns whether an incarnation may run work of earlier terms.
-
-        One that no registration names has ended, or its leases have lapsed.
-        """
-        return any(
-            not expected or any(known.key == key for known in expected)
-            for expected in self._unreported.values()
+        return not any(
+            map(self._reconciliation.may_run_work, task.earlier_placed_on)
         )
 
 
--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -76,8 +76,10 @@
         self.agents = {}
         self.hosts = {name: Host(name, runner.Runner(1)) for name in names}
         self.finished = []
-        self.placements_recorded = True
+        self.placements_recorded = False
         self.silent = {}
+        self.grants_end_s = self.now
+        self.has_committed = False
         self.start_leader()
 
     def start_leader(self, gap_s=0.0):
@@ -91,6 +93,9 @@
             host.runner.advance(gap_s * 1000)
             self._record_ends(host)
         self.epoch += 1
+        if self.has_committed:
+            self.grants_end_s = self.now
+        self.has_committed = False
         self.scheduler = pipelinescheduler.PipelineScheduler(
             self.epoch,
             self.version,
@@ -101,8 +106,7 @@
         self.scheduler.set_queues(pipelines.TABLE)
         self.scheduler.expect_agents(
             self.agents,
-            self.now + LEASE_S,
-            self.now,
+            self.grants_end_s + LEASE_S,
             (),
             self.placements_recorded,
             self.silent,
@@ -303,6 +307,7 @@
         self.placements_recorded = self.scheduler.placements_recorded
         self.silent = self.scheduler.list_silent(self.now)
         self.scheduler.grants.confirm()
+        self.has_committed = True
         batch = self.scheduler.next_batch()
         self.stored_progress.update(batch.progress)
         self.agents.update(batch.agents)
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -240,6 +240,19 @@
         assert item.forget_earlier_attempts()
         assert item.progress().placed == {}
 
+    def test_occurrence_that_opens_later_has_none(self):
+        declared = pipelines.declare(
+            "a",
+            pipelines.stage(lasting=True),
+            occurrences=2,
+            first_run_ms=1000,
+            interval_ms=1000,
+        )
+        item = pipeline.Pipeline(declared, 1, pipeline.Progress(), 0.0)
+        item.forget_earlier_attempts()
+        item.open_due(2000, 0.0)
+        assert item.progress().placed == {}
+
     def test_pipeline_that_ends_by_itself_stores_none(self):
         item = pipeline.Pipeline(
             pipelines.declare("a"), 1, pipeline.Progress(placed={}), 0.0
--- a/tests/test_pipelinegrants.py
+++ b/tests/test_pipelinegrants.py
@@ -5,15 +5,18 @@
 KEY = ("w1", 1)
 
 
-def begin(listed=(), now=100.0):
+def begin(listed=(), announced=True):
     """Returns the grants of a term whose earlier leases lapse at 110 s."""
     grants = pipelinegrants.Grants(MAX_LEASE_S)
-    grants.begin(dict(listed), 110.0, now)
+    grants.begin(dict(listed), 110.0)
+    if announced:
+        grants.list_silent({}, list(dict(listed)), 100.0)
+        grants.confirm()
     return grants
 
 
-def worker_granted_at(granted_s):
-    return pipelines.worker("w1", now=granted_s)
+def workers_granted_at(granted_s):
+    return {KEY: pipelines.worker("w1", now=granted_s)}
 
 
 class TestEarlierLeases:
@@ -28,20 +31,34 @@
 
 
 class TestMayGrant:
+    def test_nothing_is_granted_before_the_first_row_of_the_term(self):
+        """Guards against leases that the next leader does not know of.
+
+        The row of a leader that has just acquired it says that the grants of
+        its predecessor were the last ones.
+        """
+        grants = begin(announced=False)
+        assert not grants.may_grant(KEY)
+        grants.list_silent({}, [], 100.0)
+        assert not grants.may_grant(KEY)
+        grants.cancel()
+        assert not grants.may_grant(KEY)
+        grants.confirm()
+        assert grants.may_grant(KEY)
+
     def test_worker_listed_by_the_last_leader_waits_for_a_row_without_it(self):
         grants = begin({KEY: 104.0})
         assert not grants.may_grant(KEY)
         assert grants.may_grant(("w2", 1))
-        assert not grants.list_silent([worker_granted_at(100.0)], [], 100.1)
+        assert not grants.list_silent(workers_granted_at(100.0), [], 100.1)
         assert not grants.may_grant(KEY)
         grants.confirm()
         assert grants.may_grant(KEY)
 
     def test_list_that_is_being_stored_counts(self):
         grants = begin()
-        silent = worker_granted_at(100.0)
         assert grants.may_grant(KEY)
-        listed = grants.list_silent([silent], [], 103.0)
+        listed = grants.list_silent(workers_granted_at(100.0), [], 103.0)
         assert listed == {KEY: 100.0 + MAX_LEASE_S}
         assert not grants.may_grant(KEY)
         grants.cancel()
@@ -49,25 +66,31 @@
 
     def test_failed_commit_leaves_the_stored_list_in_force(self):
         grants = begin({KEY: 104.0})
-        grants.list_silent([], [], 101.0)
+        grants.list_silent({}, [], 101.0)
         grants.cancel()
         assert not grants.may_grant(KEY)
 
 
 class TestListSilent:
     def test_worker_with_recent_grants_is_not_listed(self):
-        worker = worker_granted_at(100.0)
         recent_s = 100.0 + pipelinegrants.SILENT_S - 0.1
-        assert not begin().list_silent([worker], [], recent_s)
+        workers = workers_granted_at(100.0)
+        assert not begin().list_silent(workers, [], recent_s)
 
     def test_unreported_worker_keeps_its_earlier_end(self):
         grants = begin({KEY: 104.0})
-        assert grants.list_silent([], [KEY], 100.0) == {KEY: 104.0}
-        later_s = 100.0 + pipelinegrants.FIRST_REPORT_S
-        listed = grants.list_silent([], [KEY, ("w2", 1)], later_s)
+        listed = grants.list_silent({}, [KEY, ("w2", 1)], 100.0)
         assert listed == {KEY: 104.0, ("w2", 1): 110.0}
 
+    def test_worker_of_this_term_is_not_listed_with_an_earlier_end(self):
+        """Another agent's registration may name it, too."""
+        workers = workers_granted_at(103.0)
+        grants = begin({KEY: 104.0})
+        assert not grants.list_silent(workers, [KEY], 103.1)
+        listed = grants.list_silent(workers, [KEY], 106.0)
+        assert listed == {KEY: 103.0 + MAX_LEASE_S}
+
     def test_its_size_is_bounded(self):
         keys = [(f"w{n}", 1) for n in range(pipelinegrants.MAX_LISTED + 5)]
-        listed = begin().list_silent([], keys, 105.0)
+        listed = begin().list_silent({}, keys, 105.0)
         assert len(listed) == pipelinegrants.MAX_LISTED
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -1,3 +1,4 @@
+import attrs
 import curio
 import msgspec
 import pytest
@@ -10,6 +11,7 @@
 from pomelostair import pipelinerows
 from pomelostair import pipelinescheduler
 from pomelostair import store
+from tests import faultystore
 from tests import pipelines
 from tests import test_pipelineapi
 
@@ -170,60 +172,156 @@
         harness.run(body)
 
 
-class TestSilentWorkers:
-    def test_grant_waits_for_a_row_without_the_worker(self):
-        """Guards against a next leader that counts on leases having lapsed."""
+class TestHandover:
+    """What a leader leaves in the lease row, and what it finds there."""
+
+    def lead(self):
+        """Returns a harness and a leader that holds the lease."""
         harness = test_pipelineapi.Harness()
         leader = harness.host.get(pipelineleader.PipelineLeader)
         harness.table.time = harness.table.table.time
-        sent = []
+        leader._scheduler = pipelinescheduler.PipelineScheduler(
+            1, 0, test_pipelineapi.METRICS, lambda: 0.0, 7.9
+        )
+        leader._leading = True
+        self.sent = []
 
         async def send(bus, message):
-            sent.append(message)
+            self.sent.append(message)
 
         leader._send = send
 
-        async def body():
+        async def acquire():
             assert await leader._lease.acquire(pipelinelease.ObservedLease())
-            now_s = leader._clock.now()
-            scheduler = leader._scheduler = pipelinescheduler.PipelineScheduler(
-                1, 0, test_pipelineapi.METRICS, lambda: 0.0, 7.9
-            )
-            worker = pipelines.worker("w1", now=now_s)
-            worker.last_listed_s = now_s
-            scheduler.workers[worker.key] = worker
-            scheduler.expect_agents(
-                {}, now_s, now_s, silent={worker.key: now_s + 5.0}
-            )
-            leader._leading = True
+
+        harness.run(acquire)
+        return harness, leader
+
+    def add_worker(self, leader, silent_s=0.0, **changes):
+        now_s = leader._clock.now()
+        worker = pipelines.worker("w1", now=now_s - silent_s)
+        worker.state = attrs.evolve(worker.state, **changes)
+        leader._scheduler.workers[worker.key] = worker
+        return worker
+
+    def test_grant_waits_for_a_row_without_the_worker(self):
+        """Guards against a next leader that counts on leases having lapsed."""
+        harness, leader = self.lead()
+        worker = self.add_worker(leader)
+        now_s = leader._clock.now()
+        leader._scheduler.expect_agents(
+            {}, now_s, silent={worker.key: now_s + 5.0}
+        )
+
+        async def body():
             await leader._answer_report(worker, now_s)
-            assert [m.lease_end_ms for m in sent] == [0]
+            assert [m.lease_end_ms for m in self.sent] == [0]
+            harness.table.faults = [faultystore.Fault.UNAVAILABLE]
+            assert await leader._commit()
+            assert [m.lease_end_ms for m in self.sent] == [0]
             assert await leader._commit()
-            assert sent[-1].lease_end_ms > 0
+            assert self.sent[-1].lease_end_ms > 0
             observed = await leader._lease.read_lease()
             assert not observed.handover.silent
 
         harness.run(body)
 
+    def test_withheld_grant_is_not_put_off_by_an_acknowledgement(self):
+        """Ends without progress are acknowledged without a commit."""
+        harness, leader = self.lead()
+        worker = self.add_worker(leader)
+        worker.applied_end = 3
+        leader._last_renewal_s = leader._clock.now()
+
+        async def body():
+            await leader._answer_report(worker, leader._clock.now())
+            leader._scheduler._unacknowledged.add(worker.key)
+            assert await leader._commit()
+            assert any(m.lease_end_ms > 0 for m in self.sent)
+
+        harness.run(body)
+
+    def test_unreachable_worker_causes_no_commit_with_each_report(self):
+        harness, leader = self.lead()
+        worker = self.add_worker(leader, 3.0, fresh=False, reachable=False)
+
+        async def body():
+            assert await leader._commit()
+            await leader._answer_report(worker, leader._clock.now())
+            assert not leader._withheld
+
+        harness.run(body)
+
     def test_row_lists_a_silent_worker_by_the_clock_of_the_store(self):
-        harness = test_pipelineapi.Harness()
-        leader = harness.host.get(pipelineleader.PipelineLeader)
-        harness.table.time = harness.table.table.time
+        harness, leader = self.lead()
+        worker = self.add_worker(leader, 5.0)
 
         async def body():
-            assert await leader._lease.acquire(pipelinelease.ObservedLease())
-            now_s = leader._clock.now()
-            leader._scheduler = pipelinescheduler.PipelineScheduler(
-                1, 0, test_pipelineapi.METRICS, lambda: 0.0, 7.9
-            )
-            worker = pipelines.worker("w1", now=now_s - 5.0)
-            leader._scheduler.workers[worker.key] = worker
-            leader._leading = True
             assert await leader._commit()
             observed = await leader._lease.read_lease()
             (silent,) = observed.handover.silent
             assert (silent.worker, silent.life) == worker.key
             lapse_s = leader._lease.local_time_s(silent.end_ms)
-            assert 2.9 <= lapse_s - now_s < 3.5
+            assert 2.9 <= lapse_s - leader._clock.now() < 3.5
+
+        harness.run(body)
+
+    def test_row_is_left_as_found_until_the_state_is_recovered(self):
+        """Guards against a next leader that trusts in what is not known."""
+        harness, leader = self.lead()
+        leader._leading = False
+        found = pipelinelease.Handover(
+            False, (pipelinelease.LeaseEnd("w1", 1, 9.0),), 4.0
+        )
+        leader._lease._row = attrs.evolve(leader._lease._row, handover=found)
+
+        async def body():
+            assert await leader._commit()
+            observed = await leader._lease.read_lease()
+            assert observed.row.handover == found
+            assert not leader._scheduler.grants.may_grant(("w2", 1))
+
+        harness.run(body)
+
+    def test_start_of_a_lasting_task_is_sent_once_it_is_stored(self):
+        harness, leader = self.lead()
+        scheduler = leader._scheduler
+        worker = self.add_worker(leader)
+        scheduler.expect_agents({}, 0.0, placements_recorded=True)
+        scheduler.set_queues(pipelines.TABLE)
+        declared = pipelines.declare("a", pipelines.stage(lasting=True))
+        now_s = leader._clock.now()
+        scheduler.registry.add(
+            declared, 9, pipeline.Progress(placed={}), now_s - 1.0
+        )
+        scheduler.run_round(now_s)
+        assert worker.placements
+        assert not worker.unconfirmed_orders
+
+        async def body():
+            assert await leader._commit()
+            orders = [o for m in self.sent for o in m.orders]
+            assert [o.task for o in orders] == ["a.0.0.0"]
+            observed = await leader._lease.read_lease()
+            assert observed.handover.placements_recorded
+
+        harness.run(body)
+
+    @pytest.mark.parametrize("recorded", [True, False])
+    def test_new_leader_takes_over_what_the_row_says(self, recorded):
+        harness, leader = self.lead()
+        silent_ms = leader._lease.store_time_ms(leader._clock.now() + 3.0)
+        found = pipelinelease.Handover(
+            recorded, (pipelinelease.LeaseEnd("w1", 1, silent_ms),)
+        )
+
+        async def body():
+            now_s = leader._clock.now()
+            assert await leader._recover(now_s, 0.0, found)
+            lapse_s = leader._scheduler.grants.earlier_lapse_s(("w1", 1))
+            assert 2.9 < lapse_s - now_s < 3.5
+            other_s = leader._scheduler.grants.earlier_lapse_s(("w2", 1))
+            assert other_s - now_s > 7.0
+            assert leader._scheduler.placements_recorded is recorded
 
         harness.run(body)
--- a/tests/test_pipelinelease.py
+++ b/tests/test_pipelinelease.py
@@ -190,13 +190,6 @@
 
 
 class TestRecordedPlacements:
-    def test_first_leader_finds_none_that_is_not_recorded(self):
-        async def main():
-            lease = LeaseHarness().new_lease("a")
-            assert (await lease.read_lease()).handover.placements_recorded
-
-        curio.run(main)
-
     @pytest.mark.parametrize("recorded", [True, False])
     def test_next_leader_learns_whether_all_are_recorded(self, recorded):
         async def main():
@@ -266,3 +259,26 @@
             assert observed.handover.silent == silent
 
         curio.run(main)
+
+    def test_leader_that_grants_nothing_leaves_the_end_of_earlier_grants(self):
+        """Guards against waits that begin anew with each short term."""
+
+        async def main():
+            harness = LeaseHarness()
+            first = await harness.acquired_lease("a")
+            granting = pipelinelease.Handover()
+            await first.commit(PUTS, (), granting)
+            granted_row = (await first.read_lease()).row
+            assert granted_row.grants_end_ms == granted_row.end_ms
+            for name in ("b", "c"):
+                harness.clock.advance(MAX_LEASE_S + 0.2)
+                lease = await harness.acquired_lease(name)
+                await lease.commit(PUTS, ())
+                row = (await lease.read_lease()).row
+                assert row.grants_end_ms == granted_row.end_ms
+                assert row.end_ms > granted_row.end_ms
+            await lease.commit(PUTS, (), granting)
+            row = (await lease.read_lease()).row
+            assert row.grants_end_ms == row.end_ms
+
+        curio.run(main)
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -6,6 +6,7 @@
 import pytest
 
 from pomelostair import events
+from pomelostair import fleet as fleet_module
 from pomelostair import pipeline
 from pomelostair import pipelinemessages as messages
 from tests import pipelines
@@ -560,6 +561,31 @@
         assert len(started_runs(fleet)) == 1
         assert host.runner.runs
 
+    def test_leaders_that_are_lost_early_do_not_add_up_their_waits(self):
+        """Guards against work that stands still while leaders are lost."""
+        fleet, lost_host = self.lose_host()
+        fleet.start_leader(gap_s=1.8)
+        taken_over_s = fleet.now
+        for term_s in (0.4, 0.0, 0.1):
+            fleet.run_for(term_s)
+            fleet.start_leader(gap_s=1.8)
+        self.wait_for_restart(fleet, lost_host)
+        assert fleet.now - taken_over_s < simfleet.LEASE_S + 0.5
+
+    def test_malformed_registration_delays_one_leader_only(self):
+        """Its agent is lost, too, and does not register again."""
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.run_for(1)
+        fleet.start_leader()
+        fleet.scheduler.expect_agents(
+            fleet.agents, fleet.now + 3.0, unreadable=("agent-w9",)
+        )
+        fleet.run_for(2)
+        assert fleet.scheduler.unreported_agents == ("agent-w9",)
+        fleet.run_for(2)
+        assert not fleet.scheduler.unreported_agents
+        assert not fleet.agents["agent-w9"].lives
+
     def test_listed_worker_gets_no_grant_before_the_list_is_stored_anew(self):
         """Guards against a next leader that counts on leases having lapsed."""
         fleet, host = self.lose_host()
@@ -705,6 +731,60 @@
         assert fleet.placements_recorded
         assert fleet.stored_progress["a"].placed
 
+    def test_service_waits_until_a_successor_with_the_same_id_is_held(self):
+        """Guards against two runs of a service.
+
+        The worker has restarted under its id, and would carry out a late order
+        to its earlier incarnation until it is held under a higher fence.
+        """
+        fleet, host = self.start_service(names=("w1", "w2"))
+        successor = fleet_module.KnownIncarnation(host.name, 2, "w1:1")
+        fleet.agents[f"agent-{host.name}"] = fleet_module.Registration(
+            "bus", (successor,)
+        )
+        assert fleet.stored_progress["a"].placed["0.0.0"] == [(host.name, 1)]
+        host.partitioned = True
+        fleet.start_leader(gap_s=1.8)
+        fleet.run_for(1.5)
+        assert len(started_runs(fleet)) == 1
+
+    def test_older_batch_does_not_prove_that_all_are_recorded(self):
+        """Guards against two runs of a service after a change of the version.
+
+        A batch that was on its way when the last worker reported is confirmed,
+        and the next one, which records the placements, fails.
+        """
+        fleet, host = self.start_service()
+        stale = next(name for name in fleet.hosts if name != host.name)
+        fleet.stored_progress["a"] = pipeline.Progress(
+            pipeline.Phase.RUNNING, placed={"0.0.0": [(stale, 1)]}
+        )
+        fleet.placements_recorded = False
+        host.partitioned = True
+        fleet.start_leader()
+        fleet.run_for(0.5)
+        registry = fleet.scheduler.registry
+        registry.mark_changed(registry.pipelines["a"])
+        older = fleet.scheduler.next_batch()
+        commit, fleet._commit = fleet._commit, lambda: None
+        host.partitioned = False
+        fleet.run_for(0.2)
+        assert not fleet.scheduler.unreported_agents
+        fleet.stored_progress.update(older.progress)
+        fleet.scheduler.confirm(older)
+        assert not fleet.scheduler.placements_recorded
+        registry.requeue(fleet.scheduler.next_batch())
+        assert not fleet.scheduler.placements_recorded
+        commit()
+        assert fleet.scheduler.placements_recorded
+        assert fleet.stored_progress["a"].placed["0.0.0"] == [(host.name, 1)]
+
+    def test_first_leader_records_from_its_beginning(self):
+        fleet = simfleet.Fleet(names=("w1",))
+        assert not fleet.scheduler.placements_recorded
+        fleet.step()
+        assert fleet.placements_recorded
+
     def test_service_that_never_started_waits_for_nobody(self):
         fleet = simfleet.Fleet(names=("w1", "w2"))
         fleet.run_for(1)
