A placed task that does not run is reported, too

Cause: event 437 saw ready tasks only. Change: attempts whose start is unconfirmed for 2 s are reported; tasks that wait for room as usual are passed over without a comparison; a wait for a ticket has a reason of its own. Result: test_start_that_is_never_carried_out_is_reported, test_wait_for_a_ticket_has_a_reason_of_its_own.

--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -88,7 +88,7 @@
     )
     ADVICE_TAKEN = Event(435, logging.INFO, "advisor answer applied")
     ADVICE_FAILED = Event(436, logging.WARNING, "advisor did not respond")
-    TASK_WAITS = Event(437, logging.WARNING, "ready task is not started")
+    TASK_WAITS = Event(437, logging.WARNING, "task is not running")
     PIPELINE_WORKER_UP = Event(440, logging.INFO, "worker incarnation started")
     PIPELINE_WORKER_GONE = Event(
         441, logging.WARNING, "worker incarnation ended"
--- a/pomelostair/pipelinerows.py
+++ b/pomelostair/pipelinerows.py
@@ -108,16 +108,17 @@
     A lasting task without its worker waits for all workers if the leader is.
     A row that the store refuses would keep the leader from any commit.
     """
-    max_checkpoints = MAX_CHECKPOINTS
     value = pipeline.encode(progress)
+    if len(value) <= MAX_ROW_BYTES:
+        return value
+    without_checkpoints = attrs.evolve(progress, checkpoints={})
+    if len(pipeline.encode(without_checkpoints)) > MAX_ROW_BYTES:
+        progress = attrs.evolve(progress, placed=None)
+    max_checkpoints = MAX_CHECKPOINTS
     while len(value) > MAX_ROW_BYTES and max_checkpoints:
         kept = itertools.islice(progress.checkpoints.items(), max_checkpoints)
         value = pipeline.encode(attrs.evolve(progress, checkpoints=dict(kept)))
         max_checkpoints //= 2
-    if len(value) > MAX_ROW_BYTES:
-        value = pipeline.encode(
-            attrs.evolve(progress, checkpoints={}, placed=None)
-        )
     return value
 
 
--- a/pomelostair/pipelinewaits.py
+++ b/pomelostair/pipelinewaits.py
@@ -1,4 +1,4 @@
-"""Reports ready tasks that are not started for long, and why."""
+"""Reports tasks that are not running for long, and why."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -22,7 +22,7 @@
 
 
 class Reason(enum.Enum):
-    """Why a ready task is not started.
+    """Why a task is not running.
 
     Attributes:
         EARLIER_LEADER: An earlier leader may have started it.
@@ -34,7 +34,9 @@
         UNPROVEN: It failed before, and the workers with room have no recent
             success.
         PACE: It is a filler, and would run too slowly wherever it fits.
-        DELAY: It is tried again after a delay.
+        TICKET: The advisor has approved no worker with room.
+        DELAY: It is tried again after a delay, or in a later round.
+        UNANSWERED: It is placed, and its worker has not confirmed the start.
     """
 
     EARLIER_LEADER = "earlier-leader"
@@ -44,11 +46,9 @@
     CONSTRAINTS = "constraints"
     UNPROVEN = "unproven"
     PACE = "pace"
+    TICKET = "ticket"
     DELAY = "delay"
-
-
-# Usual on a full fleet, so that only tasks that last are reported for them.
-_USUAL_REASONS = frozenset({Reason.NO_ROOM, Reason.CONSTRAINTS, Reason.PACE})
+    UNANSWERED = "unanswered"
 
 
 def reason_for(
@@ -76,13 +76,22 @@
         placement_module.meets_constraints(task, w, now) for w in fitting
     ):
         return Reason.CONSTRAINTS
-    if task.avoided_workers and (
-        placement_module.choose(task, workers, pacer, now, 0.0) is None
-    ):
+    if _is_unproven(task, workers, pacer, now):
         return Reason.UNPROVEN
     return Reason.PACE if task.stage.filler else Reason.DELAY
 
 
+def _is_unproven(
+    task: pipeline.Task,
+    workers: list[fleet.Worker],
+    pacer: pacing.Pacer,
+    now: float,
+) -> bool:
+    return bool(task.avoided_workers) and (
+        placement_module.choose(task, workers, pacer, now, 0.0) is None
+    )
+
+
 class WaitMonitor:
     """Reports long waits, once each, during one term of a leader.
 
@@ -105,7 +114,9 @@
         self._pacer = pacer
         self._metrics = metrics
         self._next_check_s = 0.0
-        self._reported: dict[str, float] = {}
+        # Id of each reported task, and monotonic time since which it waits.
+        self._reported: set[tuple[str, float]] = set()
+        self._schedulable: dict[str, list[fleet.Worker]] | None = None
 
     def check(
         self,
@@ -128,6 +139,7 @@
         if now < self._next_check_s:
             return
         self._next_check_s = now + CHECK_INTERVAL_S
+        self._schedulable = None
         waiting = [
             task
             for item in items
@@ -136,41 +148,74 @@
             if now - task.ready_since_s >= REPORT_AFTER_S
             and not self._attempts.has_attempts(task)
         ]
-        self._reported = {
-            task.id: self._reported[task.id]
-            for task in waiting
-            if self._reported.get(task.id) == task.ready_since_s
-        }
-        schedulable: dict[str, list[fleet.Worker]] = {}
-        for worker in self._workers.values() if waiting else ():
-            if worker.is_schedulable(now):
-                schedulable.setdefault(worker.state.service, []).append(worker)
+        unanswered = [
+            placement
+            for worker in self._workers.values()
+            for placement in worker.placements.values()
+            if placement.state is fleet.AttemptState.ORDERED
+            and now - placement.ordered_s >= REPORT_AFTER_S
+        ]
+        waits = [(task, task.ready_since_s) for task in waiting]
+        waits += [(p.task, p.ordered_s) for p in unanswered]
+        self._reported &= {(task.id, since_s) for task, since_s in waits}
+        for placement in unanswered[:MAX_REPORTED]:
+            self._report(
+                placement.task, placement.ordered_s, Reason.UNANSWERED, now
+            )
         left = MAX_REPORTED
         for task in waiting:
             if not left:
                 return
-            if task.id in self._reported:
+            if (task.id, task.ready_since_s) in self._reported:
                 continue
             queue = table.by_name(task.pipeline.declaration.queue)
             if queue is None:
                 reason = Reason.NO_QUEUE
             elif not may_start(task):
                 reason = Reason.EARLIER_LEADER
+            elif task.stage.lasting or task.avoided_workers:
+                reason = self._reason_for(task, queue, now)
             else:
-                reason = reason_for(
-                    task, schedulable.get(queue.service, []), self._pacer, now
-                )
-            left -= 1
-            self._reported[task.id] = task.ready_since_s
-            if reason in _USUAL_REASONS and not task.stage.lasting:
+                # It waits for room, as is usual on a full fleet.
                 continue
-            self._metrics.count("long_waits", reason=reason.value)
-            log.emit(
-                events.Events.TASK_WAITS,
-                task=task.id,
-                reason=reason.value,
-                waited_ms=int((now - task.ready_since_s) * 1000),
-                avoids=len(task.avoided_workers),
-                workers=sum(map(len, schedulable.values())),
-                unreported=list(unreported_agents),
+            left -= 1
+            self._report(
+                task, task.ready_since_s, reason, now, unreported_agents
             )
+
+    def _reason_for(
+        self, task: pipeline.Task, queue: queues.Queue, now: float
+    ) -> Reason:
+        if self._schedulable is None:
+            self._schedulable = {}
+            for worker in self._workers.values():
+                if worker.is_schedulable(now):
+                    self._schedulable.setdefault(
+                        worker.state.service, []
+                    ).append(worker)
+        workers = self._schedulable.get(queue.service, [])
+        reason = reason_for(task, workers, self._pacer, now)
+        if reason is Reason.DELAY and queue.advice is not None:
+            return Reason.TICKET
+        return reason
+
+    def _report(
+        self,
+        task: pipeline.Task,
+        since_s: float,
+        reason: Reason,
+        now: float,
+        unreported_agents: tuple[str, ...] = (),
+    ) -> None:
+        if (task.id, since_s) in self._reported:
+            return
+        self._reported.add((task.id, since_s))
+        self._metrics.count("long_waits", reason=reason.value)
+        log.emit(
+            events.Events.TASK_WAITS,
+            task=task.id,
+            reason=reason.value,
+            waited_ms=int((now - since_s) * 1000),
+            avoids=len(task.avoided_workers),
+            unreported=list(unreported_agents),
+        )
--- a/tests/test_pipelinewaits.py
+++ b/tests/test_pipelinewaits.py
@@ -1,3 +1,4 @@
+import attrs
 import pytest
 
 from pomelostair import attempts
@@ -6,6 +7,7 @@
 from pomelostair import pacing
 from pomelostair import pipeline
 from pomelostair import pipelinewaits
+from pomelostair import queues
 from tests import pipelines
 from tests import simfleet
 
@@ -98,6 +100,35 @@
         assert wait.reason == REASON.EARLIER_LEADER.value
         assert wait.unreported == ["agent-w1"]
 
+    def test_start_that_is_never_carried_out_is_reported(self, caplog):
+        """Guards against a task that stands still without being ready."""
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.run_for(1)
+        fleet._deliver = lambda host, orders: None
+        fleet.submit("a")
+        fleet.run_for(5)
+        (wait,) = waits_in(caplog)
+        assert wait.task == "a.0.0.0"
+        assert wait.reason == REASON.UNANSWERED.value
+
+    def test_wait_for_a_ticket_has_a_reason_of_its_own(self, caplog):
+        pacer = pacing.Pacer(METRICS)
+        worker = pipelines.worker("w1", now=3.0)
+        monitor = pipelinewaits.WaitMonitor(
+            {worker.key: worker},
+            attempts.Attempts(pacer, METRICS),
+            pacer,
+            METRICS,
+        )
+        advised = attrs.evolve(
+            pipelines.QUEUE, advice=queues.AdviceTerms(10, 1, 5000)
+        )
+        item = waiting_pipeline(pipelines.stage(lasting=True))
+        table = queues.QueueTable(1, (advised,))
+        monitor.check([item], lambda task: True, table, (), 3.0)
+        (wait,) = waits_in(caplog)
+        assert wait.reason == REASON.TICKET.value
+
     def test_usual_wait_on_a_full_fleet_is_not_reported(self, caplog):
         fleet = simfleet.Fleet(names=("w1",), cores=1)
         fleet.run_for(1)
