--- a/pomelostair/attempts.py
+++ b/pomelostair/attempts.py
@@ -22,6 +22,15 @@
         self._metrics = metrics
         self._by_key: dict[fleet.AttemptKey, fleet.Placement] = {}
         self._by_task: dict[str, list[fleet.Placement]] = {}
+        self._unproven: dict[fleet.AttemptKey, fleet.Placement] = {}
+
+    @property
+    def unproven(self) -> dict[fleet.AttemptKey, fleet.Placement]:
+        """Attempts of tasks under which workers have crashed, by key.
+
+        They are included until they are seen running for a while.
+        """
+        return self._unproven
 
     def get(self, key: fleet.AttemptKey) -> fleet.Placement | None:
         """Returns the attempt with a key, or None if it cannot be running."""
@@ -40,6 +49,20 @@
         self._by_key[placement.key] = placement
         self._by_task.setdefault(placement.task.id, []).append(placement)
         placement.worker.add(placement)
+        if placement.task.crashes:
+            self.mark_unproven(placement)
+
+    def mark_unproven(self, placement: fleet.Placement) -> None:
+        """Records that an attempt may crash its worker."""
+        self._unproven[placement.key] = placement
+        if placement.task.suspect:
+            placement.worker.unproven.add(placement.key)
+
+    def mark_proven(self, placement: fleet.Placement) -> None:
+        """Records that an attempt does not crash its worker."""
+        if self._unproven.get(placement.key) is placement:
+            del self._unproven[placement.key]
+        placement.worker.unproven.discard(placement.key)
 
     def remove(self, placement: fleet.Placement, now: float) -> None:
         """Removes an attempt that has certainly ended; releases its task.
@@ -54,6 +77,7 @@
     def detach(self, placement: fleet.Placement) -> None:
         """Removes an attempt without changing the phase of its task."""
         placement.worker.remove(placement)
+        self.mark_proven(placement)
         self._pacer.forget(placement)
         if self._by_key.get(placement.key) is placement:
             del self._by_key[placement.key]
--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -106,6 +106,9 @@
     )
     HEARTBEAT_IGNORED = Event(447, logging.WARNING, "heartbeat ignored")
     WORKER_CALL_CRASHED = Event(448, logging.ERROR, "call of a worker crashed")
+    WORKER_CRASHED_AT_START = Event(
+        449, logging.WARNING, "worker crashed at the start of an attempt"
+    )
     PIPELINE_LEADER_FOUND = Event(450, logging.INFO, "leader discovered")
     PIPELINE_LEADER_LOST = Event(451, logging.WARNING, "no leader known")
     PIPELINES_RECOVERED = Event(452, logging.INFO, "pipelines recovered")
--- a/pomelostair/explain.py
+++ b/pomelostair/explain.py
@@ -219,6 +219,8 @@
     if not failed:
         return []
     task = failed[0].fields.get("task")
+    if failed[0].fields.get("crashes"):
+        return [_explain_crashes(request_lines, str(task))]
     workers = [
         str(line.fields.get("worker"))
         for line in request_lines
@@ -245,6 +247,20 @@
     return [text]
 
 
+def _explain_crashes(request_lines: tuple[LogLine, ...], task: str) -> str:
+    """Returns why a task was given up under which workers crashed."""
+    hosts = [
+        str(line.fields.get("host"))
+        for line in request_lines
+        if line.event is _Events.WORKER_CRASHED_AT_START
+        and line.fields.get("task") == task
+    ]
+    return (
+        f"{task} was given up: workers crashed when they started it, on "
+        f"{', '.join(dict.fromkeys(hosts))}"
+    )
+
+
 def _explain_restarts(request_lines: tuple[LogLine, ...]) -> list[str]:
     causes = []
     last_start: dict[str, LogLine] = {}
@@ -255,6 +271,8 @@
         match line.event:
             case _Events.STOP_ORDERED:
                 reasons[attempt] = str(line.fields.get("reason"))
+            case _Events.WORKER_CRASHED_AT_START:
+                reasons[attempt] = "its worker crashed at the start"
             case _Events.ATTEMPT_ENDED:
                 end = str(line.fields.get("end"))
                 reasons.setdefault(attempt, end)
--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -58,6 +58,8 @@
         fenced_off: Whether the worker has confirmed that it has stopped the
             attempt or will not start it.
         stop_reason: Why it is being stopped.
+        listed_since_ms: Worker clock of the first list that shows it running,
+            0 if that is unknown; kept for unproven attempts.
     """
 
     task: pipeline.Task
@@ -74,6 +76,7 @@
     last_progress_s: float = 0.0
     fenced_off: bool = False
     stop_reason: str = ""
+    listed_since_ms: int = 0
 
     @property
     def key(self) -> AttemptKey:
@@ -229,6 +232,8 @@
         last_check_s: Monotonic time of the latest check of its attempts.
         last_pace_step_s: Monotonic time of the latest change of its paces.
         reservations: Resources reserved for tasks that move to it, by task id.
+        unproven: Its attempts of suspect tasks, which may crash it, until they
+            are seen running for a while.
     """
 
     id: str
@@ -263,6 +268,7 @@
     last_check_s: float = 0.0
     last_pace_step_s: float = 0.0
     reservations: dict[str, Reservation] = attrs.field(factory=dict)
+    unproven: set[AttemptKey] = attrs.field(factory=set)
 
     @property
     def free(self) -> resources.Resources:
--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -15,6 +15,8 @@
 
 MAX_STAGES = 64
 MAX_TASKS = 10_000
+# Most tasks of a pipeline whose crashes are stored, so that they fit in a row.
+MAX_CRASHED_TASKS = 200
 
 
 @attrs.frozen
@@ -167,6 +169,22 @@
     ALONE = "alone"
 
 
+@attrs.frozen
+class Crash:
+    """Crash of a worker at the start of an attempt.
+
+    Attributes:
+        attempt: Number of the attempt.
+        host: Name of the worker's agent; the worker has another id after it.
+        suspects: Number of pipelines with attempts that had started last on
+            the worker; 0 if this one had started clearly earlier.
+    """
+
+    attempt: int
+    host: str
+    suspects: int
+
+
 @attrs.frozen
 class Progress:
     """Stored state of a pipeline, besides its declaration.
@@ -181,6 +199,8 @@
         ended_ms: Unix milliseconds of the end, 0 before.
         done_occurrences: Number of the first occurrences of a timed pipeline
             all of whose tasks are done; they are left out of `done`.
+        crashes: Crashes of workers under unfinished tasks, by
+            "OCCURRENCE.STAGE.INDEX".
     """
 
     phase: Phase = Phase.QUEUED
@@ -189,6 +209,7 @@
     checkpoints: dict[str, str] = attrs.field(factory=dict)
     ended_ms: int = 0
     done_occurrences: int = 0
+    crashes: dict[str, list[Crash]] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -210,6 +231,9 @@
         not_before_s: Monotonic time before which it is not tried again.
         reserved_until_s: Monotonic time until which a worker may have room
             reserved for it.
+        crashes: Crashes of workers at the start of its attempts.
+        crashed_s: Monotonic time at which the last of them was recorded.
+        proven_attempt: Highest attempt that was seen to crash no worker.
     """
 
     pipeline: "Pipeline"
@@ -224,6 +248,9 @@
     ready_since_s: float = 0.0
     not_before_s: float = 0.0
     reserved_until_s: float = 0.0
+    crashes: list[Crash] = attrs.field(factory=list)
+    crashed_s: float = 0.0
+    proven_attempt: int = 0
     stage: Stage = attrs.field(init=False)
     id: str = attrs.field(init=False)
 
@@ -243,6 +270,11 @@
             and self.stage_number == other.stage_number
         )
 
+    @property
+    def suspect(self) -> bool:
+        """Whether it is likely to crash workers, as far as is known."""
+        return bool(self.crashes) and any(c.suspects for c in self.crashes)
+
     @property
     def key(self) -> str:
         """Key within the pipeline, "OCCURRENCE.STAGE.INDEX"."""
@@ -479,6 +511,13 @@
             self.end(Phase.FAILED, unix_ms)
         return True
 
+    def give_up(self, task: Task, unix_ms: int) -> bool:
+        """Fails the pipeline for a task; returns False if it had ended."""
+        if self.ended:
+            return False
+        task.phase = TaskPhase.FAILED
+        return self.end(Phase.FAILED, unix_ms)
+
     def end(self, phase: Phase, unix_ms: int) -> bool:
         """Ends the pipeline early; returns False if it had already ended."""
         if self.ended:
@@ -493,6 +532,7 @@
         done: dict[str, bytes] = {}
         failed: dict[str, list[int]] = {}
         checkpoints: dict[str, str] = {}
+        crashes: dict[str, list[Crash]] = {}
         for (occurrence, number), tasks in self._tasks.items():
             bits = 0
             for task in tasks:
@@ -503,6 +543,8 @@
                     failed[task.key] = sorted(task.failed_attempts)
                 if task.checkpoint:
                     checkpoints[task.key] = task.checkpoint
+                if task.crashes and len(crashes) < MAX_CRASHED_TASKS:
+                    crashes[task.key] = list(task.crashes)
             if bits or self._declaration.timed:
                 size = (len(tasks) + 7) // 8
                 done[f"{occurrence}.{number}"] = bits.to_bytes(size, "little")
@@ -515,6 +557,7 @@
             checkpoints,
             self._ended_ms,
             self._done_occurrences,
+            crashes,
         )
 
     def _open_next_occurrence(self, now: float) -> None:
@@ -536,6 +579,9 @@
                 task.checkpoint = self._stored_progress.checkpoints.get(
                     task.key, ""
                 )
+                task.crashes = list(
+                    self._stored_progress.crashes.get(task.key, ())
+                )
                 if bits >> index & 1:
                     task.phase = TaskPhase.DONE
                 tasks.append(task)
--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -55,6 +55,9 @@
 GONE_REPORT_S = 10.0
 # Least remaining lease for the start of an attempt.
 MIN_START_LEASE_MS = 1000
+# Time for which a start without an answer may still take effect. The platform
+# names seconds for late calls.
+LATE_START_S = 5.0
 # Age of the report on which a start order rests after which it is refused. The
 # platform's cancel_ms, the time from the acknowledgement of a cancellation to
 # the last start, is at least 3 s.
@@ -68,6 +71,29 @@
 _INCARNATION_BITS = 31
 
 
+@attrs.define
+class _RecentStart:
+    """A start that is not known to have gone well.
+
+    Attributes:
+        called_s: Time of the call.
+        since_s: Time since which the attempt is known to run, if it is.
+    """
+
+    called_s: float
+    since_s: float | None = None
+
+    def is_settled(self, now: float) -> bool:
+        """Returns whether the attempt can crash no worker from now on.
+
+        Args:
+            now: Seconds of the agent's clock, at a sign of life of the worker.
+        """
+        if self.since_s is None:
+            return now - self.called_s >= LATE_START_S
+        return now - self.since_s >= messages.START_CRASH_S
+
+
 @attrs.define(eq=False)
 class _Worker:
     """One incarnation of a worker on this host.
@@ -94,6 +120,9 @@
         reachable: Whether it answered the last call.
         wake: Set to call `hold` again at once.
         schedule: Decides when it is reported.
+        recent_starts: Attempts that it was told to start and that are not known
+            to have run for `messages.START_CRASH_S`.
+        answered_s: Time of its last answer.
     """
 
     heartbeat: ports.WorkerHeartbeat
@@ -115,6 +144,10 @@
     schedule: reportschedule.ReportSchedule = attrs.field(
         factory=reportschedule.ReportSchedule
     )
+    recent_starts: dict[fleet.AttemptKey, _RecentStart] = attrs.field(
+        factory=dict
+    )
+    answered_s: float = 0.0
 
     @property
     def key(self) -> tuple[str, int]:
@@ -149,6 +182,42 @@
             del self.early_orders[number]
         return ready
 
+    def record_answer(self, now: float) -> None:
+        """Records a sign of life: what runs for long has not crashed it.
+
+        Args:
+            now: Seconds of the agent's clock.
+        """
+        self.answered_s = now
+        for key, start in list(self.recent_starts.items()):
+            if start.is_settled(now):
+                del self.recent_starts[key]
+
+    def record_listing(self, listing: ports.HoldAnswer, now: float) -> None:
+        """Records which of the recent starts run or have ended.
+
+        Args:
+            listing: An answer to a `hold` call.
+            now: Seconds of the agent's clock.
+        """
+        for row in listing.running if self.recent_starts else ():
+            start = self.recent_starts.get((row[0], row[1]))
+            if start is not None and start.since_s is None:
+                start.since_s = now
+        for row in listing.ended:
+            self.recent_starts.pop((row[1], row[2]), None)
+        self.record_answer(now)
+
+    def crash(self) -> messages.WorkerCrash:
+        """Returns the report of its crash."""
+        attempts = []
+        for key, start in self.recent_starts.items():
+            ran_s = 0.0
+            if start.since_s is not None:
+                ran_s = self.answered_s - start.since_s
+            attempts.append((*key, int(ran_s * 1000)))
+        return messages.WorkerCrash(*self.key, tuple(attempts))
+
     def start_term(self) -> None:
         """Drops what is numbered by an earlier leader."""
         self.last_order = 0
@@ -175,6 +244,8 @@
         )
         self._workers: dict[tuple[str, int], _Worker] = {}
         self._gone_since_s: dict[tuple[str, int], float] = {}
+        # Crashes of ended incarnations, for as long as they may be reported.
+        self._crashes: dict[tuple[str, int], messages.WorkerCrash] = {}
         # Ended incarnations, by the successor that must be held before they
         # count as gone.
         self._predecessors: dict[tuple[str, int], list[tuple[str, int]]] = {}
@@ -267,6 +338,7 @@
                     other,
                     "another incarnation replaced it",
                     key if same else None,
+                    crashed=not other.heartbeat.draining,
                 )
         worker = _Worker(
             heartbeat,
@@ -311,6 +383,7 @@
         worker: _Worker,
         reason: str,
         successor: tuple[str, int] | None = None,
+        crashed: bool = False,
     ) -> None:
         """Removes an incarnation that has ended.
 
@@ -320,6 +393,7 @@
             successor: Incarnation with the same worker id, if any. Until it is
                 held under its higher fencing token, it would execute late
                 orders to the ended one, which counts as gone only after that.
+            crashed: Whether it ended without announcing it.
         """
         self._workers.pop(worker.key, None)
         ended = [*self._predecessors.pop(worker.key, ()), worker.key]
@@ -327,11 +401,14 @@
             self._predecessors.setdefault(successor, []).extend(ended)
         else:
             self._gone_since_s.update(dict.fromkeys(ended, self._clock.now()))
+        if crashed and worker.recent_starts:
+            self._crashes[worker.key] = worker.crash()
         log.emit(
             events.Events.PIPELINE_WORKER_GONE,
             worker=worker.heartbeat.worker,
             life=worker.heartbeat.incarnation,
             attempts=len(worker.listing.running) if worker.listing else 0,
+            recent_starts=len(worker.recent_starts),
             reason=reason,
         )
 
@@ -539,17 +616,25 @@
         if end_ms - self._worker_clock_ms(worker) < MIN_START_LEASE_MS:
             return messages.REFUSED, "late"
         worker.requested_end_ms = max(worker.requested_end_ms, end_ms)
+        key = (order.task, order.attempt)
+        start = _RecentStart(self._clock.now())
+        worker.recent_starts[key] = start
         result = await worker.client.start(
             order, end_ms, _fencing_token(epoch, worker)
         )
         match result:
             case ports.Accepted():
+                now_s = self._clock.now()
+                worker.record_answer(now_s)
+                if start.since_s is None:
+                    start.since_s = now_s
                 if order.percent < FULL_PACE_PERCENT:
                     await worker.client.pace(
                         order, _fencing_token(epoch, worker)
                     )
                 return messages.DONE, ""
             case ports.Denied(reason=reason):
+                worker.recent_starts.pop(key, None)
                 return messages.REFUSED, reason
         self._parts.metrics.count("orders_unanswered", kind="start")
         if not await self._is_listed_by_next_hold(worker, order):
@@ -590,6 +675,9 @@
             )
             match result:
                 case ports.Accepted():
+                    # It has answered since the start, which can't take effect
+                    # any more.
+                    worker.recent_starts.pop((order.task, order.attempt), None)
                     return
                 case ports.Denied(reason="fence" | "life" | "old"):
                     return
@@ -671,6 +759,9 @@
             case ports.HoldAnswer():
                 self._apply_listing(worker, result, extended_end_ms)
                 await self._report_listing(worker, results, acknowledged)
+            case ports.Denied(reason="fence" | "busy"):
+                worker.record_answer(self._clock.now())
+                await self._on_unreachable(worker, result.reason)
             case _:
                 await self._on_unreachable(worker, result.reason)
 
@@ -694,6 +785,7 @@
         )
         worker.clock_ms = listing.clock_ms
         worker.clock_read_s = self._clock.now()
+        worker.record_listing(listing, worker.clock_read_s)
         if extended_end_ms is not None:
             worker.confirmed_end_ms = extended_end_ms
 
@@ -761,6 +853,7 @@
         for key, since_s in list(self._gone_since_s.items()):
             if now_s - since_s > GONE_REPORT_S:
                 del self._gone_since_s[key]
+                self._crashes.pop(key, None)
         self._sequence += 1
         self._last_report_s = now_s
         self._report_sent_s[self._sequence] = now_s
@@ -784,9 +877,25 @@
                 for w in self._workers.values()
                 if w.confirmed
             },
+            self._reported_crashes(),
         )
         await self._parts.bus.post(self._leader.bus, report)
 
+    def _reported_crashes(self) -> tuple[messages.WorkerCrash, ...]:
+        gone = [
+            crash
+            for key, crash in self._crashes.items()
+            if key in self._gone_since_s
+        ]
+        silent = [
+            worker.crash()
+            for worker in self._workers.values()
+            if worker.recent_starts
+            and not worker.reachable
+            and self._lease_has_lapsed(worker)
+        ]
+        return (*gone, *silent)
+
 
 def _fencing_token(epoch: int, worker: _Worker) -> int:
     """Returns the fencing token of an epoch and a worker's incarnation.
--- /dev/null
+++ b/pomelostair/pipelinecrashes.py
@@ -0,0 +1,208 @@
+"""Crashes of workers at the start of attempts, and the tasks to blame for them.
+
+A task may crash each worker that starts it, right after its start. The crashes
+of workers under a task that had just started are recorded until the task is
+seen running for `pipelinemessages.START_CRASH_S`. A task that was among the
+last ones started before a crash is a suspect. Suspects start apart from each
+other and from other new attempts, so that a further crash shows which task
+caused it.
+"""
+
+from pomelostair import attempts as attempts_module
+from pomelostair import events
+from pomelostair import fleet
+from pomelostair import log
+from pomelostair import metrics as metrics_module
+from pomelostair import pipeline
+from pomelostair import pipelinemessages as messages
+from pomelostair import pipelineregistry
+
+# Usual bound of the time from the start of a task to the crash that it causes.
+# A crashed worker starts nothing, so that the suspects are the attempts that
+# started within this time before its last start.
+CRASH_DELAY_MS = 50
+# Number of hosts whose workers crash under a task before it is given up, if at
+# least one of the crashes has no suspect of another pipeline, and otherwise.
+MAX_HOSTS = 2
+MAX_HOSTS_UNCERTAIN = 3
+# The same for crashes on fewer hosts. The platform allows five starts of a task
+# that crashes its workers.
+MAX_CRASHES = 4
+MAX_CRASHES_UNCERTAIN = 5
+# Longest wait of a suspect for a worker on another host without new attempts.
+# It covers the time in which those are seen to run.
+MAX_ISOLATION_WAIT_S = 1.5
+# Longest wait of one under which several workers have crashed for a worker
+# without other suspects. No pipeline may be idle for 3 s.
+MAX_SEPARATION_WAIT_S = 2.5
+
+
+def is_hopeless(crashes: list[pipeline.Crash]) -> bool:
+    """Returns whether a task with these crashes is given up."""
+    hosts = {crash.host for crash in crashes}
+    if any(crash.suspects == 1 for crash in crashes):
+        return len(hosts) >= MAX_HOSTS or len(crashes) >= MAX_CRASHES
+    return (
+        len(hosts) >= MAX_HOSTS_UNCERTAIN
+        or len(crashes) >= MAX_CRASHES_UNCERTAIN
+    )
+
+
+def separated(
+    task: pipeline.Task, candidates: list[fleet.Worker], now: float
+) -> list[fleet.Worker]:
+    """Returns the workers on which a suspect is separated best.
+
+    Args:
+        task: A suspect task.
+        candidates: Workers on which it fits.
+        now: Monotonic seconds.
+    """
+    waited_s = now - max(task.ready_since_s, task.crashed_s)
+    hosts = {crash.host for crash in task.crashes}
+    workers = [w for w in candidates if w.agent not in hosts]
+    if not workers and waited_s >= MAX_ISOLATION_WAIT_S:
+        workers = candidates
+    apart = [w for w in workers if not w.unproven]
+    alone = [w for w in apart if not _has_new_attempt(w, now)]
+    if alone or waited_s < MAX_ISOLATION_WAIT_S:
+        return alone
+    if apart or (len(task.crashes) > 1 and waited_s < MAX_SEPARATION_WAIT_S):
+        return apart
+    return workers
+
+
+def _has_new_attempt(worker: fleet.Worker, now: float) -> bool:
+    return any(
+        now - placement.ordered_s < messages.START_CRASH_S
+        for placement in worker.placements.values()
+    )
+
+
+class CrashTracker:
+    """Records crashes under tasks, during one term of a leader.
+
+    Args:
+        registry: Registry of the pipelines, which stores the crashes.
+        attempts: Attempts that may be running.
+        metrics: Registry that counts the crashes.
+    """
+
+    def __init__(
+        self,
+        registry: pipelineregistry.PipelineRegistry,
+        attempts: attempts_module.Attempts,
+        metrics: metrics_module.Metrics,
+    ):
+        self._registry = registry
+        self._attempts = attempts
+        self._metrics = metrics
+
+    def apply(
+        self, host: str, crash: messages.WorkerCrash, now: float
+    ) -> list[pipeline.Task]:
+        """Records a crash, unless it was recorded before.
+
+        Args:
+            host: Name of the agent that reports it.
+            crash: The crash.
+            now: Monotonic seconds.
+
+        Returns:
+            Tasks that are to be given up.
+        """
+        least_ms = min((ran_ms for _, _, ran_ms in crash.attempts), default=0)
+        latest = [
+            task_id
+            for task_id, _, ran_ms in crash.attempts
+            if ran_ms <= least_ms + CRASH_DELAY_MS
+        ]
+        suspects = len({task_id.partition(".")[0] for task_id in latest})
+        hopeless = []
+        for task_id, attempt, ran_ms in crash.attempts:
+            task = self._registry.find_task(task_id)
+            if task is None or not _is_news(task, attempt):
+                continue
+            record = pipeline.Crash(
+                attempt, host, suspects if task_id in latest else 0
+            )
+            self._record(task, record, crash, ran_ms, now)
+            later = [
+                placement
+                for placement in self._attempts.of_task(task)
+                if placement.attempt > attempt
+            ]
+            for placement in later:
+                self._attempts.mark_unproven(placement)
+            # A crash is reported late if the worker was away for long. What the
+            # task does meanwhile on another worker decides.
+            if is_hopeless(task.crashes) and not any(
+                placement.reported for placement in later
+            ):
+                hopeless.append(task)
+        return hopeless
+
+    def check(self) -> None:
+        """Acquits the tasks that were seen running for long enough."""
+        for placement in list(self._attempts.unproven.values()):
+            state = placement.worker.state
+            if not any(
+                (row[0], row[1]) == placement.key for row in state.running
+            ):
+                continue
+            if not placement.listed_since_ms:
+                placement.listed_since_ms = state.clock_ms
+            ran_ms = state.clock_ms - placement.listed_since_ms
+            if ran_ms >= messages.START_CRASH_S * 1000:
+                self.acquit(placement.task, placement.attempt)
+
+    def acquit(self, task: pipeline.Task, attempt: int) -> None:
+        """Drops the crashes of a task, an attempt of which crashed no worker.
+
+        Args:
+            task: The task.
+            attempt: Number of the attempt. Earlier crashes that are reported
+                later do not count.
+        """
+        if not task.crashes:
+            return
+        task.crashes.clear()
+        task.proven_attempt = max(task.proven_attempt, attempt)
+        for placement in self._attempts.of_task(task):
+            self._attempts.mark_proven(placement)
+        self._registry.mark_changed(task.pipeline)
+        self._metrics.count("suspect_tasks_acquitted")
+
+    def _record(
+        self,
+        task: pipeline.Task,
+        record: pipeline.Crash,
+        crash: messages.WorkerCrash,
+        ran_ms: int,
+        now: float,
+    ) -> None:
+        task.crashes.append(record)
+        task.crashed_s = now
+        self._registry.mark_changed(task.pipeline)
+        self._metrics.count("crashes_at_start")
+        log.emit(
+            events.Events.WORKER_CRASHED_AT_START,
+            task=task.id,
+            attempt=record.attempt,
+            worker=crash.worker,
+            host=record.host,
+            ran_ms=ran_ms,
+            suspects=record.suspects,
+            recent_starts=len(crash.attempts),
+            crashes=len(task.crashes),
+        )
+
+
+def _is_news(task: pipeline.Task, attempt: int) -> bool:
+    """Returns whether a crash at an attempt of a task counts."""
+    return (
+        not task.pipeline.ended
+        and task.phase is not pipeline.TaskPhase.DONE
+        and attempt > task.proven_attempt
+        and all(crash.attempt != attempt for crash in task.crashes)
+    )
--- a/pomelostair/pipelinemessages.py
+++ b/pomelostair/pipelinemessages.py
@@ -159,6 +159,32 @@
     lapsed: bool
 
 
+# Run time from which an attempt is no suspect in the crash of its worker. A
+# task that crashes workers does so within milliseconds of its start; the rest
+# covers delays of the processes.
+START_CRASH_S = 0.5
+
+
+@attrs.frozen
+class WorkerCrash:
+    """Crash of an incarnation of a worker.
+
+    A worker that is silent until its leases have lapsed counts as crashed, as
+    it may be away for long.
+
+    Attributes:
+        worker: Id of the worker.
+        life: Its incarnation.
+        attempts: Task, number and known run time in milliseconds of each
+            attempt that had not ended and is not known to have run for
+            `START_CRASH_S`.
+    """
+
+    worker: str
+    life: int
+    attempts: tuple[tuple[str, int, int], ...]
+
+
 @wire.message("worker-report")
 @attrs.frozen
 class AgentReport:
@@ -176,6 +202,7 @@
         gone: Id and incarnation of each worker that has ended and certainly
             runs nothing any more.
         addresses: HTTP addresses of the workers, by worker id.
+        crashes: Crashes of workers under attempts that had just started.
     """
 
     agent: str
@@ -186,6 +213,7 @@
     workers: tuple[WorkerState, ...] = ()
     gone: tuple[tuple[str, int], ...] = ()
     addresses: dict[str, str] = attrs.field(factory=dict)
+    crashes: tuple[WorkerCrash, ...] = ()
 
 
 @attrs.frozen
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -18,6 +18,7 @@
 from pomelostair import fleet
 from pomelostair import pacing
 from pomelostair import pipeline
+from pomelostair import pipelinecrashes
 from pomelostair import resources
 
 # A filler starts only where at least this share of its requested millicores is
@@ -45,6 +46,9 @@
 # Penalty of a worker for a serving task for each millicore that it has free.
 # Among similar workers, the fullest is chosen.
 FREE_CAPACITY_PENALTY = 0.05
+# Penalty of a worker with an attempt that may crash it. It exceeds all other
+# differences between two workers.
+UNPROVEN_PENALTY_MILLICORES = 1_000_000
 # Time for which a success shows that a worker is healthy.
 RECENT_SUCCESS_S = 10.0
 # Longest time for which a task that has room is not started. By the platform's
@@ -201,7 +205,8 @@
 
     A task that moves goes to the worker that has reserved room for it. A task
     that has failed prefers workers with a recent success on which it has not
-    failed, and waits up to `MAX_IDLE_S` for one of them.
+    failed, and waits up to `MAX_IDLE_S` for one of them. A suspect task starts
+    apart from others.
 
     Args:
         task: A task that is ready.
@@ -223,6 +228,8 @@
     ]
     if task.avoided_workers:
         candidates = _preferred_for_retry(task, candidates, workers, now)
+    if task.suspect:
+        candidates = pipelinecrashes.separated(task, candidates, now)
     candidates = [
         w for w in candidates if w.has_reservation_for(task, now)
     ] or candidates
@@ -273,7 +280,10 @@
         pace_share = pacer.available_pace_share(task, worker, now)
         if pace_share < required_pace_share:
             return None
-    return score(task, worker, pace_share)
+    value = score(task, worker, pace_share)
+    if worker.unproven:
+        value -= UNPROVEN_PENALTY_MILLICORES
+    return value
 
 
 class Candidates:
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -19,6 +19,7 @@
 from pomelostair import pacing
 from pomelostair import pipeline
 from pomelostair import pipelineadvice
+from pomelostair import pipelinecrashes
 from pomelostair import pipelinemessages as messages
 from pomelostair import pipelinemonitor
 from pomelostair import pipelinepacking
@@ -126,6 +127,9 @@
         self._registry = pipelineregistry.PipelineRegistry(
             lease_version, unix_ms, self._attempts.has_attempts
         )
+        self._crashes = pipelinecrashes.CrashTracker(
+            self._registry, self._attempts, metrics
+        )
         self._starter = pipelinestarts.Starter(
             epoch, self._attempts, self._pacer, metrics
         )
@@ -286,6 +290,9 @@
         self._registry.register_agent(
             message.agent, bus, reported, message.complete
         )
+        for crash in message.crashes:
+            for task in self._crashes.apply(message.agent, crash, now):
+                self._give_up(task)
         for key in message.gone:
             self._remove_worker(key, now, "its agent reported its end")
         workers = []
@@ -307,6 +314,7 @@
         """Decides which attempts to start, stop and pace now."""
         self._expire_workers(now)
         self._registry.open_due(now)
+        self._crashes.check()
         slowed: dict[str, list[fleet.Placement]] = {}
         for worker in self._workers.values():
             for placement in self._monitor.check(worker, now):
@@ -568,6 +576,7 @@
         item = task.pipeline
         queue = self._queues.by_name(item.declaration.queue)
         limit = queue.max_attempts if queue is not None else 0
+        self._crashes.acquit(task, attempt)
         # Lasting tasks occasionally fail on healthy workers, too.
         if not task.stage.lasting or now - ordered_s < EARLY_FAILURE_S:
             task.avoided_workers.add(worker.id)
@@ -588,6 +597,22 @@
             )
             self._close_pipeline(item)
 
+    def _give_up(self, task: pipeline.Task) -> None:
+        """Fails the pipeline of a task that crashes each worker."""
+        item = task.pipeline
+        if not item.give_up(task, int(self._unix_ms())):
+            return
+        self._metrics.count("tasks_given_up")
+        log.emit(
+            events.Events.PIPELINE_ENDED,
+            pipeline=item.id,
+            phase=item.phase.value,
+            task=task.id,
+            crashes=len(task.crashes),
+            hosts=sorted({crash.host for crash in task.crashes}),
+        )
+        self._close_pipeline(item)
+
     def _close_pipeline(self, item: pipeline.Pipeline) -> None:
         """Closes an ended pipeline and stops its remaining attempts."""
         self._registry.close(item)
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -28,6 +28,9 @@
 MAX_LOST_PROGRESS_PERCENT = 10
 # Most ready tasks that one round considers.
 MAX_CONSIDERED_TASKS = 600
+# Most suspect tasks of a service that one round places. Each is compared with
+# all workers.
+MAX_SUSPECT_SEARCHES = 20
 # Time after which an idle pipeline that misses its objective starts one filler
 # without unused processor time while counted work uses at least BUSY_SHARE of
 # the capacity; while it uses less, the time is `pipelineplacement.MAX_IDLE_S`.
@@ -152,7 +155,7 @@
             is_first_start = task.stage.lasting and not task.last_attempt
             if is_first_start and now - task.ready_since_s < GATHER_DELAY_S:
                 continue
-            unrestricted = not task.avoided_workers
+            unrestricted = not (task.avoided_workers or task.suspect)
             if unrestricted and task.stage_number in stages_without_worker:
                 continue
             allowed = workers
@@ -409,6 +412,7 @@
         self._pacer = pacer
         self._now = now
         self._full = placement_module.FullDemands()
+        self._suspect_searches = 0
         self._stage_key: tuple | None = None
         self._candidates: placement_module.Candidates | None = None
 
@@ -425,7 +429,15 @@
             task: A task that is ready.
             allowed: The workers, or those of them for which it has a ticket.
         """
-        if task.avoided_workers or task.reserved_until_s > self._now:
+        if task.suspect:
+            if self._suspect_searches >= MAX_SUSPECT_SEARCHES:
+                return None
+            self._suspect_searches += 1
+        if (
+            task.avoided_workers
+            or task.suspect
+            or task.reserved_until_s > self._now
+        ):
             self._candidates = None
             return placement_module.choose(
                 task, allowed, self._pacer, self._now
--- a/pomelostair_standins/runner.py
+++ b/pomelostair_standins/runner.py
@@ -4,9 +4,13 @@
 no I/O; `runnerhttp` serves it over HTTP.
 """
 
+import math
+
 import attrs
 
 STOP_GRACE_MS = 100
+# Time from the start of a deadly task to the crash of its worker.
+CRASH_DELAY_MS = 10
 
 
 @attrs.define
@@ -74,6 +78,9 @@
         self.lasting = False
         self.failing = False
         self.hung = False
+        # Ids of the tasks that crash a worker when it starts them.
+        self.deadly: set[str] = set()
+        self.crashed = False
         self.clock_ms = 1.0
         self.runs: dict[str, Run] = {}
         self.ended: list[Ended] = []
@@ -82,10 +89,16 @@
         self._fence = 0
         self._highest_numbers: dict[str, int] = {}
         self._end_count = 0
+        self._crash_ms = math.inf
 
     def advance(self, milliseconds: float) -> None:
         """Advances the clock and the runs."""
+        if self.crashed:
+            return
         self.clock_ms += milliseconds
+        if self.clock_ms >= self._crash_ms:
+            self.crashed = True
+            return
         for run in list(self.runs.values()):
             if run.stopping_ms and self.clock_ms >= run.stopping_ms:
                 self._end(run, "stopped")
@@ -141,8 +154,14 @@
             self.failing,
         )
         self.started.append((task, number, self.clock_ms))
+        if task in self.deadly:
+            self._crash_ms = min(self._crash_ms, self.clock_ms + CRASH_DELAY_MS)
         return None
 
+    def crash(self) -> None:
+        """Crashes the worker at the next advance of its clock."""
+        self._crash_ms = self.clock_ms
+
     def stop(self, task: str, number: int, fence: int) -> str | None:
         """Stops a run and fences off its number.
 
--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -21,6 +21,8 @@
 GRANT_MS = 7500
 # Length of the lease that the agent holds at its worker, within that limit.
 HOLD_MS = 5000
+# Time after which a crashed worker is back, under another id.
+REBIRTH_S = 3.0
 
 
 @attrs.define
@@ -28,7 +30,7 @@
     """A simulated worker with its agent.
 
     Attributes:
-        name: Id of the worker.
+        name: Name of the host, and id of its first worker.
         runner: The worker itself.
         partitioned: Whether its agent can't reach the leader.
         delays_starts: Whether start orders get no answer from the worker and
@@ -40,6 +42,12 @@
         results: Results of orders that the leader has not applied yet.
         last_result: Sequence number of the last result.
         epoch: Epoch of the leader that the agent last reported to.
+        worker: Id of the worker, which changes after a crash.
+        ended: Worker id and incarnation of each earlier incarnation.
+        crashed_s: Time of the crash of the worker, None while it is up.
+        crashes: Crashes that the agent reports.
+        loses_crashes: Whether the agent ends with its worker, and so reports no
+            crash.
     """
 
     name: str
@@ -53,6 +61,30 @@
     results: list = attrs.field(factory=list)
     last_result: int = 0
     epoch: int = 0
+    worker: str = ""
+    ended: list = attrs.field(factory=list)
+    crashed_s: float | None = None
+    crashes: list = attrs.field(factory=list)
+    loses_crashes: bool = False
+
+    def __attrs_post_init__(self):
+        self.worker = self.worker or self.name
+
+    @property
+    def key(self):
+        """Worker id and incarnation."""
+        return self.worker, self.runner.born_ms
+
+    def replace_runner(self, worker):
+        """Replaces the worker by its next incarnation, which runs nothing."""
+        earlier = self.runner
+        self.ended.append(self.key)
+        self.worker = worker
+        self.runner = runner.Runner(earlier.born_ms + 1, earlier.work_ms)
+        self.runner.deadly = earlier.deadly
+        self.lease_limit_ms = 0.0
+        self.acknowledged = self.last_order = 0
+        self.results.clear()
 
 
 class Fleet:
@@ -73,6 +105,11 @@
         self.stored_progress = {}
         self.agents = {}
         self.hosts = {name: Host(name, runner.Runner(1)) for name in names}
+        self.rebirth_s = REBIRTH_S
+        self.deadly = set()
+        for host in self.hosts.values():
+            host.runner.deadly = self.deadly
+        self.starts = []
         self.finished = []
         self.start_leader()
 
@@ -116,11 +153,7 @@
     def restart_worker(self, name):
         """Restarts a worker under its id; its runs are lost."""
         host = self.hosts[name]
-        old_runner = host.runner
-        host.runner = runner.Runner(old_runner.born_ms + 1, old_runner.work_ms)
-        host.lease_limit_ms = 0.0
-        host.acknowledged = host.last_order = 0
-        host.results.clear()
+        host.replace_runner(host.worker)
 
     def run_for(self, seconds, step_s=0.1):
         """Advances the time in steps."""
@@ -133,16 +166,18 @@
         for host in self.hosts.values():
             self._run_delayed_starts(host)
             host.runner.advance(step_s * 1000)
+            self._apply_crash(host)
             self._record_ends(host)
             if not host.partitioned:
                 self._report(host)
         self.scheduler.run_round(self.now)
         for worker in list(self.scheduler.workers.values()):
-            host = self.hosts[worker.id]
+            host = self.host_of(worker.id)
             orders = self.scheduler.orders_to_send(worker, self.now)
             if (
                 not host.partitioned
-                and worker.incarnation == host.runner.born_ms
+                and not host.runner.crashed
+                and (worker.id, worker.incarnation) == host.key
             ):
                 self._deliver(host, orders)
         self._commit()
@@ -152,9 +187,14 @@
         return [
             (run.task, host.name)
             for host in self.hosts.values()
+            if not host.runner.crashed
             for run in host.runner.runs.values()
         ]
 
+    def host_of(self, worker):
+        """Returns the host of a worker."""
+        return self.hosts[worker.partition("+")[0]]
+
     def phase(self, name):
         """Returns the phase of a pipeline, as callers see it."""
         return self.scheduler.registry.phase(name)
@@ -162,6 +202,36 @@
     def _fence(self, host):
         return (self.epoch << 31) | host.runner.born_ms
 
+    def _apply_crash(self, host):
+        """Lets a crashed worker return, under another id, after a while."""
+        if not host.runner.crashed:
+            return
+        if host.crashed_s is None:
+            host.crashed_s = self.now
+        if self.now - host.crashed_s >= self.rebirth_s:
+            host.crashed_s = None
+            host.crashes.extend(self._crash_of(host))
+            host.replace_runner(f"{host.name}+{host.runner.born_ms}")
+
+    def _crash_of(self, host):
+        """Returns what the agent reports of a crash, if anything."""
+        started_ms = {
+            (task, number): at_ms for task, number, at_ms in host.runner.started
+        }
+        recent = tuple(
+            (
+                run.task,
+                run.number,
+                int(host.runner.clock_ms - started_ms[run.task, run.number]),
+            )
+            for run in host.runner.runs.values()
+            if host.runner.clock_ms - started_ms[run.task, run.number]
+            < messages.START_CRASH_S * 1000
+        )
+        if not recent or host.loses_crashes:
+            return ()
+        return (messages.WorkerCrash(*host.key, recent),)
+
     def _record_ends(self, host):
         for ended in host.runner.ended:
             end = (ended.task, ended.run, ended.how)
@@ -177,15 +247,19 @@
             host.last_order = received = 0
             host.results.clear()
             results = ()
-        until_ms = min(worker_runner.clock_ms + HOLD_MS, host.lease_limit_ms)
-        assert (
-            worker_runner.hold(
-                self._fence(host), host.acknowledged, until_ms or None
+        crashed = worker_runner.crashed
+        if not crashed:
+            until_ms = min(
+                worker_runner.clock_ms + HOLD_MS, host.lease_limit_ms
+            )
+            assert (
+                worker_runner.hold(
+                    self._fence(host), host.acknowledged, until_ms or None
+                )
+                is None
             )
-            is None
-        )
         state = pipelines.worker_state(
-            host.name,
+            host.worker,
             worker_runner.born_ms,
             self.cores,
             clock_ms=int(worker_runner.clock_ms),
@@ -196,19 +270,21 @@
             ),
             results=results,
             received=received,
+            fresh=not crashed,
+            reachable=not crashed,
+            lapsed=crashed
+            and self.now - host.crashed_s > (HOLD_MS / 1000 + 0.1),
         )
         report = messages.AgentReport(
             f"agent-{host.name}",
             self.epoch,
             int(self.now * 1000),
             True,
-            ((host.name, worker_runner.born_ms),),
+            (host.key,),
             (state,),
-            tuple(
-                (host.name, incarnation)
-                for incarnation in range(1, worker_runner.born_ms)
-            ),
-            {host.name: f"{host.name}:1"},
+            tuple(host.ended),
+            {host.worker: f"{host.name}:1"},
+            (*host.crashes, *(self._crash_of(host) if state.lapsed else ())),
         )
         for worker in self.scheduler.apply_report(
             report, "bus", "life", self.now
@@ -250,6 +326,7 @@
                     order.task, order.attempt, until_ms, fence
                 )
                 outcome = messages.REFUSED if reason else messages.DONE
+                self.starts.append((order.task, host.name))
             case messages.STOP:
                 worker_runner.stop(order.task, order.attempt, fence)
             case messages.PACE:
@@ -269,7 +346,7 @@
             start for start in host.delayed_starts if start[0] > self.now
         ]
         for _, worker_runner, order, until_ms, fence in due:
-            if worker_runner is host.runner:
+            if worker_runner is host.runner and not worker_runner.crashed:
                 worker_runner.start(order.task, order.attempt, until_ms, fence)
 
     def _commit(self):
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -154,6 +154,25 @@
         assert "reason=earlier-leader" in waited
 
 
+class TestCrashedWorkers:
+    def test_task_that_crashed_workers_is_named(self, record_log):
+        """Guards against blaming workers for a task that crashes them."""
+        fleet = simfleet.Fleet(names=("w1", "w2", "w3"))
+        recorder = record_log("edge", lambda: fleet.now)
+        fleet.run_for(1)
+        fleet.deadly.add("a.0.0.0")
+        fleet.submit("a")
+        fleet.run_for(10)
+        found = causes(recorder, "a")
+        (failure,) = [cause for cause in found if "given up" in cause]
+        hosts = [f"agent-{host}" for _, host in fleet.starts]
+        assert failure == (
+            "a.0.0.0 was given up: workers crashed when they started it, on "
+            f"{', '.join(hosts)}"
+        )
+        assert any("its worker crashed at the start" in c for c in found)
+
+
 class TestRestartedTask:
     def test_lost_worker_is_named(self, record_log):
         fleet = simfleet.Fleet(names=("w1", "w2"))
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -9,6 +9,7 @@
 from pomelostair import fleet
 from pomelostair import kernel
 from pomelostair import metrics
+from pomelostair import pipeline
 from pomelostair import pipelineagent
 from pomelostair import pipelinelease
 from pomelostair import pipelinemessages as messages
@@ -30,7 +31,11 @@
     def __init__(self):
         self.runner = runner.Runner(7)
         self.down = False
+        self.busy = False
         self.lose_starts = False
+        self.lose_stops = False
+        self.refused = set()
+        self.ended = ()
         self.holds = []
         self.waits_ms = []
 
@@ -38,7 +43,7 @@
         self.waits_ms.append(wait_ms)
         await curio.sleep(wait_ms / 1000 / 10)
         if self.down:
-            return ports.NoAnswer("down")
+            return ports.Denied("busy") if self.busy else ports.NoAnswer("down")
         self.holds.append(lease_end_ms)
         reason = self.runner.hold(fence, acknowledged, lease_end_ms)
         if reason:
@@ -47,19 +52,23 @@
             int(self.runner.clock_ms),
             self.runner.born_ms,
             tuple(self.runner.running_rows()),
-            (),
+            self.ended,
             False,
         )
 
     async def start(self, order, lease_end_ms, fence):
         if self.lose_starts:
             return ports.NoAnswer("lost")
+        if order.task in self.refused:
+            return ports.Denied("room")
         reason = self.runner.start(
             order.task, order.attempt, lease_end_ms, fence
         )
         return ports.Denied(reason) if reason else ports.Accepted()
 
     async def stop(self, order, fence):
+        if self.lose_stops:
+            return ports.NoAnswer("lost")
         reason = self.runner.stop(order.task, order.attempt, fence)
         return ports.Denied(reason) if reason else ports.Accepted()
 
@@ -494,6 +503,210 @@
         harness.run(body)
 
 
+class TestCrashes:
+    """Guards against tasks that crash workers without leaving a trace.
+
+    An incarnation that is replaced without notice has crashed. What had just
+    started there is reported, so that the leader can count such crashes.
+    """
+
+    def crashes(self, harness):
+        return [r.crashes for r in harness.reports if r.crashes]
+
+    async def start(self, harness, *orders, **heartbeat):
+        await harness.heartbeat(**heartbeat)
+        await harness.instruct(*orders or (start_order(),))
+        await harness.wait_until(harness.results)
+
+    async def replace(self, harness, worker="w2"):
+        """Brings another incarnation up at the worker's address."""
+        harness.port.client.runner = runner.Runner(9)
+        await harness.heartbeat(incarnation=9, worker=worker)
+        await harness.wait_until(
+            lambda: any(("w1", 7) in r.gone for r in harness.reports)
+        )
+
+    @pytest.mark.parametrize("worker", ["w1", "w2"], ids=["same id", "other"])
+    def test_names_the_attempts_that_had_just_started(self, worker):
+        harness = Harness()
+
+        async def body():
+            orders = [start_order(n, task=f"a.0.0.{n}") for n in (1, 2)]
+            await self.start(harness, *orders)
+            await self.replace(harness, worker)
+            (crash,) = self.crashes(harness)[0]
+            assert (crash.worker, crash.life) == ("w1", 7)
+            assert [row[:2] for row in sorted(crash.attempts)] == [
+                ("a.0.0.1", 1),
+                ("a.0.0.2", 1),
+            ]
+            assert all(0 <= row[2] < 500 for row in crash.attempts)
+
+        harness.run(body)
+
+    def test_is_reported_to_a_later_leader_too(self):
+        harness = Harness()
+
+        async def body():
+            await self.start(harness)
+            await self.replace(harness)
+            successor = messages.LeaderInfo(2, "edge", "memory:edge")
+            hello = messages.LeaderHello(successor)
+            await harness.leader_bus.send("memory:agent", hello)
+            await harness.wait_until(
+                lambda: harness.reports[-1].epoch == 2 and harness.reports
+            )
+            assert harness.reports[-1].crashes
+
+        harness.run(body)
+
+    def test_names_a_start_without_an_answer(self):
+        harness = Harness()
+        client = harness.port.client
+
+        async def body():
+            await harness.heartbeat()
+            await harness.instruct()
+            await harness.wait_until(lambda: any(h for h in client.holds))
+            client.down = client.lose_starts = client.lose_stops = True
+            await harness.instruct(start_order())
+            await curio.sleep(1.5)
+            client.down = False
+            await self.replace(harness)
+            (crash,) = self.crashes(harness)[0]
+            assert crash.attempts == (("a.0.0.0", 1, 0),)
+
+        harness.run(body)
+
+    def test_names_no_start_that_had_no_effect_for_long(self, monkeypatch):
+        """Guards against blaming a start that was lost long ago."""
+        monkeypatch.setattr(pipelineagent, "LATE_START_S", 1.0)
+        harness = Harness()
+        client = harness.port.client
+
+        async def body():
+            await harness.heartbeat()
+            await harness.instruct()
+            await harness.wait_until(lambda: any(h for h in client.holds))
+            client.lose_starts = client.lose_stops = True
+            await harness.instruct(start_order())
+            await curio.sleep(1.5)
+            await self.replace(harness)
+            assert not self.crashes(harness)
+
+        harness.run(body)
+
+    def test_names_no_attempt_that_ran_for_long(self):
+        harness = Harness()
+
+        async def body():
+            await self.start(harness)
+            await curio.sleep(messages.START_CRASH_S + 0.5)
+            harness.port.client.down = True
+            await curio.sleep(0.5)
+            harness.port.client.down = False
+            await self.replace(harness)
+            assert not self.crashes(harness)
+
+        harness.run(body)
+
+    def test_time_without_answers_is_no_run_time(self):
+        """The worker is away for longer than the task had to run."""
+        harness = Harness()
+
+        async def body():
+            await self.start(harness)
+            harness.port.client.down = True
+            await curio.sleep(messages.START_CRASH_S + 0.5)
+            harness.port.client.down = False
+            await self.replace(harness)
+            assert self.crashes(harness)
+
+        harness.run(body)
+
+    @pytest.mark.parametrize("busy", [True, False])
+    def test_worker_that_is_silent_until_its_lease_lapsed_has_crashed(
+        self, busy
+    ):
+        """Guards against starts without end while crashed workers are away.
+
+        A worker that refuses its agent's calls is no silent one.
+        """
+        harness = Harness()
+        client = harness.port.client
+
+        async def body():
+            await harness.heartbeat()
+            await harness.instruct(start_order(), lease_end_ms=1500)
+            await harness.wait_until(harness.results)
+            client.down = True
+            client.busy = busy
+            await harness.wait_until(
+                lambda: any(
+                    state.lapsed
+                    for report in harness.reports
+                    for state in report.workers
+                )
+            )
+            assert bool(self.crashes(harness)) is not busy
+
+        harness.run(body)
+
+    def test_names_no_attempt_that_ended_was_refused_or_was_stopped(self):
+        harness = Harness()
+        client = harness.port.client
+
+        async def body():
+            await harness.heartbeat()
+            await harness.instruct()
+            await harness.wait_until(lambda: any(h for h in client.holds))
+            client.ended = ((1, "a.0.0.1", 1, pipeline.End.DONE, ""),)
+            client.refused = {"a.0.0.2"}
+            await harness.instruct(
+                *(start_order(n, task=f"a.0.0.{n}") for n in (1, 2, 3))
+            )
+            await harness.wait_until(lambda: len(harness.results()) >= 3)
+            stop = messages.Order(4, messages.STOP, "a.0.0.3", 1)
+            await harness.instruct(stop)
+            await harness.wait_until(lambda: (4, "done") in harness.results())
+            client.ended = ()
+            await self.replace(harness)
+            assert not self.crashes(harness)
+
+        harness.run(body)
+
+    @pytest.mark.parametrize("deregisters", [True, False])
+    def test_worker_that_leaves_has_not_crashed(self, deregisters):
+        """Guards against blaming tasks for planned shutdowns."""
+        harness = Harness()
+
+        async def body():
+            await self.start(harness)
+            if deregisters:
+                await harness.agent.remove_worker("w1", 7)
+            else:
+                await harness.heartbeat(sequence=2, draining=True)
+            await self.replace(harness)
+            assert not self.crashes(harness)
+
+        harness.run(body)
+
+    def test_names_no_attempt_of_an_earlier_process_of_the_agent(self):
+        """Guards against suspecting all that runs when an agent restarts."""
+        harness = Harness()
+
+        async def body():
+            client = harness.port.client
+            client.runner.start("a.0.0.0", 1, 5000, 0)
+            await harness.heartbeat()
+            await harness.instruct()
+            await harness.wait_until(lambda: any(h for h in client.holds))
+            await self.replace(harness)
+            assert not self.crashes(harness)
+
+        harness.run(body)
+
+
 class TestRegisteredWorkers:
     """Workers that an earlier process of the agent had reported.
 
--- /dev/null
+++ b/tests/test_pipelinecrashes.py
@@ -0,0 +1,498 @@
+import collections
+
+import msgspec
+import pytest
+
+from pomelostair import attempts
+from pomelostair import fleet as fleet_module
+from pomelostair import metrics
+from pomelostair import pacing
+from pomelostair import pipeline
+from pomelostair import pipelinecrashes
+from pomelostair import pipelinemessages as messages
+from pomelostair import pipelineplacement
+from pomelostair import pipelinestarts
+from pomelostair import wire
+from tests import pipelines
+from tests import simfleet
+
+METRICS = metrics.Metrics()
+COMPLETED = pipeline.Phase.COMPLETED
+FAILED = pipeline.Phase.FAILED
+RUNNING = pipeline.Phase.RUNNING
+# Starts of a task that crashes workers which the platform allows.
+ALLOWED_STARTS = 5
+
+
+def names(count):
+    return tuple(f"w{n}" for n in range(count))
+
+
+def start_counts(fleet):
+    return collections.Counter(task for task, _ in fleet.starts)
+
+
+def crash_hosts(fleet, *hosts):
+    """Crashes the workers of some hosts at the same moment."""
+    for name in hosts:
+        fleet.hosts[name].runner.crash()
+
+
+class TestDeadlyTask:
+    """A task crashes each worker that starts it, 10 ms after its start."""
+
+    @pytest.mark.parametrize("worker_count", [1, 2, 3, 8])
+    def test_is_given_up_after_few_crashes(self, worker_count):
+        """Guards against a task that crashes one worker after another.
+
+        Its sibling and the work beside it must be done.
+        """
+        fleet = simfleet.Fleet(names=names(worker_count))
+        fleet.run_for(1)
+        fleet.deadly.add("a.0.0.0")
+        fleet.submit("a", pipelines.stage(2))
+        for number in range(3):
+            fleet.submit(f"b{number}", pipelines.stage(2))
+        fleet.run_for(40)
+        assert start_counts(fleet)["a.0.0.0"] <= ALLOWED_STARTS
+        assert fleet.phase("a") is FAILED
+        assert all(fleet.phase(f"b{n}") is COMPLETED for n in range(3))
+
+    def test_crashes_two_workers_if_it_starts_apart_from_others(self):
+        fleet = simfleet.Fleet(names=names(8))
+        fleet.run_for(1)
+        fleet.deadly.add("a.0.0.1")
+        fleet.submit("a", pipelines.stage(2))
+        fleet.run_for(10)
+        assert start_counts(fleet)["a.0.0.1"] == 2
+        assert fleet.phase("a") is FAILED
+
+    def test_is_told_from_others_like_it_and_from_healthy_ones(self):
+        """Guards against blaming healthy work while many tasks are deadly."""
+        fleet = simfleet.Fleet(names=names(8))
+        fleet.run_for(1)
+        for number in range(30):
+            if number % 6 == 0:
+                fleet.deadly.add(f"p{number}.0.0.0")
+            fleet.submit(f"p{number}", pipelines.stage(2))
+            fleet.run_for(0.3)
+        fleet.run_for(30)
+        counts = start_counts(fleet)
+        assert all(counts[task] <= ALLOWED_STARTS for task in fleet.deadly)
+        for number in range(30):
+            expected = COMPLETED if number % 6 else FAILED
+            assert fleet.phase(f"p{number}") is expected
+
+    def test_of_a_gang_is_given_up(self):
+        fleet = simfleet.Fleet(names=names(4))
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 5_000
+        fleet.deadly.add("a.0.0.3")
+        gang = pipelines.stage(4, gang=True, estimate_ms=5_000)
+        fleet.submit("a", gang)
+        fleet.submit("b", gang)
+        fleet.run_for(50)
+        assert start_counts(fleet)["a.0.0.3"] <= ALLOWED_STARTS
+        assert fleet.phase("a") is FAILED
+        assert fleet.phase("b") is COMPLETED
+
+    def test_spares_lasting_tasks_beside_it(self):
+        fleet = simfleet.Fleet(names=names(3))
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.lasting = True
+        fleet.submit("service", pipelines.stage(6, lasting=True))
+        fleet.run_for(0.1)
+        fleet.deadly.add("a.0.0.0")
+        fleet.submit("a")
+        fleet.run_for(30)
+        assert fleet.phase("a") is FAILED
+        assert fleet.phase("service") is RUNNING
+        assert len([t for t, _ in fleet.running() if "service" in t]) == 6
+
+    def test_that_lasts_is_given_up(self):
+        fleet = simfleet.Fleet(names=names(4))
+        fleet.run_for(1)
+        fleet.deadly.add("a.0.0.0")
+        fleet.submit("a", pipelines.stage(lasting=True))
+        fleet.run_for(30)
+        assert start_counts(fleet)["a.0.0.0"] <= ALLOWED_STARTS
+        assert fleet.phase("a") is FAILED
+
+    def test_is_given_up_by_a_leader_that_saw_only_its_last_crash(self):
+        """Guards against crashes that are forgotten with their leader."""
+        fleet = simfleet.Fleet(names=names(4))
+        fleet.run_for(1)
+        fleet.deadly.add("a.0.0.0")
+        fleet.submit("a", pipelines.stage(2))
+        for _ in range(8):
+            fleet.run_for(3.5)
+            fleet.start_leader(gap_s=0.5)
+            for host in fleet.hosts.values():
+                host.crashes.clear()
+        assert start_counts(fleet)["a.0.0.0"] <= ALLOWED_STARTS
+        assert fleet.phase("a") is FAILED
+
+    @pytest.mark.parametrize("rebirth_s", [6.0, 9.0, 30.0, 60.0])
+    def test_is_given_up_if_workers_are_away_longer_than_their_leases(
+        self, rebirth_s
+    ):
+        """Guards against counting only crashes that are reported in time.
+
+        The task starts again elsewhere before its crash is reported.
+        """
+        fleet = simfleet.Fleet(names=names(8))
+        fleet.rebirth_s = rebirth_s
+        fleet.run_for(1)
+        fleet.deadly.add("a.0.0.0")
+        fleet.submit("a", pipelines.stage(2))
+        fleet.run_for(60)
+        assert start_counts(fleet)["a.0.0.0"] <= ALLOWED_STARTS
+        assert fleet.phase("a") is FAILED
+
+
+class TestHealthyTasks:
+    """Workers crash for reasons of their own."""
+
+    def test_are_done_after_workers_crash_together_at_their_start(self):
+        """Guards against taking a power cut of a rack for deadly tasks.
+
+        The stage starts on several hosts of the rack at once.
+        """
+        fleet = simfleet.Fleet(names=names(8))
+        fleet.run_for(1)
+        fleet.submit("a", pipelines.stage(40))
+        fleet.step()
+        crash_hosts(fleet, "w0", "w1", "w2")
+        fleet.run_for(15)
+        assert any(host.crashes for host in fleet.hosts.values())
+        assert fleet.phase("a") is COMPLETED
+        assert max(start_counts(fleet).values()) == 2
+
+    def test_that_ran_for_long_are_no_suspects(self):
+        fleet = simfleet.Fleet(names=names(3))
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 60_000
+        fleet.submit("a", pipelines.stage(6, estimate_ms=60_000))
+        for name in names(3):
+            fleet.run_for(8)
+            crash_hosts(fleet, name)
+        fleet.run_for(8)
+        assert not any(host.crashes for host in fleet.hosts.values())
+        assert fleet.phase("a") is RUNNING
+
+    def test_that_run_between_two_crashes_are_not_given_up(self):
+        """Guards against adding up crashes that have nothing in common."""
+        fleet = simfleet.Fleet(names=names(8))
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 60_000
+        fleet.submit("a", pipelines.stage(1, estimate_ms=60_000))
+        for _ in range(6):
+            while not fleet.running():
+                fleet.step()
+            crash_hosts(fleet, fleet.running()[0][1])
+            fleet.run_for(0.3)
+            while not fleet.running():
+                fleet.step()
+            fleet.run_for(2.5)
+        assert any(host.crashes for host in fleet.hosts.values())
+        assert fleet.phase("a") is RUNNING
+        assert not fleet.stored_progress["a"].crashes
+
+    def test_of_a_large_loss_wait_only_briefly_for_each_other(self):
+        """Guards against suspects that block each other for long."""
+        fleet = simfleet.Fleet(names=names(12), cores=32)
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 2_000
+        for number in range(100):
+            fleet.submit(f"p{number}", pipelines.stage(estimate_ms=2_000))
+        fleet.step()
+        crash_hosts(fleet, *names(6))
+        fleet.run_for(simfleet.REBIRTH_S + 0.3)
+        suspects = sum(bool(p.crashes) for p in fleet.stored_progress.values())
+        assert suspects > 30
+        fleet.run_for(pipelinecrashes.MAX_ISOLATION_WAIT_S + 0.5)
+        assert all(
+            not item.ready for item in fleet.scheduler.registry.open.values()
+        )
+        fleet.run_for(4)
+        assert all(fleet.phase(f"p{n}") is COMPLETED for n in range(100))
+
+    def test_are_done_elsewhere_if_a_host_crashes_at_every_start(self):
+        """Guards against blaming tasks for a faulty host."""
+
+        class Everything:
+            def __contains__(self, task):
+                return True
+
+        fleet = simfleet.Fleet(names=names(3))
+        fleet.run_for(1)
+        fleet.hosts["w1"].runner.deadly = Everything()
+        for number in range(30):
+            fleet.submit(f"p{number}", pipelines.stage(2))
+            fleet.run_for(0.5)
+        fleet.run_for(20)
+        assert sum(host == "w1" for _, host in fleet.starts) > 3
+        assert all(fleet.phase(f"p{n}") is COMPLETED for n in range(30))
+
+    def test_are_not_blamed_for_a_host_that_loses_its_agent_too(self):
+        fleet = simfleet.Fleet(names=names(2))
+        fleet.run_for(1)
+        fleet.submit("a", pipelines.stage(4))
+        fleet.step()
+        for host in fleet.hosts.values():
+            host.loses_crashes = True
+        crash_hosts(fleet, *names(2))
+        fleet.run_for(10)
+        assert fleet.phase("a") is COMPLETED
+
+
+class TestHopeless:
+    @pytest.mark.parametrize(
+        ("crashes", "expected"),
+        [
+            ([], False),
+            ([("h1", 1)], False),
+            ([("h1", 1), ("h1", 1)], False),
+            ([("h1", 2), ("h2", 0)], False),
+            ([("h1", 2), ("h2", 1)], True),
+            ([("h1", 0), ("h2", 2), ("h3", 0)], True),
+            ([("h1", 2)] * 4, False),
+            ([("h1", 2)] * 3 + [("h1", 1)], True),
+            ([("h1", 2)] * 5, True),
+        ],
+    )
+    def test_depends_on_hosts_and_on_other_suspects(self, crashes, expected):
+        recorded = [
+            pipeline.Crash(number, host, suspects)
+            for number, (host, suspects) in enumerate(crashes)
+        ]
+        assert pipelinecrashes.is_hopeless(recorded) is expected
+
+
+class TestStoredCrashes:
+    def test_are_read_by_the_next_leader(self):
+        declared = pipelines.declare("a", pipelines.stage(2))
+        item = pipeline.Pipeline(declared, 1, pipeline.Progress(), 0.0)
+        crash = pipeline.Crash(3, "h1", 1)
+        item.tasks(0, 0)[1].crashes.append(crash)
+        stored = pipeline.decode_progress(pipeline.encode(item.progress()))
+        restored = pipeline.Pipeline(declared, 1, stored, 0.0)
+        assert [t.crashes for t in restored.tasks(0, 0)] == [[], [crash]]
+
+    def test_may_be_missing_in_what_an_earlier_version_wrote(self):
+        fields = msgspec.to_builtins(pipeline.Progress())
+        del fields["crashes"]
+        data = msgspec.msgpack.encode(fields)
+        assert pipeline.decode_progress(data) == pipeline.Progress()
+        report = msgspec.to_builtins(messages.AgentReport("a", 1, 1, True, ()))
+        del report["crashes"]
+        decoded = wire.decode_body(
+            "worker-report", msgspec.msgpack.encode(report)
+        )
+        assert decoded.crashes == ()
+
+    def test_fit_in_a_row_however_many_they_are(self):
+        declared = pipelines.declare("a", pipelines.stage(10_000))
+        item = pipeline.Pipeline(declared, 1, pipeline.Progress(), 0.0)
+        for task in item.tasks(0, 0):
+            for number in range(4):
+                crash = pipeline.Crash(10**6 + number, "side-maz-a-3", 7)
+                task.crashes.append(crash)
+        assert len(pipeline.encode(item.progress())) < 48_000
+
+
+class Harness:
+    """A crash tracker, two workers and the attempts on them."""
+
+    def __init__(self):
+        self.fleet = simfleet.Fleet(names=("w1", "w2"))
+        self.fleet.run_for(1)
+        self.registry = self.fleet.scheduler.registry
+        self.workers = [pipelines.worker(name) for name in ("w1", "w2")]
+        pacer = pacing.Pacer(METRICS)
+        self.attempts = attempts.Attempts(pacer, METRICS)
+        self.tracker = pipelinecrashes.CrashTracker(
+            self.registry, self.attempts, METRICS
+        )
+        self.fleet.submit("a", pipelines.stage(2))
+        self.fleet.submit("b", pipelines.stage(2))
+        self.task = self.registry.find_task("a.0.0.0")
+
+    def place(self, number, worker, reported=True):
+        placement = fleet_module.Placement(self.task, number, worker, 0.0)
+        placement.reported = reported
+        self.task.pipeline.place(self.task, number)
+        self.attempts.attach(placement)
+        return placement
+
+    def crash(self, number, host="h1", others=(), others_ran_ms=0):
+        """Reports a crash under the task and the first attempts of others."""
+        attempts = [("a.0.0.0", number, 10)]
+        attempts += [(other, 1, 10 + others_ran_ms) for other in others]
+        crash = messages.WorkerCrash("w9", 1, tuple(attempts))
+        return self.tracker.apply(host, crash, 5.0)
+
+    def list_running(self, worker, number, clock_ms):
+        worker.state = pipelines.worker_state(
+            worker.id,
+            clock_ms=clock_ms,
+            running=(("a.0.0.0", number, "", 1.0, 1.0),),
+        )
+        self.tracker.check()
+
+
+class TestCrashTracker:
+    def test_report_that_is_repeated_counts_once(self):
+        harness = Harness()
+        for _ in range(5):
+            assert not harness.crash(1)
+        assert harness.task.crashes == [pipeline.Crash(1, "h1", 1)]
+        assert harness.crash(2, "h2") == [harness.task]
+
+    def test_crash_beside_another_pipeline_is_not_certain(self):
+        harness = Harness()
+        harness.crash(1, others=("b.0.0.0",))
+        assert harness.task.crashes[0].suspects == 2
+        harness.crash(2, others=("a.0.0.1",))
+        assert harness.task.crashes[1].suspects == 1
+
+    def test_crash_is_due_to_what_started_last(self):
+        """Guards against healthy work that hides a deadly task.
+
+        A crashed worker starts nothing: what started clearly before its last
+        start did not crash it.
+        """
+        harness = Harness()
+        harness.crash(1, others=("b.0.0.0",), others_ran_ms=200)
+        other = harness.registry.find_task("b.0.0.0")
+        assert harness.task.crashes[0].suspects == 1
+        assert harness.task.suspect
+        assert other.crashes[0].suspects == 0
+        assert not other.suspect
+
+    def test_unknown_and_ended_tasks_are_ignored(self):
+        harness = Harness()
+        harness.task.pipeline.end(pipeline.Phase.CANCELLED, 1)
+        assert not harness.crash(1, others=("z.0.0.0",))
+        assert not harness.task.crashes
+
+    def test_task_that_runs_elsewhere_is_not_given_up_by_late_reports(self):
+        """Guards against blaming a task that was restarted long ago.
+
+        Two of its workers were away for so long that their leases lapsed.
+        """
+        harness = Harness()
+        worker = harness.workers[0]
+        placement = harness.place(3, worker)
+        assert not harness.crash(1, "h1")
+        assert not harness.crash(2, "h2")
+        assert worker.unproven == {placement.key}
+        harness.list_running(worker, 3, 7000)
+        harness.list_running(worker, 3, 7400)
+        assert harness.task.crashes
+        harness.list_running(worker, 3, 7500)
+        assert not harness.task.crashes
+        assert not worker.unproven
+        assert not harness.attempts.unproven
+        assert not harness.crash(1, "h1")
+        assert not harness.task.crashes
+
+    def test_failure_of_an_attempt_acquits_its_task(self):
+        fleet = simfleet.Fleet(names=names(4))
+        fleet.run_for(1)
+        fleet.submit("a", queue="recast")
+        fleet.step()
+        (host,) = [h for h in fleet.hosts.values() if h.runner.runs]
+        host.runner.crash()
+        for other in fleet.hosts.values():
+            other.runner.failing = True
+        while not host.crashes:
+            fleet.step()
+        assert fleet.stored_progress["a"].crashes
+        while not fleet.stored_progress["a"].failed:
+            fleet.step()
+        assert not fleet.stored_progress["a"].crashes
+
+    def test_attempt_that_ended_is_no_longer_unproven(self):
+        harness = Harness()
+        harness.crash(1)
+        placement = harness.place(2, harness.workers[0])
+        assert harness.attempts.unproven
+        harness.attempts.detach(placement)
+        assert not harness.attempts.unproven
+        assert not harness.workers[0].unproven
+
+
+class TestSeparation:
+    def suspect(self, *hosts):
+        declared = pipelines.declare("s")
+        item = pipeline.Pipeline(declared, 1, pipeline.Progress(), 100.0)
+        task = item.tasks(0, 0)[0]
+        for number, host in enumerate(hosts):
+            task.crashes.append(pipeline.Crash(number, host, 2))
+        task.crashed_s = 100.0
+        return task
+
+    def chosen(self, task, workers, now):
+        return [w.id for w in pipelinecrashes.separated(task, workers, now)]
+
+    def test_suspect_starts_apart_from_suspects_and_new_attempts(self):
+        workers = [pipelines.worker(f"w{n}") for n in range(4)]
+        task = self.suspect("agent-w0")
+        workers[1].unproven.add(("x.0.0.0", 1))
+        pipelines.place(workers[2], pipelines.stage(), now=99.55)
+        pipelines.place(workers[3], pipelines.stage(), now=90.0)
+        assert self.chosen(task, workers, 100.0) == ["w3"]
+        assert self.chosen(task, workers[:3], 100.0) == []
+        assert self.chosen(task, workers[:3], 99.9) == []
+        assert self.chosen(task, workers[:3], 100.1) == ["w2"]
+
+    def test_waits_are_bounded(self):
+        workers = [pipelines.worker(f"w{n}") for n in range(2)]
+        workers[1].unproven.add(("x.0.0.0", 1))
+        once, twice = self.suspect("agent-w0"), self.suspect("agent-w0", "h")
+        late = 100.0 + pipelinecrashes.MAX_ISOLATION_WAIT_S
+        later = 100.0 + pipelinecrashes.MAX_SEPARATION_WAIT_S
+        assert self.chosen(once, workers, late - 0.1) == []
+        assert self.chosen(once, workers, late) == ["w1"]
+        assert self.chosen(twice, workers, late) == []
+        assert self.chosen(twice, workers, later) == ["w1"]
+        assert self.chosen(once, workers[:1], late) == ["w0"]
+
+    def test_new_attempts_prefer_workers_without_suspects(self):
+        workers = [pipelines.worker(f"w{n}", cores=8 - n) for n in range(2)]
+        workers[0].unproven.add(("x.0.0.0", 1))
+        declared = pipelines.declare("p")
+        item = pipeline.Pipeline(declared, 1, pipeline.Progress(), 0.0)
+        task = item.tasks(0, 0)[0]
+        pacer = pacing.Pacer(METRICS)
+        choice = pipelineplacement.choose(task, workers, pacer, 0.0)
+        assert choice is workers[1]
+        choice = pipelineplacement.choose(task, workers[:1], pacer, 0.0)
+        assert choice is workers[0]
+
+    def test_one_round_compares_few_suspects_with_all_workers(
+        self, monkeypatch
+    ):
+        """Guards against rounds that take long on a wide fleet."""
+        fleet = simfleet.Fleet(names=names(2))
+        fleet.run_for(1)
+        fleet.submit("a", pipelines.stage(100, millicores=10))
+        item = fleet.scheduler.registry.pipelines["a"]
+        for task in item.tasks(0, 0):
+            task.crashes.append(pipeline.Crash(1, "h", 2))
+        calls = []
+        separated = pipelinecrashes.separated
+
+        def count(task, *arguments):
+            calls.append(task.id)
+            return separated(task, *arguments)
+
+        monkeypatch.setattr(pipelinecrashes, "separated", count)
+        fleet.step()
+        assert len(calls) == pipelinestarts.MAX_SUSPECT_SEARCHES
