Suspects that find no worker do not hold up others

What callers would see: healthy work that waits for long after a loss of workers. Cause: one round searches workers for 20 suspects, and those without a worker were the first 20 of the next round again. Fix: a suspect without a worker is tried again after 0.25 s, so that the others have their turn. Evidence: test_suspects_without_room_hold_up_no_others fails on the code before: the small suspect behind 40 that fit nowhere never starts.

--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -31,6 +31,9 @@
 # Most suspect tasks of a service that one round places. Each is compared with
 # all workers.
 MAX_SUSPECT_SEARCHES = 20
+# Delay before a suspect task without a worker is tried again. The others have
+# their turn meanwhile.
+SUSPECT_RETRY_DELAY_S = 0.25
 # Time after which an idle pipeline that misses its objective starts one filler
 # without unused processor time while counted work uses at least BUSY_SHARE of
 # the capacity; while it uses less, the time is `pipelineplacement.MAX_IDLE_S`.
@@ -430,14 +433,8 @@
             allowed: The workers, or those of them for which it has a ticket.
         """
         if task.suspect:
-            if self._suspect_searches >= MAX_SUSPECT_SEARCHES:
-                return None
-            self._suspect_searches += 1
-        if (
-            task.avoided_workers
-            or task.suspect
-            or task.reserved_until_s > self._now
-        ):
+            return self._choose_for_suspect(task, allowed)
+        if task.avoided_workers or task.reserved_until_s > self._now:
             self._candidates = None
             return placement_module.choose(
                 task, allowed, self._pacer, self._now
@@ -456,6 +453,18 @@
             self._record_full(task.stage, required_pace_share)
         return worker
 
+    def _choose_for_suspect(
+        self, task: pipeline.Task, allowed: list[fleet.Worker]
+    ) -> fleet.Worker | None:
+        if self._suspect_searches >= MAX_SUSPECT_SEARCHES:
+            return None
+        self._suspect_searches += 1
+        self._candidates = None
+        worker = placement_module.choose(task, allowed, self._pacer, self._now)
+        if worker is None:
+            task.not_before_s = self._now + SUSPECT_RETRY_DELAY_S
+        return worker
+
     def record_start(self, task: pipeline.Task) -> None:
         """Records that a task was started on the worker chosen for it."""
         if self._candidates is not None:
--- a/tests/test_pipelinecrashes.py
+++ b/tests/test_pipelinecrashes.py
@@ -476,6 +476,20 @@
         choice = pipelineplacement.choose(task, workers[:1], pacer, 0.0)
         assert choice is workers[0]
 
+    def test_suspects_without_room_hold_up_no_others(self):
+        """Guards against a limit that the same suspects use up each round."""
+        fleet = simfleet.Fleet(names=names(2))
+        fleet.run_for(1)
+        count = 2 * pipelinestarts.MAX_SUSPECT_SEARCHES
+        fleet.submit("a", pipelines.stage(count, millicores=10**6))
+        fleet.submit("b", pipelines.stage(1))
+        registry = fleet.scheduler.registry
+        for name in ("a", "b"):
+            for task in registry.pipelines[name].tasks(0, 0):
+                task.crashes.append(pipeline.Crash(1, "h", 2))
+        fleet.run_for(3)
+        assert fleet.phase("b") is COMPLETED
+
     def test_one_round_compares_few_suspects_with_all_workers(
         self, monkeypatch
     ):
