Healthy work is cleared of the crashes of a task that is given up

What callers would see: healthy submissions shown as failed on a small, busy fleet with several deadly tasks. Cause: healthy tasks that started beside deadly ones kept the crashes that these had caused, and were given up after the third host. While workers were away, suspects had waited long enough to be kept apart no more, so that all started at once when the workers were back. Fix: when a task is given up, the other suspects are cleared of its crashes, which count only towards the limit of five starts from then on. The wait to be kept apart counts while a suspect has room.

--- a/pomelostair/attempts.py
+++ b/pomelostair/attempts.py
@@ -53,10 +53,12 @@
             self.mark_unproven(placement)
 
     def mark_unproven(self, placement: fleet.Placement) -> None:
-        """Records that an attempt may crash its worker."""
+        """Records that an attempt is not known to run without a crash."""
         self._unproven[placement.key] = placement
         if placement.task.suspect:
             placement.worker.unproven.add(placement.key)
+        else:
+            placement.worker.unproven.discard(placement.key)
 
     def mark_proven(self, placement: fleet.Placement) -> None:
         """Records that an attempt does not crash its worker."""
--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -176,12 +176,14 @@
     Attributes:
         attempt: Number of the attempt.
         host: Name of the worker's agent; the worker has another id after it.
-        suspects: Number of pipelines with attempts that had started last on
-            the worker; 0 if this one had started clearly earlier.
+        life: Incarnation of the worker that crashed.
+        suspects: Number of pipelines that may have caused it; 0 if another one
+            than that of the attempt has.
     """
 
     attempt: int
     host: str
+    life: int
     suspects: int
 
 
@@ -232,7 +234,8 @@
         reserved_until_s: Monotonic time until which a worker may have room
             reserved for it.
         crashes: Crashes of workers at the start of its attempts.
-        crashed_s: Monotonic time at which the last of them was recorded.
+        kept_apart_s: Monotonic time since which it could start but for the
+            distance that is kept between suspects, 0 if it does not wait so.
         proven_attempt: Highest attempt that was seen to crash no worker.
     """
 
@@ -249,7 +252,7 @@
     not_before_s: float = 0.0
     reserved_until_s: float = 0.0
     crashes: list[Crash] = attrs.field(factory=list)
-    crashed_s: float = 0.0
+    kept_apart_s: float = 0.0
     proven_attempt: int = 0
     stage: Stage = attrs.field(init=False)
     id: str = attrs.field(init=False)
--- a/pomelostair/pipelinecrashes.py
+++ b/pomelostair/pipelinecrashes.py
@@ -8,6 +8,8 @@
 caused it.
 """
 
+import attrs
+
 from pomelostair import attempts as attempts_module
 from pomelostair import events
 from pomelostair import fleet
@@ -21,14 +23,15 @@
 # A crashed worker starts nothing, so that the suspects are the attempts that
 # started within this time before its last start.
 CRASH_DELAY_MS = 50
-# Number of hosts whose workers crash under a task before it is given up, if at
-# least one of the crashes has no suspect of another pipeline, and otherwise.
+# Number of hosts whose workers crash under a suspect before it is given up, if
+# at least one of the crashes has no suspect of another pipeline, and otherwise.
 MAX_HOSTS = 2
 MAX_HOSTS_UNCERTAIN = 3
-# The same for crashes on fewer hosts. The platform allows five starts of a task
-# that crashes its workers.
+# The same for crashes on fewer hosts.
 MAX_CRASHES = 4
-MAX_CRASHES_UNCERTAIN = 5
+# Crashes under a task, whoever is to blame for them, before it is given up. The
+# platform allows five starts of a task that crashes its workers.
+MAX_CRASHES_IN_ALL = 5
 # Longest wait of a suspect for a worker on another host without new attempts.
 # It covers the time in which those are seen to run.
 MAX_ISOLATION_WAIT_S = 1.5
@@ -39,12 +42,12 @@
 
 def is_hopeless(crashes: list[pipeline.Crash]) -> bool:
     """Returns whether a task with these crashes is given up."""
-    hosts = {crash.host for crash in crashes}
-    if any(crash.suspects == 1 for crash in crashes):
-        return len(hosts) >= MAX_HOSTS or len(crashes) >= MAX_CRASHES
-    return (
-        len(hosts) >= MAX_HOSTS_UNCERTAIN
-        or len(crashes) >= MAX_CRASHES_UNCERTAIN
+    blamed = [crash for crash in crashes if crash.suspects]
+    hosts = {crash.host for crash in blamed}
+    if len(crashes) >= MAX_CRASHES_IN_ALL or len(hosts) >= MAX_HOSTS_UNCERTAIN:
+        return True
+    return any(crash.suspects == 1 for crash in blamed) and (
+        len(hosts) >= MAX_HOSTS or len(blamed) >= MAX_CRASHES
     )
 
 
@@ -58,8 +61,10 @@
         candidates: Workers on which it fits.
         now: Monotonic seconds.
     """
-    waited_s = now - max(task.ready_since_s, task.crashed_s)
-    hosts = {crash.host for crash in task.crashes}
+    if candidates and not task.kept_apart_s:
+        task.kept_apart_s = now
+    waited_s = now - task.kept_apart_s
+    hosts = {crash.host for crash in task.crashes if crash.suspects}
     workers = [w for w in candidates if w.agent not in hosts]
     if not workers and waited_s >= MAX_ISOLATION_WAIT_S:
         workers = candidates
@@ -97,16 +102,17 @@
         self._registry = registry
         self._attempts = attempts
         self._metrics = metrics
+        # Tasks with crashes that this term has recorded, by id.
+        self._recorded: dict[str, pipeline.Task] = {}
 
     def apply(
-        self, host: str, crash: messages.WorkerCrash, now: float
+        self, host: str, crash: messages.WorkerCrash
     ) -> list[pipeline.Task]:
         """Records a crash, unless it was recorded before.
 
         Args:
             host: Name of the agent that reports it.
             crash: The crash.
-            now: Monotonic seconds.
 
         Returns:
             Tasks that are to be given up.
@@ -124,9 +130,9 @@
             if task is None or not _is_news(task, attempt):
                 continue
             record = pipeline.Crash(
-                attempt, host, suspects if task_id in latest else 0
+                attempt, host, crash.life, suspects if task_id in latest else 0
             )
-            self._record(task, record, crash, ran_ms, now)
+            self._record(task, record, crash, ran_ms)
             later = [
                 placement
                 for placement in self._attempts.of_task(task)
@@ -167,22 +173,44 @@
         if not task.crashes:
             return
         task.crashes.clear()
+        self._recorded.pop(task.id, None)
         task.proven_attempt = max(task.proven_attempt, attempt)
         for placement in self._attempts.of_task(task):
             self._attempts.mark_proven(placement)
         self._registry.mark_changed(task.pipeline)
         self._metrics.count("suspect_tasks_acquitted")
 
+    def clear_others(self, guilty: pipeline.Task) -> None:
+        """Clears other tasks of the crashes that a task has caused.
+
+        Args:
+            guilty: A task that was given up.
+        """
+        causes = {(c.host, c.life) for c in guilty.crashes if c.suspects}
+        for task in list(self._recorded.values()):
+            if task.pipeline.ended or task.phase is pipeline.TaskPhase.DONE:
+                del self._recorded[task.id]
+            elif any((c.host, c.life) in causes for c in task.crashes):
+                task.crashes = [
+                    attrs.evolve(c, suspects=0)
+                    if (c.host, c.life) in causes
+                    else c
+                    for c in task.crashes
+                ]
+                self._registry.mark_changed(task.pipeline)
+                for placement in self._attempts.of_task(task):
+                    self._attempts.mark_unproven(placement)
+
     def _record(
         self,
         task: pipeline.Task,
         record: pipeline.Crash,
         crash: messages.WorkerCrash,
         ran_ms: int,
-        now: float,
     ) -> None:
         task.crashes.append(record)
-        task.crashed_s = now
+        task.kept_apart_s = 0.0
+        self._recorded[task.id] = task
         self._registry.mark_changed(task.pipeline)
         self._metrics.count("crashes_at_start")
         log.emit(
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -291,7 +291,7 @@
             message.agent, bus, reported, message.complete
         )
         for crash in message.crashes:
-            for task in self._crashes.apply(message.agent, crash, now):
+            for task in self._crashes.apply(message.agent, crash):
                 self._give_up(task)
         for key in message.gone:
             self._remove_worker(key, now, "its agent reported its end")
@@ -602,6 +602,7 @@
         item = task.pipeline
         if not item.give_up(task, int(self._unix_ms())):
             return
+        self._crashes.clear_others(task)
         self._metrics.count("tasks_given_up")
         log.emit(
             events.Events.PIPELINE_ENDED,
