--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -15,6 +15,8 @@
 
 MAX_STAGES = 64
 MAX_TASKS = 10_000
+# Most tasks of a pipeline whose crashes are stored, so that they fit in a row.
+MAX_CRASHED_TASKS = 200
 
 
 @attrs.frozen
@@ -172,6 +174,24 @@
     ALONE = "alone"
 
 
+@attrs.frozen
+class Crash:
+    """Crash of a worker at the start of an attempt.
+
+    Attributes:
+        attempt: Number of the attempt.
+        host: Name of the worker's agent; the worker has another id after it.
+        life: Incarnation of the worker that crashed.
+        suspects: Number of pipelines that may have caused it; 0 if another one
+            than that of the attempt has.
+    """
+
+    attempt: int
+    host: str
+    life: int
+    suspects: int
+
+
 @attrs.frozen
 class Progress:
     """Stored state of a pipeline, besides its declaration.
@@ -189,6 +209,8 @@
         placed: Id and incarnation of each worker on which an attempt of a
             lasting task may be running, by "OCCURRENCE.STAGE.INDEX"; tasks
             without any are left out. None if they are not known.
+        crashes: Crashes of workers under unfinished tasks, by
+            "OCCURRENCE.STAGE.INDEX".
     """
 
     phase: Phase = Phase.QUEUED
@@ -198,6 +220,7 @@
     ended_ms: int = 0
     done_occurrences: int = 0
     placed: dict[str, list[tuple[str, int]]] | None = None
+    crashes: dict[str, list[Crash]] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -223,6 +246,10 @@
             this term may be running.
         earlier_placed_on: The same of attempts of earlier terms, for a lasting
             task; None if they are not known.
+        crashes: Crashes of workers at the start of its attempts.
+        kept_apart_s: Monotonic time since which it could start but for the
+            distance that is kept between suspects, 0 if it does not wait so.
+        proven_attempt: Highest attempt that was seen to crash no worker.
     """
 
     pipeline: "Pipeline"
@@ -239,6 +266,9 @@
     reserved_until_s: float = 0.0
     placed_on: set[tuple[str, int]] = attrs.field(factory=set)
     earlier_placed_on: frozenset[tuple[str, int]] | None = None
+    crashes: list[Crash] = attrs.field(factory=list)
+    kept_apart_s: float = 0.0
+    proven_attempt: int = 0
     stage: Stage = attrs.field(init=False)
     id: str = attrs.field(init=False)
 
@@ -258,6 +288,11 @@
             and self.stage_number == other.stage_number
         )
 
+    @property
+    def suspect(self) -> bool:
+        """Whether it is likely to crash workers, as far as is known."""
+        return bool(self.crashes) and any(c.suspects for c in self.crashes)
+
     @property
     def key(self) -> str:
         """Key within the pipeline, "OCCURRENCE.STAGE.INDEX"."""
@@ -494,6 +529,13 @@
             self.end(Phase.FAILED, unix_ms)
         return True
 
+    def give_up(self, task: Task, unix_ms: int) -> bool:
+        """Fails the pipeline for a task; returns False if it had ended."""
+        if self.ended:
+            return False
+        task.phase = TaskPhase.FAILED
+        return self.end(Phase.FAILED, unix_ms)
+
     def end(self, phase: Phase, unix_ms: int) -> bool:
         """Ends the pipeline early; returns False if it had already ended."""
         if self.ended:
@@ -533,6 +575,7 @@
         done: dict[str, bytes] = {}
         failed: dict[str, list[int]] = {}
         checkpoints: dict[str, str] = {}
+        crashes: dict[str, list[Crash]] = {}
         for (occurrence, number), tasks in self._tasks.items():
             bits = 0
             for task in tasks:
@@ -543,6 +586,8 @@
                     failed[task.key] = sorted(task.failed_attempts)
                 if task.checkpoint:
                     checkpoints[task.key] = task.checkpoint
+                if task.crashes and len(crashes) < MAX_CRASHED_TASKS:
+                    crashes[task.key] = list(task.crashes)
             if bits or self._declaration.timed:
                 size = (len(tasks) + 7) // 8
                 done[f"{occurrence}.{number}"] = bits.to_bytes(size, "little")
@@ -556,6 +601,7 @@
             self._ended_ms,
             self._done_occurrences,
             self._placed() if self._declaration.lasting else None,
+            crashes,
         )
 
     def _open_next_occurrence(
@@ -590,6 +636,9 @@
                     task.earlier_placed_on = frozenset(
                         earlier_placed.get(task.key, ())
                     )
+                task.crashes = list(
+                    self._stored_progress.crashes.get(task.key, ())
+                )
                 if bits >> index & 1:
                     task.phase = TaskPhase.DONE
                 tasks.append(task)
