Deeply nested data is malformed, like any other that can't be decoded

What callers would see: LOST, and processes whose plug-ins end again and again. One deeply nested row of another writer among the pipelines, their progress, the agents or the learned images ended each leader during its recovery; no leader followed. In the lease row it ended the campaign of every entry and the agents' search for a leader, in the configuration the watch of it and the gossip, in a message of the bus the task that receives all messages. A heartbeat was answered with 500 instead of 400. Cause: msgspec raises a RecursionError, which is no MsgspecError, and each caller lists the errors that it expects. Class: an error that a boundary does not translate. Fix: codec decodes for everyone and raises only the error that callers handle.

--- a/pomelostair/celllog.py
+++ b/pomelostair/celllog.py
@@ -20,6 +20,7 @@
 
 from pomelostair import cell as cell_module
 from pomelostair import clock as clock_module
+from pomelostair import codec
 from pomelostair import events
 from pomelostair import log
 from pomelostair import outcome
@@ -192,7 +193,7 @@
         """Reads the lease row."""
         match await self._table.read(self._lease_key):
             case store.Found(row=row):
-                value = msgspec.msgpack.decode(row.value, type=LeaseRow)
+                value = codec.decode_msgpack(row.value, LeaseRow)
                 return ObservedLease(value, row.version)
             case store.Absent():
                 return ObservedLease(None, 0)
@@ -489,7 +490,7 @@
 
 
 def _decode_log_row(value: bytes) -> LogRow:
-    return msgspec.msgpack.decode(value, type=LogRow)
+    return codec.decode_msgpack(value, LogRow)
 
 
 def _decode_events(value: bytes) -> list[cell_module.Event]:
--- a/pomelostair/checkpoints.py
+++ b/pomelostair/checkpoints.py
@@ -3,6 +3,7 @@
 import attrs
 import msgspec
 
+from pomelostair import codec
 from pomelostair import outcome
 from pomelostair import store
 
@@ -51,6 +52,6 @@
     """
     match await objects.get(checkpoint):
         case store.Object(data=data):
-            return msgspec.json.decode(data, type=Checkpoint)
+            return codec.decode_json(data, Checkpoint)
         case not_loaded:
             return not_loaded
--- /dev/null
+++ b/pomelostair/codec.py
@@ -0,0 +1,39 @@
+"""Decoding of JSON and MessagePack that other programs wrote."""
+
+import typing
+
+import msgspec
+
+_T = typing.TypeVar("_T")
+
+
+def decode_json(data: bytes, cls: type[_T]) -> _T:
+    """Decodes JSON into a type.
+
+    Raises:
+        msgspec.MsgspecError: The data is malformed.
+    """
+    return _decode(msgspec.json.decode, data, cls)
+
+
+def decode_msgpack(data: bytes | msgspec.Raw, cls: type[_T]) -> _T:
+    """Decodes MessagePack into a type.
+
+    Raises:
+        msgspec.MsgspecError: The data is malformed.
+    """
+    return _decode(msgspec.msgpack.decode, data, cls)
+
+
+def _decode(decode, data: bytes | msgspec.Raw, cls: type[_T]) -> _T:
+    """Decodes data; every error that data can cause becomes a MsgspecError.
+
+    msgspec raises a `RecursionError` for deeply nested data, and a
+    `UnicodeDecodeError` for a text that is not UTF-8.
+    """
+    try:
+        return decode(data, type=cls)
+    except msgspec.MsgspecError:
+        raise
+    except (RecursionError, ValueError) as error:
+        raise msgspec.DecodeError(str(error)) from error
--- a/pomelostair/commandapi.py
+++ b/pomelostair/commandapi.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from pomelostair import answers
+from pomelostair import codec
 from pomelostair import command
 from pomelostair import configtable
 from pomelostair import configuration
@@ -299,8 +300,8 @@
 
 def _decode(body: bytes, body_type: type):
     try:
-        return msgspec.json.decode(body, type=body_type)
-    except (msgspec.MsgspecError, ValueError) as error:
+        return codec.decode_json(body, body_type)
+    except msgspec.MsgspecError as error:
         raise errors.HttpError(
             400, "bad-request", f"send a JSON object: {error}"
         ) from error
--- a/pomelostair/configtable.py
+++ b/pomelostair/configtable.py
@@ -13,6 +13,7 @@
 import curio
 import msgspec
 
+from pomelostair import codec
 from pomelostair import declaration
 from pomelostair import errors
 from pomelostair import outcome
@@ -65,10 +66,8 @@
 ) -> declaration.VersionedConfiguration | outcome.Unavailable:
     """Decodes a configuration from JSON, or returns why it is unreadable."""
     try:
-        return msgspec.json.decode(
-            data, type=declaration.VersionedConfiguration
-        )
-    except (msgspec.MsgspecError, ValueError, errors.SettingsError) as error:
+        return codec.decode_json(data, declaration.VersionedConfiguration)
+    except (msgspec.MsgspecError, errors.SettingsError) as error:
         return outcome.Unavailable(f"unreadable configuration: {error}")
 
 
--- a/pomelostair/gate.py
+++ b/pomelostair/gate.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from pomelostair import bus as bus_module
+from pomelostair import codec
 from pomelostair import configuration
 from pomelostair import declaration
 from pomelostair import errors
@@ -389,7 +390,7 @@
         request = http.Request("GET", self._minion.status_path)
         try:
             response = await self._client.request(request, PROBE_TIMEOUT_S)
-            status = msgspec.json.decode(response.body, type=MinionStatus)
+            status = codec.decode_json(response.body, MinionStatus)
         except (errors.PomelostairError, msgspec.MsgspecError):
             return None
         return status.running if response.status == 200 else None
--- a/pomelostair/idempotency.py
+++ b/pomelostair/idempotency.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from pomelostair import clock as clock_module
+from pomelostair import codec
 from pomelostair import events
 from pomelostair import kernel
 from pomelostair import log
@@ -270,7 +271,7 @@
 
 
 def _generation(row: store.Row) -> int:
-    return msgspec.msgpack.decode(row.value, type=Intent).generation
+    return codec.decode_msgpack(row.value, Intent).generation
 
 
 @kernel.plugin(settings_module.Role.ENTRY)
@@ -389,7 +390,7 @@
         while True:
             match await self._table.read(intent.key):
                 case store.Found(row=row):
-                    existing = msgspec.msgpack.decode(row.value, type=Intent)
+                    existing = codec.decode_msgpack(row.value, Intent)
                 case store.Absent() if not write_unresolved:
                     return _Claimable(0)
                 case _:
--- a/pomelostair/ingress.py
+++ b/pomelostair/ingress.py
@@ -7,6 +7,7 @@
 import curio
 import msgspec
 
+from pomelostair import codec
 from pomelostair import errors
 from pomelostair import events
 from pomelostair import http
@@ -107,7 +108,7 @@
 
     async def _join(self, request: http.Request) -> http.Response:
         try:
-            join = msgspec.json.decode(request.body, type=messages.JoinRequest)
+            join = codec.decode_json(request.body, messages.JoinRequest)
         except msgspec.MsgspecError as error:
             text = f"send a join request as JSON: {error}"
             raise errors.HttpError(400, "bad-request", text) from error
--- a/pomelostair/jobapi.py
+++ b/pomelostair/jobapi.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from pomelostair import bus as bus_module
+from pomelostair import codec
 from pomelostair import errors
 from pomelostair import http
 from pomelostair import ingress
@@ -186,8 +187,8 @@
         HttpError: The body is not a valid job.
     """
     try:
-        submission = msgspec.json.decode(body, type=Submission)
-    except (msgspec.MsgspecError, ValueError) as error:
+        submission = codec.decode_json(body, Submission)
+    except msgspec.MsgspecError as error:
         raise errors.HttpError(
             400, "bad-request", f"send a job as JSON: {error}"
         ) from error
--- a/pomelostair/membership.py
+++ b/pomelostair/membership.py
@@ -9,6 +9,7 @@
 import curio
 import msgspec
 
+from pomelostair import codec
 from pomelostair import directory as directory_module
 from pomelostair import errors
 from pomelostair import events
@@ -65,7 +66,7 @@
         try:
             response = await self._balancer.request(request, JOIN_TIMEOUT_S)
             await self._balancer.close()
-            reply = msgspec.json.decode(response.body, type=messages.JoinReply)
+            reply = codec.decode_json(response.body, messages.JoinReply)
         except (errors.PomelostairError, msgspec.MsgspecError):
             self._parts.metrics.count("joins_failed")
             return False
--- a/pomelostair/once.py
+++ b/pomelostair/once.py
@@ -13,6 +13,7 @@
 import attrs
 import msgspec
 
+from pomelostair import codec
 from pomelostair import outcome
 from pomelostair import store
 
@@ -117,7 +118,7 @@
 ) -> OutcomeRecord | None | outcome.Unavailable:
     match await objects.get(outcome_key(task, attempt)):
         case store.Object(data=data):
-            return msgspec.json.decode(data, type=OutcomeRecord)
+            return codec.decode_json(data, OutcomeRecord)
         case store.Absent():
             return None
         case unavailable:
--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -11,6 +11,7 @@
 import attrs
 import msgspec
 
+from pomelostair import codec
 from pomelostair import resources
 
 MAX_STAGES = 64
@@ -606,7 +607,7 @@
     Raises:
         msgspec.MsgspecError: The bytes are no declaration.
     """
-    return msgspec.msgpack.decode(data, type=Declaration)
+    return codec.decode_msgpack(data, Declaration)
 
 
 def decode_progress(data: bytes) -> Progress:
@@ -615,4 +616,4 @@
     Raises:
         msgspec.MsgspecError: The bytes are no progress.
     """
-    return msgspec.msgpack.decode(data, type=Progress)
+    return codec.decode_msgpack(data, Progress)
--- a/pomelostair/pipelinelease.py
+++ b/pomelostair/pipelinelease.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from pomelostair import clock as clock_module
+from pomelostair import codec
 from pomelostair import outcome
 from pomelostair import store
 
@@ -70,9 +71,7 @@
     Raises:
         msgspec.MsgspecError: The value is malformed.
     """
-    return ObservedLease(
-        msgspec.msgpack.decode(row.value, type=LeaseRow), row.version
-    )
+    return ObservedLease(codec.decode_msgpack(row.value, LeaseRow), row.version)
 
 
 class PipelineLease:
--- a/pomelostair/pipelinerows.py
+++ b/pomelostair/pipelinerows.py
@@ -12,6 +12,7 @@
 import attrs
 import msgspec
 
+from pomelostair import codec
 from pomelostair import contention
 from pomelostair import fleet
 from pomelostair import pipeline
@@ -122,7 +123,7 @@
     Raises:
         msgspec.MsgspecError: The value is malformed.
     """
-    return msgspec.msgpack.decode(row.value, type=fleet.Registration)
+    return codec.decode_msgpack(row.value, fleet.Registration)
 
 
 def encode_learned(model: contention.Contention) -> bytes:
@@ -141,7 +142,7 @@
     Raises:
         msgspec.MsgspecError: The value is malformed.
     """
-    return msgspec.msgpack.decode(row.value, type=contention.Learned)
+    return codec.decode_msgpack(row.value, contention.Learned)
 
 
 def _prefix_of(pipeline_id: str) -> str:
--- a/pomelostair/platform/advice.py
+++ b/pomelostair/platform/advice.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from pomelostair import codec
 from pomelostair import errors
 from pomelostair import http
 from pomelostair import httpclient
@@ -52,7 +53,7 @@
         if response.status != 200:
             return ports.Denied(str(response.status))
         try:
-            body = msgspec.json.decode(response.body, type=AdviceAnswerBody)
+            body = codec.decode_json(response.body, AdviceAnswerBody)
         except msgspec.MsgspecError as error:
             return ports.NoAnswer(f"unreadable advice: {error}")
         return ports.Advised(dict(body.approved))
--- a/pomelostair/platform/control.py
+++ b/pomelostair/platform/control.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from pomelostair import codec
 from pomelostair import errors
 from pomelostair import events
 from pomelostair import http
@@ -76,7 +77,7 @@
         incarnation = None
         if request.body:
             try:
-                body = msgspec.json.decode(request.body, type=_DeregisterBody)
+                body = codec.decode_json(request.body, _DeregisterBody)
                 incarnation = body.born
             except msgspec.MsgspecError as error:
                 log.emit(
--- a/pomelostair/platform/decoding.py
+++ b/pomelostair/platform/decoding.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from pomelostair import codec
 from pomelostair import errors
 from pomelostair import pipeline
 from pomelostair import ports
@@ -142,8 +143,8 @@
     if len(data) > MAX_SUBMISSION_BYTES:
         raise errors.MessageError(f"send at most {MAX_SUBMISSION_BYTES} bytes")
     try:
-        body = msgspec.json.decode(data, type=SubmissionBody)
-    except (msgspec.MsgspecError, ValueError) as error:
+        body = codec.decode_json(data, SubmissionBody)
+    except msgspec.MsgspecError as error:
         raise errors.MessageError(
             f"send a JSON object with spec and steps: {error}"
         ) from error
@@ -199,8 +200,8 @@
         MessageError: It is malformed.
     """
     try:
-        body = msgspec.json.decode(data, type=ConfigBody)
-    except (msgspec.MsgspecError, ValueError) as error:
+        body = codec.decode_json(data, ConfigBody)
+    except msgspec.MsgspecError as error:
         raise errors.MessageError(
             f"unreadable configuration: {error}"
         ) from error
@@ -240,8 +241,8 @@
         MessageError: It is malformed or its state is unknown.
     """
     try:
-        body = msgspec.json.decode(data, type=HeartbeatBody)
-    except (msgspec.MsgspecError, ValueError) as error:
+        body = codec.decode_json(data, HeartbeatBody)
+    except msgspec.MsgspecError as error:
         raise errors.MessageError(f"unreadable heartbeat: {error}") from error
     if body.state not in _WORKER_STATES:
         raise errors.MessageError(f"unknown worker state {body.state!r}")
--- a/pomelostair/platform/minion.py
+++ b/pomelostair/platform/minion.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from pomelostair import codec
 from pomelostair import errors
 from pomelostair import http
 from pomelostair import httpclient
@@ -139,9 +140,9 @@
         if response.status != 200:
             return _to_denied(response)
         try:
-            answer = msgspec.json.decode(response.body, type=HoldAnswerBody)
+            answer = codec.decode_json(response.body, HoldAnswerBody)
             return _to_hold_answer(answer)
-        except (msgspec.MsgspecError, ValueError, KeyError) as error:
+        except (msgspec.MsgspecError, KeyError) as error:
             return ports.NoAnswer(f"unreadable answer to a hold: {error}")
 
     async def start(
@@ -224,7 +225,7 @@
             return ports.Denied("malformed")
         case 409:
             try:
-                body = msgspec.json.decode(response.body, type=OrderAnswerBody)
+                body = codec.decode_json(response.body, OrderAnswerBody)
             except msgspec.MsgspecError:
                 return ports.Denied("409")
             return ports.Denied(body.reason or "409")
--- a/pomelostair/platform/store.py
+++ b/pomelostair/platform/store.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from pomelostair import codec
 from pomelostair import errors
 from pomelostair import http
 from pomelostair import httpclient
@@ -411,7 +412,7 @@
 
 def _decode(response: http.Response, body_type: type):
     try:
-        return msgspec.json.decode(response.body, type=body_type)
+        return codec.decode_json(response.body, body_type)
     except msgspec.MsgspecError as error:
         return outcome.Unavailable(f"unreadable answer: {error}")
 
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -10,6 +10,7 @@
 from cattrs import errors as cattrs_errors
 import msgspec
 
+from pomelostair import codec
 from pomelostair import errors
 
 MAX_PORT = 65535
@@ -376,8 +377,8 @@
             invalid key, its value and the remedy.
     """
     try:
-        document = msgspec.json.decode(data)
-    except msgspec.DecodeError as error:
+        document = codec.decode_json(data, object)
+    except msgspec.MsgspecError as error:
         text = f"write one JSON document: {error}"
         raise errors.SettingsError("$", data[:40], text) from error
     if not isinstance(document, dict):
--- a/pomelostair/snapshot.py
+++ b/pomelostair/snapshot.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from pomelostair import cell as cell_module
+from pomelostair import codec
 from pomelostair import messages
 
 _ENCODED_FIELDS = tuple(
@@ -44,7 +45,7 @@
 
 def decode(data: bytes) -> cell_module.State:
     """Returns the state from its encoding."""
-    records = msgspec.msgpack.decode(data, type=list[JobRecord])
+    records = codec.decode_msgpack(data, list[JobRecord])
     return cell_module.State(_decode_job(record) for record in records)
 
 
--- a/pomelostair/wire.py
+++ b/pomelostair/wire.py
@@ -21,6 +21,8 @@
 _decoders: dict[str, msgspec.msgpack.Decoder] = {}
 _defaults: dict[type, tuple[tuple[str, object], ...]] = {}
 _encoder = msgspec.msgpack.Encoder()
+# msgspec raises a RecursionError for deeply nested data.
+_DECODE_ERRORS = (msgspec.MsgspecError, ValueError, TypeError, RecursionError)
 
 
 @attrs.frozen
@@ -145,7 +147,7 @@
     try:
         envelope = Envelope(*_envelope_decoder.decode(data))
         return envelope, decode_body(envelope.tag, envelope.body)
-    except (msgspec.MsgspecError, ValueError, TypeError) as error:
+    except _DECODE_ERRORS as error:
         raise errors.MessageError(f"malformed message: {error}") from error
 
 
@@ -161,7 +163,7 @@
         raise errors.MessageError(f"no message type has the tag {tag!r}")
     try:
         return decoder.decode(body)
-    except (msgspec.MsgspecError, ValueError, TypeError) as error:
+    except _DECODE_ERRORS as error:
         raise errors.MessageError(f"malformed {tag}: {error}") from error
 
 
--- a/pomelostair/workerclient.py
+++ b/pomelostair/workerclient.py
@@ -6,6 +6,7 @@
 import attrs
 import msgspec
 
+from pomelostair import codec
 from pomelostair import errors
 from pomelostair import http
 from pomelostair import httpclient
@@ -194,6 +195,6 @@
         if answer_type is None:
             return None
         try:
-            return msgspec.json.decode(response.body, type=answer_type)
+            return codec.decode_json(response.body, answer_type)
         except msgspec.MsgspecError as error:
             raise errors.AnswerLostError(str(error)) from error
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -6,6 +6,7 @@
 from pomelostair import pipeline
 from pomelostair import resources
 from pomelostair.platform import decoding
+from tests import nested
 
 STEP_BODY = {"count": 4, "cpu": 500, "memMb": 256, "estimateMs": 900}
 HEARTBEAT_BODY = {
@@ -94,6 +95,7 @@
             b'{"spec":"x","steps":[{"targetMs":-1.5}]}',
             b'{"spec":"x","steps":[{}],"repeats":1000000000}',
             b'{"spec":"%s","steps":[{}]}' % (b"x" * 30_000),
+            nested.json_object(spec=b'""', steps=b"[{}]"),
         ],
         ids=lambda body: body[:50].decode(errors="replace"),
     )
@@ -143,6 +145,12 @@
         with pytest.raises(errors.MessageError):
             decoding.decode_heartbeat(body, "i-1")
 
+    def test_deeply_nested_heartbeat_raises_message_error(self):
+        """It was answered with 500, as an internal failure."""
+        members = {n: json.dumps(v).encode() for n, v in HEARTBEAT_BODY.items()}
+        with pytest.raises(errors.MessageError):
+            decoding.decode_heartbeat(nested.json_object(**members), "i-1")
+
 
 class TestConfiguration:
     def test_routes_are_decoded_to_queues(self):
@@ -180,6 +188,12 @@
         assert table.by_name("r").advice.valid_ms == 3000
         assert table.self_limiting == {"huvo"}
 
-    def test_malformed_configuration_raises_message_error(self):
+    @pytest.mark.parametrize(
+        "data",
+        [b'{"version":"new"}', nested.json_object(version=b"7")],
+        ids=["type", "nested"],
+    )
+    def test_malformed_configuration_raises_message_error(self, data):
+        """A nested one ended the plug-in that watches the configuration."""
         with pytest.raises(errors.MessageError):
-            decoding.decode_configuration(b'{"version":"new"}')
+            decoding.decode_configuration(data)
--- a/tests/platform/test_minion.py
+++ b/tests/platform/test_minion.py
@@ -9,6 +9,7 @@
 from pomelostair import pipeline
 from pomelostair import ports
 from pomelostair.platform import minion
+from tests import nested
 
 RUNNING = ["a.0.0.0", 1, "", 41, 3]
 ENDED = [58, "a.0.0.1", 1, "done", ""]
@@ -70,6 +71,11 @@
         outcome = hold(listing(running, ended))
         assert isinstance(outcome, ports.HoldAnswer | ports.NoAnswer)
 
+    def test_deeply_nested_answer_is_no_answer(self):
+        assert isinstance(
+            hold(nested.json_object(clockMs=b"9")), ports.NoAnswer
+        )
+
     @hypothesis.given(strategies.binary(max_size=60))
     def test_any_bytes_are_no_answer(self, body):
         assert isinstance(hold(body), ports.NoAnswer)
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -19,6 +19,7 @@
 from pomelostair import settings
 from pomelostair import store
 from pomelostair_standins import runner
+from tests import nested
 
 METRICS = metrics.Metrics()
 LEADER = messages.LeaderInfo(1, "edge", "memory:edge")
@@ -616,9 +617,10 @@
 
         harness.run(body)
 
-    def test_malformed_lease_row_names_no_leader(self):
+    @pytest.mark.parametrize("value", [b"\xc1", nested.MSGPACK])
+    def test_malformed_lease_row_names_no_leader(self, value):
         harness = Harness()
-        put = store.Put(pipelinelease.KEY, b"\xc1")
+        put = store.Put(pipelinelease.KEY, value)
 
         async def body():
             await harness.parts.table.commit(store.Transaction(puts=(put,)))
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -10,6 +10,7 @@
 from pomelostair import pipelinerows
 from pomelostair import pipelinescheduler
 from pomelostair import store
+from tests import nested
 from tests import pipelines
 from tests import test_pipelineapi
 
@@ -156,10 +157,30 @@
         )
         assert leader._scheduler.unreported_agents == ("w1",)
 
-    def test_lease_row_is_unavailable(self):
+    @pytest.mark.parametrize(
+        "key",
+        [
+            pipelinerows.declaration_key("00000000000000a1"),
+            pipelinerows.progress_key("00000000000000a1"),
+            f"{pipelinerows.AGENTS_PREFIX}w1",
+            pipelinerows.LEARNED_KEY,
+        ],
+    )
+    def test_deeply_nested_row_ends_no_leader(self, key):
+        """Each leader ended during its recovery, and so did the next ones."""
+        name = "00000000000000a2"
+        declaration = store.Put(
+            pipelinerows.declaration_key(name),
+            pipeline.encode(pipelines.declare(name)),
+        )
+        _, leader = self.recover(declaration, store.Put(key, nested.MSGPACK))
+        assert list(leader._scheduler.registry.pipelines) == [name]
+
+    @pytest.mark.parametrize("value", [b"\xc1", nested.MSGPACK])
+    def test_lease_row_is_unavailable(self, value):
         harness = test_pipelineapi.Harness()
         leader = harness.host.get(pipelineleader.PipelineLeader)
-        put = store.Put(pipelinelease.KEY, b"\xc1")
+        put = store.Put(pipelinelease.KEY, value)
 
         async def body():
             await harness.table.commit(store.Transaction(puts=(put,)))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -6,6 +6,7 @@
 from pomelostair import errors
 from pomelostair import messages
 from pomelostair import wire
+from tests import nested
 
 
 def encode_message(message, tag=None):
@@ -50,6 +51,16 @@
 
 
 class TestMessage:
+    def test_deeply_nested_message_raises_message_error(self):
+        """It ended the task that receives all messages of a process."""
+        data = wire.encode(
+            wire.Envelope(
+                "served", "a", "1", "", "", False, msgspec.Raw(nested.MSGPACK)
+            )
+        )
+        with pytest.raises(errors.MessageError):
+            wire.decode(data)
+
     def test_tag_cannot_be_registered_twice(self):
         with pytest.raises(errors.MessageError):
             wire.message("nudge")(messages.Served)
