Numbers that no message can carry are malformed where they are decoded

What callers would see: LOST, and an agent whose plug-in ends again and again. After one heartbeat or one answer of a worker with a number above 64 bits, no report of the agent could be encoded, also about its other workers: their leases lapsed, and after a change of the leader the agent found no other. A version of the configuration above 64 bits did the same to the gossip of an entry. A heartbeat with a negative capacity was taken as it was. Cause: JSON numbers become Python integers of any size; the OverflowError came from MessagePack, later, in whatever loop sent the value on. Class: input that is checked where it is used, not where it enters. Fix: codec has bounded types of numbers; all bodies of the platform's workers and of its configuration use them. Such a heartbeat names no worker and changes none; such an answer is no answer.

--- a/pomelostair/codec.py
+++ b/pomelostair/codec.py
@@ -4,6 +4,15 @@
 
 import msgspec
 
+# Integers up to this size are exact in JSON, and MessagePack can encode them.
+MAX_INTEGER = 2**53
+# Types of numbers in data of other programs. Python decodes JSON integers of
+# any size; one that is too large would fail later, when it is sent on.
+Integer = typing.Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Number = typing.Annotated[float, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+Quantity = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+
 _T = typing.TypeVar("_T")
 
 
--- a/pomelostair/platform/control.py
+++ b/pomelostair/platform/control.py
@@ -92,4 +92,4 @@
 class _DeregisterBody(msgspec.Struct):
     """Body of a deregistration; every field is optional."""
 
-    born: int | None = None
+    born: codec.Count | None = None
--- a/pomelostair/platform/decoding.py
+++ b/pomelostair/platform/decoding.py
@@ -4,8 +4,6 @@
 whose platform name is misleading.
 """
 
-import typing
-
 import msgspec
 
 from pomelostair import codec
@@ -15,8 +13,6 @@
 from pomelostair import queues
 from pomelostair import resources
 
-_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-
 
 class StepBody(msgspec.Struct):
     """A stage of a submission, which the platform calls a step.
@@ -25,11 +21,11 @@
     numbers are malformed, since they would add to the capacity of a worker.
     """
 
-    count: _Count = 1
-    cpu: _Count = 0  # In thousandths of a core.
-    memory_mb: _Count = msgspec.field(default=0, name="memMb")
-    gpu: _Count = 0  # Number of accelerators.
-    estimate_ms: _Count = msgspec.field(default=0, name="estimateMs")
+    count: codec.Count = 1
+    cpu: codec.Count = 0  # In thousandths of a core.
+    memory_mb: codec.Count = msgspec.field(default=0, name="memMb")
+    gpu: codec.Count = 0  # Number of accelerators.
+    estimate_ms: codec.Count = msgspec.field(default=0, name="estimateMs")
     after: list[int] = []
     checkpointing: bool = False
     gang: bool = False
@@ -37,17 +33,15 @@
     requires: str = ""  # A label that the worker must have.
     affinity: str = ""  # Rack that holds the input data.
     # Not a flag: maximum number of the step's tasks on one worker.
-    anti_affinity: _Count = msgspec.field(default=0, name="antiAffinity")
+    anti_affinity: codec.Count = msgspec.field(default=0, name="antiAffinity")
     speculative: bool = False
     perpetual: bool = False  # Runs until the submission is cancelled.
     image: str = ""
-    target_ms: typing.Annotated[float, msgspec.Meta(ge=0)] = msgspec.field(
-        default=0.0, name="targetMs"
-    )
+    target_ms: codec.Quantity = msgspec.field(default=0.0, name="targetMs")
     fills: bool = False  # Uses only processor time that is otherwise idle.
     # Not a flag: number of tasks that the scheduler may make unavailable at the
     # same time.
-    skippable: _Count = 0
+    skippable: codec.Count = 0
 
 
 class SubmissionBody(msgspec.Struct):
@@ -56,18 +50,18 @@
     spec: str = ""  # Payload that is passed to every task.
     steps: list[StepBody] = []
     # Total number of occurrences, including the first one.
-    repeats: _Count = 0
-    first_run_ms: _Count = msgspec.field(default=0, name="firstRunMs")
-    interval_ms: _Count = msgspec.field(default=0, name="intervalMs")
+    repeats: codec.Count = 0
+    first_run_ms: codec.Count = msgspec.field(default=0, name="firstRunMs")
+    interval_ms: codec.Count = msgspec.field(default=0, name="intervalMs")
 
 
 class AdviceBody(msgspec.Struct):
     """Terms of the advisor that approves workers for a queue's stages."""
 
-    decision_ms: int = msgspec.field(default=0, name="decisionMs")
+    decision_ms: codec.Integer = msgspec.field(default=0, name="decisionMs")
     # Not a period: additional time for each worker that is asked about.
-    per_worker_ms: int = msgspec.field(default=0, name="periodMs")
-    valid_ms: int = msgspec.field(default=0, name="validMs")
+    per_worker_ms: codec.Integer = msgspec.field(default=0, name="periodMs")
+    valid_ms: codec.Integer = msgspec.field(default=0, name="validMs")
 
 
 class RouteBody(msgspec.Struct):
@@ -76,11 +70,11 @@
     name: str
     host: str = ""
     path_prefix: str = msgspec.field(default="/", name="pathPrefix")
-    timeout_ms: int = msgspec.field(default=3000, name="timeoutMs")
-    slo_ms: int = msgspec.field(default=0, name="sloMs")
-    priority: int = 0
+    timeout_ms: codec.Integer = msgspec.field(default=3000, name="timeoutMs")
+    slo_ms: codec.Integer = msgspec.field(default=0, name="sloMs")
+    priority: codec.Integer = 0
     service: str = ""
-    max_attempts: int = msgspec.field(default=1, name="maxAttempts")
+    max_attempts: codec.Integer = msgspec.field(default=1, name="maxAttempts")
     stretch: float = 1.0
     advice: AdviceBody | None = None
 
@@ -96,7 +90,7 @@
 class ConfigBody(msgspec.Struct):
     """The operator's configuration."""
 
-    version: int
+    version: codec.Integer
     routes: list[RouteBody] = []
     services: list[ServiceBody] = []
 
@@ -104,9 +98,9 @@
 class CapacityBody(msgspec.Struct):
     """Total resources of a worker."""
 
-    cpu: int = 0
-    memory_mb: int = msgspec.field(default=0, name="memMb")
-    gpu: int = 0
+    cpu: codec.Count = 0
+    memory_mb: codec.Count = msgspec.field(default=0, name="memMb")
+    gpu: codec.Count = 0
 
 
 class HeartbeatBody(msgspec.Struct):
@@ -118,10 +112,10 @@
     capacity: CapacityBody = msgspec.field(default_factory=CapacityBody)
     labels: list[str] = []  # Worker type first, rack last.
     zone: str = ""
-    clock_ms: int = msgspec.field(default=0, name="clockMs")
-    remaining_ms: int = msgspec.field(default=0, name="remainingMs")
-    seq: int = 0
-    born: int = 0  # Start of the worker, in Unix milliseconds.
+    clock_ms: codec.Count = msgspec.field(default=0, name="clockMs")
+    remaining_ms: codec.Integer = msgspec.field(default=0, name="remainingMs")
+    seq: codec.Count = 0
+    born: codec.Count = 0  # Start of the worker, in Unix milliseconds.
 
 
 _WORKER_STATES = ("ready", "draining")
--- a/pomelostair/platform/minion.py
+++ b/pomelostair/platform/minion.py
@@ -74,10 +74,10 @@
     """A running attempt, an array without field names."""
 
     task: str
-    attempt: int
+    attempt: codec.Count
     checkpoint: str
-    percent: float
-    load: float = 0
+    percent: codec.Number
+    load: codec.Number = 0
 
 
 class EndedRow(msgspec.Struct, array_like=True):
@@ -86,9 +86,9 @@
     `number` counts the ends of the worker's incarnation.
     """
 
-    number: int
+    number: codec.Count
     task: str
-    attempt: int
+    attempt: codec.Count
     end: str
     checkpoint: str
 
@@ -96,10 +96,10 @@
 class HoldAnswerBody(msgspec.Struct):
     """Answer to a hold."""
 
-    clock_ms: int = msgspec.field(name="clockMs")
+    clock_ms: codec.Count = msgspec.field(name="clockMs")
     running: list[RunningRow] = []
     ended: list[EndedRow] = []
-    born: int | None = None
+    born: codec.Count | None = None
 
 
 class OrderAnswerBody(msgspec.Struct):
--- /dev/null
+++ b/tests/platform/test_control.py
@@ -0,0 +1,73 @@
+import json
+
+import attrs
+import pytest
+
+from pomelostair import http
+from pomelostair.platform import control
+from tests import test_pipelineagent
+from tests.platform import test_decoding
+
+GOOD = {**test_decoding.HEARTBEAT_BODY, "born": 7}
+
+
+class Host:
+    """Provides the agent to the plug-in under test."""
+
+    def __init__(self, agent):
+        self._agent = agent
+
+    def get(self, _cls):
+        return self._agent
+
+
+class Harness(test_pipelineagent.Harness):
+    """An agent with its HTTP API, and a bus endpoint in place of its leader."""
+
+    def __init__(self):
+        super().__init__()
+        settings = attrs.evolve(
+            self.parts.settings,
+            pipelines=attrs.evolve(
+                self.parts.settings.pipelines, workers="127.0.0.1:0"
+            ),
+        )
+        self.control = control.Control(
+            attrs.evolve(self.parts, settings=settings), Host(self.agent)
+        )
+
+    async def post(self, path, body=b""):
+        """Returns the status of a call of a worker."""
+        request = http.Request("POST", path, (), body)
+        return (await self.control._answer(request)).status
+
+    async def beat(self, worker="w1", **changes):
+        body = json.dumps({**GOOD, **changes}).encode()
+        return await self.post(f"/Instances.Heartbeat/{worker}", body)
+
+    async def next_reports(self):
+        """Waits for two further reports, and returns the last one."""
+        count = len(self.reports) + 2
+        await self.wait_until(lambda: len(self.reports) >= count)
+        return self.reports[-1]
+
+
+class TestHeartbeat:
+    @pytest.mark.parametrize("worker", ["w1", "w2"])
+    @pytest.mark.parametrize(
+        "change", [{"born": 2**64}, {"capacity": {"cpu": 2**64}}], ids=str
+    )
+    def test_number_too_large_harms_no_other_worker(self, worker, change):
+        """No report could be encoded any more, so the leases lapsed."""
+        harness = Harness()
+
+        async def body():
+            assert await harness.beat() == 200
+            await harness.instruct()
+            status = await harness.beat(worker, **{"seq": 5, **change})
+            report = await harness.next_reports()
+            assert report.lives == (("w1", 7),)
+            assert report.addresses == {"w1": GOOD["address"]}
+            assert status == 400
+
+        harness.run(body)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -138,6 +138,15 @@
             {"capacity": "large"},
             {"born": 1.5},
             {"address": None},
+            {"born": 2**64},
+            {"born": -1},
+            {"seq": 2**64},
+            {"clockMs": 2**64},
+            {"remainingMs": 2**64},
+            {"capacity": {"cpu": 2**64}},
+            {"capacity": {"cpu": -1000, "memMb": 1}},
+            {"capacity": {"memMb": -1}},
+            {"capacity": {"gpu": 10**19}},
         ],
     )
     def test_invalid_field_raises_message_error(self, change):
@@ -190,8 +199,14 @@
 
     @pytest.mark.parametrize(
         "data",
-        [b'{"version":"new"}', nested.json_object(version=b"7")],
-        ids=["type", "nested"],
+        [
+            b'{"version":"new"}',
+            b'{"version":18446744073709551616}',
+            b'{"version":1,"routes":[{"name":"r","timeoutMs":1%s}]}'
+            % (400 * b"0"),
+            nested.json_object(version=b"7"),
+        ],
+        ids=["type", "version", "timeout", "nested"],
     )
     def test_malformed_configuration_raises_message_error(self, data):
         """A nested one ended the plug-in that watches the configuration."""
--- a/tests/platform/test_minion.py
+++ b/tests/platform/test_minion.py
@@ -3,6 +3,7 @@
 import curio
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
 from pomelostair import http
@@ -58,6 +59,11 @@
             ([], [ENDED[:3]]),
             ([], [[*ENDED[:3], "vanished", ""]]),
             ([], [["58", *ENDED[1:]]]),
+            ([[RUNNING[0], 2**64, *RUNNING[2:]]], []),
+            ([[*RUNNING[:3], 1e300]], []),
+            ([[*RUNNING[:4], 2**64]], []),
+            ([], [[2**64, *ENDED[1:]]]),
+            ([], [[58, "a.0.0.1", 2**64, "done", ""]]),
         ],
     )
     def test_malformed_row_is_no_answer(self, running, ended):
@@ -70,6 +76,13 @@
     def test_any_lists_are_an_answer_or_none(self, running, ended):
         outcome = hold(listing(running, ended))
         assert isinstance(outcome, ports.HoldAnswer | ports.NoAnswer)
+        msgspec.msgpack.encode(outcome)
+
+    @pytest.mark.parametrize("change", [{"clockMs": 2**64}, {"born": 2**64}])
+    def test_number_too_large_for_a_message_is_no_answer(self, change):
+        """The agent could send no report any more, and found no leader."""
+        body = json.dumps({"clockMs": 9, **change}).encode()
+        assert isinstance(hold(body), ports.NoAnswer)
 
     def test_deeply_nested_answer_is_no_answer(self):
         assert isinstance(
