An address that nobody can connect to names no worker

What callers would see: LOST. A heartbeat with a port out of range, no port or no host removed the worker that had the same id: its place was taken first, and only then the client could not be created, or connected elsewhere (port 70000 is taken as 70000 - 65536). One with the same incarnation put its address into the registration. After a restart, one such address in the registration ended the task that calls the registered workers, so that the others waited for their next heartbeats. Cause: addresses of other writers were parsed where they are used. Class: input that is checked where it is used, not where it enters. Fix: endpoints parses IP:PORT for settings, heartbeats and registrations. Such a heartbeat is malformed; such a registered worker may have work but is not called.

--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -219,11 +219,12 @@
             log.emit(events.Events.ROW_IGNORED, key=row.key, reason=str(error))
             return
         for known in registration.lives:
-            if known.service and not any(
+            is_known = any(
                 known.worker == other.heartbeat.worker
                 or known.address == other.heartbeat.address
                 for other in self._workers.values()
-            ):
+            )
+            if known.service and known.address and not is_known:
                 await self.update_worker(
                     _registered_heartbeat(known, self._parts.settings.zone)
                 )
--- a/pomelostair/pipelinerows.py
+++ b/pomelostair/pipelinerows.py
@@ -14,6 +14,7 @@
 
 from pomelostair import codec
 from pomelostair import contention
+from pomelostair import endpoints
 from pomelostair import fleet
 from pomelostair import pipeline
 from pomelostair import store
@@ -120,10 +121,21 @@
 def decode_registration(row: store.Row) -> fleet.Registration:
     """Decodes the registration of an agent.
 
+    Workers whose addresses are unusable may have work all the same.
+
     Raises:
         msgspec.MsgspecError: The value is malformed.
     """
-    return codec.decode_msgpack(row.value, fleet.Registration)
+    registration = codec.decode_msgpack(row.value, fleet.Registration)
+    return attrs.evolve(
+        registration,
+        lives=tuple(
+            known
+            if not known.address or endpoints.is_reachable(known.address)
+            else fleet.KnownIncarnation(*known.key)
+            for known in registration.lives
+        ),
+    )
 
 
 def encode_learned(model: contention.Contention) -> bytes:
--- a/pomelostair/platform/decoding.py
+++ b/pomelostair/platform/decoding.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from pomelostair import codec
+from pomelostair import endpoints
 from pomelostair import errors
 from pomelostair import pipeline
 from pomelostair import ports
@@ -240,6 +241,8 @@
         raise errors.MessageError(f"unreadable heartbeat: {error}") from error
     if body.state not in _WORKER_STATES:
         raise errors.MessageError(f"unknown worker state {body.state!r}")
+    if not endpoints.is_reachable(body.address):
+        raise errors.MessageError("the address is no IP:PORT to connect to")
     return ports.WorkerHeartbeat(
         worker=worker,
         incarnation=body.born,
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -11,9 +11,9 @@
 import msgspec
 
 from pomelostair import codec
+from pomelostair import endpoints
 from pomelostair import errors
 
-MAX_PORT = 65535
 MAX_NAME_CHARACTERS = 64
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
@@ -30,23 +30,19 @@
 
 
 def _check_endpoint(_instance, attribute: attrs.Attribute, value: str):
-    host, separator, port = value.rpartition(":")
-    remedy = "use the form IP:PORT, for example 127.0.0.1:8000"
-    usable = separator and port.isascii() and port.isdecimal()
-    if not usable or int(port[:6]) > MAX_PORT:
-        raise errors.SettingsError(attribute.name, value, remedy)
     try:
-        address = ipaddress.ip_address(host)
+        host, _ = endpoints.split(value)
     except ValueError as error:
+        remedy = "use the form IP:PORT, for example 127.0.0.1:8000"
         raise errors.SettingsError(attribute.name, value, remedy) from error
-    if address.is_unspecified:
+    if ipaddress.ip_address(host).is_unspecified:
         remedy = "use the IP address at which other processes reach this one"
         raise errors.SettingsError(attribute.name, value, remedy)
 
 
 def _check_fixed_endpoint(instance, attribute: attrs.Attribute, value: str):
     _check_endpoint(instance, attribute, value)
-    if int(value.rpartition(":")[2]) == 0:
+    if not endpoints.is_reachable(value):
         remedy = "use a port other than 0; other processes connect to it"
         raise errors.SettingsError(attribute.name, value, remedy)
 
--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -5,6 +5,7 @@
 
 from pomelostair import http
 from pomelostair.platform import control
+from pomelostair.platform import minion
 from tests import test_pipelineagent
 from tests.platform import test_decoding
 
@@ -53,6 +54,32 @@
 
 
 class TestHeartbeat:
+    @pytest.mark.parametrize("address", ["10.0.0.1:70000", "10.0.0.1", ":80"])
+    def test_unusable_address_replaces_no_worker(self, address):
+        """The worker was dropped, and its address no longer registered."""
+        harness = Harness()
+        client = harness.port.client
+
+        def create_client(heartbeat):
+            minion.MinionClient(heartbeat.address, heartbeat.worker)
+            return client
+
+        harness.port.worker_client = create_client
+
+        async def body():
+            assert await harness.beat() == 200
+            await harness.instruct()
+            statuses = [
+                await harness.beat(born=8, address=address),
+                await harness.beat(seq=5, address=address),
+            ]
+            report = await harness.next_reports()
+            assert report.lives == (("w1", 7),)
+            assert report.addresses == {"w1": GOOD["address"]}
+            assert statuses == [400, 400]
+
+        harness.run(body)
+
     @pytest.mark.parametrize("worker", ["w1", "w2"])
     @pytest.mark.parametrize(
         "change", [{"born": 2**64}, {"capacity": {"cpu": 2**64}}], ids=str
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -7,6 +7,7 @@
 from pomelostair import bus as bus_module
 from pomelostair import clock as clock_module
 from pomelostair import fleet
+from pomelostair import httpclient
 from pomelostair import kernel
 from pomelostair import metrics
 from pomelostair import pipelineagent
@@ -501,14 +502,14 @@
     All processes were killed and started again, while the workers run on.
     """
 
-    def restart(self, incarnation=7, **details):
+    def restart(self, incarnation=7, others=(), **details):
         known = fleet.KnownIncarnation(
             "w1",
             incarnation,
             "127.0.0.1:2",
             **{"service": "s", "rack": "r1", "labels": ("a",), **details},
         )
-        registration = fleet.Registration("memory:agent", (known,))
+        registration = fleet.Registration("memory:agent", (*others, known))
         harness = Harness()
 
         async def register():
@@ -542,6 +543,28 @@
 
         harness.run(body)
 
+    @pytest.mark.parametrize("address", ["10.0.0.1:70000", ""])
+    def test_unusable_address_of_one_hides_no_other(self, address):
+        """The task that calls the registered workers ended at its client."""
+        odd = fleet.KnownIncarnation("w0", 1, address, "s")
+        harness = self.restart(others=(odd,))
+        client = harness.port.client
+
+        def create_client(heartbeat):
+            httpclient.Client(heartbeat.address)
+            assert heartbeat.worker == "w1"
+            return client
+
+        harness.port.worker_client = create_client
+
+        async def body():
+            await harness.instruct()
+            await harness.wait_until(
+                lambda: any(r.workers for r in harness.reports)
+            )
+
+        harness.run(body)
+
     @pytest.mark.parametrize(
         ("incarnation", "down"), [(6, False), (7, True)], ids=["other", "down"]
     )
