A malformed deregistration removes no worker

What callers would see: LOST. A deregistration that can't be read, of another writer, removed the worker under that id, whichever incarnation: its work was no longer held, and was started elsewhere. Cause: an unreadable body was treated like an absent one, which names any incarnation. Fix: decoding reads it, with the same answer as for a malformed heartbeat. Evidence: test_control.py::TestDeregistration failed in 3 cases on the code before: no worker was reported any more, and the answer was 200.

--- a/pomelostair/platform/control.py
+++ b/pomelostair/platform/control.py
@@ -1,8 +1,5 @@
 """HTTP API of an agent for the heartbeats of the workers on its host."""
 
-import msgspec
-
-from pomelostair import codec
 from pomelostair import errors
 from pomelostair import events
 from pomelostair import http
@@ -61,35 +58,25 @@
         try:
             heartbeat = decoding.decode_heartbeat(request.body, worker)
         except errors.MessageError as error:
-            self._parts.metrics.count("heartbeats_malformed")
-            log.emit(
-                events.Events.HEARTBEAT_IGNORED,
-                worker=worker,
-                reason=str(error),
-            )
-            return http.json_response(400, {"error": str(error)})
+            return self._refuse(worker, error)
         await self._agent.update_worker(heartbeat)
         return http.json_response(200, {})
 
     async def _deregister(
         self, request: http.Request, worker: str
     ) -> http.Response:
-        incarnation = None
-        if request.body:
-            try:
-                body = codec.decode_json(request.body, _DeregisterBody)
-                incarnation = body.born
-            except msgspec.MsgspecError as error:
-                log.emit(
-                    events.Events.HEARTBEAT_IGNORED,
-                    worker=worker,
-                    reason=str(error),
-                )
+        try:
+            incarnation = decoding.decode_deregistration(request.body)
+        except errors.MessageError as error:
+            return self._refuse(worker, error)
         await self._agent.remove_worker(worker, incarnation)
         return http.json_response(200, {})
 
-
-class _DeregisterBody(msgspec.Struct):
-    """Body of a deregistration; every field is optional."""
-
-    born: codec.Count | None = None
+    def _refuse(self, worker: str, error: errors.MessageError) -> http.Response:
+        self._parts.metrics.count("heartbeats_malformed")
+        log.emit(
+            events.Events.HEARTBEAT_IGNORED,
+            worker=worker,
+            reason=str(error),
+        )
+        return http.json_response(400, {"error": str(error)})
--- a/pomelostair/platform/decoding.py
+++ b/pomelostair/platform/decoding.py
@@ -119,6 +119,12 @@
     born: codec.Count = 0  # Start of the worker, in Unix milliseconds.
 
 
+class DeregistrationBody(msgspec.Struct):
+    """A worker's deregistration."""
+
+    born: codec.Count | None = None  # Absent for any incarnation.
+
+
 _WORKER_STATES = ("ready", "draining")
 # Submissions with more tasks are rejected as malformed.
 MAX_TASKS = pipeline.MAX_TASKS
@@ -259,3 +265,17 @@
         clock_ms=body.clock_ms,
         sequence=body.seq,
     )
+
+
+def decode_deregistration(data: bytes) -> int | None:
+    """Returns the incarnation that a deregistration names, None for any.
+
+    Raises:
+        MessageError: It is malformed.
+    """
+    try:
+        return codec.decode_json(data or b"{}", DeregistrationBody).born
+    except msgspec.MsgspecError as error:
+        raise errors.MessageError(
+            f"unreadable deregistration: {error}"
+        ) from error
--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -6,6 +6,7 @@
 from pomelostair import http
 from pomelostair.platform import control
 from pomelostair.platform import minion
+from tests import nested
 from tests import test_pipelineagent
 from tests.platform import test_decoding
 
@@ -98,3 +99,37 @@
             assert status == 400
 
         harness.run(body)
+
+
+class TestDeregistration:
+    @pytest.mark.parametrize(
+        "data", [b'{"born":"7"}', b"\xff", nested.json_object()]
+    )
+    def test_malformed_one_removes_no_worker(self, data):
+        """It removed any incarnation under the id."""
+        harness = Harness()
+
+        async def body():
+            assert await harness.beat() == 200
+            await harness.instruct()
+            status = await harness.post("/Instances.Deregister/w1", data)
+            report = await harness.next_reports()
+            assert report.lives == (("w1", 7),)
+            assert status == 400
+
+        harness.run(body)
+
+    @pytest.mark.parametrize("data", [b"", b"{}", b'{"born":7}'])
+    def test_removes_the_worker(self, data):
+        harness = Harness()
+
+        async def body():
+            assert await harness.beat() == 200
+            await harness.instruct()
+            path = "/Instances.Deregister/w1"
+            assert await harness.post(path, data) == 200
+            report = await harness.next_reports()
+            assert report.lives == ()
+            assert report.gone == (("w1", 7),)
+
+        harness.run(body)
