A heartbeat with long texts or without names names no worker

What callers would see: LOST. A heartbeat may have 4 MiB; its labels went into every report and into the registration of the agent. The store refuses a row above 64 KiB, so that no commit of a leader would have succeeded any more (by reading: a refused transaction is repeated until its outcome is known). An empty id stands for no worker in the leader's messages. Cause: no bound on texts of other writers. Fix: ids, services, zones, racks and labels have as many characters as the platform has bytes in a key. The row of a registration leaves details out where it would not fit, like those of progress and of learned images. Evidence: on the code before, 5 heartbeats and 2 ids in test_decoding.py were accepted; the registration of test_pipelineleader.py::TestEncodeRegistration had no bound to test.

--- a/pomelostair/codec.py
+++ b/pomelostair/codec.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+# Most characters of a name; as many as the platform has bytes in a key.
+MAX_NAME_CHARACTERS = 200
 # Integers up to this size are exact in JSON, and MessagePack can encode them.
 MAX_INTEGER = 2**53
 # Types of numbers in data of other programs. Python decodes JSON integers of
@@ -12,6 +14,10 @@
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Number = typing.Annotated[float, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Quantity = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
+RequiredName = typing.Annotated[
+    str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)
+]
 
 _T = typing.TypeVar("_T")
 
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -682,7 +682,7 @@
     puts.extend(
         store.Put(
             f"{pipelinerows.AGENTS_PREFIX}{name}",
-            msgspec.msgpack.encode(registration),
+            pipelinerows.encode_registration(registration),
         )
         for name, registration in batch.agents.items()
     )
--- a/pomelostair/pipelinerows.py
+++ b/pomelostair/pipelinerows.py
@@ -118,6 +118,21 @@
     return value
 
 
+def encode_registration(registration: fleet.Registration) -> bytes:
+    """Returns a registration with as many details as its row may hold.
+
+    A restarted agent waits for the heartbeats of workers without details.
+    """
+    value = msgspec.msgpack.encode(registration)
+    if len(value) > MAX_ROW_BYTES:
+        lives = tuple(
+            fleet.KnownIncarnation(*known.key, known.address)
+            for known in registration.lives
+        )
+        value = msgspec.msgpack.encode(attrs.evolve(registration, lives=lives))
+    return value
+
+
 def decode_registration(row: store.Row) -> fleet.Registration:
     """Decodes the registration of an agent.
 
--- a/pomelostair/platform/decoding.py
+++ b/pomelostair/platform/decoding.py
@@ -4,6 +4,8 @@
 whose platform name is misleading.
 """
 
+import typing
+
 import msgspec
 
 from pomelostair import codec
@@ -14,6 +16,8 @@
 from pomelostair import queues
 from pomelostair import resources
 
+MAX_LABELS = 64  # Of a worker.
+
 
 class StepBody(msgspec.Struct):
     """A stage of a submission, which the platform calls a step.
@@ -107,12 +111,15 @@
 class HeartbeatBody(msgspec.Struct):
     """A worker's heartbeat."""
 
-    service: str
-    address: str
-    state: str
+    service: codec.RequiredName
+    address: codec.Name
+    state: codec.Name
     capacity: CapacityBody = msgspec.field(default_factory=CapacityBody)
-    labels: list[str] = []  # Worker type first, rack last.
-    zone: str = ""
+    # Worker type first, rack last.
+    labels: typing.Annotated[
+        list[codec.Name], msgspec.Meta(max_length=MAX_LABELS)
+    ] = []
+    zone: codec.Name = ""
     clock_ms: codec.Count = msgspec.field(default=0, name="clockMs")
     remaining_ms: codec.Integer = msgspec.field(default=0, name="remainingMs")
     seq: codec.Count = 0
@@ -245,6 +252,8 @@
         body = codec.decode_json(data, HeartbeatBody)
     except msgspec.MsgspecError as error:
         raise errors.MessageError(f"unreadable heartbeat: {error}") from error
+    if not 0 < len(worker) <= codec.MAX_NAME_CHARACTERS:
+        raise errors.MessageError("the id of the worker is empty or too long")
     if body.state not in _WORKER_STATES:
         raise errors.MessageError(f"unknown worker state {body.state!r}")
     if not endpoints.is_reachable(body.address):
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -138,6 +138,11 @@
             {"capacity": "large"},
             {"born": 1.5},
             {"address": None},
+            {"service": ""},
+            {"service": "s" * 10_000},
+            {"zone": "z" * 10_000},
+            {"labels": ["a"] * 10_000},
+            {"labels": ["a" * 10_000]},
             {"address": "10.128.0.9"},
             {"address": "10.128.0.9:"},
             {"address": "10.128.0.9:0"},
@@ -165,6 +170,13 @@
         with pytest.raises(errors.MessageError):
             decoding.decode_heartbeat(body, "i-1")
 
+    @pytest.mark.parametrize("worker", ["", "i" * 10_000])
+    def test_unusable_id_raises_message_error(self, worker):
+        with pytest.raises(errors.MessageError):
+            decoding.decode_heartbeat(
+                json.dumps(HEARTBEAT_BODY).encode(), worker
+            )
+
     def test_deeply_nested_heartbeat_raises_message_error(self):
         """It was answered with 500, as an internal failure."""
         members = {n: json.dumps(v).encode() for n, v in HEARTBEAT_BODY.items()}
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -3,6 +3,7 @@
 import pytest
 
 from pomelostair import contention
+from pomelostair import fleet
 from pomelostair import outcome
 from pomelostair import pipeline
 from pomelostair import pipelineleader
@@ -116,6 +117,29 @@
         assert 0 < len(value) <= pipelinerows.MAX_ROW_BYTES
 
 
+class TestEncodeRegistration:
+    @pytest.mark.parametrize("count", [1, 150])
+    def test_fits_into_a_row_and_names_every_worker(self, count):
+        """A row that the store refuses keeps the leader from any commit."""
+        registration = fleet.Registration(
+            "tcp://10.0.0.1:80",
+            tuple(
+                fleet.KnownIncarnation(
+                    f"{n:0200d}", n, "10.0.0.1:8080", "s", "r", ("a" * 200,) * 9
+                )
+                for n in range(count)
+            ),
+        )
+        value = pipelinerows.encode_registration(registration)
+        assert len(value) <= pipelinerows.MAX_ROW_BYTES
+        row = store.Row(f"{pipelinerows.AGENTS_PREFIX}w1", value, 1)
+        decoded = pipelinerows.decode_registration(row)
+        assert [k.key for k in decoded.lives] == [
+            k.key for k in registration.lives
+        ]
+        assert (decoded == registration) == (count == 1)
+
+
 class TestMalformedRows:
     """Rows of another writer; see `pipelinerows` for those of this one."""
 
