Stored rows with values that no leader can work with are malformed

What callers would see: LOST, LIMIT. Rows of another writer were decoded and taken: a declaration without stages or tasks (a timed one is opened for ever), with counts that hide more tasks than allowed, with negative demands, which add to the capacity of a worker, or a NaN target; progress with an attempt number of 64 bits, whose successor is in no message ("OverflowError: can't serialize ints", in the loop that schedules), or with a number of occurrences that fills the memory; a lease row with an epoch that no token can hold, or with an end that is no number, before which nobody may lead. Cause: what submissions are checked for was not checked for rows. Fix: the types of the rows have the bounds, for whoever decodes them. Such rows are ignored and logged, as other malformed ones; the lease stays unavailable. Evidence: on the code before, 10 declarations, 5 progresses (test_pipeline.py) and 3 lease rows (test_pipelineleader.py) were accepted.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from pomelostair import codec
 from pomelostair import pipeline
 from pomelostair import pipelinemessages as messages
 from pomelostair import resources
@@ -96,7 +97,7 @@
     """
 
     worker: str
-    life: int
+    life: codec.Count
     address: str = ""
     service: str = ""
     rack: str = ""
--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -46,22 +46,22 @@
             unavailable at the same time, 0 for no guarantee.
     """
 
-    count: int
+    count: codec.Count
     demand: resources.Resources
-    estimate_ms: int = 0
+    estimate_ms: codec.Count = 0
     after: tuple[int, ...] = ()
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     label: str = ""
     rack: str = ""
-    most_per_worker: int = 0
+    most_per_worker: codec.Count = 0
     speculative: bool = False
     lasting: bool = False
     image: str = ""
-    latency_target_ms: float = 0.0
+    latency_target_ms: codec.Quantity = 0.0
     filler: bool = False
-    skippable: int = 0
+    skippable: codec.Count = 0
 
 
 @attrs.frozen
@@ -84,10 +84,10 @@
     queue: str
     payload: str
     stages: tuple[Stage, ...]
-    submitted_ms: int
-    occurrences: int = 1
-    first_run_ms: int = 0
-    interval_ms: int = 0
+    submitted_ms: codec.Count
+    occurrences: codec.Count = 1
+    first_run_ms: codec.Count = 0
+    interval_ms: codec.Count = 0
 
     def __attrs_post_init__(self):
         """Checks what every leader relies on.
@@ -95,7 +95,11 @@
         Raises:
             ValueError: The stages are malformed.
         """
+        if not 0 < len(self.stages) <= MAX_STAGES:
+            raise ValueError(f"a pipeline must have 1 to {MAX_STAGES} stages")
         for number, stage in enumerate(self.stages):
+            if stage.count < 1:
+                raise ValueError(f"stage {number} must have a task")
             if any(not 0 <= before < number for before in stage.after):
                 raise ValueError(
                     f"stage {number} must depend on earlier stages"
@@ -186,10 +190,10 @@
 
     phase: Phase = Phase.QUEUED
     done: dict[str, bytes] = attrs.field(factory=dict)
-    failed: dict[str, list[int]] = attrs.field(factory=dict)
+    failed: dict[str, list[codec.Count]] = attrs.field(factory=dict)
     checkpoints: dict[str, str] = attrs.field(factory=dict)
-    ended_ms: int = 0
-    done_occurrences: int = 0
+    ended_ms: codec.Count = 0
+    done_occurrences: codec.Count = 0
 
 
 @attrs.define(eq=False)
@@ -260,6 +264,9 @@
         progress: Progress that an earlier leader stored.
         now: Monotonic seconds.
         age_s: Time since the acceptance.
+
+    Raises:
+        ValueError: The progress does not belong to such a declaration.
     """
 
     def __init__(
@@ -289,6 +296,11 @@
                 (int(name.partition(".")[0]) for name in progress.done),
                 default=self._done_occurrences - 1,
             )
+        # `open_due` exceeds `MAX_TASKS` by less than one occurrence.
+        task_count = sum(stage.count for stage in declaration.stages)
+        new_count = opened_count - self._next_occurrence
+        if new_count * task_count > 2 * MAX_TASKS:
+            raise ValueError("the progress opens too many tasks")
         while self._next_occurrence < opened_count:
             self._open_next_occurrence(now)
 
--- a/pomelostair/pipelinelease.py
+++ b/pomelostair/pipelinelease.py
@@ -6,6 +6,7 @@
 store's clock is past the end, the lease has lapsed.
 """
 
+import typing
 import uuid
 
 import attrs
@@ -28,6 +29,8 @@
 TAKEOVER_MARGIN_MS = 50  # Covers rounding of clock readings on both sides.
 RETRY_MIN_S = 0.02
 RETRY_MAX_S = 0.3
+# A fencing token has 22 bits for the epoch.
+MAX_EPOCH = 2**22 - 1
 
 
 @attrs.frozen
@@ -44,11 +47,11 @@
         vacated: Whether the holder has given up the lease.
     """
 
-    epoch: int
+    epoch: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_EPOCH)]
     holder: str
     bus: str
     token: str
-    end_ms: float
+    end_ms: codec.Quantity
     vacated: bool = False
 
 
--- a/pomelostair/resources.py
+++ b/pomelostair/resources.py
@@ -2,20 +2,24 @@
 
 import attrs
 
+from pomelostair import codec
+
 
 @attrs.frozen
 class Resources:
     """Resources that a worker provides or a task requests.
 
+    Differences may be negative, but no amount from another program is.
+
     Attributes:
         millicores: Processor time in thousandths of a core.
         memory_mb: Memory in megabytes.
         accelerators: Number of accelerators.
     """
 
-    millicores: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
+    millicores: codec.Count = 0
+    memory_mb: codec.Count = 0
+    accelerators: codec.Count = 0
 
     def plus(self, other: "Resources") -> "Resources":
         """Returns the sum of both amounts."""
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -1,3 +1,5 @@
+import math
+
 import hypothesis
 from hypothesis import strategies
 import msgspec
@@ -212,6 +214,32 @@
                     if not item.ended:
                         assert before.checkpoint == after.checkpoint
 
+    @pytest.mark.parametrize(
+        "row",
+        [
+            {"failed": {"0.0.0": [2**64 - 1]}},
+            {"failed": {"0.0.0": [-1]}},
+            {"ended_ms": -1},
+            {"done_occurrences": 2**63},
+        ],
+        ids=str,
+    )
+    def test_malformed_row_is_rejected(self, row):
+        """The attempt after the largest number fitted into no message."""
+        with pytest.raises(msgspec.ValidationError):
+            pipeline.decode_progress(msgspec.msgpack.encode(row))
+
+    def test_row_that_opens_too_many_tasks_is_rejected(self):
+        """A leader that creates them would never come to lead."""
+        declared = pipelines.declare(
+            "a", first_run_ms=1, interval_ms=1, occurrences=10**9
+        )
+        progress = pipeline.Progress(
+            done={f"{2 * pipeline.MAX_TASKS + 1}.0": b"\0"}
+        )
+        with pytest.raises(ValueError, match="tasks"):
+            pipeline.Pipeline(declared, 1, progress, 0.0)
+
 
 class TestDeclaration:
     def test_critical_path_is_the_longest_dependency_chain(self):
@@ -230,6 +258,16 @@
             ((pipelines.stage(after=(-1,)),), {}),
             ((pipelines.stage(pipeline.MAX_TASKS + 1),), {}),
             ((pipelines.stage(1),), {"occurrences": 10**9}),
+            ((), {}),
+            ((pipelines.stage(),) * (pipeline.MAX_STAGES + 1), {}),
+            ((pipelines.stage(0),), {"first_run_ms": 1}),
+            ((pipelines.stage(10**9), pipelines.stage(-(10**9))), {}),
+            ((pipelines.stage(millicores=-1000),), {}),
+            ((pipelines.stage(memory_mb=2**63),), {}),
+            ((pipelines.stage(latency_target_ms=math.nan),), {}),
+            ((pipelines.stage(1),), {"occurrences": -1}),
+            ((pipelines.stage(1),), {"first_run_ms": -1}),
+            ((pipelines.stage(1),), {"submitted_ms": 2**63}),
         ],
     )
     def test_malformed_row_is_rejected(self, stages, fields):
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -1,3 +1,5 @@
+import math
+
 import curio
 import msgspec
 import pytest
@@ -16,6 +18,10 @@
 from tests import test_pipelineapi
 
 
+def lease_row(epoch, end_ms=0.0):
+    return pipelinelease.LeaseRow(epoch, "edge", "memory:edge", "t", end_ms)
+
+
 class TestTakeoverDelay:
     def test_small_hosts_campaign_after_larger_ones(self):
         """An entry with too few cores can't lead 70 workers.
@@ -200,7 +206,17 @@
         _, leader = self.recover(declaration, store.Put(key, nested.MSGPACK))
         assert list(leader._scheduler.registry.pipelines) == [name]
 
-    @pytest.mark.parametrize("value", [b"\xc1", nested.MSGPACK])
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"\xc1",
+            nested.MSGPACK,
+            msgspec.msgpack.encode(lease_row(2**64 - 1)),
+            msgspec.msgpack.encode(lease_row(-1)),
+            msgspec.msgpack.encode(lease_row(1, math.nan)),
+        ],
+        ids=["bytes", "nested", "large", "negative", "nan"],
+    )
     def test_lease_row_is_unavailable(self, value):
         harness = test_pipelineapi.Harness()
         leader = harness.host.get(pipelineleader.PipelineLeader)
