A declaration under the key of another pipeline is malformed

What callers would see: a pipeline that runs again after its own row was deleted, or whose progress is dropped by the next leader: the registry goes by the id within the declaration, recovery and removal by the key. Cause: two ids of one row, never compared. Evidence: test_declaration_under_another_key_is_ignored fails on the code before, the pipeline was scheduled.

--- a/pomelostair/pipelinerows.py
+++ b/pomelostair/pipelinerows.py
@@ -94,13 +94,17 @@
     Raises:
         msgspec.MsgspecError: The value is malformed; another program may have
             written it.
-        ValueError: The key has fewer than three segments.
+        ValueError: The key has fewer than three segments, or is that of
+            another pipeline.
     """
     _, _, rest = row.key.split("/", 2)
     kind, _, pipeline_id = rest.partition("/")
     if f"{kind}/" == _CANCELLATIONS:
         return CancellationRow(pipeline_id)
-    return DeclarationRow(pipeline.decode_declaration(row.value), row.version)
+    declaration = pipeline.decode_declaration(row.value)
+    if declaration.id != pipeline_id:
+        raise ValueError(f"the row declares {declaration.id!r}")
+    return DeclarationRow(declaration, row.version)
 
 
 def encode_progress(progress: pipeline.Progress) -> bytes:
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -181,6 +181,15 @@
         shown = harness.run(lambda: harness.api.show(names[0]))
         assert isinstance(shown, outcome.Refused)
 
+    def test_declaration_under_another_key_is_ignored(self):
+        """Its pipeline would run again after its own row was deleted."""
+        other = store.Put(
+            pipelinerows.declaration_key("00000000000000a1"),
+            pipeline.encode(pipelines.declare("00000000000000a2")),
+        )
+        _, leader = self.recover(other)
+        assert not leader._scheduler.registry.pipelines
+
     def test_agent_without_readable_registration_may_have_work(self):
         _, leader = self.recover(
             store.Put(f"{pipelinerows.AGENTS_PREFIX}w1", b"\xc1")
