A row whose value is not base64 is malformed, not absent

A row of progress with such a value was left out, so that the next leader ran the tasks of its pipeline again, also those that are done; and a scan ended at a page of nothing but such rows. Cause: the adapter to the store left the row out, though its readers decide what a malformed row means. Class: two ways for one kind of malformed data. Fix: the row has an empty value, which every reader already treats as malformed. Evidence: test_value_that_is_not_base64_is_malformed_but_present fails on the code before in 3 cases: Absent() in place of the row.

--- a/pomelostair/platform/store.py
+++ b/pomelostair/platform/store.py
@@ -214,8 +214,7 @@
         self._read_timeout.record_answer(_boottime_s() - sent_s)
         if not body.rows or body.rows[0].key != name:
             return store.Absent()
-        row = _decode_row(body.rows[0])
-        return store.Absent() if row is None else store.Found(row)
+        return store.Found(_decode_row(body.rows[0]))
 
     async def scan(
         self, prefix: str, after: str = "", limit: int = MAX_PAGE_ROWS
@@ -238,7 +237,7 @@
         )
         if not isinstance(body, RowsBody):
             return _as_unavailable(body)
-        rows = tuple(r for r in map(_decode_row, body.rows) if r is not None)
+        rows = tuple(map(_decode_row, body.rows))
         return store.Page(rows, body.more, body.version)
 
     async def watch(
@@ -252,11 +251,7 @@
         )
         if not isinstance(body, RowsBody):
             return body
-        rows = tuple(
-            r
-            for r in map(_decode_row, (b for b in body.rows if not b.removed))
-            if r
-        )
+        rows = tuple(_decode_row(b) for b in body.rows if not b.removed)
         deleted = tuple(join_key(b) for b in body.rows if b.removed)
         return store.Changes(rows, deleted, body.version)
 
@@ -417,12 +412,16 @@
         return outcome.Unavailable(f"unreadable answer: {error}")
 
 
-def _decode_row(body: RowBody) -> store.Row | None:
-    """Returns a row, None if another writer's value is not base64."""
+def _decode_row(body: RowBody) -> store.Row:
+    """Returns a row; its value is empty if that of another writer is no base64.
+
+    An empty value is malformed for every reader. If the row were left out, what
+    it says would be taken as never stored, and a page of such rows as the last.
+    """
     try:
         value = base64.b64decode(body.value, validate=True)
     except ValueError:
-        return None
+        value = b""
     return store.Row(join_key(body), value, body.version)
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,6 +1,9 @@
+import json
+
 import curio
 import pytest
 
+from pomelostair import http
 from pomelostair import httpclient
 from pomelostair import httpserver
 from pomelostair import metrics
@@ -129,6 +132,34 @@
         assert page.rows == (row,)
         assert page.version == first.version
 
+    @pytest.mark.parametrize("value", ["?", "YQ", "\u00e9"])
+    def test_value_that_is_not_base64_is_malformed_but_present(self, value):
+        """Without its progress, tasks that are done would run again."""
+
+        class Client:
+            async def request(self, _request, _timeout_s):
+                rows = [
+                    {
+                        "table": "progress",
+                        "part": "cell",
+                        "key": "a",
+                        "value": value,
+                        "schemaVer": 3,
+                    }
+                ]
+                body = json.dumps({"rows": rows, "schemaVer": 5}).encode()
+                return http.Response(200, (), body)
+
+        table = platform_store.RowsTable(Client(), Client(), METRICS, 1.0)
+        row = store.Row(KEY, b"", 3)
+
+        async def body():
+            assert await table.read(KEY) == store.Found(row)
+            assert (await table.scan("progress/cell/")).rows == (row,)
+            assert (await table.watch("progress", 1, 0.0)).rows == (row,)
+
+        curio.run(body)
+
     def test_scan_continues_after_a_key(self):
         harness = StoreHarness()
 
