Simulated agents wait for orders that are missing

What was wrong: the test. The simulated agent took a later order as the receipt of all earlier ones, so that orders lost while it was cut off were never carried out nor sent again, and a pipeline of the state machine stood still for ever. The product's agent waits for the missing ones (take_orders). Its replacement is stricter: also the order of the orders is kept.

--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -36,7 +36,9 @@
         delayed_starts: Start orders to be carried out late.
         lease_limit_ms: Worker clock up to which its lease may extend.
         acknowledged: Number of the last end that the leader acknowledged.
-        last_order: Number of the last order that the agent received.
+        last_order: Number of the last order that the agent received; none
+            before it is missing.
+        early_orders: Orders received before an earlier one, by number.
         results: Results of orders that the leader has not applied yet.
         last_result: Sequence number of the last result.
         epoch: Epoch of the leader that the agent last reported to.
@@ -50,6 +52,7 @@
     lease_limit_ms: float = 0.0
     acknowledged: int = 0
     last_order: int = 0
+    early_orders: dict = attrs.field(factory=dict)
     results: list = attrs.field(factory=list)
     last_result: int = 0
     epoch: int = 0
@@ -120,6 +123,7 @@
         host.runner = runner.Runner(old_runner.born_ms + 1, old_runner.work_ms)
         host.lease_limit_ms = 0.0
         host.acknowledged = host.last_order = 0
+        host.early_orders.clear()
         host.results.clear()
 
     def run_for(self, seconds, step_s=0.1):
@@ -144,7 +148,7 @@
                 not host.partitioned
                 and worker.incarnation == host.runner.born_ms
             ):
-                self._deliver(host, orders)
+                self._deliver(host, worker.confirmed_order, orders)
         self._commit()
 
     def running(self):
@@ -175,6 +179,7 @@
         if host.epoch != self.epoch:
             host.epoch = self.epoch
             host.last_order = received = 0
+            host.early_orders.clear()
             host.results.clear()
             results = ()
         until_ms = min(worker_runner.clock_ms + HOLD_MS, host.lease_limit_ms)
@@ -222,11 +227,14 @@
                 r for r in host.results if r.sequence > worker.applied_result
             ]
 
-    def _deliver(self, host, orders):
+    def _deliver(self, host, confirmed, orders):
+        """Executes the orders up to the first one that is missing."""
+        host.last_order = max(host.last_order, confirmed)
         for order in orders:
-            if order.number > host.last_order:
-                host.last_order = order.number
-                self._execute(host, order)
+            host.early_orders[order.number] = order
+        while order := host.early_orders.pop(host.last_order + 1, None):
+            host.last_order = order.number
+            self._execute(host, order)
 
     def _execute(self, host, order):
         worker_runner = host.runner
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -204,6 +204,18 @@
         assert ("a.0.0.0", 1) in report(later - 1, earlier)
         assert ("a.0.0.0", 1) not in report(later + 1, earlier)
 
+    def test_orders_lost_before_a_later_one_are_carried_out(self):
+        """The simulated agent took a later order as the receipt of all."""
+        fleet = simfleet.Fleet(("w1",), cores=8)
+        fleet.run_for(0.5)
+        fleet.hosts["w1"].partitioned = True
+        fleet.submit("a", pipelines.stage(2))
+        fleet.run_for(0.2)
+        fleet.hosts["w1"].partitioned = False
+        fleet.submit("b", pipelines.stage(2))
+        fleet.run_for(10)
+        assert fleet.phase("a") is fleet.phase("b") is COMPLETED
+
     def test_new_incarnation_of_an_agent_restarts_its_sequence(self):
         fleet = simfleet.Fleet(names=("w1",))
         fleet.run_for(1)
