A start rests on the capacity that its worker has when it is carried out

What callers would see: LIMIT. A start order that was on its way, or lost and sent again after seconds, was carried out after its worker had shrunk, though the agent knew the new capacity. The age of a report (START_TTL_S) does not help: a message that repeats an order names the latest report. Cause: an order did not say what it rests on. Class: a decision that is applied later than the state that it was made from. Fix: a start order names the capacity that the leader counted on, and the agent refuses it ("shrunk") once the worker has less of anything. The leader has the new capacity by the report that carries the refusal, and places the task anew. Evidence: on the code before, test_start_repeated_after_the_worker_shrank_is_refused has 8000 millicores on a worker of 3000, and test_start_that_counts_on_more_is_refused has the start done. No fault was found in the leader's sums: shrunk and regrown workers, and stopping attempts, passed before. The state machine resizes workers, with the invariant that no start brings one over the most that it had within contactMs and a heartbeat; its other invariants stand.

--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -536,6 +536,11 @@
     ) -> tuple[str, str]:
         if worker.heartbeat.draining:
             return messages.REFUSED, "draining"
+        # An order may have been on its way, or repeated, for seconds.
+        if order.capacity is not None and not (
+            worker.heartbeat.capacity.covers(order.capacity)
+        ):
+            return messages.REFUSED, "shrunk"
         end_ms = self._next_lease_end_ms(worker)
         if end_ms - self._worker_clock_ms(worker) < MIN_START_LEASE_MS:
             return messages.REFUSED, "late"
--- a/pomelostair/pipelinemessages.py
+++ b/pomelostair/pipelinemessages.py
@@ -201,6 +201,8 @@
         checkpoint: Checkpoint that a start resumes from, empty for none.
         percent: Share of full speed at which the attempt may work.
         ticket: Ticket by which the advisor allows a start, empty for none.
+        capacity: Capacity of the worker that a start counts on; None for other
+            orders.
     """
 
     number: int
@@ -211,6 +213,7 @@
     checkpoint: str = ""
     percent: int = 100
     ticket: str = ""
+    capacity: resources.Resources | None = None
 
 
 START = "start"
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -375,6 +375,7 @@
             checkpoint=task.checkpoint,
             percent=placement.pace_percent,
             ticket=self._advice.ticket(task, worker, now) or "",
+            capacity=worker.state.capacity,
         )
         self._metrics.count("starts_ordered")
         log.emit(
--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -19,6 +19,11 @@
 LEASE_S = 7.9
 # How far a report extends the limit of the worker's lease.
 GRANT_MS = 7500
+# Interval of a worker's heartbeats, which tell its agent the capacity.
+BEAT_S = 1.1
+# Time for which a capacity that has shrunk may still count, by the platform's
+# rules: `contactMs` and one heartbeat.
+SHRUNK_S = 3.0 + BEAT_S
 # Length of the lease that the agent holds at its worker, within that limit.
 HOLD_MS = 5000
 
@@ -42,6 +47,10 @@
         results: Results of orders that the leader has not applied yet.
         last_result: Sequence number of the last result.
         epoch: Epoch of the leader that the agent last reported to.
+        cores: Cores that the worker has now.
+        earlier_cores: Cores that it had, with the time of the change.
+        known_cores: Cores in the latest heartbeat that the agent received.
+        next_beat_s: Time of the next heartbeat.
     """
 
     name: str
@@ -56,6 +65,20 @@
     results: list = attrs.field(factory=list)
     last_result: int = 0
     epoch: int = 0
+    cores: int = 0
+    earlier_cores: list = attrs.field(factory=list)
+    known_cores: int = 0
+    next_beat_s: float = 0.0
+
+    def resize(self, cores, now):
+        """Changes the cores of the worker."""
+        self.earlier_cores.append((now, self.cores))
+        self.cores = cores
+
+    def most_cores(self, now):
+        """Returns the most cores that starts may count on now."""
+        recent = [c for at, c in self.earlier_cores if at >= now - SHRUNK_S]
+        return max([self.cores, *recent])
 
 
 class Fleet:
@@ -75,8 +98,13 @@
         self.cancelled = set()
         self.stored_progress = {}
         self.agents = {}
-        self.hosts = {name: Host(name, runner.Runner(1)) for name in names}
+        self.hosts = {
+            name: Host(name, runner.Runner(1), cores=cores, known_cores=cores)
+            for name in names
+        }
         self.finished = []
+        # Starts that brought a worker over its capacity.
+        self.oversized_starts = []
         self.start_leader()
 
     def start_leader(self, gap_s=0.0):
@@ -126,6 +154,10 @@
         host.early_orders.clear()
         host.results.clear()
 
+    def resize_worker(self, name, cores):
+        """Changes the cores of a worker while it runs."""
+        self.hosts[name].resize(cores, self.now)
+
     def run_for(self, seconds, step_s=0.1):
         """Advances the time in steps."""
         for _ in range(round(seconds / step_s)):
@@ -138,6 +170,9 @@
             self._run_delayed_starts(host)
             host.runner.advance(step_s * 1000)
             self._record_ends(host)
+            if self.now >= host.next_beat_s:
+                host.next_beat_s = self.now + BEAT_S
+                host.known_cores = host.cores
             if not host.partitioned:
                 self._report(host)
         self.scheduler.run_round(self.now)
@@ -192,7 +227,7 @@
         state = pipelines.worker_state(
             host.name,
             worker_runner.born_ms,
-            self.cores,
+            host.known_cores,
             clock_ms=int(worker_runner.clock_ms),
             running=tuple(worker_runner.running_rows()),
             ended=tuple(
@@ -250,6 +285,10 @@
                 )
                 worker_runner.stop(order.task, order.attempt, fence)
                 outcome = messages.FENCED_OFF
+            case messages.START if not self._known_capacity(host).covers(
+                order.capacity
+            ):
+                outcome, reason = messages.REFUSED, "shrunk"
             case messages.START:
                 until_ms = min(
                     worker_runner.clock_ms + HOLD_MS, host.lease_limit_ms
@@ -258,6 +297,8 @@
                     order.task, order.attempt, until_ms, fence
                 )
                 outcome = messages.REFUSED if reason else messages.DONE
+                if not reason:
+                    self._check_start(host, order)
             case messages.STOP:
                 worker_runner.stop(order.task, order.attempt, fence)
             case messages.PACE:
@@ -271,6 +312,18 @@
             )
         )
 
+    def _known_capacity(self, host):
+        """Returns the capacity that the agent of a worker knows."""
+        return pipelines.worker_state(cores=host.known_cores).capacity
+
+    def _check_start(self, host, order):
+        """Records a start that brings a worker over its capacity."""
+        used = capacity_used(self, host.name).millicores
+        if used > host.most_cores(self.now) * 1000:
+            self.oversized_starts.append(
+                (order.task, host.name, used, host.cores, self.now)
+            )
+
     def _run_delayed_starts(self, host):
         due = [start for start in host.delayed_starts if start[0] <= self.now]
         host.delayed_starts = [
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -651,3 +651,30 @@
             assert not harness.agent._leader.bus
 
         harness.run(body)
+
+
+class TestCapacity:
+    """The capacity of a worker changes while it runs."""
+
+    SMALL = resources.Resources(4000, 1000)
+    LARGE = resources.Resources(32_000, 1000)
+
+    def test_start_that_counts_on_more_is_refused(self):
+        """LIMIT: it was on its way, or repeated, as the worker shrank."""
+        harness = Harness()
+        client = harness.port.client
+
+        async def body():
+            await harness.heartbeat(capacity=self.SMALL)
+            await harness.instruct(
+                start_order(1, capacity=self.LARGE),
+                start_order(2, task="a.0.0.1", capacity=self.SMALL),
+            )
+            await harness.wait_until(lambda: len(harness.results()) > 1)
+            assert sorted(harness.results())[:2] == [
+                (1, messages.REFUSED),
+                (2, messages.DONE),
+            ]
+            assert [row[0] for row in client.runner.started] == ["a.0.0.1"]
+
+        harness.run(body)
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -172,6 +172,73 @@
         assert set(done.values()) == {1}
 
 
+class TestCapacity:
+    """The capacity of a worker changes while it runs."""
+
+    def used_millicores(self, fleet):
+        return simfleet.capacity_used(fleet, "w1").millicores
+
+    def test_shrunk_worker_gets_nothing_that_does_not_fit(self):
+        fleet = simfleet.Fleet(("w1",), cores=8)
+        fleet.hosts["w1"].runner.work_ms = 500
+        fleet.submit("a", pipelines.stage(40))
+        fleet.run_for(1)
+        assert self.used_millicores(fleet) == 8000
+        fleet.resize_worker("w1", 3)
+        fleet.run_for(1.5)
+        for _ in range(20):
+            fleet.step()
+            assert 0 < self.used_millicores(fleet) <= 3000
+        assert not fleet.oversized_starts
+
+    def test_regrown_worker_is_used_again(self):
+        fleet = simfleet.Fleet(("w1",), cores=8)
+        fleet.hosts["w1"].runner.work_ms = 60_000
+        fleet.resize_worker("w1", 0)
+        fleet.run_for(1.5)
+        fleet.submit("a", pipelines.stage(8))
+        fleet.run_for(2)
+        assert not fleet.running()
+        fleet.resize_worker("w1", 8)
+        fleet.run_for(1.5)
+        assert self.used_millicores(fleet) == 8000
+
+    def test_start_repeated_after_the_worker_shrank_is_refused(self):
+        """LIMIT: a lost order rests on the room at its first sending."""
+        fleet = simfleet.Fleet(("w1",), cores=8)
+        host = fleet.hosts["w1"]
+        host.runner.work_ms = 60_000
+        fleet.run_for(0.5)
+        host.partitioned = True
+        fleet.submit("a", pipelines.stage(8))
+        fleet.run_for(0.2)
+        fleet.resize_worker("w1", 3)
+        fleet.run_for(1.2)
+        host.partitioned = False
+        fleet.run_for(10)
+        assert self.used_millicores(fleet) == 3000
+        assert not fleet.oversized_starts
+
+    def test_what_is_being_stopped_counts(self):
+        fleet = simfleet.Fleet(("w1",), cores=4)
+        host = fleet.hosts["w1"]
+        host.runner.work_ms = 60_000
+        fleet.submit("a", pipelines.stage(4))
+        fleet.run_for(1)
+        fleet.submit("b", pipelines.stage(4))
+        fleet.resize_worker("w1", 2)
+        fleet.run_for(1.5)
+        fleet.cancel("a")
+        for _ in range(30):
+            fleet.step()
+            running = {task for task, _ in fleet.running()}
+            assert len(running) <= 2 or not any(
+                task.startswith("b") for task in running
+            )
+        assert self.used_millicores(fleet) == 2000
+        assert not fleet.oversized_starts
+
+
 class TestReports:
     def test_overtaken_report_removes_nothing(self):
         """Guards against applying reports out of order.
@@ -565,6 +632,13 @@
     def restart_worker(self, name):
         self.fleet.restart_worker(name)
 
+    @stateful.rule(
+        name=strategies.sampled_from(("w1", "w2", "w3")),
+        cores=strategies.integers(0, 6),
+    )
+    def resize_worker(self, name, cores):
+        self.fleet.resize_worker(name, cores)
+
     @stateful.rule()
     def elect_leader(self):
         self.fleet.start_leader(gap_s=0.1)
@@ -575,6 +649,7 @@
         for name in self.fleet.hosts:
             used = simfleet.capacity_used(self.fleet, name)
             assert used.millicores <= self.fleet.cores * 1000
+        assert not self.fleet.oversized_starts
         done = {t for t, _, how in self.fleet.finished if how == "done"}
         for task in running:
             pipeline_id, _, key = task.partition(".")
@@ -587,6 +662,7 @@
     def teardown(self):
         for host in self.fleet.hosts.values():
             host.partitioned = host.delays_starts = False
+            self.fleet.resize_worker(host.name, self.fleet.cores)
         for _ in range(600):
             self.fleet.step()
             self.assert_invariants()
