A restarted agent starts nothing before it has heard of a worker's capacity

What callers would see: LIMIT. A restarted agent calls the workers of its registration at once and reports the capacity that is registered. A worker that had shrunk meanwhile got starts for its earlier capacity until its next heartbeat. Cause: stored state was used as if it were current. Fix: the agent refuses starts ("no-heartbeat") until the worker's first heartbeat, at most one interval. What runs is held and reported at once, as before. Evidence: test_start_is_refused_before_the_first_heartbeat fails on the code before, the start was done.

--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -121,10 +121,15 @@
         """Worker id and incarnation."""
         return self.heartbeat.worker, self.heartbeat.incarnation
 
+    @property
+    def announced(self) -> bool:
+        """Whether it has sent a heartbeat to this process of the agent."""
+        return self.heartbeat.sequence >= 0
+
     @property
     def confirmed(self) -> bool:
         """Whether it has sent a heartbeat or answered a `hold` call."""
-        return self.heartbeat.sequence >= 0 or self.listing is not None
+        return self.announced or self.listing is not None
 
     def take_orders(
         self, confirmed: int, orders: tuple[messages.Order, ...]
@@ -536,6 +541,9 @@
     ) -> tuple[str, str]:
         if worker.heartbeat.draining:
             return messages.REFUSED, "draining"
+        # The registered capacity may be more than what is left.
+        if not worker.announced:
+            return messages.REFUSED, "no-heartbeat"
         # An order may have been on its way, or repeated, for seconds.
         if order.capacity is not None and not (
             worker.heartbeat.capacity.covers(order.capacity)
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -678,3 +678,24 @@
             assert [row[0] for row in client.runner.started] == ["a.0.0.1"]
 
         harness.run(body)
+
+    def test_start_is_refused_before_the_first_heartbeat(self):
+        """LIMIT: the registration may say more than what is left."""
+        harness = TestRegisteredWorkers().restart(capacity=self.LARGE)
+        client = harness.port.client
+
+        async def body():
+            await harness.instruct()
+            await harness.wait_until(
+                lambda: any(r.workers for r in harness.reports)
+            )
+            await harness.instruct(start_order(capacity=self.LARGE))
+            await harness.wait_until(harness.results)
+            assert harness.results()[0] == (1, messages.REFUSED)
+            await harness.heartbeat(capacity=self.LARGE)
+            await harness.instruct(
+                start_order(2, task="a.0.0.1", capacity=self.LARGE)
+            )
+            await harness.wait_until(lambda: client.runner.started)
+
+        harness.run(body)
