A changed capacity is reported at once

What callers would see: a start for a room that has shrunk for up to a report interval longer than needed, and room that has grown unused for as long. Cause: of what a heartbeat changes, only draining was news; capacity, labels, rack and service waited for the next report of the lists. Fix: whatever decides on starts is news. Workers without a change are reported as before. A changed capacity is logged (event 449).

--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -105,6 +105,9 @@
         446, logging.WARNING, "leases of earlier leaders have lapsed"
     )
     HEARTBEAT_IGNORED = Event(447, logging.WARNING, "heartbeat ignored")
+    PIPELINE_WORKER_RESIZED = Event(
+        449, logging.INFO, "capacity of a worker has changed"
+    )
     WORKER_CALL_CRASHED = Event(448, logging.ERROR, "call of a worker crashed")
     PIPELINE_LEADER_FOUND = Event(450, logging.INFO, "leader discovered")
     PIPELINE_LEADER_LOST = Event(451, logging.WARNING, "no leader known")
--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -249,15 +249,7 @@
         known = self._workers.get(key)
         if known is not None:
             if heartbeat.sequence >= known.heartbeat.sequence:
-                changed = known.heartbeat.draining != heartbeat.draining
-                known.heartbeat = heartbeat
-                if changed:
-                    log.emit(
-                        events.Events.PIPELINE_WORKER_DRAINS,
-                        worker=heartbeat.worker,
-                        remaining_ms=heartbeat.remaining_ms,
-                    )
-                    await self._report((known,))
+                await self._apply_heartbeat(known, heartbeat)
             return
         if any(
             w.heartbeat.address == heartbeat.address
@@ -290,6 +282,28 @@
         )
         await curio.spawn(self._hold_until_gone, worker, daemon=True)
 
+    async def _apply_heartbeat(
+        self, worker: _Worker, heartbeat: ports.WorkerHeartbeat
+    ) -> None:
+        """Applies a later heartbeat; what decides on starts is news."""
+        before = worker.heartbeat
+        worker.heartbeat = heartbeat
+        if before.draining != heartbeat.draining:
+            log.emit(
+                events.Events.PIPELINE_WORKER_DRAINS,
+                worker=heartbeat.worker,
+                remaining_ms=heartbeat.remaining_ms,
+            )
+        if before.capacity != heartbeat.capacity:
+            log.emit(
+                events.Events.PIPELINE_WORKER_RESIZED,
+                worker=heartbeat.worker,
+                before=attrs.astuple(before.capacity),
+                capacity=attrs.astuple(heartbeat.capacity),
+            )
+        if _start_conditions(before) != _start_conditions(heartbeat):
+            await self._report((worker,))
+
     async def remove_worker(
         self, worker_id: str, incarnation: int | None
     ) -> None:
@@ -814,6 +828,17 @@
     return (epoch << _INCARNATION_BITS) | incarnation_bits
 
 
+def _start_conditions(heartbeat: ports.WorkerHeartbeat) -> tuple:
+    """Returns what decides which tasks may start on a worker."""
+    return (
+        heartbeat.draining,
+        heartbeat.capacity,
+        heartbeat.service,
+        heartbeat.rack,
+        heartbeat.labels,
+    )
+
+
 def _registered_heartbeat(
     known: fleet.KnownIncarnation, zone: str
 ) -> ports.WorkerHeartbeat:
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -659,6 +659,29 @@
     SMALL = resources.Resources(4000, 1000)
     LARGE = resources.Resources(32_000, 1000)
 
+    def test_change_is_reported_at_once(self):
+        harness = Harness()
+
+        def reported():
+            return [s.capacity for r in harness.reports for s in r.workers]
+
+        async def body():
+            await harness.heartbeat()
+            await harness.instruct(report_interval_ms=60_000)
+            await harness.wait_until(reported)
+            await curio.sleep(0.2)
+            count = len(reported())
+            await harness.heartbeat(sequence=2)
+            await curio.sleep(0.2)
+            assert len(reported()) == count
+            await harness.heartbeat(sequence=3, capacity=self.SMALL)
+            await harness.wait_until(lambda: reported()[-1] == self.SMALL)
+            await harness.heartbeat(sequence=4, capacity=self.LARGE)
+            await harness.wait_until(lambda: reported()[-1] == self.LARGE)
+            assert len(reported()) == count + 2
+
+        harness.run(body)
+
     def test_start_that_counts_on_more_is_refused(self):
         """LIMIT: it was on its way, or repeated, as the worker shrank."""
         harness = Harness()
