The state machine resizes workers whose orders are lost

The new rule cuts a worker off, lets orders get lost, resizes it and connects it again. A start is now measured against the latest heartbeat, which is stricter than the platform's rule.

--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -21,9 +21,6 @@
 GRANT_MS = 7500
 # Interval of a worker's heartbeats, which tell its agent the capacity.
 BEAT_S = 1.1
-# Time for which a capacity that has shrunk may still count, by the platform's
-# rules: `contactMs` and one heartbeat.
-SHRUNK_S = 3.0 + BEAT_S
 # Length of the lease that the agent holds at its worker, within that limit.
 HOLD_MS = 5000
 
@@ -48,7 +45,6 @@
         last_result: Sequence number of the last result.
         epoch: Epoch of the leader that the agent last reported to.
         cores: Cores that the worker has now.
-        earlier_cores: Cores that it had, with the time of the change.
         known_cores: Cores in the latest heartbeat that the agent received.
         next_beat_s: Time of the next heartbeat.
     """
@@ -66,20 +62,9 @@
     last_result: int = 0
     epoch: int = 0
     cores: int = 0
-    earlier_cores: list = attrs.field(factory=list)
     known_cores: int = 0
     next_beat_s: float = 0.0
 
-    def resize(self, cores, now):
-        """Changes the cores of the worker."""
-        self.earlier_cores.append((now, self.cores))
-        self.cores = cores
-
-    def most_cores(self, now):
-        """Returns the most cores that starts may count on now."""
-        recent = [c for at, c in self.earlier_cores if at >= now - SHRUNK_S]
-        return max([self.cores, *recent])
-
 
 class Fleet:
     """A scheduler with simulated workers and agents; time passes in steps.
@@ -156,7 +141,7 @@
 
     def resize_worker(self, name, cores):
         """Changes the cores of a worker while it runs."""
-        self.hosts[name].resize(cores, self.now)
+        self.hosts[name].cores = cores
 
     def run_for(self, seconds, step_s=0.1):
         """Advances the time in steps."""
@@ -317,12 +302,14 @@
         return pipelines.worker_state(cores=host.known_cores).capacity
 
     def _check_start(self, host, order):
-        """Records a start that brings a worker over its capacity."""
+        """Records a start that brings a worker over its capacity.
+
+        The capacity is that of the latest heartbeat, which is stricter than the
+        platform's rule: it also counts an earlier one for `contactMs`.
+        """
         used = capacity_used(self, host.name).millicores
-        if used > host.most_cores(self.now) * 1000:
-            self.oversized_starts.append(
-                (order.task, host.name, used, host.cores, self.now)
-            )
+        if used > host.known_cores * 1000:
+            self.oversized_starts.append((order, host.name, used, self.now))
 
     def _run_delayed_starts(self, host):
         due = [start for start in host.delayed_starts if start[0] <= self.now]
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -639,6 +639,21 @@
     def resize_worker(self, name, cores):
         self.fleet.resize_worker(name, cores)
 
+    @stateful.rule(
+        name=strategies.sampled_from(("w1", "w2", "w3")),
+        cores=strategies.integers(0, 6),
+        tenths=strategies.integers(1, 40),
+    )
+    def resize_worker_during_a_cut(self, name, cores, tenths):
+        """Orders are lost and sent again after the worker was resized."""
+        host = self.fleet.hosts[name]
+        host.partitioned = True
+        self.submit([4], 1500)
+        self.pass_time(3)
+        self.fleet.resize_worker(name, cores)
+        self.pass_time(tenths)
+        host.partitioned = False
+
     @stateful.rule()
     def elect_leader(self):
         self.fleet.start_leader(gap_s=0.1)
