Random faults of workers, agents, links, store and leader in a simulated fleet

tests/faultfleet.py models agents with one or several workers, their restarts, lost and late reports and orders, failing commits, the lease row's handover and the advisor. tests/test_idletasks.py plays seeded random scenarios and checks that no ready task with room stands still, that nothing runs twice, over capacity or out of order, and that no attempt stays without an answer.

--- /dev/null
+++ b/tests/test_idletasks.py
@@ -0,0 +1,660 @@
+"""Random faults, after which no task that has room may stand still."""
+
+import collections
+import random
+
+import pytest
+
+from pomelostair import pipeline
+from pomelostair import pipelinestarts as starts
+from pomelostair import queues
+from tests import faultfleet
+from tests import pipelines
+
+# By the platform's rules, a task that lasts may stand still for 6 s after its
+# last run and for 3 s more, once 7 s have passed without a disruption.
+CALM_S = 7.0
+AFTER_RUN_S = 6.0
+IDLE_S = 3.0
+# Time after the last fault from which no pipeline may be idle.
+RECOVERY_S = 14.0
+# Time after which an attempt without an answer, and a sound worker without
+# attempts, count as stuck.
+STUCK_S = 5.0
+TERMINAL = pipeline.TERMINAL_PHASES
+
+
+class Watch:
+    """Checks a fleet after each step, and records what broke a rule.
+
+    Args:
+        fleet: The simulated fleet.
+    """
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.active = 0
+        self.disturbed_s = fleet.now
+        self.violations = []
+        self._since_s = {}
+        self._checked_starts = 0
+
+    @property
+    def calm_s(self):
+        """Time since the last fault was injected or active."""
+        return 0.0 if self.active else self.fleet.now - self.disturbed_s
+
+    def disturb(self):
+        """Records a fault now."""
+        self.disturbed_s = self.fleet.now
+
+    def step(self):
+        """Advances the fleet by one step and checks it."""
+        self.fleet.step()
+        if self.active:
+            self.disturb()
+        self._check_invariants()
+        for crash in self.fleet.crashes:
+            self._record("crash", crash)
+        held = set()
+        held.update(self._idle_lasting())
+        held.update(self._idle_pipelines())
+        held.update(self._stuck())
+        now = self.fleet.now
+        self._since_s = {row: self._since_s.get(row, now) for row in held}
+        for (kind, name, limit_s), since_s in self._since_s.items():
+            if (
+                now - since_s > limit_s
+                and self.calm_s > CALM_S
+                and (kind != "idle pipeline" or self.calm_s > RECOVERY_S)
+            ):
+                self._record(kind, name)
+
+    def _record(self, kind, name):
+        if not any(row[1:] == (kind, name) for row in self.violations):
+            self.violations.append((round(self.fleet.now, 1), kind, name))
+
+    def _check_invariants(self):
+        fleet = self.fleet
+        copies = collections.Counter(task for task, _ in fleet.running())
+        for task, count in copies.items():
+            if count > 1:
+                self._record("twice", task)
+        for name, host in fleet.hosts.items():
+            used = sum(
+                fleet.stage_of(task).demand.millicores
+                for task in host.runner.runs
+                if not fleet.stage_of(task).filler
+            )
+            # A worker that has just shrunk keeps its attempts.
+            if used > fleet.cores * 1000:
+                self._record("over capacity", name)
+        done = self._done()
+        for _, task, _ in fleet.started[self._checked_starts :]:
+            name, occurrence, number, index = task.split(".")
+            stages = fleet.rows[name][0].stages
+            for before in stages[int(number)].after:
+                for other in range(stages[before].count):
+                    if f"{name}.{occurrence}.{before}.{other}" not in done:
+                        self._record("out of order", task)
+            progress = fleet.stored_progress.get(name)
+            if progress is not None:
+                bits = int.from_bytes(
+                    progress.done.get(f"{occurrence}.{number}", b""), "little"
+                )
+                if (
+                    bits >> int(index) & 1
+                    or int(occurrence) < progress.done_occurrences
+                ):
+                    self._record("run again", task)
+        self._checked_starts = len(fleet.started)
+
+    def _done(self):
+        done = {t for t, _, how in self.fleet.finished if how == "done"}
+        for task in list(done):
+            stage_key, _, _ = task.rpartition(".")
+            stage = self.fleet.stage_of(task)
+            if stage.gang:
+                done.update(f"{stage_key}.{n}" for n in range(stage.count))
+        return done
+
+    def _open_tasks(self):
+        """Yields pipelines that have not ended, with their ready tasks."""
+        fleet = self.fleet
+        done = self._done()
+        for name, (declared, _) in fleet.rows.items():
+            progress = fleet.stored_progress.get(name)
+            phase = progress.phase if progress else None
+            if name in fleet.cancelled or phase in TERMINAL:
+                continue
+            ready = []
+            for occurrence in range(max(1, declared.occurrences)):
+                if (
+                    declared.timed
+                    and declared.due_ms(occurrence) > fleet.now * 1000
+                ):
+                    break
+                for number, stage in enumerate(declared.stages):
+                    if all(
+                        f"{name}.{occurrence}.{before}.{index}" in done
+                        for before in stage.after
+                        for index in range(declared.stages[before].count)
+                    ):
+                        ready.extend(
+                            (f"{name}.{occurrence}.{number}.{index}", stage)
+                            for index in range(stage.count)
+                        )
+            yield (
+                name,
+                [(t, s) for t, s in ready if s.lasting or t not in done],
+            )
+
+    def _idle_lasting(self):
+        fleet = self.fleet
+        running = {task for task, _ in fleet.running()}
+        for _, ready in self._open_tasks():
+            for task, stage in ready:
+                if not stage.lasting or task in running:
+                    continue
+                if fleet.now - fleet.ended_s.get(task, 0.0) < AFTER_RUN_S:
+                    continue
+                if self._has_room(task, stage):
+                    yield "idle lasting task", task, IDLE_S
+
+    def _idle_pipelines(self):
+        fleet = self.fleet
+        running = {task.partition(".")[0] for task, _ in fleet.running()}
+        usable = [h for h in fleet.hosts.values() if h.usable]
+        used = sum(
+            fleet.stage_of(task).demand.millicores
+            for host in usable
+            for task in host.runner.runs
+        )
+        if used * 2 >= sum(host.cores for host in usable) * 1000:
+            return
+        for name, ready in self._open_tasks():
+            if name not in running and any(
+                self._has_room(task, stage) for task, stage in ready
+            ):
+                yield "idle pipeline", name, IDLE_S
+
+    def _has_room(self, task, stage):
+        needed = stage.count if stage.gang else 1
+        return (
+            faultfleet.free_slots(self.fleet, stage, task.rpartition(".")[0])
+            >= 2 * needed
+        )
+
+    def _stuck(self):
+        fleet = self.fleet
+        if not fleet.leads:
+            return
+        for key, state, worker in faultfleet.stuck_attempts(fleet):
+            host = next(
+                (h for h in fleet.hosts.values() if h.worker == worker), None
+            )
+            if host is not None and host.usable:
+                yield f"stuck {state}", (key, worker), STUCK_S
+        for host in fleet.hosts.values():
+            worker = fleet.scheduler.workers.get(host.key)
+            if host.usable and not (
+                worker is not None and worker.is_schedulable(fleet.now)
+            ):
+                yield "unschedulable worker", host.name, STUCK_S
+
+
+class Scenario:
+    """A random scenario with bursts of faults and calm times.
+
+    Args:
+        seed: Seed of the random choices.
+        timed: Whether some pipelines have occurrences with due times.
+    """
+
+    def __init__(self, seed, timed=True):
+        self.random = random.Random(seed)
+        self.timed = timed
+        names = tuple(f"w{n + 1}" for n in range(self.random.randint(2, 5)))
+        self.fleet = faultfleet.FaultFleet(
+            names, self.random.choice((6, 10)), self.random.choice((1, 1, 2))
+        )
+        self.fleet.commit_steps = self.random.choice((0, 0, 1, 3))
+        self.fleet.lists_at_once = self.random.random() < 0.3
+        self.watch = Watch(self.fleet)
+        self.actions = []
+        self.log = []
+        self.count = 0
+        self.lasting_millicores = 0
+
+    def play(self):
+        """Plays the scenario; returns the violations."""
+        self.run_for(1)
+        for _ in range(self.random.randint(1, 3)):
+            self.submit_lasting()
+        for _ in range(self.random.randint(2, 5)):
+            window_s = self.random.choice((0.5, 2.0, 6.0))
+            for _ in range(self.random.randint(1, 6)):
+                self.at(self.random.uniform(0, window_s), self.inject)
+            for _ in range(self.random.randint(0, 3)):
+                self.at(self.random.uniform(0, 10), self.submit_batch)
+            if self.random.random() < 0.4:
+                self.at(self.random.uniform(0, 10), self.submit_lasting)
+            if self.random.random() < 0.1:
+                self.at(self.random.uniform(0, 10), self.cancel)
+            self.run_for(window_s + self.random.choice((1, 4, 10, 16)))
+        while self.actions or self.watch.active:
+            self.run_for(faultfleet.STEP_S)
+        self.run_for(RECOVERY_S + 3 * IDLE_S)
+        return self.watch.violations
+
+    def at(self, delay_s, action):
+        """Schedules an action."""
+        self.actions.append((self.fleet.now + delay_s, action))
+
+    def run_for(self, seconds):
+        """Advances the fleet, with the scheduled actions."""
+        for _ in range(round(seconds / faultfleet.STEP_S)):
+            due = [a for a in self.actions if a[0] <= self.fleet.now]
+            self.actions = [a for a in self.actions if a[0] > self.fleet.now]
+            for _, action in due:
+                action()
+            self.watch.step()
+
+    def note(self, text):
+        """Records what was done, to explain a violation."""
+        self.log.append(f"{self.fleet.now:.1f} {text}")
+
+    def submit(self, *stages, **fields):
+        """Submits a pipeline under a new name."""
+        self.count += 1
+        name = f"p{self.count}"
+        self.note(f"submit {name} {stages} {fields}")
+        self.fleet.submit(name, *stages, **fields)
+
+    def submit_lasting(self):
+        """Submits lasting tasks while they need less than half of the room."""
+        count = self.random.randint(1, 3)
+        millicores = self.random.choice((500, 1000, 2500))
+        capacity = len(self.fleet.hosts) * self.fleet.cores * 1000
+        if self.lasting_millicores + count * millicores > 0.4 * capacity:
+            return
+        self.lasting_millicores += count * millicores
+        fields = {}
+        if self.random.random() < 0.5:
+            fields = {
+                "latency_target_ms": 50.0,
+                "image": self.random.choice(("s1", "s2")),
+                "skippable": self.random.choice((0, 1)),
+            }
+        if self.random.random() < 0.2:
+            fields["most_per_worker"] = 2
+        if self.random.random() < 0.1:
+            fields["gang"] = True
+        if self.random.random() < 0.2:
+            fields["label"] = self.random.choice(("a", "b"))
+        self.submit(
+            pipelines.stage(
+                count,
+                millicores,
+                lasting=True,
+                estimate_ms=0,
+                checkpointing=self.random.random() < 0.5,
+                **fields,
+            ),
+            queue=self.random.choice(("recast", "fit", "advised")),
+        )
+
+    def submit_batch(self):
+        """Submits a pipeline that ends."""
+        stages = []
+        for number in range(self.random.randint(1, 3)):
+            fields = {}
+            if self.random.random() < 0.3:
+                fields = {
+                    "filler": True,
+                    "image": self.random.choice(("f1", "f2")),
+                }
+            elif self.random.random() < 0.2:
+                fields["gang"] = True
+            stages.append(
+                pipelines.stage(
+                    self.random.randint(1, 4),
+                    self.random.choice((500, 1000, 2000)),
+                    estimate_ms=self.random.choice((300, 1500, 6000)),
+                    checkpointing=self.random.random() < 0.5,
+                    after=(number - 1,) if number else (),
+                    **fields,
+                )
+            )
+        timing = {}
+        if self.random.random() < 0.2 and self.timed:
+            timing = {
+                "occurrences": 3,
+                "first_run_ms": int(self.fleet.now * 1000) + 500,
+                "interval_ms": 3000,
+            }
+        self.submit(
+            *stages,
+            queue=self.random.choice(("recast", "fit", "advised")),
+            **timing,
+        )
+
+    def cancel(self):
+        """Cancels a pipeline."""
+        if not self.fleet.rows:
+            return
+        name = self.random.choice(sorted(self.fleet.rows))
+        self.note(f"cancel {name}")
+        self.fleet.cancel(name)
+
+    def inject(self):
+        """Injects a random fault."""
+        self.watch.disturb()
+        faults = (
+            self.lose_leaders,
+            self.lose_leaders,
+            self.restart_worker,
+            self.restart_agent,
+            self.deregister,
+            self.lose_for_good,
+            self.fail_commits,
+            self.change_queues,
+            self.silence_advisor,
+            self.toggle,
+            self.toggle,
+            self.toggle,
+            self.toggle,
+        )
+        self.random.choice(faults)()
+
+    def sound_host(self):
+        """Returns a random host whose worker and agent run."""
+        hosts = [
+            h
+            for h in self.fleet.hosts.values()
+            if not (h.down or h.agent.down or h.draining)
+        ]
+        return self.random.choice(hosts) if hosts else None
+
+    def hold_fault(self, duration_s, end):
+        """Keeps a fault active for a time."""
+        self.watch.active += 1
+
+        def finish():
+            end()
+            self.watch.active -= 1
+            self.watch.disturb()
+
+        self.at(duration_s, finish)
+
+    def duration_s(self):
+        """Returns a random duration of a fault."""
+        return self.random.choice((0.3, 1.0, 2.5, 4.0, 7.5, 10.0))
+
+    def lose_leaders(self):
+        """Loses one or several leaders in a row."""
+        delay_s = 0.0
+        for _ in range(self.random.choice((1, 1, 2, 3))):
+            gap_s = self.random.choice((0.1, 1.0, 1.8, 3.0))
+            self.at(delay_s, self.lose_leader)
+            self.at(delay_s + gap_s, self.start_leader)
+            delay_s += gap_s + self.random.choice((0.1, 0.5, 1.5, 4.0))
+
+    def lose_leader(self):
+        """Loses the leader."""
+        self.watch.disturb()
+        self.note("lose leader")
+        self.fleet.lose_leader(self.random.random() < 0.5)
+
+    def start_leader(self):
+        """Starts a leader unless one runs."""
+        if self.fleet.leaderless:
+            self.fleet.start_leader()
+            self.note(f"leader {self.fleet.epoch}")
+
+    def restart_worker(self):
+        """Restarts a worker under its id or another one."""
+        host = self.sound_host()
+        if host is None:
+            return
+        name = host.name
+        worker_id = self.random.choice(
+            (None, f"{name}-{int(self.fleet.now * 10)}")
+        )
+        duration_s = self.duration_s()
+        self.note(f"worker {name} restarts as {worker_id} in {duration_s}")
+        self.fleet.stop_worker(name)
+
+        def end():
+            if not host.agent.lost:
+                self.fleet.return_worker(name, worker_id)
+
+        self.hold_fault(duration_s, end)
+
+    def restart_agent(self):
+        """Restarts an agent."""
+        host = self.sound_host()
+        if host is None:
+            return
+        duration_s = self.duration_s()
+        self.note(f"{host.agent.name} restarts in {duration_s}")
+        self.fleet.stop_agent(host.agent)
+
+        def end():
+            if not host.agent.lost:
+                self.fleet.return_agent(host.agent)
+
+        self.hold_fault(duration_s, end)
+
+    def deregister(self):
+        """Drains a worker, which deregisters and may come back."""
+        host = self.sound_host()
+        if host is None:
+            return
+        comes_back = self.random.random() < 0.7 or self.spare_hosts() < 1
+        duration_s = self.duration_s()
+        self.note(f"worker {host.name} leaves, returns: {comes_back}")
+        host.draining = True
+
+        def come_back():
+            if not host.agent.lost:
+                self.fleet.return_worker(host.name)
+
+        def leave():
+            self.fleet.deregister_worker(host.name)
+            if comes_back:
+                self.hold_fault(duration_s, come_back)
+
+        self.hold_fault(2.0, leave)
+
+    def spare_hosts(self):
+        """Returns how many hosts may still be lost for good."""
+        return sum(not h.down for h in self.fleet.hosts.values()) - 2
+
+    def lose_for_good(self):
+        """Loses a worker for good, with its agent or alone."""
+        host = self.sound_host()
+        if host is None or self.spare_hosts() < 1:
+            return
+        count = len(self.fleet.hosts_of(host.agent))
+        if self.random.random() < 0.5 and self.spare_hosts() >= count:
+            self.note(f"{host.agent.name} and its workers are lost")
+            self.fleet.lose_agent(host.agent)
+        else:
+            self.note(f"worker {host.name} is lost")
+            self.fleet.stop_worker(host.name)
+
+    def fail_commits(self):
+        """Lets commits fail for some time."""
+        duration_s = self.duration_s()
+        self.note(f"store down for {duration_s}")
+        self.fleet.store_down = True
+
+        def end():
+            self.fleet.store_down = False
+
+        self.hold_fault(duration_s, end)
+
+    def change_queues(self):
+        """Removes a queue from the configuration for some time."""
+        removed = self.random.choice(faultfleet.TABLE.queues)
+        duration_s = self.duration_s()
+        self.note(f"queue {removed.name} removed for {duration_s}")
+        kept = tuple(q for q in faultfleet.TABLE.queues if q is not removed)
+        self.fleet.set_table(queues.QueueTable(2, kept))
+        self.hold_fault(
+            duration_s, lambda: self.fleet.set_table(faultfleet.TABLE)
+        )
+
+    def silence_advisor(self):
+        """Lets the advisor answer nothing for some time."""
+        duration_s = self.duration_s()
+        self.note(f"advisor down for {duration_s}")
+        self.fleet.advisor_down = True
+
+        def end():
+            self.fleet.advisor_down = False
+
+        self.hold_fault(duration_s, end)
+
+    def toggle(self):
+        """Sets a flag of a host or its agent for some time."""
+        host = self.sound_host()
+        if host is None:
+            return
+        flag, value = self.random.choice(
+            (
+                ("partitioned", True),
+                ("partitioned", True),
+                ("reports_lost", True),
+                ("orders_lost", True),
+                ("report_delay_s", 0.5),
+                ("report_delay_s", 2.5),
+                ("delays_starts", True),
+                ("unreachable", True),
+                ("busy", True),
+                ("failing", True),
+                ("hung", True),
+                ("cores", 2),
+            )
+        )
+        duration_s = self.duration_s()
+        target = next(
+            t for t in (host, host.agent, host.runner) if hasattr(t, flag)
+        )
+        usual = getattr(target, flag)
+        if usual and flag != "cores":
+            return
+        self.note(f"{host.name} {flag} {value} for {duration_s}")
+        setattr(target, flag, value)
+
+        def end():
+            setattr(
+                target, flag, self.fleet.cores if flag == "cores" else usual
+            )
+
+        self.hold_fault(duration_s, end)
+
+
+class TestRandomFaults:
+    @pytest.mark.parametrize("seed", range(8))
+    def test_no_ready_task_with_room_stands_still(self, seed):
+        """Guards against tasks that are not started for long after faults."""
+        scenario = Scenario(seed)
+        violations = scenario.play()
+        assert not violations, "\n".join([*scenario.log, *map(str, violations)])
+
+
+def calm_fleet(names=("w1", "w2"), cores=8):
+    """Returns a fleet whose workers are schedulable."""
+    fleet = faultfleet.FaultFleet(names, cores)
+    fleet.run_for(1.5)
+    return fleet
+
+
+def workers_of(fleet, task):
+    """Returns the hosts on which a task runs."""
+    return [host for other, host in fleet.running() if other == task]
+
+
+class TestLostOrders:
+    def test_result_of_a_restarted_agent_is_applied(self):
+        """Guards against a refused start that counts as ordered for ever.
+
+        The agent restarted while its worker had no leases, and numbers its
+        results from 1 again.
+        """
+        fleet = calm_fleet(names=("w1",))
+        for number in range(10):
+            fleet.submit(f"p{number}")
+        fleet.run_for(5)
+        fleet.stop_agent(fleet.hosts["w1"].agent)
+        fleet.run_for(10)
+        fleet.return_agent(fleet.hosts["w1"].agent)
+        fleet.run_for(4)
+        fleet.hosts["w1"].busy = True
+        fleet.submit("a", pipelines.stage(lasting=True))
+        fleet.run_for(1)
+        fleet.hosts["w1"].busy = False
+        fleet.run_for(9)
+        assert workers_of(fleet, "a.0.0.0")
+
+
+class TestOtherTasks:
+    def test_many_tasks_without_room_do_not_hide_a_lasting_one(self):
+        """Guards against a lasting task behind a wide pipeline."""
+        fleet = calm_fleet()
+        fleet.submit(
+            "wide",
+            pipelines.stage(
+                starts.MAX_CONSIDERED_TASKS, 9000, estimate_ms=60_000
+            ),
+            queue="fit",
+        )
+        fleet.submit("a", pipelines.stage(lasting=True))
+        fleet.run_for(9)
+        assert workers_of(fleet, "a.0.0.0")
+
+
+class TestLostWithTheLeader:
+    def test_leaders_that_are_lost_at_once_do_not_add_their_waits(self):
+        """Guards against a wait that each of several leaders begins anew.
+
+        None of them leads for long enough to list the silent worker.
+        """
+        fleet = calm_fleet(names=("w1", "w2", "w3"))
+        fleet.submit("a", pipelines.stage(lasting=True))
+        fleet.run_for(4)
+        (name,) = workers_of(fleet, "a.0.0.0")
+        fleet.lose_agent(fleet.hosts[name].agent)
+        for _ in range(3):
+            fleet.lose_leader()
+            fleet.run_for(1.8)
+            fleet.start_leader()
+            fleet.run_for(0.4)
+        fleet.run_for(CALM_S - 1.8 - 0.4)
+        assert workers_of(fleet, "a.0.0.0")
+
+
+class TestRestartedAgent:
+    def test_silent_worker_counts_until_its_leases_lapsed(self):
+        """Guards against a second run while the first has a lease.
+
+        The agent restarts and does not reach the worker, so that it drops it
+        after `DISCOVERY_S`; the next leader then waits for nobody.
+        """
+        fleet = calm_fleet()
+        fleet.submit("a", pipelines.stage(lasting=True))
+        fleet.run_for(3)
+        (name,) = workers_of(fleet, "a.0.0.0")
+        fleet.hosts[name].unreachable = True
+        fleet.stop_agent(fleet.hosts[name].agent)
+        fleet.step()
+        fleet.return_agent(fleet.hosts[name].agent)
+        fleet.lose_leader()
+        fleet.run_for(1.8)
+        fleet.start_leader()
+        watch = Watch(fleet)
+        for _ in range(100):
+            watch.step()
+        assert not watch.violations
