--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -577,7 +577,72 @@
     return [host for other, host in fleet.running() if other == task]
 
 
+class TestTimedPipelines:
+    def test_new_leader_adopts_tasks_of_an_occurrence(self):
+        """Guards against stopping a running occurrence and running it twice.
+
+        The list arrives before the first round, which opens the occurrence.
+        """
+        fleet = calm_fleet()
+        fleet.lists_at_once = True
+        fleet.submit(
+            "a",
+            pipelines.stage(estimate_ms=20_000),
+            occurrences=2,
+            first_run_ms=int(fleet.now * 1000) + 100,
+            interval_ms=60_000,
+        )
+        fleet.run_for(1)
+        (before,) = workers_of(fleet, "a.0.0.0")
+        fleet.lose_leader()
+        fleet.run_for(1)
+        fleet.start_leader()
+        for _ in range(20):
+            fleet.step()
+            assert workers_of(fleet, "a.0.0.0") == [before]
+
+    def test_members_of_a_gang_that_end_together_are_applied(self):
+        """Guards against a report that fails for want of the occurrence."""
+        fleet = calm_fleet()
+        fleet.submit(
+            "a",
+            pipelines.stage(4, gang=True),
+            occurrences=2,
+            first_run_ms=int(fleet.now * 1000) + 100,
+            interval_ms=2_000,
+        )
+        fleet.run_for(6)
+        assert not fleet.crashes
+        assert fleet.phase("a") is pipeline.Phase.COMPLETED
+
+
+class TestAdvice:
+    def test_occurrence_without_worker_does_not_hide_the_next(self):
+        """Guards against tasks behind those that no worker may run."""
+        fleet = calm_fleet()
+        workers = tuple(fleet.hosts)
+        name = next(
+            name
+            for name in map("p{}".format, range(1000))
+            if not any(faultfleet.approves(f"{name}.0.0", w) for w in workers)
+            and any(faultfleet.approves(f"{name}.1.0", w) for w in workers)
+        )
+        fleet.submit(name, queue="advised", occurrences=2)
+        fleet.run_for(IDLE_S + 2)
+        assert any(task == f"{name}.1.0.0" for _, task, _ in fleet.started)
+
+
 class TestLostOrders:
+    def test_order_is_sent_again_soon_after_an_outage(self):
+        """Guards against a start that waits for 9 s after its link is back."""
+        fleet = calm_fleet(names=("w1",))
+        fleet.hosts["w1"].agent.orders_lost = True
+        fleet.submit("a", pipelines.stage(lasting=True))
+        fleet.run_for(8)
+        fleet.hosts["w1"].agent.orders_lost = False
+        fleet.run_for(4)
+        assert workers_of(fleet, "a.0.0.0")
+
     def test_result_of_a_restarted_agent_is_applied(self):
         """Guards against a refused start that counts as ordered for ever.
 
@@ -599,6 +664,53 @@
         fleet.run_for(9)
         assert workers_of(fleet, "a.0.0.0")
 
+    def test_stop_of_an_unknown_attempt_outlives_its_agent(self):
+        """Guards against a worker that gets no attempts for ever.
+
+        Its agent restarted before it carried out the stop.
+        """
+        fleet = calm_fleet(names=("w1",))
+        fleet.submit("a", pipelines.stage(lasting=True))
+        fleet.run_for(1)
+        fleet.lose_leader()
+        del fleet.rows["a"]
+        fleet.stage_of = lambda task: pipelines.stage(lasting=True)
+        fleet.run_for(1)
+        host = fleet.hosts["w1"]
+        fleet.start_leader()
+        host.agent.orders_lost = True
+        host.agent.epoch = fleet.epoch
+        fleet.run_for(1)
+        fleet.stop_agent(fleet.hosts["w1"].agent)
+        fleet.run_for(1)
+        host.agent.orders_lost = False
+        fleet.return_agent(fleet.hosts["w1"].agent)
+        fleet.run_for(10)
+        assert not fleet.running()
+
+
+class TestReportOfAnEarlierProcess:
+    def test_it_does_not_silence_the_agent(self):
+        """Guards against a host whose reports are ignored for a whole term.
+
+        The first report of a term that the earlier process sent arrives after
+        those of its successor.
+        """
+        fleet = calm_fleet(names=("w1",))
+        fleet.lose_leader()
+        fleet.run_for(1)
+        fleet.start_leader()
+        fleet.hosts["w1"].agent.report_delay_s = 2.0
+        fleet.step()
+        fleet.stop_agent(fleet.hosts["w1"].agent)
+        fleet.run_for(0.5)
+        fleet.hosts["w1"].agent.report_delay_s = 0.0
+        fleet.return_agent(fleet.hosts["w1"].agent)
+        fleet.run_for(3)
+        fleet.submit("a", pipelines.stage(lasting=True))
+        fleet.run_for(9)
+        assert workers_of(fleet, "a.0.0.0")
+
 
 class TestOtherTasks:
     def test_many_tasks_without_room_do_not_hide_a_lasting_one(self):
@@ -615,8 +727,121 @@
         fleet.run_for(9)
         assert workers_of(fleet, "a.0.0.0")
 
+    def test_gang_between_two_tasks_of_a_stage_does_not_overfill(self):
+        """Guards against a choice that rests on room which a gang has taken."""
+        fleet = calm_fleet(cores=4)
+        fleet.submit(
+            "a",
+            pipelines.stage(2, 2000, estimate_ms=60_000),
+            pipelines.stage(4, 1000, estimate_ms=60_000, gang=True),
+        )
+        ready = fleet.scheduler.registry.pipelines["a"].ready
+        # As if its last attempt had ended after the gang became ready.
+        ready["a.0.0.1"] = ready.pop("a.0.0.1")
+        watch = Watch(fleet)
+        for _ in range(20):
+            watch.step()
+        assert not watch.violations
+
+
+class TestRefusals:
+    def test_task_that_all_workers_refused_is_not_tied_to_one(self):
+        """Guards against tries on one worker while another has room."""
+        fleet = calm_fleet()
+        for host in fleet.hosts.values():
+            host.busy = True
+        fleet.submit("a", pipelines.stage(lasting=True))
+        fleet.run_for(1.5)
+        task = fleet.scheduler.registry.find_task("a.0.0.0")
+        assert task.avoided_workers == {"w1", "w2"}
+        # The choice between equal workers falls on the first.
+        fleet.hosts["w2"].busy = False
+        fleet.run_for(9)
+        assert workers_of(fleet, "a.0.0.0")
+
+    def test_new_leader_continues_the_attempt_numbers(self):
+        """Guards against starts that a worker refuses as outdated.
+
+        Refused starts may use up the numbers that are set aside for a term.
+        """
+        fleet = calm_fleet(names=("w1",))
+        host = fleet.hosts["w1"]
+        fleet.submit("a", pipelines.stage(lasting=True))
+        task = fleet.scheduler.registry.find_task("a.0.0.0")
+        host.busy = True
+        while task.last_attempt < 2 * starts.ATTEMPTS_PER_EPOCH:
+            fleet.step()
+        host.busy = False
+        fleet.run_for(1)
+        host.runner.hung = host.busy = True
+        while fleet.running():
+            fleet.step()
+        fleet.run_for(4)
+        fleet.lose_leader()
+        host.runner.hung = host.busy = False
+        fleet.run_for(1)
+        fleet.start_leader()
+        fleet.run_for(9)
+        assert workers_of(fleet, "a.0.0.0")
+
+
+class TestFillers:
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"queue": "recast"},
+            {"queue": "advised"},
+            {"queue": "recast", "first_run_ms": 1, "interval_ms": 1},
+        ],
+        ids=["in time", "advised", "timed"],
+    )
+    def test_pipeline_is_not_idle_while_its_pace_would_be_low(self, fields):
+        """Guards against a filler that nothing but its pace holds back.
+
+        It slows the only service much; less than half of the room is used.
+        """
+        fleet = calm_fleet(names=("w1",))
+        serving = pipelines.stage(
+            lasting=True, image="s1", latency_target_ms=50.0
+        )
+        fleet.submit("service", serving)
+        fleet.run_for(4)
+        fleet.submit(
+            "first",
+            pipelines.stage(1, 1000, estimate_ms=6000, filler=True, image="f2"),
+        )
+        fleet.run_for(10)
+        name = next(
+            name
+            for name in map("p{}".format, range(100))
+            if faultfleet.approves(f"{name}.0.0", "w1")
+        )
+        # What the first one does to the service is known by now.
+        filler = pipelines.stage(
+            1, 1000, estimate_ms=60_000, filler=True, image="f2"
+        )
+        fleet.submit(name, filler, **fields)
+        fleet.run_for(IDLE_S + 1)
+        assert workers_of(fleet, f"{name}.0.0.0")
+
 
 class TestLostWithTheLeader:
+    def test_task_of_a_worker_lost_with_the_leader_starts_in_time(self):
+        """Guards against adding the leader's lease to those of the worker.
+
+        One machine, or one zone, takes both with it.
+        """
+        fleet = calm_fleet(names=("w1", "w2", "w3"))
+        fleet.submit("a", pipelines.stage(lasting=True))
+        fleet.run_for(4)
+        (name,) = workers_of(fleet, "a.0.0.0")
+        fleet.lose_agent(fleet.hosts[name].agent)
+        fleet.lose_leader()
+        fleet.run_for(faultfleet.LEADER_LEASE_S)
+        fleet.start_leader()
+        fleet.run_for(AFTER_RUN_S + IDLE_S - faultfleet.LEADER_LEASE_S)
+        assert workers_of(fleet, "a.0.0.0")
+
     def test_leaders_that_are_lost_at_once_do_not_add_their_waits(self):
         """Guards against a wait that each of several leaders begins anew.
 
