An occurrence that no worker may run hides no other

What callers saw or would see: LOST. Later occurrences of a pipeline whose queue needs advice stand still for ever once the advisor has approved no worker for one of them. Cause: a stage without a worker was passed over by its number, for all occurrences of its pipeline, although the advisor decides for each of them. Fix: it is passed over by occurrence and number. Evidence: test_occurrence_without_worker_does_not_hide_the_next fails on the code before.

--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -172,7 +172,7 @@
         workers = search.workers
         considered = 0
         search.begin_pipeline()
-        stages_without_worker: set[int] = set()
+        stages_without_worker: set[tuple[int, int]] = set()
         permitted: dict[str, list[fleet.Worker]] = {}
         for task in list(item.ready.values()):
             if task.not_before_s > now or self._attempts.has_attempts(task):
@@ -183,7 +183,8 @@
             if is_first_start and now - task.ready_since_s < GATHER_DELAY_S:
                 continue
             unrestricted = not (task.avoided_workers or task.suspect)
-            if unrestricted and task.stage_number in stages_without_worker:
+            stage_key = (task.occurrence, task.stage_number)
+            if unrestricted and stage_key in stages_without_worker:
                 continue
             considered += 1
             allowed = workers
@@ -200,7 +201,7 @@
             worker = search.choose(task, allowed)
             if worker is None:
                 if unrestricted:
-                    stages_without_worker.add(task.stage_number)
+                    stages_without_worker.add(stage_key)
                 self._report_unplaceable(task, workers)
                 continue
             self._start(task, worker, self._next_attempt(task), now)
