The end of a further gang member does not break off its report

What callers saw or would see: later starts and lapsing leases on a worker, each time members of a gang of a timed pipeline end together there. Cause: the first member's end completes the gang and drops its occurrence. That of the second raised a KeyError in the report, whose rest and grant were lost. Fix: an end of a task that is done changes nothing. Evidence: test_members_of_a_gang_that_end_together_are_applied fails on the code before (KeyError in a report).

--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -606,6 +606,8 @@
 
     def _complete_task(self, task: pipeline.Task, now: float) -> None:
         item = task.pipeline
+        if task.phase is pipeline.TaskPhase.DONE:
+            return
         ended_before = item.ended
         members = [task]
         if task.stage.gang:
