A new leader adopts the attempts of occurrences that were due

What callers would see: work that runs twice (TWICE). The attempts of an occurrence that opened before the takeover were stopped as unknown and started elsewhere at once, if a list of their worker came before the new leader's first round. Shown in the simulated fleet, not on the running system, where an earlier report usually causes that round. Cause: due occurrences were opened by rounds only. Class: an order of events taken for granted. Fix: a pipeline that is added opens what is due. Evidence: test_new_leader_adopts_tasks_of_an_occurrence fails on the code before.

--- a/pomelostair/pipelineregistry.py
+++ b/pomelostair/pipelineregistry.py
@@ -228,6 +228,9 @@
         if not item.ended:
             self._open[item.id] = item
             if declaration.timed:
+                # Attempts of these occurrences may be reported before the
+                # first round.
+                item.open_due(self._unix_ms(), now)
                 self._timed[item.id] = item
 
     def phase(self, pipeline_id: str) -> pipeline.Phase | None:
