The stop of an unknown attempt is ordered again after its agent restarted

What callers saw or would see: a worker that gets no new work while an unknown attempt runs there, if its agent restarts before it has carried the stop out. Cause: the orders of the agent's earlier process were dropped, while the attempt still counted as one whose stop is ordered. Fix: unknown attempts are forgotten with the orders, and stopped anew. Evidence: test_stop_of_an_unknown_attempt_outlives_its_agent fails on the code before.

--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -530,6 +530,8 @@
         running = {(row[0], row[1]) for row in state.running}
         ended = {(row[1], row[2]) for row in state.ended}
         worker.unconfirmed_orders.clear()
+        # Their stops may be among the cleared orders.
+        worker.orphans.clear()
         worker.applied_result = 0
         worker.instructed_s = 0.0
         for placement in worker.placements.values():
