Room that a gang took is not given to the next task

What callers would see: a worker over its capacity (LIMIT), if a gang is ready between two tasks of one stage. The test brings about that order by hand. Cause: the comparison of workers for a stage was kept while the gang was placed. Fix: it is dropped after a gang, as it is for each pipeline. Evidence: test_gang_between_two_tasks_of_a_stage_does_not_overfill fails on the code before.

--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -171,7 +171,7 @@
         """
         workers = search.workers
         considered = 0
-        search.begin_pipeline()
+        search.drop_comparison()
         stages_without_worker: set[tuple[int, int]] = set()
         permitted: dict[str, list[fleet.Worker]] = {}
         for task in list(item.ready.values()):
@@ -197,6 +197,7 @@
                 allowed = permitted[step]
             if task.stage.gang:
                 self._start_gang(task, allowed, now, may_start)
+                search.drop_comparison()
                 continue
             worker = search.choose(task, allowed)
             if worker is None:
@@ -505,8 +506,8 @@
         self._stage_key: tuple | None = None
         self._candidates: placement_module.Candidates | None = None
 
-    def begin_pipeline(self) -> None:
-        """Drops the comparison; attempts may have been placed since."""
+    def drop_comparison(self) -> None:
+        """Drops the comparison: other attempts may have been placed since."""
         self._candidates = None
 
     def choose(
