A start that is refused as outdated skips the numbers of a term

What callers would see: a task that waits 0.3 s for each attempt number that it used up beyond the 64 of a term, after the leader has changed. Cause: refused starts use up numbers, too, and a new leader begins with those of its own term, which a worker refuses if it has seen higher ones. Fix: such a refusal skips as many numbers as are set aside for a term. Evidence: test_new_leader_continues_the_attempt_numbers fails on the code before.

--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -788,6 +788,9 @@
         task.not_before_s = now + REFUSAL_RETRY_DELAY_S
         if reason == "ticket":
             self._starter.advice.discard_ticket(task, placement.worker)
+        if reason == "old":
+            # An earlier leader used more numbers than are set aside for a term.
+            task.last_attempt += pipelinestarts.ATTEMPTS_PER_EPOCH
         if reason == "busy":
             task.avoided_workers.add(placement.worker.id)
         self._attempts.remove(placement, now)
