A worker that only its agent reports keeps the end of its leases

Cause: an agent reports a dead worker as one that it can't reach. That made it a worker of the term, with a lease as if it had been granted when it was first reported, and the lease row then listed that later end instead of the earlier one. Class: a bound that is reset with each takeover. Fix: a worker that this leader has granted nothing is listed with its earlier end. Evidence: test_reported_worker_without_a_grant_keeps_its_earlier_end fails on the code before (110.9 s instead of 104 s).

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -204,7 +204,9 @@
         last_report_s: Monotonic time of the latest report.
         last_listed_s: Monotonic time of the latest report with a new list of
             what runs.
-        lease_granted_s: Monotonic time of the latest lease grant.
+        lease_granted_s: Monotonic time of the latest lease grant, or of the
+            first report in this term.
+        granted: Whether this leader has granted it a lease.
         registered: Whether its registration as a worker that may have work is
             durable.
         reconciled: Whether this leader has applied a report that lists its
@@ -250,6 +252,7 @@
     state: messages.WorkerState
     last_report_s: float
     lease_granted_s: float
+    granted: bool = False
     last_listed_s: float = 0.0
     registered: bool = False
     reconciled: bool = False
@@ -393,6 +396,11 @@
             and now - self.last_report_s < REPORT_FRESH_S
         )
 
+    def grant_lease(self, now: float) -> None:
+        """Records that a lease is granted now."""
+        self.lease_granted_s = now
+        self.granted = True
+
     def needs_answer(self, now: float, interval_s: float) -> bool:
         """Returns whether the latest report must be answered.
 
--- a/pomelostair/pipelinegrants.py
+++ b/pomelostair/pipelinegrants.py
@@ -90,7 +90,11 @@
             now: Monotonic seconds.
         """
         listed = {
-            key: worker.lease_granted_s + self._max_lease_s
+            key: (
+                worker.lease_granted_s + self._max_lease_s
+                if worker.granted
+                else self.earlier_lapse_s(key)
+            )
             for key, worker in workers.items()
             if now - max(worker.lease_granted_s, worker.last_listed_s)
             >= SILENT_S
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -726,7 +726,7 @@
             self._withheld.add(worker.key)
         else:
             lease_end_ms = worker.state.clock_ms + self._grant_ms
-            worker.lease_granted_s = now_s
+            worker.grant_lease(now_s)
         worker.instructed_s = now_s
         await self._send_instructions(worker, lease_end_ms)
 
--- a/tests/faultfleet.py
+++ b/tests/faultfleet.py
@@ -586,7 +586,7 @@
             self._withheld.add(worker.key)
         elif worker.state.fresh and worker.state.reachable:
             limit_ms = worker.state.clock_ms + simfleet.GRANT_MS
-            worker.lease_granted_s = self.now
+            worker.grant_lease(self.now)
         worker.instructed_s = self.now
         self._instruct(worker, (), limit_ms)
 
--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -347,7 +347,7 @@
             report, "bus", host.agent_incarnation, self.now
         ):
             if self.scheduler.grants.may_grant(worker.key):
-                worker.lease_granted_s = self.now
+                worker.grant_lease(self.now)
                 host.lease_limit_ms = max(
                     host.lease_limit_ms, worker_runner.clock_ms + GRANT_MS
                 )
--- a/tests/test_pipelinegrants.py
+++ b/tests/test_pipelinegrants.py
@@ -16,7 +16,9 @@
 
 
 def workers_granted_at(granted_s):
-    return {KEY: pipelines.worker("w1", now=granted_s)}
+    worker = pipelines.worker("w1")
+    worker.grant_lease(granted_s)
+    return {KEY: worker}
 
 
 class TestEarlierLeases:
@@ -90,6 +92,16 @@
         listed = grants.list_silent(workers, [KEY], 106.0)
         assert listed == {KEY: 103.0 + MAX_LEASE_S}
 
+    def test_reported_worker_without_a_grant_keeps_its_earlier_end(self):
+        """Guards against waits that begin anew for a worker that is dead.
+
+        Its agent still reports it to the next leader, as one that it can't
+        reach.
+        """
+        workers = {KEY: pipelines.worker("w1", now=103.0)}
+        listed = begin({KEY: 104.0}).list_silent(workers, [KEY], 106.0)
+        assert listed == {KEY: 104.0}
+
     def test_its_size_is_bounded(self):
         keys = [(f"w{n}", 1) for n in range(pipelinegrants.MAX_LISTED + 5)]
         listed = begin().list_silent({}, keys, 105.0)
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -270,6 +270,7 @@
     def add_worker(self, leader, silent_s=0.0, **changes):
         now_s = leader._clock.now()
         worker = pipelines.worker("w1", now=now_s - silent_s)
+        worker.grant_lease(now_s - silent_s)
         worker.state = attrs.evolve(worker.state, **changes)
         leader._scheduler.workers[worker.key] = worker
         return worker
