Waits of lasting tasks are reported first

Cause: 20 waits are reported in a check. Change: lasting tasks come first. Result: test_lasting_task_is_reported_before_all_others fails on the code before.

--- a/pomelostair/pipelinewaits.py
+++ b/pomelostair/pipelinewaits.py
@@ -148,6 +148,7 @@
             if now - task.ready_since_s >= REPORT_AFTER_S
             and not self._attempts.has_attempts(task)
         ]
+        waiting.sort(key=lambda task: not task.stage.lasting)
         unanswered = [
             placement
             for worker in self._workers.values()
--- a/tests/test_pipelinewaits.py
+++ b/tests/test_pipelinewaits.py
@@ -15,9 +15,9 @@
 REASON = pipelinewaits.Reason
 
 
-def waiting_pipeline(stage):
+def waiting_pipeline(stage, name="a"):
     return pipeline.Pipeline(
-        pipelines.declare("a", stage), 1, pipeline.Progress(), 0.0
+        pipelines.declare(name, stage), 1, pipeline.Progress(), 0.0
     )
 
 
@@ -89,6 +89,19 @@
         self.check_for(3.5, waiting_pipeline(wide))
         assert len(waits_in(caplog)) <= 2 * pipelinewaits.MAX_REPORTED
 
+    def test_lasting_task_is_reported_before_all_others(self, caplog):
+        pacer = pacing.Pacer(METRICS)
+        monitor = pipelinewaits.WaitMonitor(
+            {}, attempts.Attempts(pacer, METRICS), pacer, METRICS
+        )
+        many = waiting_pipeline(pipelines.stage(500))
+        service = waiting_pipeline(pipelines.stage(lasting=True), "service")
+        monitor.check(
+            [many, service], lambda task: False, pipelines.TABLE, (), 3.0
+        )
+        lasting = service.tasks(0, 0)[0]
+        assert waits_in(caplog)[0].task == lasting.id
+
     def test_wait_for_an_earlier_leader_names_the_agents(self, caplog):
         fleet = simfleet.Fleet(names=("w1", "w2"))
         fleet.run_for(1)
