The leader forgets the crashes of tasks that have ended

What operators would see: memory that grows with each crash during a long term. Found by reading, before any landing. Cause: tasks with crashes stayed in the tracker's index until a task was given up. Fix: each crash drops the ended ones first. Evidence: test_ended_tasks_are_forgotten fails on the code before: the index still holds the task of a cancelled pipeline.

--- a/pomelostair/pipelinecrashes.py
+++ b/pomelostair/pipelinecrashes.py
@@ -125,6 +125,7 @@
         ]
         suspects = len({task_id.partition(".")[0] for task_id in latest})
         hopeless = []
+        self._forget_ended()
         for task_id, attempt, ran_ms in crash.attempts:
             task = self._registry.find_task(task_id)
             if task is None or not _is_news(task, attempt):
@@ -187,10 +188,9 @@
             guilty: A task that was given up.
         """
         causes = {(c.host, c.life) for c in guilty.crashes if c.suspects}
-        for task in list(self._recorded.values()):
-            if task.pipeline.ended or task.phase is pipeline.TaskPhase.DONE:
-                del self._recorded[task.id]
-            elif any((c.host, c.life) in causes for c in task.crashes):
+        self._forget_ended()
+        for task in self._recorded.values():
+            if any((c.host, c.life) in causes for c in task.crashes):
                 task.crashes = [
                     attrs.evolve(c, suspects=0)
                     if (c.host, c.life) in causes
@@ -201,6 +201,11 @@
                 for placement in self._attempts.of_task(task):
                     self._attempts.mark_unproven(placement)
 
+    def _forget_ended(self) -> None:
+        for task in list(self._recorded.values()):
+            if task.pipeline.ended or task.phase is pipeline.TaskPhase.DONE:
+                del self._recorded[task.id]
+
     def _record(
         self,
         task: pipeline.Task,
--- a/tests/test_pipelinecrashes.py
+++ b/tests/test_pipelinecrashes.py
@@ -431,6 +431,15 @@
         assert not other.suspect
         assert harness.task.suspect
 
+    def test_ended_tasks_are_forgotten(self):
+        """Guards against memory that grows with the crashes of a long term."""
+        harness = Harness()
+        harness.crash(1, others=("b.0.0.0",))
+        other = harness.registry.find_task("b.0.0.0")
+        other.pipeline.end(pipeline.Phase.CANCELLED, 1)
+        harness.crash(2)
+        assert list(harness.tracker._recorded) == ["a.0.0.0"]
+
     def test_unknown_and_ended_tasks_are_ignored(self):
         harness = Harness()
         harness.task.pipeline.end(pipeline.Phase.CANCELLED, 1)
