--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -230,7 +230,6 @@
             no order, or none was unconfirmed, or all were sent again.
         resends: How often all were sent again since then, with no report in
             between.
-        last_resend_s: Monotonic time at which all were last sent again.
         instructed_s: Monotonic time of the latest answer to a report.
         agent_incarnation: Incarnation of the agent's process.
         suspect_until_s: Monotonic time until which it gets no new attempts.
@@ -269,7 +268,6 @@
     last_sent_order_number: int = 0
     orders_confirmed_s: float = 0.0
     resends: int = 0
-    last_resend_s: float = 0.0
     instructed_s: float = 0.0
     agent_incarnation: str = ""
     suspect_until_s: float = 0.0
@@ -429,7 +427,8 @@
         """Returns the orders to send now.
 
         Each order is sent once. All unconfirmed ones are sent again when the
-        agent confirms none for a time, which doubles with each repetition.
+        agent confirms none for a time, which doubles with each repetition while
+        the agent reports nothing.
 
         Args:
             now: Monotonic seconds.
@@ -441,13 +440,13 @@
             self.resends = 0
         elif now - self.orders_confirmed_s >= resend_after_s * 2**self.resends:
             first_number = 0
+            # A report since shows that the agent is there, and only the orders
+            # were lost.
+            if self.last_report_s > self.orders_confirmed_s:
+                self.resends = 0
+            else:
+                self.resends = min(self.resends + 1, MAX_RESEND_DOUBLINGS)
             self.orders_confirmed_s = now
-            # Reports show that the agent is there, and only the orders lost.
-            is_silent = self.last_report_s < self.last_resend_s
-            self.resends = is_silent * min(
-                self.resends + 1, MAX_RESEND_DOUBLINGS
-            )
-            self.last_resend_s = now
         self.last_sent_order_number = self.last_order_number
         return tuple(
             o for o in self.unconfirmed_orders if o.number >= first_number
