--- a/pomelostair/pipelinegrants.py
+++ b/pomelostair/pipelinegrants.py
@@ -28,8 +28,8 @@
 
     def __init__(self, max_lease_s: float):
         self._max_lease_s = max_lease_s
-        self._earlier_lapse_s: dict[fleet.WorkerKey, float] = {}
-        self._other_earlier_lapse_s = 0.0
+        self._listed_lapse_s: dict[fleet.WorkerKey, float] = {}
+        self._other_lapse_s = 0.0
         # Workers that the stored lease row lists, and that the one lists which
         # is being stored.
         self._stored: frozenset[fleet.WorkerKey] = frozenset()
@@ -49,10 +49,10 @@
                 the lease row lists.
             other_lapse_s: The same for all other workers.
         """
-        self._earlier_lapse_s = {
+        self._listed_lapse_s = {
             key: min(lapse_s, other_lapse_s) for key, lapse_s in listed.items()
         }
-        self._other_earlier_lapse_s = other_lapse_s
+        self._other_lapse_s = other_lapse_s
         self._stored = frozenset(listed)
 
     def earlier_lapse_s(self, key: fleet.WorkerKey | None = None) -> float:
@@ -62,8 +62,8 @@
             key: Worker id and incarnation, None for unknown ones.
         """
         if key is None:
-            return self._other_earlier_lapse_s
-        return self._earlier_lapse_s.get(key, self._other_earlier_lapse_s)
+            return self._other_lapse_s
+        return self._listed_lapse_s.get(key, self._other_lapse_s)
 
     def may_grant(self, key: fleet.WorkerKey) -> bool:
         """Returns whether a worker may be granted a lease now."""
@@ -73,7 +73,7 @@
             and key not in self._pending
         )
 
-    def list_silent(
+    def next_silent(
         self,
         workers: Mapping[fleet.WorkerKey, fleet.Worker],
         unreported: Iterable[fleet.WorkerKey],
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -499,7 +499,7 @@
     def _handover(self, now_s: float) -> pipelinelease.Handover:
         """Returns what the next leader learns from the lease row."""
         silent = []
-        listed = self._scheduler.list_silent(now_s)
+        listed = self._scheduler.next_silent(now_s)
         for (worker, life), lapse_s in listed.items():
             end_ms = self._lease.store_time_ms(lapse_s)
             if end_ms is not None:
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -128,7 +128,7 @@
         self._earlier_placements_recorded = False
         # Pipelines whose stored progress may lack placements of lasting tasks;
         # None until all attempts of earlier terms are known.
-        self._unrecorded: set[str] | None = None
+        self._to_record: set[str] | None = None
         self._pacer = pacing.Pacer(metrics)
         self._attempts = attempts_module.Attempts(self._pacer, metrics)
         self._registry = pipelineregistry.PipelineRegistry(
@@ -174,9 +174,9 @@
         """Grants of leases to the workers."""
         return self._grants
 
-    def list_silent(self, now: float) -> dict[fleet.WorkerKey, float]:
+    def next_silent(self, now: float) -> dict[fleet.WorkerKey, float]:
         """Returns the silent workers, see `pipelinegrants.Grants`."""
-        return self._grants.list_silent(
+        return self._grants.next_silent(
             self._workers, self._reconciliation.keys, now
         )
 
@@ -200,7 +200,7 @@
 
         The next leader then need not wait for all workers to start one.
         """
-        return self._earlier_placements_recorded or self._unrecorded == set()
+        return self._earlier_placements_recorded or self._to_record == set()
 
     def confirm(self, batch: pipelineregistry.Batch) -> list[fleet.Worker]:
         """Records that a batch is durable.
@@ -210,9 +210,9 @@
             their agents must be notified.
         """
         self._registry.confirm(batch)
-        if self._unrecorded:
+        if self._to_record:
             # A batch on its way may be older than what has to be recorded.
-            self._unrecorded.difference_update(
+            self._to_record.difference_update(
                 name
                 for name in batch.progress
                 if not self._registry.is_changed(name)
@@ -238,6 +238,8 @@
         """Drops the state of a pipeline whose declaration was removed."""
         self._registry.forget(pipeline_id)
         self._starter.forget(pipeline_id)
+        if self._to_record:
+            self._to_record.discard(pipeline_id)
 
     @property
     def epoch(self) -> int:
@@ -879,16 +881,16 @@
 
     def _forget_earlier_attempts(self) -> None:
         """Applies, once, that all attempts of earlier terms are known."""
-        if self._unrecorded is not None:
+        if self._to_record is not None:
             return
-        self._unrecorded = set()
+        self._to_record = set()
         for item in self._registry.open.values():
             if not item.declaration.lasting:
                 continue
             item.forget_earlier_attempts()
             if not self._earlier_placements_recorded:
                 self._registry.mark_changed(item)
-                self._unrecorded.add(item.id)
+                self._to_record.add(item.id)
 
     def _may_start_any(self, item: pipeline.Pipeline) -> bool:
         """Returns whether any task of a pipeline may be allowed to start."""
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -69,7 +69,7 @@
         self._record = record
         # Attempts of lasting tasks whose workers are not stored yet, by
         # pipeline.
-        self._unrecorded: dict[str, list[fleet.Placement]] = {}
+        self._withheld_starts: dict[str, list[fleet.Placement]] = {}
         self._attempts = attempts
         self._pacer = pacer
         self._metrics = metrics
@@ -83,7 +83,7 @@
 
     def forget(self, pipeline_id: str) -> None:
         """Drops the state of a pipeline."""
-        self._unrecorded.pop(pipeline_id, None)
+        self._withheld_starts.pop(pipeline_id, None)
         self._unplaceable.discard(pipeline_id)
         self._advice.forget(pipeline_id)
 
@@ -416,10 +416,10 @@
             Workers with new orders.
         """
         released = []
-        for pipeline_id in stored.keys() & self._unrecorded.keys():
+        for pipeline_id in stored.keys() & self._withheld_starts.keys():
             placed = stored[pipeline_id].placed
             left = []
-            for placement in self._unrecorded.pop(pipeline_id):
+            for placement in self._withheld_starts.pop(pipeline_id):
                 task = placement.task
                 if (
                     self._attempts.get(placement.key) is not placement
@@ -437,7 +437,7 @@
                 if placement.worker not in released:
                     released.append(placement.worker)
             if left:
-                self._unrecorded[pipeline_id] = left
+                self._withheld_starts[pipeline_id] = left
         return released
 
     def _order_start(self, placement: fleet.Placement, now: float) -> None:
@@ -453,7 +453,9 @@
         placement.known_capacity = worker.state.capacity
         if task.stage.lasting:
             task.earlier_placed_on = frozenset()
-            self._unrecorded.setdefault(task.pipeline.id, []).append(placement)
+            self._withheld_starts.setdefault(task.pipeline.id, []).append(
+                placement
+            )
             self._record(task.pipeline)
         else:
             self._enqueue_start(placement)
--- a/tests/faultfleet.py
+++ b/tests/faultfleet.py
@@ -761,7 +761,7 @@
         batch = self.scheduler.next_batch()
         handover = None
         if self.leads:
-            silent = self.scheduler.list_silent(self.now)
+            silent = self.scheduler.next_silent(self.now)
             handover = self.scheduler.placements_recorded, silent
         return batch, handover
 
--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -432,7 +432,7 @@
 
     def _commit(self):
         self.placements_recorded = self.scheduler.placements_recorded
-        self.silent = self.scheduler.list_silent(self.now)
+        self.silent = self.scheduler.next_silent(self.now)
         self.scheduler.grants.confirm()
         self.has_committed = True
         batch = self.scheduler.next_batch()
--- a/tests/test_pipelinegrants.py
+++ b/tests/test_pipelinegrants.py
@@ -10,7 +10,7 @@
     grants = pipelinegrants.Grants(MAX_LEASE_S)
     grants.begin(dict(listed), 110.0)
     if announced:
-        grants.list_silent({}, list(dict(listed)), 100.0)
+        grants.next_silent({}, list(dict(listed)), 100.0)
         grants.confirm()
     return grants
 
@@ -41,7 +41,7 @@
         """
         grants = begin(announced=False)
         assert not grants.may_grant(KEY)
-        grants.list_silent({}, [], 100.0)
+        grants.next_silent({}, [], 100.0)
         assert not grants.may_grant(KEY)
         grants.cancel()
         assert not grants.may_grant(KEY)
@@ -52,7 +52,7 @@
         grants = begin({KEY: 104.0})
         assert not grants.may_grant(KEY)
         assert grants.may_grant(("w2", 1))
-        assert not grants.list_silent(workers_granted_at(100.0), [], 100.1)
+        assert not grants.next_silent(workers_granted_at(100.0), [], 100.1)
         assert not grants.may_grant(KEY)
         grants.confirm()
         assert grants.may_grant(KEY)
@@ -60,7 +60,7 @@
     def test_list_that_is_being_stored_counts(self):
         grants = begin()
         assert grants.may_grant(KEY)
-        listed = grants.list_silent(workers_granted_at(100.0), [], 103.0)
+        listed = grants.next_silent(workers_granted_at(100.0), [], 103.0)
         assert listed == {KEY: 100.0 + MAX_LEASE_S}
         assert not grants.may_grant(KEY)
         grants.cancel()
@@ -68,7 +68,7 @@
 
     def test_failed_commit_leaves_the_stored_list_in_force(self):
         grants = begin({KEY: 104.0})
-        grants.list_silent({}, [], 101.0)
+        grants.next_silent({}, [], 101.0)
         grants.cancel()
         assert not grants.may_grant(KEY)
 
@@ -77,19 +77,19 @@
     def test_worker_with_recent_grants_is_not_listed(self):
         recent_s = 100.0 + pipelinegrants.SILENT_S - 0.1
         workers = workers_granted_at(100.0)
-        assert not begin().list_silent(workers, [], recent_s)
+        assert not begin().next_silent(workers, [], recent_s)
 
     def test_unreported_worker_keeps_its_earlier_end(self):
         grants = begin({KEY: 104.0})
-        listed = grants.list_silent({}, [KEY, ("w2", 1)], 100.0)
+        listed = grants.next_silent({}, [KEY, ("w2", 1)], 100.0)
         assert listed == {KEY: 104.0, ("w2", 1): 110.0}
 
     def test_worker_of_this_term_is_not_listed_with_an_earlier_end(self):
         """Another agent's registration may name it, too."""
         workers = workers_granted_at(103.0)
         grants = begin({KEY: 104.0})
-        assert not grants.list_silent(workers, [KEY], 103.1)
-        listed = grants.list_silent(workers, [KEY], 106.0)
+        assert not grants.next_silent(workers, [KEY], 103.1)
+        listed = grants.next_silent(workers, [KEY], 106.0)
         assert listed == {KEY: 103.0 + MAX_LEASE_S}
 
     def test_reported_worker_without_a_grant_keeps_its_earlier_end(self):
@@ -99,10 +99,10 @@
         reach.
         """
         workers = {KEY: pipelines.worker("w1", now=103.0)}
-        listed = begin({KEY: 104.0}).list_silent(workers, [KEY], 106.0)
+        listed = begin({KEY: 104.0}).next_silent(workers, [KEY], 106.0)
         assert listed == {KEY: 104.0}
 
     def test_its_size_is_bounded(self):
         keys = [(f"w{n}", 1) for n in range(pipelinegrants.MAX_LISTED + 5)]
-        listed = begin().list_silent({}, keys, 105.0)
+        listed = begin().next_silent({}, keys, 105.0)
         assert len(listed) == pipelinegrants.MAX_LISTED
