A dead worker keeps the end of its leases in short terms, too

Fix: it is listed until it has been granted a lease or its list is known. Evidence: test_reported_worker_without_a_grant_keeps_its_earlier_end fails on the code before for a term of 0.1 s.

--- a/pomelostair/pipelinegrants.py
+++ b/pomelostair/pipelinegrants.py
@@ -100,7 +100,7 @@
             >= SILENT_S
         }
         for key in unreported:
-            if key not in workers:
+            if key not in workers or not workers[key].granted:
                 listed[key] = self.earlier_lapse_s(key)
         listed = dict(list(listed.items())[:MAX_LISTED])
         self._pending = frozenset(listed)
--- a/tests/test_pipelinegrants.py
+++ b/tests/test_pipelinegrants.py
@@ -99,8 +99,9 @@
         reach.
         """
         workers = {KEY: pipelines.worker("w1", now=103.0)}
-        listed = begin({KEY: 104.0}).next_silent(workers, [KEY], 106.0)
-        assert listed == {KEY: 104.0}
+        for now in (103.1, 106.0):
+            listed = begin({KEY: 104.0}).next_silent(workers, [KEY], now)
+            assert listed == {KEY: 104.0}
 
     def test_its_size_is_bounded(self):
         keys = [(f"w{n}", 1) for n in range(pipelinegrants.MAX_LISTED + 5)]
