A new leader does not blame a task again that was acquitted

What callers would see: a healthy pipeline shown as failed (LOST), while its task runs. Cause: that a task had been seen to run after its crashes was known to the leader only. Agents go on reporting crashes, so the next leader counted them anew, before the agent of the running task had reported. Class: a fact that outlived its refutation. Fix: the highest acquitted attempt of a task is stored; crashes up to it count no more. Evidence: test_task_is_not_blamed_again_by_a_new_leader fails on the code before (failed instead of running), for lasting tasks and others.

--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -216,6 +216,8 @@
             without any are left out. None if they are not known.
         crashes: Crashes of workers under unfinished tasks, by
             "OCCURRENCE.STAGE.INDEX".
+        acquitted: Highest attempt of each unfinished task that was a suspect
+            and was seen to crash no worker, by the same key.
     """
 
     phase: Phase = Phase.QUEUED
@@ -226,6 +228,7 @@
     done_occurrences: codec.Count = 0
     placed: dict[str, list[tuple[str, codec.Count]]] | None = None
     crashes: dict[str, list[Crash]] = attrs.field(factory=dict)
+    acquitted: dict[str, codec.Count] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -589,6 +592,7 @@
         failed: dict[str, list[int]] = {}
         checkpoints: dict[str, str] = {}
         crashes: dict[str, list[Crash]] = {}
+        acquitted: dict[str, int] = {}
         for (occurrence, number), tasks in self._tasks.items():
             bits = 0
             for task in tasks:
@@ -601,6 +605,8 @@
                     checkpoints[task.key] = task.checkpoint
                 if task.crashes and len(crashes) < MAX_CRASHED_TASKS:
                     crashes[task.key] = list(task.crashes)
+                if task.proven_attempt and len(acquitted) < MAX_CRASHED_TASKS:
+                    acquitted[task.key] = task.proven_attempt
             if bits or self._declaration.timed:
                 size = (len(tasks) + 7) // 8
                 done[f"{occurrence}.{number}"] = bits.to_bytes(size, "little")
@@ -615,6 +621,7 @@
             self._done_occurrences,
             self._placed() if self._declaration.lasting else None,
             crashes,
+            acquitted,
         )
 
     def _open_next_occurrence(
@@ -652,6 +659,9 @@
                 task.crashes = list(
                     self._stored_progress.crashes.get(task.key, ())
                 )
+                task.proven_attempt = self._stored_progress.acquitted.get(
+                    task.key, 0
+                )
                 if bits >> index & 1:
                     task.phase = TaskPhase.DONE
                 tasks.append(task)
--- a/tests/test_pipelinecrashes.py
+++ b/tests/test_pipelinecrashes.py
@@ -290,6 +290,34 @@
             assert fleet.phase(name) is expected
 
 
+class TestAcquittal:
+    @pytest.mark.parametrize("lasting", [True, False])
+    def test_task_is_not_blamed_again_by_a_new_leader(self, lasting):
+        """Guards against failing healthy work that runs.
+
+        Agents report the crashes again to the new leader, before the agent of
+        the task has reported it.
+        """
+        fleet = simfleet.Fleet(names=names(8))
+        fleet.rebirth_s = 1e9
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.lasting = lasting
+            host.runner.work_ms = 300_000
+        fleet.submit("a", pipelines.stage(lasting=lasting, estimate_ms=300_000))
+        # Its first and third attempts crash at once, the second one later.
+        for number, ran_s in enumerate((0, 30, 0, 30)):
+            while len(fleet.starts) == number:
+                fleet.step()
+            fleet.run_for(ran_s)
+            if number < 3:
+                fleet.hosts[fleet.starts[-1][1]].runner.crash()
+        assert not fleet.scheduler.registry.find_task("a.0.0.0").crashes
+        fleet.start_leader(0.5)
+        fleet.run_for(1)
+        assert fleet.phase("a") is pipeline.Phase.RUNNING
+
+
 class TestHopeless:
     @pytest.mark.parametrize(
         ("crashes", "expected"),
