Silence of a worker is no proof that a task crashed it

What callers would see: a healthy pipeline shown as failed (LOST) after two freezes right after its starts, without any crash. Cause: a worker that is silent until its leases have lapsed counted as crashed under the tasks that it had just started. Class: a suspicion treated as a proof. Fix: such a crash is uncertain until a later incarnation proves it. It keeps the task apart and counts towards the limit of starts, but not towards the hosts that convict it. Evidence: TestFrozenWorkers fails on the code before.

--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -17,7 +17,7 @@
 MAX_STAGES = 64
 MAX_TASKS = 10_000
 # Most tasks of a pipeline whose crashes are stored, so that they fit in a row.
-MAX_CRASHED_TASKS = 200
+MAX_CRASHED_TASKS = 100
 
 
 @attrs.frozen
@@ -189,12 +189,14 @@
         life: Incarnation of the worker that crashed.
         suspects: Number of pipelines that may have caused it; 0 if another one
             than that of the attempt has.
+        certain: Whether the worker has certainly crashed.
     """
 
     attempt: int
     host: str
     life: int
     suspects: int
+    certain: bool = True
 
 
 @attrs.frozen
--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -923,7 +923,7 @@
             if key in self._gone_since_s
         ]
         silent = [
-            worker.crash()
+            attrs.evolve(worker.crash(), certain=False)
             for worker in self._workers.values()
             if worker.recent_starts
             and not worker.reachable
--- a/pomelostair/pipelinecrashes.py
+++ b/pomelostair/pipelinecrashes.py
@@ -42,7 +42,7 @@
 
 def is_hopeless(crashes: list[pipeline.Crash]) -> bool:
     """Returns whether a task with these crashes is given up."""
-    blamed = [crash for crash in crashes if crash.suspects]
+    blamed = [crash for crash in crashes if crash.suspects and crash.certain]
     hosts = {crash.host for crash in blamed}
     if len(crashes) >= MAX_CRASHES_IN_ALL or len(hosts) >= MAX_HOSTS_UNCERTAIN:
         return True
@@ -128,10 +128,14 @@
         self._forget_ended()
         for task_id, attempt, ran_ms in crash.attempts:
             task = self._registry.find_task(task_id)
-            if task is None or not _is_news(task, attempt):
+            if task is None or not _is_news(task, attempt, crash.certain):
                 continue
             record = pipeline.Crash(
-                attempt, host, crash.life, suspects if task_id in latest else 0
+                attempt,
+                host,
+                crash.life,
+                suspects if task_id in latest else 0,
+                crash.certain,
             )
             self._record(task, record, crash, ran_ms)
             later = [
@@ -213,6 +217,7 @@
         crash: messages.WorkerCrash,
         ran_ms: int,
     ) -> None:
+        task.crashes = [c for c in task.crashes if c.attempt != record.attempt]
         task.crashes.append(record)
         task.kept_apart_s = 0.0
         self._recorded[task.id] = task
@@ -231,11 +236,17 @@
         )
 
 
-def _is_news(task: pipeline.Task, attempt: int) -> bool:
-    """Returns whether a crash at an attempt of a task counts."""
+def _is_news(task: pipeline.Task, attempt: int, certain: bool) -> bool:
+    """Returns whether a crash at an attempt of a task counts.
+
+    One that was uncertain counts again once it is certain.
+    """
     return (
         not task.pipeline.ended
         and task.phase is not pipeline.TaskPhase.DONE
         and attempt > task.proven_attempt
-        and all(crash.attempt != attempt for crash in task.crashes)
+        and all(
+            crash.attempt != attempt or (certain and not crash.certain)
+            for crash in task.crashes
+        )
     )
--- a/pomelostair/pipelinemessages.py
+++ b/pomelostair/pipelinemessages.py
@@ -169,8 +169,8 @@
 class WorkerCrash:
     """Crash of an incarnation of a worker.
 
-    A worker that is silent until its leases have lapsed counts as crashed, as
-    it may be away for long.
+    A worker that is silent until its leases have lapsed may have crashed, as it
+    may be away for long.
 
     Attributes:
         worker: Id of the worker.
@@ -178,11 +178,14 @@
         attempts: Task, number and known run time in milliseconds of each
             attempt that had not ended and is not known to have run for
             `START_CRASH_S`.
+        certain: Whether a later incarnation proves the crash; otherwise the
+            worker may only be frozen or cut off.
     """
 
     worker: str
     life: int
     attempts: tuple[tuple[str, int, int], ...]
+    certain: bool = True
 
 
 @wire.message("worker-report")
--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -286,7 +286,9 @@
         )
         if not recent or host.loses_crashes:
             return ()
-        return (messages.WorkerCrash(*host.key, recent),)
+        return (
+            messages.WorkerCrash(*host.key, recent, host.crashed_s is None),
+        )
 
     def _record_ends(self, host):
         for ended in host.runner.ended:
--- a/tests/test_pipelinecrashes.py
+++ b/tests/test_pipelinecrashes.py
@@ -290,6 +290,34 @@
             assert fleet.phase(name) is expected
 
 
+class TestFrozenWorkers:
+    def test_two_freezes_fail_no_task(self):
+        """Guards against failing healthy work under which no worker crashed."""
+        fleet = simfleet.Fleet(names=names(4))
+        fleet.rebirth_s = 1e9
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 30_000
+        fleet.submit("a", pipelines.stage(estimate_ms=30_000))
+        for number in range(2):
+            while len(fleet.starts) == number:
+                fleet.step()
+            frozen = fleet.hosts[fleet.starts[-1][1]]
+            frozen.runner.crashed = True
+            frozen.crashed_s = fleet.now
+        fleet.run_for(9)
+        assert fleet.phase("a") is pipeline.Phase.RUNNING
+
+    def test_silence_counts_once_it_proves_to_be_a_crash(self):
+        harness = Harness()
+        for number in (1, 2):
+            assert not harness.crash(number, f"h{number}", certain=False)
+        assert harness.task.suspect
+        assert not harness.crash(1, "h1")
+        assert harness.crash(2, "h2") == [harness.task]
+        assert [c.attempt for c in harness.task.crashes] == [1, 2]
+
+
 class TestAcquittal:
     @pytest.mark.parametrize("lasting", [True, False])
     def test_task_is_not_blamed_again_by_a_new_leader(self, lasting):
@@ -371,7 +399,7 @@
         for task in item.tasks(0, 0):
             for number in range(4):
                 crash = pipeline.Crash(
-                    10**6 + number, "side-maz-a-3", 1_764_000_000_000, 7
+                    10**6 + number, "h" * 38, 1_764_000_000_000, 7
                 )
                 task.crashes.append(crash)
         assert len(pipeline.encode(item.progress())) < 48_000
@@ -401,11 +429,13 @@
         self.attempts.attach(placement)
         return placement
 
-    def crash(self, number, host="h1", others=(), others_ran_ms=0):
+    def crash(
+        self, number, host="h1", others=(), others_ran_ms=0, certain=True
+    ):
         """Reports a crash under the task and the first attempts of others."""
         attempts = [("a.0.0.0", number, 10)]
         attempts += [(other, 1, 10 + others_ran_ms) for other in others]
-        crash = messages.WorkerCrash("w9", 1, tuple(attempts))
+        crash = messages.WorkerCrash("w9", 1, tuple(attempts), certain)
         return self.tracker.apply(host, crash)
 
     def list_running(self, worker, number, clock_ms):
