The waits of a gang's suspects do not add up

Cause: a gang starts at once or not at all, and stopped at the first member without a worker. So the wait of each further suspect began only when that of the one before had ended. Fix: the waits of all suspects of a gang begin together. Evidence: test_waits_of_its_members_do_not_add_up fails on the code before for each of its three sizes.

--- a/pomelostair/pipelinecrashes.py
+++ b/pomelostair/pipelinecrashes.py
@@ -77,6 +77,21 @@
     return workers
 
 
+def begin_wait(
+    tasks: list[pipeline.Task], workers: list[fleet.Worker], now: float
+) -> None:
+    """Begins the waits of the suspects among tasks that start together.
+
+    Args:
+        tasks: Tasks that are ready.
+        workers: Workers of their service that accept new attempts.
+        now: Monotonic seconds.
+    """
+    for task in tasks:
+        if task.suspect and not task.kept_apart_s and workers:
+            task.kept_apart_s = now
+
+
 def _has_new_attempt(worker: fleet.Worker, now: float) -> bool:
     return any(
         now - placement.ordered_s < messages.START_CRASH_S
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -14,6 +14,7 @@
 from pomelostair import pacing
 from pomelostair import pipeline
 from pomelostair import pipelineadvice
+from pomelostair import pipelinecrashes
 from pomelostair import pipelinemessages as messages
 from pomelostair import pipelineorder
 from pomelostair import pipelineplacement as placement_module
@@ -358,6 +359,7 @@
             for m in members
         ):
             return
+        pipelinecrashes.begin_wait(members, workers, now)
         attempt = max(self._next_attempt(member) for member in members)
         started = []
         for candidates in (
--- a/tests/test_pipelinecrashes.py
+++ b/tests/test_pipelinecrashes.py
@@ -17,6 +17,8 @@
 from tests import pipelines
 from tests import simfleet
 
+# By the platform's rules, no task with room is idle for this long.
+PLATFORM_IDLE_S = 3.0
 METRICS = metrics.Metrics()
 COMPLETED = pipeline.Phase.COMPLETED
 FAILED = pipeline.Phase.FAILED
@@ -290,6 +292,26 @@
             assert fleet.phase(name) is expected
 
 
+class TestGangs:
+    @pytest.mark.parametrize(("count", "workers"), [(8, 2), (8, 3), (12, 2)])
+    def test_waits_of_its_members_do_not_add_up(self, count, workers):
+        """Guards against a LOST gang, one worker of which has crashed."""
+        fleet = simfleet.Fleet(names=names(workers), cores=16)
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 5_000
+        fleet.submit("g", pipelines.stage(count, gang=True, estimate_ms=5_000))
+        fleet.step()
+        fleet.hosts[fleet.running()[0][1]].runner.crash()
+        item = fleet.scheduler.registry.pipelines["g"]
+        while len(item.ready) < count:
+            fleet.step()
+        ready_s = fleet.now
+        while len(fleet.running()) < count:
+            fleet.step()
+        assert fleet.now - ready_s < PLATFORM_IDLE_S
+
+
 class TestFrozenWorkers:
     def test_two_freezes_fail_no_task(self):
         """Guards against failing healthy work under which no worker crashed."""
