A suspect filler is not tied to workers without the pace

What callers would see: LOST. A filler under which a worker had crashed never used that host again while any other had room, also if all others were too slow for it. Cause: suspects were kept apart among the workers with room, before paces were compared. Class: a preference that was applied as a requirement. Fix: workers without the pace are left out before. Evidence: test_suspect_uses_the_host_of_its_crash_if_others_are_too_slow fails on the code before (none instead of the host, however long it waits).

--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -227,6 +227,13 @@
         and meets_constraints(task, worker, now)
     ]
     if task.suspect:
+        # One that is too slow must not hide the host of an earlier crash.
+        candidates = [
+            w
+            for w in candidates
+            if _score_if_paced(task, w, pacer, required_pace_share, now)
+            is not None
+        ]
         candidates = pipelinecrashes.separated(task, candidates, now)
     groups = [candidates]
     if task.avoided_workers:
--- a/tests/test_pipelinecrashes.py
+++ b/tests/test_pipelinecrashes.py
@@ -312,6 +312,33 @@
         assert fleet.now - ready_s < PLATFORM_IDLE_S
 
 
+class TestFillers:
+    def test_suspect_uses_the_host_of_its_crash_if_others_are_too_slow(self):
+        """Guards against a LOST filler: room without its pace is of no use."""
+
+        class Pacer(pacing.Pacer):
+            def available_pace_share(self, task, worker, now):
+                return 1.0 if worker.id == "w0" else 0.1
+
+            def required_pace_share(self, task, now):
+                return 0.5
+
+        item = pipeline.Pipeline(
+            pipelines.declare("a", pipelines.stage(filler=True)),
+            1,
+            pipeline.Progress(),
+            0.0,
+        )
+        (task,) = item.tasks(0, 0)
+        task.crashes.append(pipeline.Crash(1, "agent-w0", 1, 2))
+        workers = [pipelines.worker(name, now=100.0) for name in ("w0", "w1")]
+        chosen = [
+            pipelineplacement.choose(task, workers, Pacer(METRICS), now)
+            for now in (100.0, 100.0 + PLATFORM_IDLE_S)
+        ]
+        assert chosen == [None, workers[0]]
+
+
 class TestFrozenWorkers:
     def test_two_freezes_fail_no_task(self):
         """Guards against failing healthy work under which no worker crashed."""
