Others are cleared of crashes that an earlier leader recorded, too

What callers would see: healthy work that is given up later, since it is still blamed for crashes of a task that was given up after a change of the leader. Cause: those to clear were looked up among the crashes of the term. Fix: they are looked up among all open pipelines, so that the second record of them is gone. test_ended_tasks_are_forgotten guarded the bound of that record's memory and goes with it; nothing is left that could grow. Evidence: test_others_are_cleared_of_what_an_earlier_leader_recorded fails on the code before.

--- a/pomelostair/pipelinecrashes.py
+++ b/pomelostair/pipelinecrashes.py
@@ -117,8 +117,6 @@
         self._registry = registry
         self._attempts = attempts
         self._metrics = metrics
-        # Tasks with crashes that this term has recorded, by id.
-        self._recorded: dict[str, pipeline.Task] = {}
 
     def apply(
         self, host: str, crash: messages.WorkerCrash
@@ -140,7 +138,6 @@
         ]
         suspects = len({task_id.partition(".")[0] for task_id in latest})
         hopeless = []
-        self._forget_ended()
         for task_id, attempt, ran_ms in crash.attempts:
             task = self._registry.find_task(task_id)
             if task is None or not _is_news(task, attempt, crash.certain):
@@ -193,7 +190,6 @@
         if not task.crashes:
             return
         task.crashes.clear()
-        self._recorded.pop(task.id, None)
         task.proven_attempt = max(task.proven_attempt, attempt)
         for placement in self._attempts.of_task(task):
             self._attempts.mark_proven(placement)
@@ -207,23 +203,19 @@
             guilty: A task that was given up.
         """
         causes = {(c.host, c.life) for c in guilty.crashes if c.suspects}
-        self._forget_ended()
-        for task in self._recorded.values():
-            if any((c.host, c.life) in causes for c in task.crashes):
-                task.crashes = [
-                    attrs.evolve(c, suspects=0)
-                    if (c.host, c.life) in causes
-                    else c
-                    for c in task.crashes
-                ]
-                self._registry.mark_changed(task.pipeline)
-                for placement in self._attempts.of_task(task):
-                    self._attempts.mark_unproven(placement)
+        for item in self._registry.open.values():
+            for task in () if item.ended else item.unfinished():
+                if any((c.host, c.life) in causes for c in task.crashes):
+                    self._clear(task, causes)
 
-    def _forget_ended(self) -> None:
-        for task in list(self._recorded.values()):
-            if task.pipeline.ended or task.phase is pipeline.TaskPhase.DONE:
-                del self._recorded[task.id]
+    def _clear(self, task: pipeline.Task, causes: set[tuple[str, int]]) -> None:
+        task.crashes = [
+            attrs.evolve(c, suspects=0) if (c.host, c.life) in causes else c
+            for c in task.crashes
+        ]
+        self._registry.mark_changed(task.pipeline)
+        for placement in self._attempts.of_task(task):
+            self._attempts.mark_unproven(placement)
 
     def _record(
         self,
@@ -235,7 +227,6 @@
         task.crashes = [c for c in task.crashes if c.attempt != record.attempt]
         task.crashes.append(record)
         task.kept_apart_s = 0.0
-        self._recorded[task.id] = task
         self._registry.mark_changed(task.pipeline)
         self._metrics.count("crashes_at_start")
         log.emit(
--- a/tests/test_pipelinecrashes.py
+++ b/tests/test_pipelinecrashes.py
@@ -538,14 +538,17 @@
         assert not other.suspect
         assert harness.task.suspect
 
-    def test_ended_tasks_are_forgotten(self):
-        """Guards against memory that grows with the crashes of a long term."""
+    def test_others_are_cleared_of_what_an_earlier_leader_recorded(self):
+        """Guards against failing healthy work after a change of the leader."""
         harness = Harness()
-        harness.crash(1, others=("b.0.0.0",))
+        harness.crash(1, "h1", others=("b.0.0.0",))
         other = harness.registry.find_task("b.0.0.0")
-        other.pipeline.end(pipeline.Phase.CANCELLED, 1)
-        harness.crash(2)
-        assert list(harness.tracker._recorded) == ["a.0.0.0"]
+        assert other.suspect
+        next_tracker = pipelinecrashes.CrashTracker(
+            harness.registry, harness.attempts, METRICS
+        )
+        next_tracker.clear_others(harness.task)
+        assert not other.suspect
 
     def test_unknown_and_ended_tasks_are_ignored(self):
         harness = Harness()
