Reports of dropped log lines fit into the buffer

What operators would see: a process whose memory grows by a line a second while nobody reads its log. Cause: the line that tells of dropped ones is added when a second begins, also to a full buffer. The test fails if a second begins while it runs. Fix: it waits until there is room; the counts go on. Evidence: test_reports_of_dropped_lines_fit_into_the_buffer, where each line comes in a second of its own, fails on the code before.

--- a/pomelostair/log.py
+++ b/pomelostair/log.py
@@ -85,7 +85,7 @@
         self._dropped[reason] = self._dropped.get(reason, 0) + 1
 
     def _report_dropped(self, logger_name: str) -> None:
-        if not self._dropped:
+        if not self._dropped or len(self._buffered) >= MAX_BUFFERED_LINES:
             return
         event = events.Events.LINES_DROPPED
         record = logging.LogRecord(
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -52,6 +52,22 @@
 
         self.run_with_handler(emit)
 
+    def test_reports_of_dropped_lines_fit_into_the_buffer(self, monkeypatch):
+        """Guards against memory that grows while nobody reads the log.
+
+        Each second with dropped lines added a line of its own.
+        """
+        now_s = iter(range(10**6))
+        monkeypatch.setattr(log.time, "monotonic", lambda: next(now_s))
+
+        def emit(logger, _reader, handler):
+            for _ in range(log.MAX_BUFFERED_LINES * 2):
+                logger.info("x" * 200, extra={"event": 1, "dropped": ""})
+            assert handler.dropped["reader-slow"] > 0
+            assert len(handler.buffered) <= log.MAX_BUFFERED_LINES
+
+        self.run_with_handler(emit)
+
     def test_lines_over_the_event_limit_are_counted(self):
         def emit(logger, reader, handler):
             for _ in range(log.MAX_LINES_PER_S * 3):
