--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -214,10 +214,10 @@
     async def _lead(self, observed: pipelinelease.ObservedLease) -> None:
         epoch = self._lease.epoch
         previous = observed.row
-        lapsed_s = granted_s = 0.0
+        lapsed_s = ungranted_s = 0.0
         if previous is not None:
             lapsed_s = self._lease.lapsed_for_s(previous)
-            granted_s = self._lease.elapsed_since_s(previous.grants_end_ms)
+            ungranted_s = self._lease.elapsed_since_s(previous.grants_end_ms)
         log.emit(
             events.Events.LEASE_ACQUIRED,
             epoch=epoch,
@@ -236,7 +236,7 @@
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._commit_at_intervals)
             await group.spawn(
-                self._recover_and_watch, granted_s, observed.handover
+                self._recover_and_watch, ungranted_s, observed.handover
             )
             await group.spawn(self._schedule)
             await group.spawn(self._delete_expired_at_intervals)
@@ -252,10 +252,10 @@
         )
 
     async def _recover_and_watch(
-        self, granted_s: float, handover: pipelinelease.Handover
+        self, ungranted_s: float, handover: pipelinelease.Handover
     ) -> None:
         started_s = self._clock.now()
-        while not await self._recover(started_s, granted_s, handover):
+        while not await self._recover(started_s, ungranted_s, handover):
             await curio.sleep(RETRY_S)
         self._leading = True
         self._peers.update_leader(self._leader_info)
@@ -274,14 +274,14 @@
     async def _recover(
         self,
         started_s: float,
-        granted_s: float,
+        ungranted_s: float,
         handover: pipelinelease.Handover,
     ) -> bool:
         """Reads the stored state; returns whether that succeeded.
 
         Args:
             started_s: Clock reading at the start of the term.
-            granted_s: Seconds at that time since a leader granted leases.
+            ungranted_s: Seconds for which no leader had granted leases then.
             handover: What the previous leader left in the lease row.
         """
         self._unreadable.clear()
@@ -309,7 +309,7 @@
             except msgspec.MsgspecError as error:
                 unreadable.append(name)
                 self._record_ignored_row(row.key, str(error))
-        leases_lapse_s = started_s + self._max_lease_s - max(0.0, granted_s)
+        leases_lapse_s = started_s + self._max_lease_s - max(0.0, ungranted_s)
         self._scheduler.expect_agents(
             registrations,
             leases_lapse_s,
@@ -719,12 +719,10 @@
     async def _answer_report(self, worker: fleet.Worker, now_s: float) -> None:
         """Grants a further lease and acknowledges ends and results."""
         lease_end_ms = 0
-        may_grant = self._scheduler.grants.may_grant(worker.key)
-        if not worker.state.fresh or not worker.state.reachable:
-            pass
-        elif not may_grant:
+        is_listed = worker.state.fresh and worker.state.reachable
+        if is_listed and not self._scheduler.grants.may_grant(worker.key):
             self._withheld.add(worker.key)
-        else:
+        elif is_listed:
             lease_end_ms = worker.state.clock_ms + self._grant_ms
             worker.grant_lease(now_s)
         worker.instructed_s = now_s
