--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -467,6 +467,8 @@
             task=task.id,
             attempt=placement.attempt,
             worker=worker.id,
+            lasting=task.stage.lasting,
+            millicores=task.stage.demand.millicores,
             free=worker.free.millicores,
             unused=worker.unused_millicores,
             report_age_ms=int(
--- a/pomelostair/pipelinewaits.py
+++ b/pomelostair/pipelinewaits.py
@@ -93,7 +93,10 @@
 
 
 class WaitMonitor:
-    """Reports long waits, once each, during one term of a leader.
+    """Reports long waits during one term of a leader.
+
+    Each is reported once, and once more if it goes on after the wait for an
+    earlier leader.
 
     Args:
         workers: All workers by id and incarnation; the scheduler changes them.
@@ -114,8 +117,9 @@
         self._pacer = pacer
         self._metrics = metrics
         self._next_check_s = 0.0
-        # Id of each reported task, and monotonic time since which it waits.
-        self._reported: set[tuple[str, float]] = set()
+        # Reported reasons, by the id of the task and the monotonic time since
+        # which it waits.
+        self._reported: dict[tuple[str, float], Reason] = {}
         self._schedulable: dict[str, list[fleet.Worker]] | None = None
 
     def check(
@@ -158,7 +162,12 @@
         ]
         waits = [(task, task.ready_since_s) for task in waiting]
         waits += [(p.task, p.ordered_s) for p in unanswered]
-        self._reported &= {(task.id, since_s) for task, since_s in waits}
+        still_waiting = {(task.id, since_s) for task, since_s in waits}
+        self._reported = {
+            key: reason
+            for key, reason in self._reported.items()
+            if key in still_waiting
+        }
         for placement in unanswered[:MAX_REPORTED]:
             self._report(
                 placement.task, placement.ordered_s, Reason.UNANSWERED, now
@@ -167,7 +176,8 @@
         for task in waiting:
             if not left:
                 return
-            if (task.id, task.ready_since_s) in self._reported:
+            reported = self._reported.get((task.id, task.ready_since_s))
+            if reported not in (None, Reason.EARLIER_LEADER):
                 continue
             queue = table.by_name(task.pipeline.declaration.queue)
             if queue is None:
@@ -179,6 +189,8 @@
             else:
                 # It waits for room, as is usual on a full fleet.
                 continue
+            if reason is reported:
+                continue
             left -= 1
             self._report(
                 task, task.ready_since_s, reason, now, unreported_agents
@@ -200,6 +212,11 @@
             return Reason.TICKET
         return reason
 
+    def _most_free_millicores(self) -> int:
+        """Returns the most millicores that are free on one worker."""
+        free = [worker.free.millicores for worker in self._workers.values()]
+        return max(free, default=0)
+
     def _report(
         self,
         task: pipeline.Task,
@@ -208,15 +225,18 @@
         now: float,
         unreported_agents: tuple[str, ...] = (),
     ) -> None:
-        if (task.id, since_s) in self._reported:
+        if self._reported.get((task.id, since_s)) is reason:
             return
-        self._reported.add((task.id, since_s))
+        self._reported[task.id, since_s] = reason
         self._metrics.count("long_waits", reason=reason.value)
         log.emit(
             events.Events.TASK_WAITS,
             task=task.id,
             reason=reason.value,
             waited_ms=int((now - since_s) * 1000),
+            lasting=task.stage.lasting,
+            millicores=task.stage.demand.millicores,
+            most_free=self._most_free_millicores(),
             avoids=len(task.avoided_workers),
             unreported=list(unreported_agents),
         )
--- a/tests/test_pipelinewaits.py
+++ b/tests/test_pipelinewaits.py
@@ -113,6 +113,27 @@
         assert wait.reason == REASON.EARLIER_LEADER.value
         assert wait.unreported == ["agent-w1"]
 
+    def test_wait_that_goes_on_for_another_reason_is_reported_again(
+        self, caplog
+    ):
+        """Guards against a wait for room that looks like one for a leader."""
+        fleet = simfleet.Fleet(names=("w1", "w2"), cores=4)
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.lasting = True
+        fleet.submit("a", pipelines.stage(2, 3000, lasting=True))
+        fleet.run_for(1)
+        fleet.hosts["w1"].partitioned = True
+        fleet.start_leader()
+        fleet.run_for(simfleet.LEASE_S + 3)
+        reasons = [(w.reason, w.lasting) for w in waits_in(caplog)]
+        assert reasons == [
+            (REASON.EARLIER_LEADER.value, True),
+            (REASON.NO_ROOM.value, True),
+        ]
+        last = waits_in(caplog)[-1]
+        assert last.most_free < last.millicores
+
     def test_start_that_is_never_carried_out_is_reported(self, caplog):
         """Guards against a task that stands still without being ready."""
         fleet = simfleet.Fleet(names=("w1",))
