The leader's lease and those of lost workers lapse beside each other

Cause: a leader granted leases to workers until the end of its own, so that a new leader counted the longest grant (7.9 s) from its own beginning, after it had waited for the end of the earlier lease (1.8 s). Whatever takes a worker, its agent and the leader at one moment makes a task wait for the sum. The class is a wait whose begin depends on the end of another one.

Now the lease row names the end of all leases that were granted so far, 8.35 s after the renewal began, and no grant outlasts the end that the last stored row names. A successor waits until then. Rows without it, of earlier versions, count as before. A leader that commits again after its lease had lapsed extends the leases with a further commit at once, as work lapses up to 1.8 s earlier in an outage of the store.

--- a/pomelostair/pipelinegrants.py
+++ b/pomelostair/pipelinegrants.py
@@ -4,6 +4,10 @@
 workers lapse. The next leader then waits for such a worker no longer than that,
 however many leaders are lost meanwhile. A listed worker gets no grant before a
 renewal without it is stored.
+
+No lease outlasts a time that the last stored renewal names. So a new leader
+counts the leases of lost workers from that renewal, not from its own start: the
+workers' leases and the leader's lapse beside each other.
 """
 
 from collections.abc import Iterable
@@ -17,6 +21,17 @@
 # Most listed workers; the lease row is written several times a second. The next
 # leader waits for the others as long as a lease granted last may last.
 MAX_LISTED = 100
+CLOCK_DRIFT = 0.02  # The platform bounds the drift of its clocks by 2 %.
+LAPSE_MARGIN_S = 0.25  # Delay between reading a clock and using the value.
+
+
+def longest_lease_s(grant_ms: int) -> float:
+    """Returns the longest time that a lease granted now can last.
+
+    Args:
+        grant_ms: How far after a reading of the worker's clock it ends.
+    """
+    return grant_ms / 1000 * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_S
 
 
 class Grants:
@@ -28,6 +43,7 @@
 
     def __init__(self, max_lease_s: float):
         self._max_lease_s = max_lease_s
+        self._leases_end_s = 0.0
         self._listed_lapse_s: dict[fleet.WorkerKey, float] = {}
         self._other_lapse_s = 0.0
         # Workers that the stored lease row lists, and that the one lists which
@@ -73,6 +89,20 @@
             and key not in self._pending
         )
 
+    def grant_ms(self, now: float) -> int:
+        """Returns how far ahead a lease granted now may end, 0 if it may not.
+
+        Args:
+            now: Monotonic seconds.
+
+        Returns:
+            Milliseconds of the worker's clock after the latest reading of it.
+        """
+        lease_s = min(self._max_lease_s, self._leases_end_s - now)
+        return max(
+            0, int((lease_s - LAPSE_MARGIN_S) / (1 + CLOCK_DRIFT) * 1000)
+        )
+
     def next_silent(
         self,
         workers: Mapping[fleet.WorkerKey, fleet.Worker],
@@ -106,9 +136,15 @@
         self._pending = frozenset(listed)
         return listed
 
-    def confirm(self) -> None:
-        """Records that the workers listed last are stored."""
+    def confirm(self, leases_end_s: float) -> None:
+        """Records that the workers listed last are stored.
+
+        Args:
+            leases_end_s: Monotonic time at which, by the stored renewal, every
+                lease granted by now has lapsed.
+        """
         self._announced = True
+        self._leases_end_s = leases_end_s
         self._stored = self._pending
         self._pending = frozenset()
 
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -20,6 +20,7 @@
 from pomelostair import log
 from pomelostair import outcome
 from pomelostair import pipeline
+from pomelostair import pipelinegrants
 from pomelostair import pipelinelease
 from pomelostair import pipelinemessages as messages
 from pomelostair import pipelineregistry
@@ -67,8 +68,6 @@
 ADVICE_RETRY_S = 0.25
 # One decision takes up to a few hundred milliseconds, and calls may queue.
 ADVICE_TIMEOUT_S = 5.0
-CLOCK_DRIFT = 0.02  # The platform bounds the drift of its clocks by 2 %.
-LAPSE_MARGIN_S = 0.25  # Delay between reading a clock and using the value.
 
 
 @kernel.plugin(settings_module.Role.PIPELINE_ENTRY)
@@ -83,12 +82,16 @@
         self._peers.count_pending = self._count_pending
         self._table = self._peers.table
         self._clock = clock_module.BoottimeClock()
+        self._max_lease_s = pipelinegrants.longest_lease_s(
+            parts.settings.pipelines.grant_ms
+        )
         self._lease = pipelinelease.PipelineLease(
-            self._table, self._clock, parts.settings.name, parts.bus.address
+            self._table,
+            self._clock,
+            parts.settings.name,
+            parts.bus.address,
+            worker_leases_s(self._max_lease_s),
         )
-        grant_ms = parts.settings.pipelines.grant_ms
-        self._grant_ms = grant_ms
-        self._max_lease_s = grant_ms / 1000 * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_S
         self._retention_ms = parts.settings.pipelines.retention_s * 1000
         self._scheduler: pipelinescheduler.PipelineScheduler | None = None
         self._leading = False
@@ -214,10 +217,9 @@
     async def _lead(self, observed: pipelinelease.ObservedLease) -> None:
         epoch = self._lease.epoch
         previous = observed.row
-        lapsed_s = ungranted_s = 0.0
+        lapsed_s = 0.0
         if previous is not None:
             lapsed_s = self._lease.lapsed_for_s(previous)
-            ungranted_s = self._lease.elapsed_since_s(previous.grants_end_ms)
         log.emit(
             events.Events.LEASE_ACQUIRED,
             epoch=epoch,
@@ -235,9 +237,7 @@
         self._withheld.clear()
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._commit_at_intervals)
-            await group.spawn(
-                self._recover_and_watch, ungranted_s, observed.handover
-            )
+            await group.spawn(self._recover_and_watch, observed.handover)
             await group.spawn(self._schedule)
             await group.spawn(self._delete_expired_at_intervals)
             await group.spawn(self._request_tickets)
@@ -252,10 +252,10 @@
         )
 
     async def _recover_and_watch(
-        self, ungranted_s: float, handover: pipelinelease.Handover
+        self, handover: pipelinelease.Handover
     ) -> None:
         started_s = self._clock.now()
-        while not await self._recover(started_s, ungranted_s, handover):
+        while not await self._recover(started_s, handover):
             await curio.sleep(RETRY_S)
         self._leading = True
         self._peers.update_leader(self._leader_info)
@@ -272,16 +272,12 @@
         await self._watch_rows()
 
     async def _recover(
-        self,
-        started_s: float,
-        ungranted_s: float,
-        handover: pipelinelease.Handover,
+        self, started_s: float, handover: pipelinelease.Handover
     ) -> bool:
         """Reads the stored state; returns whether that succeeded.
 
         Args:
             started_s: Clock reading at the start of the term.
-            ungranted_s: Seconds for which no leader had granted leases then.
             handover: What the previous leader left in the lease row.
         """
         self._unreadable.clear()
@@ -309,7 +305,11 @@
             except msgspec.MsgspecError as error:
                 unreadable.append(name)
                 self._record_ignored_row(row.key, str(error))
-        leases_lapse_s = started_s + self._max_lease_s - max(0.0, ungranted_s)
+        leases_lapse_s = started_s + self._max_lease_s
+        if handover.leases_end_ms is not None:
+            leases_lapse_s = min(
+                leases_lapse_s, self._lease.local_time_s(handover.leases_end_ms)
+            )
         self._scheduler.expect_agents(
             registrations,
             leases_lapse_s,
@@ -478,6 +478,10 @@
                 self._last_renewal_s = started_s
                 if handover is not None:
                     await self._grant_withheld()
+                elif self._leading:
+                    # The lease had lapsed. The leases of workers can be
+                    # extended once a further renewal is stored.
+                    await self._commit_requested.set()
                 await self._notify_agents(scheduler.confirm(batch))
                 if scheduler.has_uncommitted:
                     await self._commit_requested.set()
@@ -510,7 +514,7 @@
 
     async def _grant_withheld(self) -> None:
         """Grants leases to workers that the stored row no longer lists."""
-        self._scheduler.grants.confirm()
+        self._scheduler.grants.confirm(self._lease.worker_leases_end_s)
         withheld, self._withheld = self._withheld, set()
         now_s = self._clock.now()
         for key in withheld:
@@ -719,11 +723,12 @@
     async def _answer_report(self, worker: fleet.Worker, now_s: float) -> None:
         """Grants a further lease and acknowledges ends and results."""
         lease_end_ms = 0
+        grants = self._scheduler.grants
         is_listed = worker.state.fresh and worker.state.reachable
-        if is_listed and not self._scheduler.grants.may_grant(worker.key):
+        if is_listed and not grants.may_grant(worker.key):
             self._withheld.add(worker.key)
-        elif is_listed:
-            lease_end_ms = worker.state.clock_ms + self._grant_ms
+        elif is_listed and (grant_ms := grants.grant_ms(now_s)):
+            lease_end_ms = worker.state.clock_ms + grant_ms
             worker.grant_lease(now_s)
         worker.instructed_s = now_s
         await self._send_instructions(worker, lease_end_ms)
@@ -757,6 +762,17 @@
     return tuple(puts), deletes
 
 
+def worker_leases_s(max_lease_s: float) -> float:
+    """Returns how long after a stored renewal leases of workers may last.
+
+    Until the next renewal is due, leases are granted with their full length.
+
+    Args:
+        max_lease_s: Longest time that a lease lasts.
+    """
+    return max_lease_s + RENEW_INTERVAL_S
+
+
 def takeover_delay_s(cores: float) -> float:
     """Returns how long a candidate waits before it takes a free lease.
 
--- a/pomelostair/pipelinelease.py
+++ b/pomelostair/pipelinelease.py
@@ -58,14 +58,14 @@
         placements_recorded: Whether the progress of the pipelines names every
             worker on which a lasting task may be running.
         silent: Workers that got no grant since the row was stored.
-        grants_end_ms: Reading of the store's clock after which no leader so far
-            grants leases; None if the holder grants them until its own lease
-            ends.
+        leases_end_ms: Reading of the store's clock at which every lease that
+            leaders so far have granted to workers has certainly lapsed; None
+            if that is unknown.
     """
 
     placements_recorded: bool = False
     silent: tuple[LeaseEnd, ...] = ()
-    grants_end_ms: float | None = None
+    leases_end_ms: float | None = None
 
 
 @attrs.frozen
@@ -91,13 +91,6 @@
     vacated: bool = False
     handover: Handover = Handover()
 
-    @property
-    def grants_end_ms(self) -> float:
-        """Reading of the store's clock after which no leader grants leases."""
-        if self.handover.grants_end_ms is None:
-            return self.end_ms
-        return self.handover.grants_end_ms
-
 
 @attrs.frozen
 class ObservedLease:
@@ -113,12 +106,8 @@
 
     @property
     def handover(self) -> Handover:
-        """What its holder leaves to a next leader that has granted nothing."""
-        if self.row is None:
-            return Handover()
-        return attrs.evolve(
-            self.row.handover, grants_end_ms=self.row.grants_end_ms
-        )
+        """What its holder leaves to the next leader."""
+        return Handover() if self.row is None else self.row.handover
 
 
 def decode(row: store.Row) -> ObservedLease:
@@ -138,6 +127,8 @@
         clock: Clock that also advances while the host is suspended.
         holder: Name of this process.
         bus: Bus URL of this process.
+        worker_leases_s: Time from the begin of a renewal, by the store's clock,
+            after which every lease granted on its strength has lapsed.
     """
 
     def __init__(
@@ -146,11 +137,14 @@
         clock: clock_module.Clock,
         holder: str,
         bus: str,
+        worker_leases_s: float,
     ):
         self._table = table
         self._clock = clock
         self._holder = holder
         self._bus = bus
+        self._worker_leases_s = worker_leases_s
+        self._worker_leases_end_s = 0.0
         self._row: LeaseRow | None = None
         self._version = 0
         self._held_until_s = 0.0
@@ -172,6 +166,15 @@
         """Whether this process certainly holds the lease now."""
         return self._row is not None and self._clock.now() < self._held_until_s
 
+    @property
+    def worker_leases_end_s(self) -> float:
+        """Clock reading at which leases granted now must have lapsed.
+
+        The next leader does not wait for them any longer. Renewals that hand
+        something over postpone it.
+        """
+        return self._worker_leases_end_s
+
     def is_available(self, observed: ObservedLease) -> bool:
         """Returns whether this process may acquire an observed lease.
 
@@ -189,14 +192,10 @@
 
     def lapsed_for_s(self, row: LeaseRow) -> float:
         """Returns the time since a lease has lapsed, negative before it has."""
-        return self.elapsed_since_s(row.end_ms)
-
-    def elapsed_since_s(self, store_ms: float) -> float:
-        """Returns the least time since a reading of the store's clock."""
         time = self._table.time()
         if time is None:
             return -SLOW_LEASE_S
-        return (time.earliest_ms - store_ms) / 1000
+        return (time.earliest_ms - row.end_ms) / 1000
 
     def local_time_s(self, store_ms: float) -> float:
         """Returns when the store's clock is certainly past a reading.
@@ -289,7 +288,9 @@
         Args:
             puts: Rows to write.
             deletes: Keys of rows to delete.
-            handover: What the next leader learns; None leaves it unchanged.
+            handover: What the next leader learns, but for the end of the
+                workers' leases, which is set here; None leaves all of it
+                unchanged.
         """
         async with self._commit_lock:
             return await self._commit(puts, deletes, handover)
@@ -303,11 +304,14 @@
         assert self._row is not None
         start_s = self._clock.now()
         row = attrs.evolve(
-            self._row,
-            token=uuid.uuid4().hex,
-            end_ms=self._end_ms(),
-            handover=handover or self._row.handover,
+            self._row, token=uuid.uuid4().hex, end_ms=self._end_ms()
         )
+        if handover is not None:
+            handover = attrs.evolve(
+                handover,
+                leases_end_ms=self._latest_ms() + self._worker_leases_s * 1000,
+            )
+            row = attrs.evolve(row, handover=handover)
         transaction = store.Transaction(
             (store.Check(KEY, self._version),),
             (store.Put(KEY, msgspec.msgpack.encode(row)), *puts),
@@ -318,6 +322,10 @@
             self._row = row
             self._version = result.version
             self._held_until_s = start_s + self._duration_s
+            if handover is not None:
+                self._worker_leases_end_s = start_s + self._worker_leases_s / (
+                    1 + MAX_CLOCK_DRIFT_SHARE
+                )
             took_s = self._clock.now() - start_s
             is_slow = took_s > SLOW_COMMIT_S
             self._duration_s = SLOW_LEASE_S if is_slow else LEASE_S
@@ -339,12 +347,15 @@
     def discard_lease(self) -> None:
         """Stops using the lease without writing to the store."""
         self._row = None
-        self._held_until_s = 0.0
+        self._held_until_s = self._worker_leases_end_s = 0.0
 
-    def _end_ms(self) -> float:
+    def _latest_ms(self) -> float:
         time = self._table.time()
-        latest_ms = 0.0 if time is None else time.latest_ms
-        return latest_ms + self._duration_s * 1000 * (1 + MAX_CLOCK_DRIFT_SHARE)
+        return 0.0 if time is None else time.latest_ms
+
+    def _end_ms(self) -> float:
+        duration_ms = self._duration_s * 1000 * (1 + MAX_CLOCK_DRIFT_SHARE)
+        return self._latest_ms() + duration_ms
 
     async def _commit_until_known(
         self, transaction: store.Transaction, token: str
