What is sent to a host that was lost arrives once it is back

Cause: a connection that the leader had begun to make while the host was dark hangs in the operating system's own retries (1, 3, 7 s), and one to the process that lost power is dead. The bus gave up such a message as not sent, which nobody repeats before RESEND_AFTER_S.

A message that arrives from a peer proves that it runs. If it names another incarnation than before, or if the last send found no connection, the connection is made anew, so that the answer leaves at once. Both tests failed before: the first with a time-out after 20 s, as the answer was dropped.

--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -233,6 +233,7 @@
             self._drop("malformed", str(error))
             return
         self._count_bytes("received", envelope.tag, len(data))
+        self._record_sender(envelope.reply_to, envelope.incarnation)
         if envelope.answer:
             await self._accept_answer(envelope, message)
             return
@@ -251,6 +252,15 @@
         if _now() - started_s > SLOW_HANDLER_S:
             self._metrics.count("slow_handlers", tag=envelope.tag)
 
+    @abc.abstractmethod
+    def _record_sender(self, address: str, incarnation: str) -> None:
+        """Records that a process has sent a message.
+
+        Args:
+            address: Where it receives.
+            incarnation: Random id of the process.
+        """
+
     async def _accept_answer(
         self, envelope: wire.Envelope, message: object
     ) -> None:
@@ -376,6 +386,22 @@
             del self._peers[address]
             peer.close()
 
+    def _record_sender(self, address: str, incarnation: str) -> None:
+        """Renews the connection to a sender if it leads to no process.
+
+        The sender runs, so a connection that was made to an earlier process at
+        its address is dead, and one that could not be made may be retried at
+        once. The operating system would retry either only after seconds.
+        """
+        peer = self._peers.get(address)
+        if peer is None:
+            return
+        restarted = peer.incarnation not in ("", incarnation)
+        peer.incarnation = incarnation
+        if restarted or peer.unreachable:
+            self._metrics.count("connections_renewed")
+            self.disconnect(address)
+
     async def _receive_all(self) -> None:
         burst = 0
         while True:
@@ -455,6 +481,11 @@
     A send blocks for at most `CONNECT_TIMEOUT_S` after the dial or the last
     successful send. After that the peer is considered unreachable, and sends
     fail immediately until the connection is re-established.
+
+    Attributes:
+        probed_send_s: Monotonic time of the send that the last probe followed.
+        incarnation: Random id of the process that was last heard from there,
+            empty before.
     """
 
     def __init__(self, address: str, source_ip: str):
@@ -470,7 +501,14 @@
         self._send_lock = curio.Lock()
         self._last_send_s = _now()
         self._last_success_s = self._last_send_s
+        self._unreachable = False
         self.probed_send_s = 0.0
+        self.incarnation = ""
+
+    @property
+    def unreachable(self) -> bool:
+        """Whether the last send failed for want of a connection."""
+        return self._unreachable
 
     @property
     def has_waiting_send(self) -> bool:
@@ -497,6 +535,7 @@
                     return result
                 remaining_s = self._last_success_s + CONNECT_TIMEOUT_S - _now()
                 if remaining_s <= 0:
+                    self._unreachable = True
                     return NotSent("no-connection")
                 await self._wait_until_writable(remaining_s)
 
@@ -522,6 +561,7 @@
         except pynng.NNGException as error:
             return NotSent(type(error).__name__)
         self._last_success_s = self._last_send_s
+        self._unreachable = False
         return Sent()
 
 
@@ -587,6 +627,9 @@
     def close(self) -> None:
         """Does nothing: there are no sockets."""
 
+    def _record_sender(self, address: str, incarnation: str) -> None:
+        """Does nothing: there are no connections."""
+
     async def _transmit(self, address: str, data: bytes) -> SendResult:
         peer = self._network.find(address)
         if peer is None:
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -313,3 +313,72 @@
             peer.close()
 
         curio.run(main)
+
+
+class TestRestartedPeer:
+    def test_first_message_to_a_host_that_was_dark_is_sent(self):
+        """Guards against orders that are dropped until they are repeated.
+
+        A connection that could not be made is tried again by the operating
+        system after 1, 3 and 7 s only.
+        """
+
+        async def main():
+            metrics = CountingMetrics()
+            address = site.free_address()
+            bus_address = f"tcp://{address}"
+            own = bus.NngBus("own", f"tcp://{site.free_address()}", metrics)
+            await curio.spawn(own.run, daemon=True)
+            with contextlib.ExitStack() as stack:
+                fill_accept_queue(address, stack)
+                sent = await own.send(bus_address, messages.Nudge(1))
+                assert sent == bus.NotSent("no-connection")
+            peer = bus.NngBus("peer", bus_address, metrics)
+            epochs = []
+
+            async def record_epoch(message, _envelope):
+                epochs.append(message.epoch)
+
+            async def post_answer(_message, envelope):
+                await own.post(envelope.reply_to, messages.Nudge(2))
+
+            peer.handle(messages.Nudge, record_epoch)
+            own.handle(messages.Nudge, post_answer)
+            await curio.spawn(peer.run, daemon=True)
+            await peer.send(own.address, messages.Nudge(1))
+            await curio.timeout_after(WAIT_S, wait_until, lambda: epochs)
+            assert epochs == [2]
+            own.close()
+            peer.close()
+
+        curio.run(main)
+
+    def test_connection_to_an_earlier_process_is_not_used(self):
+        """Guards against messages to a process that lost power."""
+        pair = Pair("nng")
+
+        async def body():
+            await pair.a.call(pair.b.address, messages.Nudge(1), WAIT_S)
+            connection = pair.a._peers[pair.b.address]
+            await pair.a.call(pair.b.address, messages.Nudge(2), WAIT_S)
+            assert pair.a._peers[pair.b.address] is connection
+            pair.b._incarnation = "restarted"
+            await pair.a.call(pair.b.address, messages.Nudge(3), WAIT_S)
+            assert pair.b.address not in pair.a._peers
+            await pair.a.call(pair.b.address, messages.Nudge(4), WAIT_S)
+
+        pair.run(body)
+        assert pair.received_epochs == [1, 2, 3, 4]
+
+
+def fill_accept_queue(address, stack):
+    """Lets connections to an address hang, as those to a dark host do."""
+    host, _, port = address.rpartition(":")
+    listener = stack.enter_context(socket.socket())
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, int(port)))
+    listener.listen(0)
+    for _ in range(4):
+        waiting = stack.enter_context(socket.socket())
+        waiting.setblocking(False)
+        waiting.connect_ex((host, int(port)))
