A lasting task without room gets the next one that becomes free

What callers saw: services that stood still while small work was started.

Cause: a round takes lasting tasks first, but only on a worker that has room for them at that moment. Smaller tasks then take each core as it becomes free, so that the room for a large one never comes together.

Evidence: TestRoomForLastingTasks; without the change a service of 5 of 8 cores did not start within 9 s beside small tasks of one core.

Now the room of such a task is reserved where least has to end for it. More urgent work that waits is not held back by it for 2 s.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -12,8 +12,8 @@
 # A worker whose latest report is older gets no new attempts. This is about
 # two report intervals.
 REPORT_FRESH_S = 2.0
-# How long resources stay reserved for a task that moves. A stop takes 0.4 s,
-# and its end must then be reported.
+# How long resources stay reserved for a task that moves or waits for room. A
+# stop takes 0.4 s, and its end must then be reported.
 RESERVATION_S = 1.2
 # Share of its requested processor time that a serving task uses, as observed
 # on the platform.
@@ -239,7 +239,8 @@
         last_failure_s: Monotonic time of the latest failure.
         last_check_s: Monotonic time of the latest check of its attempts.
         last_pace_step_s: Monotonic time of the latest change of its paces.
-        reservations: Resources reserved for tasks that move to it, by task id.
+        reservations: Resources reserved for tasks that move to it or wait for
+            room, by task id.
         unproven: Its attempts of suspect tasks, which may crash it, until they
             are seen running for a while.
     """
@@ -314,7 +315,7 @@
         return self.last_order_number
 
     def reserve(self, task: pipeline.Task, until_s: float) -> None:
-        """Reserves resources for a task that moves to this worker.
+        """Reserves resources for a task that is to start on this worker.
 
         Args:
             task: The task.
@@ -323,6 +324,11 @@
         self.reservations[task.id] = Reservation(task, until_s)
         task.reserved_until_s = until_s
 
+    def release(self, task: pipeline.Task) -> None:
+        """Ends the reservation for a task, if there is one."""
+        if self.reservations.pop(task.id, None) is not None:
+            task.reserved_until_s = 0.0
+
     def has_reservation_for(self, task: pipeline.Task, now: float) -> bool:
         """Returns whether resources are reserved for a task.
 
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -51,6 +51,8 @@
 UNPROVEN_PENALTY_MILLICORES = 1_000_000
 # Time for which a success shows that a worker is healthy.
 RECENT_SUCCESS_S = 10.0
+# Most workers that are examined for room that will become free.
+MAX_WORKERS_TO_FREE = 16
 # Longest time for which a task that has room is not started. By the platform's
 # rules, no accepted pipeline may be idle for 3 s.
 MAX_IDLE_S = 2.0
@@ -252,6 +254,58 @@
     return None
 
 
+def choose_to_free(
+    task: pipeline.Task, workers: Iterable[fleet.Worker], now: float
+) -> fleet.Worker | None:
+    """Returns the worker that can have room for a task soonest, if any.
+
+    What does not last ends there while nothing else starts in its room. Workers
+    with reservations are left out, so that no two tasks wait for the same room.
+
+    Args:
+        task: A task without room on any worker.
+        workers: Workers of its service that accept new attempts.
+        now: Monotonic seconds.
+    """
+    demand = task.stage.demand
+    eligible = (
+        worker
+        for worker in workers
+        if not worker.reserved_for_others(task, now)
+        and worker.id not in task.avoided_workers
+        and worker.state.capacity.covers(demand)
+        and meets_constraints(task, worker, now)
+    )
+    nearest = heapq.nsmallest(
+        MAX_WORKERS_TO_FREE,
+        eligible,
+        key=lambda worker: (_missing_share(demand, worker.free), worker.id),
+    )
+    for worker in nearest:
+        left = worker.state.capacity
+        for placement in worker.placements.values():
+            if placement.task.stage.lasting:
+                left = left.minus(placement.task.stage.demand)
+        if left.covers(demand):
+            return worker
+    return None
+
+
+def _missing_share(
+    demand: resources.Resources, free: resources.Resources
+) -> float:
+    """Returns the largest share of a demand that is not free."""
+    return max(
+        (needed - available) / needed
+        for needed, available in (
+            (demand.millicores, free.millicores),
+            (demand.memory_mb, free.memory_mb),
+            (demand.accelerators, free.accelerators),
+        )
+        if needed
+    )
+
+
 def _groups_for_retry(
     task: pipeline.Task,
     candidates: list[fleet.Worker],
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -45,6 +45,9 @@
 BUSY_SHARE = 0.5
 # Most such starts of one round.
 MAX_OVERDUE_STARTS = 20
+# Most lasting tasks for which room is kept at a time. Each is compared with all
+# workers in each round.
+MAX_KEPT_ROOMS = 20
 
 
 class Starter:
@@ -76,6 +79,8 @@
         self._metrics = metrics
         self._advice = pipelineadvice.Advice()
         self._unplaceable: set[str] = set()
+        # Lasting tasks without room, each with the worker where it is kept.
+        self._kept_rooms: dict[str, fleet.Worker] = {}
 
     @property
     def advice(self) -> pipelineadvice.Advice:
@@ -111,6 +116,7 @@
             may_start: Returns whether no earlier leader can have started a
                 task.
         """
+        self._drop_lapsed_rooms(now)
         schedulable: dict[str, list[fleet.Worker]] = {}
         for worker in workers:
             if worker.is_schedulable(now):
@@ -136,10 +142,19 @@
             service: _max_idle_s(same_service)
             for service, same_service in schedulable.items()
         }
+        top_priority: dict[str, int] = {}
+        for _, _, queue in ranked:
+            known = top_priority.get(queue.service, queue.priority)
+            top_priority[queue.service] = min(known, queue.priority)
         for rank, item, queue in ranked:
             if considered < MAX_CONSIDERED_TASKS:
                 considered += self._start_pipeline(
-                    item, queue, searches[queue.service], now, may_start
+                    item,
+                    queue,
+                    searches[queue.service],
+                    queue.priority <= top_priority[queue.service],
+                    now,
+                    may_start,
                 )
                 for placement in slowed.get(item.id, ()):
                     self._move(placement, schedulable[queue.service], now)
@@ -162,11 +177,15 @@
         item: pipeline.Pipeline,
         queue: queues.Queue,
         search: "_Search",
+        is_most_urgent: bool,
         now: float,
         may_start: Callable[[pipeline.Task], bool],
     ) -> int:
         """Starts the ready tasks of a pipeline for which there is room.
 
+        For lasting tasks without room, it is kept where it becomes free; at
+        once if no work that waits is more urgent.
+
         Returns:
             Number of tasks for which it looked for a worker.
         """
@@ -183,7 +202,11 @@
             is_first_start = task.stage.lasting and not task.last_attempt
             if is_first_start and now - task.ready_since_s < GATHER_DELAY_S:
                 continue
-            unrestricted = not (task.avoided_workers or task.suspect)
+            unrestricted = not (
+                task.avoided_workers
+                or task.suspect
+                or task.reserved_until_s > now
+            )
             stage_key = (task.occurrence, task.stage_number)
             if unrestricted and stage_key in stages_without_worker:
                 continue
@@ -205,6 +228,11 @@
                 if unrestricted:
                     stages_without_worker.add(stage_key)
                 self._report_unplaceable(task, workers)
+                if task.stage.lasting and (
+                    is_most_urgent
+                    or now - task.ready_since_s >= placement_module.MAX_IDLE_S
+                ):
+                    self._keep_room(task, allowed, now)
                 continue
             self._start(task, worker, self._next_attempt(task), now)
             search.record_start(task)
@@ -258,6 +286,36 @@
                 return True
         return False
 
+    def _keep_room(
+        self, task: pipeline.Task, workers: list[fleet.Worker], now: float
+    ) -> None:
+        """Keeps others from the room that becomes free on one worker.
+
+        A large task would otherwise never find room while smaller ones take
+        each core as it becomes free.
+        """
+        worker = self._kept_rooms.get(task.id)
+        if worker is None:
+            if len(self._kept_rooms) >= MAX_KEPT_ROOMS:
+                return
+            worker = placement_module.choose_to_free(task, workers, now)
+            if worker is None:
+                return
+            self._kept_rooms[task.id] = worker
+            self._metrics.count("rooms_kept")
+        worker.reserve(task, now + fleet.RESERVATION_S)
+
+    def _drop_lapsed_rooms(self, now: float) -> None:
+        """Forgets rooms that are not kept any more."""
+        for task_id, worker in list(self._kept_rooms.items()):
+            reservation = worker.reservations.get(task_id)
+            if (
+                reservation is None
+                or reservation.until_s <= now
+                or not worker.is_schedulable(now)
+            ):
+                del self._kept_rooms[task_id]
+
     def _workers_with_ticket(
         self,
         task: pipeline.Task,
@@ -403,6 +461,9 @@
     ) -> fleet.Placement:
         placement = fleet.Placement(task, attempt, worker, now)
         placement.pace_percent = self._pacer.initial_pace(task, worker, now)
+        kept_at = self._kept_rooms.pop(task.id, None)
+        if kept_at is not None:
+            kept_at.release(task)
         self._attempts.attach(placement)
         return placement
 
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -9,6 +9,7 @@
 from pomelostair import pipeline
 from pomelostair import pipelineplacement as placement_module
 from pomelostair import pipelinestarts
+from tests import faultfleet
 from tests import pipelines
 
 METRICS = metrics.Metrics()
@@ -37,6 +38,18 @@
         self.attempts.attach(placement)
         return placement
 
+    def fill(self, worker, **fields):
+        """Leaves no room on a worker."""
+        return [
+            pipelines.place(worker, pipelines.stage(millicores=1000, **fields))
+            for _ in range(worker.free.millicores // 1000)
+        ]
+
+    def add(self, name, stage, queue="fit"):
+        """Returns a new pipeline, whose tasks are ready since 0 s."""
+        declared = pipelines.declare(name, stage, queue=queue)
+        return pipeline.Pipeline(declared, 1, pipeline.Progress(), 0.0)
+
     def start_ready(
         self, *items, slowed=(), now=1.0, may_start=lambda task: True
     ):
@@ -408,3 +421,82 @@
         )
         starter.start_ready(items, workers, pipelines.TABLE, {}, 1.0)
         assert len(compared) <= len(workers)
+
+
+class TestRoomForLastingTasks:
+    """A full fleet, on which much small work waits for the next free core."""
+
+    def start_s(self, lasting, small_memory_mb=1000, lasting_queue="fit"):
+        """Returns when a lasting task starts after it was submitted."""
+        fleet = faultfleet.FaultFleet(("w1", "w2", "w3"), cores=8)
+        fleet.run_for(1.5)
+        for number in range(20):
+            small = pipelines.stage(
+                30, 1000, small_memory_mb, estimate_ms=1200 + 17 * number
+            )
+            fleet.submit(f"small{number}", small, queue="fit")
+        fleet.run_for(3)
+        submitted_s = fleet.now
+        fleet.submit("service", lasting, queue=lasting_queue)
+        fleet.run_for(9)
+        starts = [
+            at_s - submitted_s
+            for at_s, task, _ in fleet.started
+            if task.startswith("service.")
+        ]
+        assert any(t.startswith("small") for t, _ in fleet.running())
+        return starts[0] if starts else None
+
+    def test_large_one_gets_the_next_room(self):
+        """Guards against small tasks that take each core as it becomes free."""
+        service = pipelines.stage(1, 5000, lasting=True, estimate_ms=0)
+        assert self.start_s(service) <= 3.0
+
+    def test_memory_is_kept_as_well(self):
+        """Guards against small tasks that take each gigabyte instead."""
+        service = pipelines.stage(1, 500, 110_000, lasting=True, estimate_ms=0)
+        assert self.start_s(service, small_memory_mb=16_000) <= 3.0
+
+    def test_less_urgent_one_waits_before_it_keeps_room_from_others(self):
+        service = pipelines.stage(1, 5000, lasting=True, estimate_ms=0)
+        start_s = self.start_s(service, lasting_queue="recast")
+        assert placement_module.MAX_IDLE_S < start_s <= 6.0
+
+    def test_each_of_several_gets_room_on_a_worker_of_its_own(self):
+        cluster = TwoWorkers()
+        cluster.fill(cluster.busy)
+        cluster.fill(cluster.empty)
+        item = cluster.add("service", pipelines.stage(3, 5000, lasting=True))
+        for step in range(10):
+            cluster.start_ready(item, now=1.0 + step / 10)
+        holders = [
+            worker
+            for worker in (cluster.busy, cluster.empty)
+            for _ in worker.reservations
+        ]
+        assert holders == [cluster.busy, cluster.empty]
+
+    def test_room_is_not_kept_where_lasting_tasks_leave_too_little(self):
+        cluster = TwoWorkers()
+        cluster.fill(cluster.busy, lasting=True)
+        cluster.fill(cluster.empty)
+        item = cluster.add("service", pipelines.stage(1, 7000, lasting=True))
+        cluster.start_ready(item, now=1.0)
+        assert not cluster.busy.reservations
+        assert cluster.empty.reservations
+
+    def test_start_elsewhere_ends_the_reservation(self):
+        """Guards against room that nobody uses."""
+        cluster = TwoWorkers()
+        filling = cluster.fill(cluster.empty)
+        item = cluster.add("service", pipelines.stage(1, 5000, lasting=True))
+        cluster.start_ready(item, now=1.0)
+        (held,) = [w for w in (cluster.busy, cluster.empty) if w.reservations]
+        other = cluster.empty if held is cluster.busy else cluster.busy
+        for placement in list(other.placements.values()):
+            other.remove(placement)
+        cluster.start_ready(item, now=1.1)
+        assert not held.reservations
+        (placement,) = cluster.attempts.of_task(item.tasks(0, 0)[0])
+        assert placement.worker is other
+        assert filling
