A task that each worker has refused tries them in turn

What callers saw or would see: LOST. A lasting task that every worker had refused as busy, or on which it had failed, was tried again on one of them only, for as long as that one refused or failed, although another had room and was sound by now. Cause: `Task.avoided_workers` was a set, so that the last choice, among avoided workers, fell to the best score: always the same worker. Class: a memory without order or time. Fix: the task keeps the times of failures and of refusals by worker. Avoided workers are the last choice as before, the one with the oldest trouble first, so that each has its turn. Only the avoided workers with room are sorted, for tasks that have any. Tests of placement and waits set the new fields instead of the former set.

--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -246,8 +246,10 @@
         last_attempt: Highest attempt number so far.
         failed_attempts: Numbers of the attempts that failed.
         checkpoint: Latest known checkpoint, empty for none.
-        avoided_workers: Ids of the workers on which the task should not run:
-            an attempt failed or stalled there, or the worker was busy.
+        failed_on: Monotonic time of the latest attempt that failed or stalled,
+            by id of the worker.
+        refused_by: Monotonic time of the latest start that a worker refused as
+            busy, by id of the worker.
         ready_since_s: Monotonic time since which it can start.
         not_before_s: Monotonic time before which it is not tried again.
         reserved_until_s: Monotonic time until which a worker may have room
@@ -270,7 +272,8 @@
     last_attempt: int = 0
     failed_attempts: set[int] = attrs.field(factory=set)
     checkpoint: str = ""
-    avoided_workers: set[str] = attrs.field(factory=set)
+    failed_on: dict[str, float] = attrs.field(factory=dict)
+    refused_by: dict[str, float] = attrs.field(factory=dict)
     ready_since_s: float = 0.0
     not_before_s: float = 0.0
     reserved_until_s: float = 0.0
@@ -290,6 +293,11 @@
             f".{self.stage_number}.{self.index}"
         )
 
+    @property
+    def avoided_workers(self) -> frozenset[str]:
+        """Ids of the workers on which the task should not run."""
+        return frozenset((*self.failed_on, *self.refused_by))
+
     def shares_stage(self, other: "Task") -> bool:
         """Returns whether another task is of the same stage and occurrence."""
         return (
@@ -308,6 +316,20 @@
         """Key within the pipeline, "OCCURRENCE.STAGE.INDEX"."""
         return f"{self.occurrence}.{self.stage_number}.{self.index}"
 
+    def last_trouble_s(self, worker_id: str) -> float:
+        """Returns when a start or an attempt last went wrong on a worker.
+
+        Args:
+            worker_id: Id of the worker.
+
+        Returns:
+            Monotonic seconds, 0 if none went wrong there.
+        """
+        return max(
+            self.failed_on.get(worker_id, 0.0),
+            self.refused_by.get(worker_id, 0.0),
+        )
+
 
 class Pipeline:
     """State of a pipeline and its tasks.
--- a/pomelostair/pipelinemonitor.py
+++ b/pomelostair/pipelinemonitor.py
@@ -96,7 +96,7 @@
                 to_move.append(placement)
             if _is_stalled(placement):
                 self._metrics.count("attempts_stalled")
-                placement.task.avoided_workers.add(worker.id)
+                placement.task.failed_on[worker.id] = now
                 self.suspect(worker, now, "its attempts make no progress")
                 self._attempts.stop(placement, "it makes no progress")
         return to_move
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -266,14 +266,23 @@
         workers: Workers of its service that accept new attempts.
         now: Monotonic seconds.
     """
-    untried = [w for w in candidates if w.id not in task.avoided_workers]
+    avoided = task.avoided_workers
+    untried = [w for w in candidates if w.id not in avoided]
     proven = [w for w in untried if has_recent_success(w, now)]
     # Further failures fail the pipeline, unless the task is a lasting one.
     may_wait = not task.stage.lasting and now - task.ready_since_s < MAX_IDLE_S
     if may_wait and any(has_recent_success(w, now) for w in workers):
         return [proven]
     not_failing = [w for w in untried if w.last_failure_s <= w.last_success_s]
-    return [proven, not_failing, untried, candidates]
+    # A worker that always refuses must not hide one that has room by now.
+    tried = sorted(
+        (w for w in candidates if w.id in avoided),
+        key=lambda w: (
+            may_wait and w.id in task.failed_on,
+            task.last_trouble_s(w.id),
+        ),
+    )
+    return [proven, not_failing, untried, *([w] for w in tried)]
 
 
 def _score_if_paced(
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -644,7 +644,7 @@
         self._crashes.acquit(task, attempt)
         # Lasting tasks occasionally fail on healthy workers, too.
         if not task.stage.lasting or now - ordered_s < EARLY_FAILURE_S:
-            task.avoided_workers.add(worker.id)
+            task.failed_on[worker.id] = now
         worker.last_failure_s = now
         worker.failed_since_success.add(item.id)
         if len(worker.failed_since_success) >= FAILURES_TO_SUSPECT:
@@ -794,7 +794,7 @@
             # An earlier leader used more numbers than are set aside for a term.
             task.last_attempt += pipelinestarts.ATTEMPTS_PER_EPOCH
         if reason == "busy":
-            task.avoided_workers.add(placement.worker.id)
+            task.refused_by[placement.worker.id] = now
         self._attempts.remove(placement, now)
 
     def _remove_missing(
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -759,6 +759,20 @@
         fleet.run_for(9)
         assert workers_of(fleet, "a.0.0.0")
 
+    def test_task_that_failed_on_all_workers_is_not_tied_to_one(self):
+        """Guards against retries on a failing worker beside a sound one."""
+        fleet = calm_fleet()
+        for host in fleet.hosts.values():
+            host.failing = True
+        fleet.submit("a", pipelines.stage(lasting=True))
+        fleet.run_for(3)
+        task = fleet.scheduler.registry.find_task("a.0.0.0")
+        assert task.avoided_workers == {"w1", "w2"}
+        # The choice between equal workers falls on the first.
+        fleet.hosts["w2"].failing = False
+        fleet.run_for(9)
+        assert workers_of(fleet, "a.0.0.0") == ["w2"]
+
     def test_new_leader_continues_the_attempt_numbers(self):
         """Guards against starts that a worker refuses as outdated.
 
--- a/tests/test_pipelineplacement.py
+++ b/tests/test_pipelineplacement.py
@@ -146,7 +146,7 @@
     def test_failed_task_goes_to_worker_with_recent_success(self):
         new, proven, failing = workers = workers_to_retry_on()
         task = task_of(pipelines.stage())
-        task.avoided_workers.add("other")
+        task.failed_on["other"] = 0.0
         task.ready_since_s = 6.0
         assert choose(task, workers, now=6.0) is proven
         pipelines.place(proven, pipelines.stage(millicores=32_000))
@@ -161,7 +161,7 @@
         new, proven, failing = workers = workers_to_retry_on()
         pipelines.place(proven, pipelines.stage(millicores=32_000))
         task = task_of(pipelines.stage())
-        task.avoided_workers.add("other")
+        task.failed_on["other"] = 0.0
         task.ready_since_s = 6.0
         now = 6.0 + PLATFORM_IDLE_S
         assert choose(task, workers, now=now) is new
@@ -180,7 +180,7 @@
                 return 0.5
 
         task = task_of(pipelines.stage(filler=True))
-        task.avoided_workers.add("other")
+        task.failed_on["other"] = 0.0
         task.ready_since_s = 6.0
         workers = [new, proven]
         now = 6.0 + PLATFORM_IDLE_S
@@ -191,7 +191,7 @@
         new, proven, failing = workers = workers_to_retry_on()
         pipelines.place(proven, pipelines.stage(millicores=32_000))
         task = task_of(pipelines.stage(lasting=True))
-        task.avoided_workers.add("other")
+        task.failed_on["other"] = 0.0
         task.ready_since_s = 6.0
         assert choose(task, workers, now=6.0) is new
 
@@ -199,9 +199,32 @@
         failed = pipelines.worker("failed")
         other = pipelines.worker("other")
         task = task_of(pipelines.stage())
-        task.avoided_workers.add("failed")
+        task.failed_on["failed"] = 0.0
         assert choose(task, [failed, other]) is other
 
+    def test_task_refused_everywhere_takes_its_workers_in_turn(self):
+        """Guards against a worker that always refuses and hides the others."""
+        workers = [pipelines.worker(f"w{n}") for n in range(4)]
+        pipelines.place(workers[3], pipelines.stage())
+        task = task_of(pipelines.stage(lasting=True))
+        chosen = []
+        for step in range(8):
+            chosen.append(choose(task, workers, now=step))
+            task.refused_by[chosen[-1].id] = step
+        assert chosen == workers * 2
+
+    def test_short_wait_spares_a_worker_on_which_an_attempt_failed(self):
+        """Guards against failing a pipeline while a refusal would do."""
+        failing, refusing = pipelines.worker("w1"), pipelines.worker("w2")
+        task = task_of(pipelines.stage())
+        task.ready_since_s = 6.0
+        task.failed_on["w1"] = 6.0
+        task.refused_by["w2"] = 6.5
+        workers = [failing, refusing]
+        assert choose(task, workers, now=7.0) is refusing
+        now = 6.0 + PLATFORM_IDLE_S
+        assert choose(task, workers, now=now) is failing
+
     @hypothesis.given(
         strategies.lists(
             strategies.tuples(
--- a/tests/test_pipelinewaits.py
+++ b/tests/test_pipelinewaits.py
@@ -23,7 +23,7 @@
 
 def reason_for(stage, *workers, avoided=(), now=9.0):
     task = waiting_pipeline(stage).tasks(0, 0)[0]
-    task.avoided_workers.update(avoided)
+    task.failed_on.update(dict.fromkeys(avoided, 0.0))
     task.ready_since_s = 8.0
     return pipelinewaits.reason_for(
         task, list(workers), pacing.Pacer(METRICS), now
