A late report of an agent's earlier process does not displace its successor

What callers saw or would see: LOST. After a restart of an agent around a change of the leader, its host got no work for the rest of the term, and what ran there lapsed. Cause: the leader took each incarnation that it had not seen before for a later one. If the successor's reports came first in a term, one late report of the earlier process made the successor the former one, whose reports are ignored for good. The late report's lists were applied, too, so that an attempt which they lack counted as ended. Class: an order that is inferred from the order of arrival. Fix: reports tell when the agent's process began. One that began earlier than the current one does not count. Reports of older versions lack this and are taken as before. The simulated agents tell the start of their processes, too; that of the first one lies long ago, as its age already did.

--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -8,6 +8,7 @@
 """
 
 import math
+import time
 
 import attrs
 import curio
@@ -240,6 +241,7 @@
         super().__init__(parts, host)
         self._clock = clock_module.BoottimeClock()
         self._started_s = self._clock.now()
+        self._started_ms = int(time.time() * 1000)
         self._port = parts.port
         self._hold_ms = parts.settings.pipelines.hold_ms
         # A worker that has not shown itself by then runs nothing, either: the
@@ -913,6 +915,7 @@
                 if w.confirmed
             },
             self._reported_crashes(),
+            self._started_ms,
         )
         await self._parts.bus.post(self._leader.bus, report)
 
--- a/pomelostair/pipelinemessages.py
+++ b/pomelostair/pipelinemessages.py
@@ -206,6 +206,8 @@
             runs nothing any more.
         addresses: HTTP addresses of the workers, by worker id.
         crashes: Crashes of workers under attempts that had just started.
+        started_ms: Unix milliseconds of the start of the agent's process, 0 in
+            reports of older versions.
     """
 
     agent: str
@@ -217,6 +219,7 @@
     gone: tuple[tuple[str, int], ...] = ()
     addresses: dict[str, str] = attrs.field(factory=dict)
     crashes: tuple[WorkerCrash, ...] = ()
+    started_ms: int = 0
 
 
 @attrs.frozen
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -4,7 +4,6 @@
 workers, and its registry collects the pipelines whose progress must be stored.
 """
 
-import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -28,6 +27,7 @@
 from pomelostair import pipelinepacking
 from pomelostair import pipelinereconciliation
 from pomelostair import pipelineregistry
+from pomelostair import pipelinereports
 from pomelostair import pipelinestarts
 from pomelostair import pipelinewaits
 from pomelostair import queues
@@ -52,40 +52,6 @@
 ENDED_RETENTION_S = 30.0
 
 
-# Earlier incarnations of an agent that are remembered, so that their late
-# reports are ignored.
-MAX_FORMER_INCARNATIONS = 8
-
-
-@attrs.define
-class _ReportSequence:
-    """Detects reports of an agent that a later report has overtaken.
-
-    Attributes:
-        incarnation: Incarnation of the agent's process.
-        sequence: Number of that process's latest accepted report.
-        former_incarnations: Incarnations of the agent's earlier processes.
-    """
-
-    incarnation: str
-    sequence: int = 0
-    former_incarnations: collections.deque[str] = attrs.field(
-        factory=lambda: collections.deque(maxlen=MAX_FORMER_INCARNATIONS)
-    )
-
-    def accept(self, incarnation: str, sequence: int) -> bool:
-        """Records a report; returns False if a later one was accepted."""
-        if incarnation in self.former_incarnations:
-            return False
-        if incarnation != self.incarnation:
-            self.former_incarnations.append(self.incarnation)
-            self.incarnation = incarnation
-        elif sequence <= self.sequence:
-            return False
-        self.sequence = sequence
-        return True
-
-
 class PipelineScheduler:
     """Schedules the pipelines on the workers during one term of a leader.
 
@@ -119,7 +85,7 @@
         # Last order number, last applied result and incarnation of the agent of
         # removed workers, which continue from there if they are reported again.
         self._last_numbers: dict[fleet.WorkerKey, tuple[int, int, str]] = {}
-        self._report_sequences: dict[str, _ReportSequence] = {}
+        self._report_sequences: dict[str, pipelinereports.ReportSequence] = {}
         # Incarnations whose agents report that their leases have lapsed.
         self._lapsed: set[fleet.WorkerKey] = set()
         self._reconciliation = pipelinereconciliation.Reconciliation()
@@ -323,9 +289,11 @@
             work since their leases have lapsed.
         """
         reports = self._report_sequences.setdefault(
-            message.agent, _ReportSequence(agent_incarnation)
+            message.agent, pipelinereports.ReportSequence()
         )
-        if not reports.accept(agent_incarnation, message.sequence):
+        if not reports.accept(
+            agent_incarnation, message.started_ms, message.sequence, now
+        ):
             self._metrics.count("reports_overtaken")
             return []
         for state in message.workers:
--- a/tests/faultfleet.py
+++ b/tests/faultfleet.py
@@ -57,7 +57,7 @@
     Attributes:
         name: Name of the agent.
         life: Number of its process.
-        started_s: Start of that process.
+        started_s: Start of that process; the first one began long ago.
         down: Whether it does not run.
         lost: Whether it is lost with its workers.
         partitioned: Whether it can't reach the leader, nor be reached.
@@ -73,7 +73,7 @@
 
     name: str
     life: int = 1
-    started_s: float = 0.0
+    started_s: float = 1.0
     down: bool = False
     lost: bool = False
     partitioned: bool = False
@@ -560,6 +560,7 @@
             states,
             tuple(agent.gone_since_s),
             {host.worker: f"{host.name}:1" for host in listed},
+            started_ms=int(agent.started_s * 1000),
         )
         self._in_flight.append(
             (self.now + agent.report_delay_s, agent.incarnation, report)
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -1,4 +1,5 @@
 import random
+import time
 
 import curio
 import msgspec
@@ -20,6 +21,7 @@
 from pomelostair import resources
 from pomelostair import settings
 from pomelostair import store
+from pomelostair import wire
 from pomelostair_standins import runner
 from tests import nested
 
@@ -262,6 +264,36 @@
         harness.run(body)
 
 
+class TestReports:
+    def test_start_of_the_process_orders_those_of_one_agent(self):
+        """Guards against reports whose order a leader can't tell."""
+
+        def reported_start_ms():
+            harness = Harness()
+
+            async def body():
+                harness.agent._accept_leader(LEADER)
+                await harness.agent._report(())
+                await harness.wait_until(lambda: harness.reports)
+
+            harness.run(body)
+            return harness.reports[0].started_ms
+
+        begin_ms = time.time() * 1000
+        first_ms = reported_start_ms()
+        time.sleep(0.01)
+        assert begin_ms - 1 <= first_ms < reported_start_ms()
+
+    def test_start_of_the_process_may_be_missing(self):
+        """Guards against ignoring the agents of older versions."""
+        report = msgspec.to_builtins(messages.AgentReport("a", 1, 1, True, ()))
+        del report["started_ms"]
+        decoded = wire.decode_body(
+            "worker-report", msgspec.msgpack.encode(report)
+        )
+        assert decoded.started_ms == 0
+
+
 class TestOrders:
     def test_repeated_order_is_executed_once(self):
         harness = Harness()
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -302,6 +302,25 @@
         assert ("a.0.0.0", 1) in report(later - 1, earlier)
         assert ("a.0.0.0", 1) not in report(later + 1, earlier)
 
+    def test_late_report_of_an_earlier_agent_process_removes_nothing(self):
+        """Guards against a second run beside one that a late list lacks."""
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.run_for(1)
+        fleet.submit("a")
+        fleet.step()
+        key = ("w1", fleet.hosts["w1"].runner.born_ms)
+        running = (("a.0.0.0", 1, "", 10.0, 500.0),)
+        for incarnation, started_ms, rows in (
+            ("later", 2000, running),
+            ("earlier", 1000, ()),
+        ):
+            state = pipelines.worker_state(*key, 8, running=rows, received=9)
+            report = messages.AgentReport(
+                "agent-w1", 1, 1, True, (key,), (state,), started_ms=started_ms
+            )
+            fleet.scheduler.apply_report(report, "bus", incarnation, fleet.now)
+        assert ("a.0.0.0", 1) in fleet.scheduler.workers[key].placements
+
     def test_orders_lost_before_a_later_one_are_carried_out(self):
         """The simulated agent took a later order as the receipt of all."""
         fleet = simfleet.Fleet(("w1",), cores=8)
