A gang is not refused once for each of its members

What callers would see: LOST. A gang whose members go to a worker that refuses all starts as busy, beside one with room for all, starts only after a wait that grows with its size. Cause: only the refused member avoided the worker. The others were sent there again, one refusal ended the gang's attempts each time. Class: a fact about a worker that is kept for one task. Evidence, on the code before, simulated fleet of 2 workers: lasting gangs of 2, 8 and 20 members run 0.6, 3.2 and 8.0 s after their submission, after 3, 9 and 21 attempts; test_gang_is_not_refused_once_for_each_member: `assert 0 == 20` after 3 s. Now 0.4, 0.6 and 0.6 s, two attempts each. A worker on which attempts fail cost no more for larger gangs (1.0 s for 2 and for 20 members), so failures are kept by member as before. Fix: the members of a gang share the record of refusals.

--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -249,7 +249,7 @@
         failed_on: Monotonic time of the latest attempt that failed or stalled,
             by id of the worker.
         refused_by: Monotonic time of the latest start that a worker refused as
-            busy, by id of the worker.
+            busy, by id of the worker. The members of a gang share it.
         ready_since_s: Monotonic time since which it can start.
         not_before_s: Monotonic time before which it is not tried again.
         reserved_until_s: Monotonic time until which a worker may have room
@@ -667,8 +667,11 @@
                 "little",
             )
             tasks = []
+            gang_refused_by: dict[str, float] = {}
             for index in range(stage.count):
                 task = Task(self, occurrence, number, index)
+                if stage.gang:
+                    task.refused_by = gang_refused_by
                 task.failed_attempts = set(
                     self._stored_progress.failed.get(task.key, ())
                 )
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -773,6 +773,17 @@
         fleet.run_for(9)
         assert workers_of(fleet, "a.0.0.0") == ["w2"]
 
+    def test_gang_is_not_refused_once_for_each_member(self):
+        """Guards against a wait for a gang that grows with its size.
+
+        One worker refuses every start, and another has room for all.
+        """
+        fleet = calm_fleet(cores=32)
+        fleet.hosts["w1"].busy = True
+        fleet.submit("a", pipelines.stage(20, gang=True, lasting=True))
+        fleet.run_for(IDLE_S)
+        assert len(fleet.running()) == 20
+
     def test_new_leader_continues_the_attempt_numbers(self):
         """Guards against starts that a worker refuses as outdated.
 
