Attempts lost with their workers count though no agent reports a crash

What callers would see: BUDGET. A task that crashes each worker that starts it is started without end where the agent ends with its worker, or restarts before the worker is back. Cause: only the agent's report counts a crash, and the reports know nothing of what an earlier process of the agent started. Class: a bound that rests on the survival of one process. The leader itself knows which attempts it loses with a worker. Fix: the leader counts an attempt that is lost with its worker before it was seen running for 0.5 s towards the limit of five, stores the count, and sets it back once an attempt ran, or failed by itself. It blames nobody, so that a loss of power fails no task that runs between two of them. Workers that drain are left out. The work is one step for each lost attempt; nothing is scanned. Not covered: an attempt that is lost while the leader changes, if no agent reports it.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -62,7 +62,7 @@
         ticket: Ticket by which the advisor allows its start, empty for none.
         known_capacity: Capacity of the worker on which its start rests.
         listed_since_ms: Worker clock of the first list that shows it running,
-            0 if that is unknown; kept for unproven attempts.
+            0 if that is unknown.
     """
 
     task: pipeline.Task
@@ -88,6 +88,13 @@
         """Task id and attempt number."""
         return self.task.id, self.attempt
 
+    @property
+    def known_run_ms(self) -> int:
+        """Time for which its worker's lists show it running."""
+        if not self.listed_since_ms:
+            return 0
+        return self.worker.state.clock_ms - self.listed_since_ms
+
 
 @attrs.frozen
 class KnownIncarnation:
--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -220,6 +220,8 @@
             "OCCURRENCE.STAGE.INDEX".
         acquitted: Highest attempt of each unfinished task that was a suspect
             and was seen to crash no worker, by the same key.
+        lost: Numbers of the attempts of unfinished tasks that were lost early,
+            see `Task.early_losses`, by the same key.
     """
 
     phase: Phase = Phase.QUEUED
@@ -231,6 +233,7 @@
     placed: dict[str, list[tuple[str, codec.Count]]] | None = None
     crashes: dict[str, list[Crash]] = attrs.field(factory=dict)
     acquitted: dict[str, codec.Count] = attrs.field(factory=dict)
+    lost: dict[str, list[codec.Count]] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -260,6 +263,9 @@
         kept_apart_s: Monotonic time since which it could start but for the
             distance that is kept between suspects, 0 if it does not wait so.
         proven_attempt: Highest attempt that was seen to crash no worker.
+        early_losses: Numbers of the attempts that were lost with their workers
+            before they were known to run for
+            `pipelinemessages.START_CRASH_S`, since the last one that was.
     """
 
     pipeline: "Pipeline"
@@ -279,6 +285,7 @@
     crashes: list[Crash] = attrs.field(factory=list)
     kept_apart_s: float = 0.0
     proven_attempt: int = 0
+    early_losses: set[int] = attrs.field(factory=set)
     stage: Stage = attrs.field(init=False)
     id: str = attrs.field(init=False)
 
@@ -595,6 +602,7 @@
         checkpoints: dict[str, str] = {}
         crashes: dict[str, list[Crash]] = {}
         acquitted: dict[str, int] = {}
+        lost: dict[str, list[int]] = {}
         for (occurrence, number), tasks in self._tasks.items():
             bits = 0
             for task in tasks:
@@ -609,6 +617,8 @@
                     crashes[task.key] = list(task.crashes)
                 if task.proven_attempt and len(acquitted) < MAX_CRASHED_TASKS:
                     acquitted[task.key] = task.proven_attempt
+                if task.early_losses and len(lost) < MAX_CRASHED_TASKS:
+                    lost[task.key] = sorted(task.early_losses)
             if bits or self._declaration.timed:
                 size = (len(tasks) + 7) // 8
                 done[f"{occurrence}.{number}"] = bits.to_bytes(size, "little")
@@ -624,6 +634,7 @@
             self._placed() if self._declaration.lasting else None,
             crashes,
             acquitted,
+            lost,
         )
 
     def _open_next_occurrence(
@@ -661,6 +672,9 @@
                 task.crashes = list(
                     self._stored_progress.crashes.get(task.key, ())
                 )
+                task.early_losses.update(
+                    self._stored_progress.lost.get(task.key, ())
+                )
                 task.proven_attempt = self._stored_progress.acquitted.get(
                     task.key, 0
                 )
--- a/pomelostair/pipelinecrashes.py
+++ b/pomelostair/pipelinecrashes.py
@@ -8,6 +8,8 @@
 caused it.
 """
 
+from collections.abc import Set
+
 import attrs
 
 from pomelostair import attempts as attempts_module
@@ -29,8 +31,8 @@
 MAX_HOSTS_UNCERTAIN = 3
 # The same for crashes on fewer hosts.
 MAX_CRASHES = 4
-# Crashes under a task, whoever is to blame for them, before it is given up. The
-# platform allows five starts of a task that crashes its workers.
+# Crashes and early losses of a task, whoever is to blame for them, before it is
+# given up. The platform allows five starts of a task that crashes its workers.
 MAX_CRASHES_IN_ALL = 5
 # Longest wait of a suspect for a worker on another host without new attempts.
 # It covers the time in which those are seen to run.
@@ -40,11 +42,20 @@
 MAX_SEPARATION_WAIT_S = 2.5
 
 
-def is_hopeless(crashes: list[pipeline.Crash]) -> bool:
-    """Returns whether a task with these crashes is given up."""
+def is_hopeless(
+    crashes: list[pipeline.Crash], early_losses: Set[int] = frozenset()
+) -> bool:
+    """Returns whether a task is given up.
+
+    Args:
+        crashes: Crashes of workers under the task.
+        early_losses: Its attempts that were lost early; the agents report only
+            some of them as crashes.
+    """
     blamed = [crash for crash in crashes if crash.suspects and crash.certain]
     hosts = {crash.host for crash in blamed}
-    if len(crashes) >= MAX_CRASHES_IN_ALL or len(hosts) >= MAX_HOSTS_UNCERTAIN:
+    attempts = early_losses | {crash.attempt for crash in crashes}
+    if len(attempts) >= MAX_CRASHES_IN_ALL or len(hosts) >= MAX_HOSTS_UNCERTAIN:
         return True
     return any(crash.suspects == 1 for crash in blamed) and (
         len(hosts) >= MAX_HOSTS or len(blamed) >= MAX_CRASHES
@@ -159,12 +170,44 @@
                 self._attempts.mark_unproven(placement)
             # A crash is reported late if the worker was away for long. What the
             # task does meanwhile on another worker decides.
-            if is_hopeless(task.crashes) and not any(
+            if is_hopeless(task.crashes, task.early_losses) and not any(
                 placement.reported for placement in later
             ):
                 hopeless.append(task)
         return hopeless
 
+    def record_loss(self, placement: fleet.Placement) -> bool:
+        """Records that an attempt was lost with its worker.
+
+        An agent that restarts, or is lost with its worker, reports no crash.
+
+        Args:
+            placement: The attempt, which is not removed yet.
+
+        Returns:
+            Whether its task is to be given up.
+        """
+        task = placement.task
+        if placement.known_run_ms >= messages.START_CRASH_S * 1000:
+            self._forget_losses(task)
+            return False
+        was_ordered = placement.reported or placement.order_number > 0
+        if (
+            not was_ordered
+            or placement.state is fleet.AttemptState.STOPPING
+            or task.pipeline.ended
+            or task.phase is pipeline.TaskPhase.DONE
+        ):
+            return False
+        task.early_losses.add(placement.attempt)
+        self._metrics.count("early_losses")
+        self._registry.mark_changed(task.pipeline)
+        return is_hopeless(task.crashes, task.early_losses) and not any(
+            other.reported
+            for other in self._attempts.of_task(task)
+            if other is not placement
+        )
+
     def check(self) -> None:
         """Acquits the tasks that were seen running for long enough."""
         for placement in list(self._attempts.unproven.values()):
@@ -175,8 +218,7 @@
                 continue
             if not placement.listed_since_ms:
                 placement.listed_since_ms = state.clock_ms
-            ran_ms = state.clock_ms - placement.listed_since_ms
-            if ran_ms >= messages.START_CRASH_S * 1000:
+            if placement.known_run_ms >= messages.START_CRASH_S * 1000:
                 self.acquit(placement.task, placement.attempt)
 
     def acquit(self, task: pipeline.Task, attempt: int) -> None:
@@ -196,6 +238,16 @@
         self._registry.mark_changed(task.pipeline)
         self._metrics.count("suspect_tasks_acquitted")
 
+    def apply_end(self, task: pipeline.Task, attempt: int) -> None:
+        """Clears a task, an attempt of which has ended by itself.
+
+        Args:
+            task: The task.
+            attempt: Number of the attempt.
+        """
+        self.acquit(task, attempt)
+        self._forget_losses(task)
+
     def clear_others(self, guilty: pipeline.Task) -> None:
         """Clears other tasks of the crashes that a task has caused.
 
@@ -208,6 +260,11 @@
                 if any((c.host, c.life) in causes for c in task.crashes):
                     self._clear(task, causes)
 
+    def _forget_losses(self, task: pipeline.Task) -> None:
+        if task.early_losses:
+            task.early_losses.clear()
+            self._registry.mark_changed(task.pipeline)
+
     def _clear(self, task: pipeline.Task, causes: set[tuple[str, int]]) -> None:
         task.crashes = [
             attrs.evolve(c, suspects=0) if (c.host, c.life) in causes else c
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -641,7 +641,7 @@
         item = task.pipeline
         queue = self._queues.by_name(item.declaration.queue)
         limit = queue.max_attempts if queue is not None else 0
-        self._crashes.acquit(task, attempt)
+        self._crashes.apply_end(task, attempt)
         # Lasting tasks occasionally fail on healthy workers, too.
         if not task.stage.lasting or now - ordered_s < EARLY_FAILURE_S:
             task.avoided_workers.add(worker.id)
@@ -675,6 +675,7 @@
             phase=item.phase.value,
             task=task.id,
             crashes=len(task.crashes),
+            early_losses=len(task.early_losses),
             hosts=sorted({crash.host for crash in task.crashes}),
         )
         self._close_pipeline(item)
@@ -748,6 +749,7 @@
         if not placement.reported:
             placement.reported = True
             placement.last_progress_s = now
+            placement.listed_since_ms = placement.worker.state.clock_ms
         if percent != placement.progress_percent:
             placement.progress_percent = percent
             placement.last_progress_s = now
@@ -841,8 +843,15 @@
             attempts=len(worker.placements),
             reason=reason,
         )
+        hopeless = []
         for placement in list(worker.placements.values()):
+            if not worker.state.draining and self._crashes.record_loss(
+                placement
+            ):
+                hopeless.append(placement.task)
             self._attempts.remove(placement, now)
+        for task in hopeless:
+            self._give_up(task)
 
     def _expire_workers(self, now: float) -> None:
         for key, worker in list(self._workers.items()):
--- a/tests/test_pipelinecrashes.py
+++ b/tests/test_pipelinecrashes.py
@@ -154,6 +154,23 @@
         assert start_counts(fleet)["a.0.0.0"] <= ALLOWED_STARTS
         assert fleet.phase("a") is FAILED
 
+    @pytest.mark.parametrize("rebirth_s", [3.0, 9.0])
+    @pytest.mark.parametrize("worker_count", [1, 2, 8])
+    def test_is_given_up_if_its_crashes_are_not_reported(
+        self, worker_count, rebirth_s
+    ):
+        """Guards against BUDGET while agents end with their workers."""
+        fleet = simfleet.Fleet(names=names(worker_count))
+        fleet.rebirth_s = rebirth_s
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.loses_crashes = True
+        fleet.deadly.add("a.0.0.0")
+        fleet.submit("a", pipelines.stage(2))
+        fleet.run_for(60)
+        assert start_counts(fleet)["a.0.0.0"] <= ALLOWED_STARTS
+        assert fleet.phase("a") is FAILED
+
 
 class TestHealthyTasks:
     """Workers crash for reasons of their own."""
@@ -426,13 +443,16 @@
         item = pipeline.Pipeline(declared, 1, pipeline.Progress(), 0.0)
         crash = pipeline.Crash(3, "h1", 1, 1)
         item.tasks(0, 0)[1].crashes.append(crash)
+        item.tasks(0, 0)[1].early_losses.update((3, 5))
         stored = pipeline.decode_progress(pipeline.encode(item.progress()))
         restored = pipeline.Pipeline(declared, 1, stored, 0.0)
         assert [t.crashes for t in restored.tasks(0, 0)] == [[], [crash]]
+        losses = [t.early_losses for t in restored.tasks(0, 0)]
+        assert losses == [set(), {3, 5}]
 
     def test_may_be_missing_in_what_an_earlier_version_wrote(self):
         fields = msgspec.to_builtins(pipeline.Progress())
-        del fields["crashes"]
+        del fields["crashes"], fields["lost"]
         data = msgspec.msgpack.encode(fields)
         assert pipeline.decode_progress(data) == pipeline.Progress()
         report = msgspec.to_builtins(messages.AgentReport("a", 1, 1, True, ()))
@@ -451,6 +471,7 @@
                     10**6 + number, "h" * 38, 1_764_000_000_000, 7
                 )
                 task.crashes.append(crash)
+                task.early_losses.add(10**6 + number)
         assert len(pipeline.encode(item.progress())) < 48_000
 
 
@@ -603,6 +624,94 @@
         assert not harness.workers[0].unproven
 
 
+class TestEarlyLosses:
+    """Attempts are lost with workers whose crashes no agent reports."""
+
+    def lose(self, harness, number, **fields):
+        """Loses an attempt; returns whether its task is to be given up."""
+        worker = harness.workers[0]
+        worker.state = pipelines.worker_state(worker.id, clock_ms=9000)
+        placement = harness.place(number, worker)
+        for name, value in fields.items():
+            setattr(placement, name, value)
+        hopeless = harness.tracker.record_loss(placement)
+        harness.attempts.detach(placement)
+        return hopeless
+
+    def test_count_with_the_reported_crashes(self):
+        harness = Harness()
+        assert not harness.crash(1, others=("b.0.0.0",))
+        for number in (1, 2, 3, 4):
+            assert not self.lose(harness, number)
+        assert self.lose(harness, 5)
+
+    def test_do_not_add_up_over_an_attempt_that_ran(self):
+        """Guards against giving up a lasting task in the course of time."""
+        harness = Harness()
+        for number in range(1, 40):
+            listed_since_ms = 0 if number % 4 else 1000
+            assert not self.lose(
+                harness, number, listed_since_ms=listed_since_ms
+            )
+
+    def test_do_not_add_up_over_an_attempt_that_ended(self):
+        harness = Harness()
+        for number in range(1, 40):
+            assert not self.lose(harness, number)
+            if not number % 4:
+                harness.tracker.apply_end(harness.task, number)
+
+    def test_count_only_what_may_have_started(self):
+        """Guards against blaming a task that waits to be stored."""
+        harness = Harness()
+        for number in range(1, 40):
+            assert not self.lose(harness, number, reported=False)
+            assert not self.lose(
+                harness, 100 + number, state=fleet_module.AttemptState.STOPPING
+            )
+        assert not harness.task.early_losses
+
+    def test_of_an_order_without_a_report_count(self):
+        harness = Harness()
+        lost = [
+            self.lose(harness, number, reported=False, order_number=7)
+            for number in range(1, 6)
+        ]
+        assert lost == [False] * 4 + [True]
+
+    def test_do_not_stop_a_copy_that_runs(self):
+        harness = Harness()
+        harness.place(99, harness.workers[1])
+        for number in range(1, 40):
+            assert not self.lose(harness, number)
+
+    def test_workers_that_leave_count_for_none(self):
+        """Guards against blaming tasks for planned shutdowns."""
+        harness = Harness()
+        fleet = harness.fleet
+        fleet.step()
+        for worker in fleet.scheduler.workers.values():
+            worker.state = pipelines.worker_state(worker.id, draining=True)
+        for host in fleet.hosts.values():
+            host.ended.append(host.key)
+        fleet.scheduler.apply_report(
+            messages.AgentReport(
+                "agent-w1",
+                1,
+                10**9,
+                False,
+                (),
+                gone=tuple(fleet.scheduler.workers),
+            ),
+            "bus",
+            "life",
+            fleet.now,
+        )
+        assert not fleet.scheduler.workers
+        assert harness.task.phase is pipeline.TaskPhase.READY
+        assert not harness.task.early_losses
+
+
 class TestSeparation:
     def suspect(self, *hosts):
         declared = pipelines.declare("s")
