A task that crashes its workers up to 2 s after its start is given up, too

What callers would see: BUDGET. A task that crashes each worker later than 0.5 s after its start is started without end. Cause: the agent reports only attempts that are not known to have run for 0.5 s, and the leader set its own count of lost attempts back after that time. Class: one bound for two questions, who is to blame and how often to try again. Fix: the leader's count of lost attempts, which blames nobody, has a bound of its own, 2 s. The attempts to blame, and the distance that is kept between them, stay as they are.

--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -264,8 +264,8 @@
             distance that is kept between suspects, 0 if it does not wait so.
         proven_attempt: Highest attempt that was seen to crash no worker.
         early_losses: Numbers of the attempts that were lost with their workers
-            before they were known to run for
-            `pipelinemessages.START_CRASH_S`, since the last one that was.
+            before they were known to run for `pipelinecrashes.EARLY_LOSS_S`,
+            since the last one that was.
     """
 
     pipeline: "Pipeline"
--- a/pomelostair/pipelinecrashes.py
+++ b/pomelostair/pipelinecrashes.py
@@ -34,6 +34,9 @@
 # Crashes and early losses of a task, whoever is to blame for them, before it is
 # given up. The platform allows five starts of a task that crashes its workers.
 MAX_CRASHES_IN_ALL = 5
+# Run time from which the loss of an attempt with its worker says nothing about
+# its task. The lists that show it are up to two report intervals old.
+EARLY_LOSS_S = 2.0
 # Longest wait of a suspect for a worker on another host without new attempts.
 # It covers the time in which those are seen to run.
 MAX_ISOLATION_WAIT_S = 1.5
@@ -179,7 +182,8 @@
     def record_loss(self, placement: fleet.Placement) -> bool:
         """Records that an attempt was lost with its worker.
 
-        An agent that restarts, or is lost with its worker, reports no crash.
+        An agent that restarts, or is lost with its worker, reports no crash,
+        and none reports one after `pipelinemessages.START_CRASH_S`.
 
         Args:
             placement: The attempt, which is not removed yet.
@@ -188,7 +192,7 @@
             Whether its task is to be given up.
         """
         task = placement.task
-        if placement.known_run_ms >= messages.START_CRASH_S * 1000:
+        if placement.known_run_ms >= EARLY_LOSS_S * 1000:
             self._forget_losses(task)
             return False
         was_ordered = placement.reported or placement.order_number > 0
--- a/tests/test_pipelinecrashes.py
+++ b/tests/test_pipelinecrashes.py
@@ -14,6 +14,7 @@
 from pomelostair import pipelineplacement
 from pomelostair import pipelinestarts
 from pomelostair import wire
+from pomelostair_standins import runner
 from tests import pipelines
 from tests import simfleet
 
@@ -154,6 +155,25 @@
         assert start_counts(fleet)["a.0.0.0"] <= ALLOWED_STARTS
         assert fleet.phase("a") is FAILED
 
+    @pytest.mark.parametrize("lasting", [True, False])
+    @pytest.mark.parametrize("worker_count", [1, 2, 8])
+    @pytest.mark.parametrize("delay_ms", [600, 1000, 1900])
+    def test_is_given_up_if_it_crashes_workers_some_time_after_its_start(
+        self, monkeypatch, delay_ms, worker_count, lasting
+    ):
+        """Guards against BUDGET: it is seen running before each crash."""
+        monkeypatch.setattr(runner, "CRASH_DELAY_MS", delay_ms)
+        fleet = simfleet.Fleet(names=names(worker_count))
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 20_000
+            host.runner.lasting = lasting
+        fleet.deadly.add("a.0.0.0")
+        fleet.submit("a", pipelines.stage(lasting=lasting, estimate_ms=20_000))
+        fleet.run_for(60)
+        assert start_counts(fleet)["a.0.0.0"] <= ALLOWED_STARTS
+        assert fleet.phase("a") is FAILED
+
     @pytest.mark.parametrize("rebirth_s", [3.0, 9.0])
     @pytest.mark.parametrize("worker_count", [1, 2, 8])
     def test_is_given_up_if_its_crashes_are_not_reported(
