--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -268,11 +268,12 @@
         now: Monotonic seconds.
     """
     demand = task.stage.demand
+    avoided = task.avoided_workers
     eligible = (
         worker
         for worker in workers
         if not worker.reserved_for_others(task, now)
-        and worker.id not in task.avoided_workers
+        and worker.id not in avoided
         and worker.state.capacity.covers(demand)
         and meets_constraints(task, worker, now)
     )
