A refused task asks for advice beyond the only worker with a ticket

What callers would see: LOST on a queue with advice. If one worker with room had a ticket, and refused the task as busy, no other worker was asked about until the ticket expired. Cause: advice is requested while fewer workers with a ticket have room than are needed, whether the task avoids them or not. Class: as for a task tied to one worker. Fix: workers that the task avoids do not count.

--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -174,7 +174,7 @@
         considered = 0
         search.drop_comparison()
         stages_without_worker: set[tuple[int, int]] = set()
-        permitted: dict[str, list[fleet.Worker]] = {}
+        permitted: dict[tuple[str, frozenset[str]], list[fleet.Worker]] = {}
         for task in list(item.ready.values()):
             if task.not_before_s > now or self._attempts.has_attempts(task):
                 continue
@@ -190,12 +190,12 @@
             considered += 1
             allowed = workers
             if queue.advice is not None:
-                step = pipelineadvice.step_name(task)
-                if step not in permitted:
-                    permitted[step] = self._workers_with_ticket(
+                key = (pipelineadvice.step_name(task), task.avoided_workers)
+                if key not in permitted:
+                    permitted[key] = self._workers_with_ticket(
                         task, queue.advice, workers, now
                     )
-                allowed = permitted[step]
+                allowed = permitted[key]
             if task.stage.gang:
                 self._start_gang(task, allowed, now, may_start)
                 search.drop_comparison()
@@ -267,7 +267,8 @@
     ) -> list[fleet.Worker]:
         """Returns the fitting workers for which there is a ticket.
 
-        If they are too few for the task, advice on others is requested.
+        If too few of them promise a start, as the task avoids the others,
+        advice on further ones is requested.
         """
         fitting = [
             worker
@@ -279,7 +280,8 @@
         allowed = [w for w in fitting if self._advice.ticket(task, w, now)]
         stage = task.stage
         needed = stage.count if stage.gang else 1
-        if len(allowed) < needed:
+        avoided = task.avoided_workers
+        if sum(w.id not in avoided for w in allowed) < needed:
             self._advice.add_request(task, fitting, terms.valid_ms / 1000, now)
         return allowed
 
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -631,6 +631,27 @@
         fleet.run_for(IDLE_S + 2)
         assert any(task == f"{name}.1.0.0" for _, task, _ in fleet.started)
 
+    def test_refused_task_is_not_tied_to_the_only_worker_with_a_ticket(self):
+        """Guards against a task that is not offered to workers without one."""
+        fleet = calm_fleet()
+        name = next(
+            name
+            for name in map("p{}".format, range(1000))
+            if all(faultfleet.approves(f"{name}.0.0", w) for w in fleet.hosts)
+        )
+        fleet.submit(
+            "full", pipelines.stage(millicores=8000, estimate_ms=60_000)
+        )
+        fleet.run_for(1)
+        (full,) = workers_of(fleet, "full.0.0.0")
+        (other,) = fleet.hosts.keys() - {full}
+        fleet.hosts[other].busy = True
+        fleet.submit(name, pipelines.stage(lasting=True), queue="advised")
+        fleet.run_for(1)
+        fleet.cancel("full")
+        fleet.run_for(IDLE_S)
+        assert workers_of(fleet, f"{name}.0.0.0") == [full]
+
 
 class TestLostOrders:
     def test_order_is_sent_again_soon_after_an_outage(self):
