A refused task does not wait for workers with recent successes

What callers would see: LOST, an idle pipeline. A task that a worker had refused as busy waited up to 2 s for a worker with a recent success, while these were full and others had room; with further refusals after that it was idle for longer than the platform's 3 s. Cause: a refusal was treated as a failure, whose number is limited. It uses up no attempt. Fix: only tasks with a failure or a stall wait.

--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -270,7 +270,12 @@
     untried = [w for w in candidates if w.id not in avoided]
     proven = [w for w in untried if has_recent_success(w, now)]
     # Further failures fail the pipeline, unless the task is a lasting one.
-    may_wait = not task.stage.lasting and now - task.ready_since_s < MAX_IDLE_S
+    # Refusals do not.
+    may_wait = (
+        bool(task.failed_on)
+        and not task.stage.lasting
+        and now - task.ready_since_s < MAX_IDLE_S
+    )
     if may_wait and any(has_recent_success(w, now) for w in workers):
         return [proven]
     not_failing = [w for w in untried if w.last_failure_s <= w.last_success_s]
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -805,6 +805,24 @@
         fleet.run_for(IDLE_S)
         assert len(fleet.running()) == 20
 
+    def test_refused_task_does_not_wait_for_workers_with_successes(self):
+        """Guards against an idle pipeline: a refusal uses up no attempt.
+
+        The only worker with a success is full, the next five refuse.
+        """
+        fleet = calm_fleet(names=tuple(f"w{n}" for n in range(1, 8)))
+        fleet.submit("first", pipelines.stage(millicores=8000))
+        fleet.run_for(2)
+        assert fleet.phase("first") is pipeline.Phase.COMPLETED
+        fleet.submit("full", pipelines.stage(millicores=8000, lasting=True))
+        fleet.run_for(1)
+        assert workers_of(fleet, "full.0.0.0") == ["w1"]
+        for name in ("w2", "w3", "w4", "w5", "w6"):
+            fleet.hosts[name].busy = True
+        fleet.submit("a", pipelines.stage(estimate_ms=60_000))
+        fleet.run_for(IDLE_S)
+        assert workers_of(fleet, "a.0.0.0") == ["w7"]
+
     def test_new_leader_continues_the_attempt_numbers(self):
         """Guards against starts that a worker refuses as outdated.
 
--- a/tests/test_pipelineplacement.py
+++ b/tests/test_pipelineplacement.py
@@ -168,6 +168,15 @@
         pipelines.place(new, pipelines.stage(millicores=32_000))
         assert choose(task, workers, now=now) is failing
 
+    def test_refused_task_waits_for_no_success(self):
+        """Guards against an idle pipeline: a refusal uses up no attempt."""
+        new, proven, failing = workers = workers_to_retry_on()
+        pipelines.place(proven, pipelines.stage(millicores=32_000))
+        task = task_of(pipelines.stage())
+        task.refused_by["other"] = 6.0
+        task.ready_since_s = 6.0
+        assert choose(task, workers, now=6.0) is new
+
     def test_proven_worker_without_the_pace_hides_no_other(self):
         """Guards against a LOST filler: its retry fits only a slow worker."""
         new, proven, _ = workers_to_retry_on()
