A lasting task is not bound to a host that was lost before its start was sent

The platform allows 7 s without a run for a task that has never run.

Cause: for 2 s after its last report, a worker that is gone is still chosen. The start is ordered there, and as it may have arrived, the task is bound to it until the worker's leases have lapsed (7.9 s).

Fix: the start of a lasting task, which waits for its record in the store, now also waits for a list of its worker that is newer than the choice. If the worker falls silent (2 s without a list), the start was certainly never ordered, so that the task is released and placed elsewhere at once; nothing can run twice. All members of a gang that were not ordered are withdrawn before the rest is stopped. The work per report is one look-up by worker, and per round one pass over the starts that are on hold.

The price: a lasting task starts up to one report interval (0.8 s) later. What remains: a host that is lost while the start is on its way, or together with the leader.

test_start_of_a_lasting_task_is_sent_once_it_is_stored held that a start goes out with the commit. It now holds that it goes out with the commit if its worker reported in between, and else not before the report; neither goes out before the commit.

--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -331,6 +331,7 @@
                 name = placement.task.pipeline.id
                 slowed.setdefault(name, []).append(placement)
         self._packer.pack(self._workers.values(), now)
+        self._starter.withdraw_from_silent(now)
         if self._reconciliation.is_complete:
             self._forget_earlier_attempts()
         self._starter.start_ready(
@@ -398,6 +399,7 @@
         self._pacer.observe(worker, now)
         self._apply_results(worker, state, now)
         self._remove_missing(worker, state, now)
+        self._starter.release_reported(worker)
         return worker
 
     def _apply_lapse(self, state: messages.WorkerState, now: float) -> None:
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -74,6 +74,8 @@
         # Attempts of lasting tasks whose workers are not stored yet, by
         # pipeline.
         self._withheld_starts: dict[str, list[fleet.Placement]] = {}
+        # Stored ones whose workers have not reported since, by worker.
+        self._recorded_starts: dict[fleet.WorkerKey, list[fleet.Placement]] = {}
         self._attempts = attempts
         self._pacer = pacer
         self._metrics = metrics
@@ -472,6 +474,9 @@
     ) -> list[fleet.Worker]:
         """Orders the starts of lasting tasks whose workers are stored now.
 
+        If its worker has not reported since it was chosen, a start waits for
+        its next report.
+
         Args:
             stored: Progress that was stored, by id of the pipeline.
 
@@ -484,30 +489,80 @@
             left = []
             for placement in self._withheld_starts.pop(pipeline_id):
                 task = placement.task
-                if (
-                    self._attempts.get(placement.key) is not placement
-                    or placement.state is not fleet.AttemptState.ORDERED
-                ):
+                worker = placement.worker
+                if not self._is_wanted(placement):
                     continue
                 # Without a record, the next leader waits for all workers.
-                if (
-                    placed is not None
-                    and placement.worker.key not in placed.get(task.key, ())
+                if placed is not None and worker.key not in placed.get(
+                    task.key, ()
                 ):
                     left.append(placement)
                     continue
+                if worker.last_listed_s <= placement.ordered_s:
+                    self._recorded_starts.setdefault(worker.key, []).append(
+                        placement
+                    )
+                    continue
                 self._enqueue_start(placement)
-                if placement.worker not in released:
-                    released.append(placement.worker)
+                if worker not in released:
+                    released.append(worker)
             if left:
                 self._withheld_starts[pipeline_id] = left
         return released
 
+    def release_reported(self, worker: fleet.Worker) -> None:
+        """Orders the starts that have waited for a report of their worker.
+
+        Args:
+            worker: A worker whose agent has just reported a new list.
+        """
+        for placement in self._recorded_starts.pop(worker.key, ()):
+            if self._is_wanted(placement):
+                self._enqueue_start(placement)
+
+    def withdraw_from_silent(self, now: float) -> None:
+        """Withdraws the starts that were not ordered yet at silent workers.
+
+        They certainly take no effect, so that the tasks may start elsewhere at
+        once.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        withdrawn = []
+        for starts in (self._withheld_starts, self._recorded_starts):
+            for key, placements in list(starts.items()):
+                left = []
+                for placement in filter(self._is_wanted, placements):
+                    listed_s = placement.worker.last_listed_s
+                    is_silent = now - listed_s >= fleet.REPORT_FRESH_S
+                    (withdrawn if is_silent else left).append(placement)
+                if left:
+                    starts[key] = left
+                else:
+                    del starts[key]
+        for placement in withdrawn:
+            self._metrics.count("starts_withdrawn")
+            self._attempts.detach(placement)
+        # A member of a gang that is released stops those left.
+        for placement in withdrawn:
+            task = placement.task
+            self._attempts.release(task, task.ready_since_s)
+
+    def _is_wanted(self, placement: fleet.Placement) -> bool:
+        """Returns whether an attempt still has to be ordered."""
+        return (
+            self._attempts.get(placement.key) is placement
+            and placement.state is fleet.AttemptState.ORDERED
+        )
+
     def _order_start(self, placement: fleet.Placement, now: float) -> None:
         """Orders the start of an attempt; of a lasting task once it is stored.
 
         The next leader knows then where the task may be running, and does not
-        wait for other workers before it starts it.
+        wait for other workers before it starts it. The worker must have
+        reported since it was chosen: if it is lost, a task that was ordered
+        there is bound to it until its leases have lapsed.
         """
         task = placement.task
         worker = placement.worker
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -712,6 +712,45 @@
         assert workers_of(fleet, "a.0.0.0")
 
 
+class TestHostThatWasJustLost:
+    @pytest.mark.parametrize("gang", [False, True], ids=["single", "gang"])
+    def test_lasting_task_is_not_bound_to_it(self, gang):
+        """Guards against a first start that waits for leases of a lost host.
+
+        The host counts as silent only 2 s after its last report.
+        """
+        fleet = calm_fleet(names=("w1", "w2", "w3"))
+        fleet.submit("first", pipelines.stage(lasting=True, gang=gang))
+        fleet.run_for(2)
+        (name,) = workers_of(fleet, "first.0.0.0")
+        fleet.lose_agent(fleet.hosts[name].agent)
+        # Among equal workers, the fullest is chosen: the lost one.
+        fleet.submit(
+            "a",
+            pipelines.stage(2, lasting=True, latency_target_ms=50.0, gang=gang),
+        )
+        watch = Watch(fleet)
+        for _ in range(round(CALM_S / faultfleet.STEP_S)):
+            watch.step()
+        assert workers_of(fleet, "a.0.0.0") and workers_of(fleet, "a.0.0.1")
+        assert not watch.violations
+
+    def test_task_does_not_start_there_when_the_host_answers_again(self):
+        """Guards against a second run by a start that was withdrawn."""
+        fleet = calm_fleet(names=("w1", "w2"))
+        fleet.hosts["w1"].agent.reports_lost = True
+        fleet.submit("a", pipelines.stage(lasting=True))
+        watch = Watch(fleet)
+        for _ in range(30):
+            watch.step()
+        assert workers_of(fleet, "a.0.0.0") == ["w2"]
+        fleet.hosts["w1"].agent.reports_lost = False
+        for _ in range(100):
+            watch.step()
+        assert len(fleet.started) == 1
+        assert not watch.violations
+
+
 class TestOtherTasks:
     def test_many_tasks_without_room_do_not_hide_a_lasting_one(self):
         """Guards against a lasting task behind a wide pipeline."""
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -11,6 +11,7 @@
 from pomelostair import pipeline
 from pomelostair import pipelineleader
 from pomelostair import pipelinelease
+from pomelostair import pipelinemessages as messages
 from pomelostair import pipelinerows
 from pomelostair import pipelinescheduler
 from pomelostair import store
@@ -384,7 +385,14 @@
 
         harness.run(body)
 
-    def test_start_of_a_lasting_task_is_sent_once_it_is_stored(self):
+    @pytest.mark.parametrize("reports_first", [True, False])
+    def test_start_of_a_lasting_task_is_sent_once_it_is_stored(
+        self, reports_first
+    ):
+        """Guards against a start that the next leader does not know of.
+
+        It also waits for a report, so that no lost worker is ordered to start.
+        """
         harness, leader = self.lead()
         scheduler = leader._scheduler
         worker = self.add_worker(leader)
@@ -397,10 +405,23 @@
         )
         scheduler.run_round(now_s)
         assert worker.placements
+        report = messages.AgentReport(
+            "agent-w1", 1, 1, True, (worker.key,), (worker.state,), (), {}
+        )
+
+        def apply_report():
+            scheduler.apply_report(report, "bus", "life", now_s + 0.1)
+
+        if reports_first:
+            apply_report()
         assert not worker.unconfirmed_orders
 
         async def body():
             assert await leader._commit()
+            if not reports_first:
+                assert not worker.unconfirmed_orders
+                apply_report()
+                await leader._notify_agents([worker])
             orders = [o for m in self.sent for o in m.orders]
             assert [o.task for o in orders] == ["a.0.0.0"]
             observed = await leader._lease.read_lease()
