--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -61,6 +61,8 @@
         stop_reason: Why it is being stopped.
         ticket: Ticket by which the advisor allows its start, empty for none.
         known_capacity: Capacity of the worker on which its start rests.
+        awaits_report: Whether its start waits for a further report of the
+            worker.
         listed_since_ms: Worker clock of the first list that shows it running,
             0 if that is unknown.
     """
@@ -81,6 +83,7 @@
     stop_reason: str = ""
     ticket: str = ""
     known_capacity: resources.Resources | None = None
+    awaits_report: bool = False
     listed_since_ms: int = 0
 
     @property
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -545,8 +545,8 @@
     ) -> list[fleet.Worker]:
         """Orders the starts of lasting tasks whose workers are stored now.
 
-        If its worker has not reported since it was chosen, a start waits for
-        its next report.
+        A first start also waits for the next report of its worker if that has
+        not reported since it was chosen.
 
         Args:
             stored: Progress that was stored, by id of the pipeline.
@@ -569,7 +569,10 @@
                 ):
                     left.append(placement)
                     continue
-                if worker.last_listed_s <= placement.ordered_s:
+                if (
+                    placement.awaits_report
+                    and worker.last_listed_s <= placement.ordered_s
+                ):
                     self._recorded_starts.setdefault(worker.key, []).append(
                         placement
                     )
@@ -631,12 +634,17 @@
         """Orders the start of an attempt; of a lasting task once it is stored.
 
         The next leader knows then where the task may be running, and does not
-        wait for other workers before it starts it. The worker must have
-        reported since it was chosen: if it is lost, a task that was ordered
-        there is bound to it until its leases have lapsed.
+        wait for other workers before it starts it. At a first start, the worker
+        must have reported since it was chosen: if it is lost, a task that was
+        ordered there is bound to it until its leases have lapsed. A task that
+        has waited before, for the leases of another worker, goes at once.
         """
         task = placement.task
         worker = placement.worker
+        waited_s = now - task.ready_since_s
+        placement.awaits_report = (
+            not task.last_attempt and waited_s < placement_module.MAX_IDLE_S
+        )
         task.pipeline.place(task, placement.attempt)
         placement.ticket = self._advice.ticket(task, worker, now) or ""
         placement.known_capacity = worker.state.capacity
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -582,3 +582,25 @@
         assert not held.reservations
         (placement,) = cluster.attempts.of_task(item.tasks(0, 0)[0])
         assert placement.worker is other
+
+
+class TestReportBeforeAStart:
+    """The first start of a lasting task waits for a report of its worker."""
+
+    def released(self, now, attempt=0):
+        cluster = TwoWorkers()
+        item = cluster.add("service", pipelines.stage(lasting=True))
+        item.tasks(0, 0)[0].last_attempt = attempt
+        cluster.start_ready(item, now=now)
+        return cluster.starter.release_recorded({item.id: item.progress()})
+
+    def test_first_start_waits(self):
+        assert not self.released(now=1.0)
+
+    def test_task_that_has_run_before_does_not_wait(self):
+        """Guards against adding a report interval to a wait for leases."""
+        assert self.released(now=1.0, attempt=1)
+
+    def test_task_that_has_waited_does_not_wait_longer(self):
+        """Guards against adding it to the wait for an earlier leader's work."""
+        assert self.released(now=placement_module.MAX_IDLE_S)
