A round compares a bounded number of workers for slowed attempts

What callers would see: starts and ends that are taken in late on a large fleet, where many fillers are slowed.

Cause: a round looked for a worker with a higher pace for each slowed attempt, and compared all workers each time.

Evidence: test_slowed_attempts_do_not_all_compare_all_workers, before: `assert 159600 <= (5000 + 400)` comparisons for 400 slowed attempts on 400 workers.

Why it works: a round makes 5,000 such comparisons at most. An attempt that is left out is offered again after the next check of its worker, as one without a target is.

--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -42,6 +42,9 @@
 # Most comparisons of a task with a worker by which one round looks for workers
 # for idle pipelines, about 40 ms of processor time.
 MAX_IDLE_COMPARISONS = 5_000
+# Most comparisons of a slowed attempt with a worker of one round. An attempt is
+# offered again after the next check of its worker.
+MAX_MOVE_COMPARISONS = 5_000
 
 
 class Starter:
@@ -126,6 +129,7 @@
                 ranked.append((rank, item, queue))
         ranked.sort(key=lambda row: (row[0].key, row[1].id))
         considered = 0
+        move_comparisons = 0
         searches = {
             service: _Search(same_service, self._pacer, now)
             for service, same_service in schedulable.items()
@@ -137,7 +141,10 @@
                 item, queue, searches[queue.service], now, may_start
             )
             for placement in slowed.get(item.id, ()):
-                self._move(placement, schedulable[queue.service], now)
+                if move_comparisons < MAX_MOVE_COMPARISONS:
+                    targets = schedulable[queue.service]
+                    move_comparisons += len(targets)
+                    self._move(placement, targets, now)
         self._start_idle(
             self._idle_pipelines.searches(ranked, schedulable, now, may_start),
             now,
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -491,3 +491,34 @@
         assert item.started
         assert not item.ready
         assert len(compared) <= len(workers) + gang.count
+
+    def test_slowed_attempts_do_not_all_compare_all_workers(self, monkeypatch):
+        """Guards against a round that is as long as many attempts are slowed.
+
+        None of them finds a worker that offers a higher pace.
+        """
+        pacer = pacing.Pacer(METRICS)
+        placed = attempts.Attempts(pacer, METRICS)
+        starter = pipelinestarts.Starter(
+            1, placed, pacer, METRICS, lambda item: None
+        )
+        workers = [pipelines.worker(f"w{n}", cores=8) for n in range(400)]
+        slowed = {}
+        for worker in workers:
+            worker.last_report_s = 1.0
+            placement = pipelines.place(worker, FILLER, pace_percent=5)
+            worker.remove(placement)
+            placed.attach(placement)
+            slowed[placement.task.pipeline.id] = [placement]
+        compared = []
+        fits = placement_module.fits
+        monkeypatch.setattr(
+            placement_module,
+            "fits",
+            lambda *arguments: compared.append(1) or fits(*arguments),
+        )
+        items = [rows[0].task.pipeline for rows in slowed.values()]
+        starter.start_ready(items, workers, pipelines.TABLE, slowed, 1.0)
+        assert len(compared) <= pipelinestarts.MAX_MOVE_COMPARISONS + len(
+            workers
+        )
