--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -45,6 +45,9 @@
 # Most lasting tasks for which room is kept at a time. Each is compared with all
 # workers in each round.
 MAX_KEPT_ROOMS = 20
+# Most comparisons of a slowed attempt with a worker of one round. An attempt is
+# offered again after the next check of its worker.
+MAX_MOVE_COMPARISONS = 5_000
 
 
 class Starter:
@@ -134,6 +137,7 @@
                 ranked.append((rank, item, queue))
         ranked.sort(key=lambda row: (row[0].key, row[1].id))
         considered = 0
+        move_comparisons = 0
         searches = {
             service: _Search(same_service, self._pacer, now)
             for service, same_service in schedulable.items()
@@ -154,7 +158,10 @@
                 may_start,
             )
             for placement in slowed.get(item.id, ()):
-                self._move(placement, schedulable[queue.service], now)
+                if move_comparisons < MAX_MOVE_COMPARISONS:
+                    targets = schedulable[queue.service]
+                    move_comparisons += len(targets)
+                    self._move(placement, targets, now)
         self._start_idle(
             self._idle_pipelines.searches(ranked, schedulable, now, may_start),
             now,
