--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -199,9 +199,7 @@
             if is_first_start and now - task.ready_since_s < GATHER_DELAY_S:
                 continue
             unrestricted = not (
-                task.avoided_workers
-                or task.suspect
-                or task.reserved_until_s > now
+                task.failed_on or task.suspect or task.reserved_until_s > now
             )
             stage_key = (task.occurrence, task.stage_number)
             if unrestricted and stage_key in stages_without_worker:
@@ -487,7 +485,7 @@
             pace_share = required_pace_share
             if pace_share is None:
                 pace_share = self._pacer.required_pace_share(member, now)
-            if member.suspect or member.avoided_workers:
+            if member.suspect or member.failed_on:
                 comparison = None
                 worker = placement_module.choose(
                     member,
@@ -508,7 +506,7 @@
                         now,
                         min_filler_share,
                     )
-                worker = comparison.best()
+                worker = comparison.best(member)
             if worker is None:
                 for placement in attached:
                     self._attempts.detach(placement)
@@ -729,7 +727,7 @@
         """
         if task.suspect:
             return self._choose_for_suspect(task, allowed)
-        if task.avoided_workers or task.reserved_until_s > self._now:
+        if task.failed_on or task.reserved_until_s > self._now:
             self._candidates = None
             return placement_module.choose(
                 task, allowed, self._pacer, self._now
@@ -743,7 +741,7 @@
             self._candidates = placement_module.Candidates(
                 task, allowed, self._pacer, required_pace_share, self._now
             )
-        worker = self._candidates.best()
+        worker = self._candidates.best(task)
         if worker is None and allowed is self.workers:
             self._record_full(task.stage, required_pace_share)
         return worker
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -536,6 +536,40 @@
             workers
         )
 
+    def test_refused_tasks_do_not_compare_all_workers_each(self, monkeypatch):
+        """Guards against rounds of seconds after a worker refused a burst.
+
+        The worker has refused every task of a wide stage.
+        """
+        pacer = pacing.Pacer(METRICS)
+        starter = pipelinestarts.Starter(
+            1,
+            attempts.Attempts(pacer, METRICS),
+            pacer,
+            METRICS,
+            lambda item: None,
+        )
+        workers = [pipelines.worker(f"w{n}", now=1.0) for n in range(50)]
+        item = pipeline.Pipeline(
+            pipelines.declare("a", pipelines.stage(count=200)),
+            1,
+            pipeline.Progress(),
+            0.0,
+        )
+        for task in item.ready.values():
+            task.refused_by["w0"] = 0.5
+        compared = []
+        fits = placement_module.fits
+        monkeypatch.setattr(
+            placement_module,
+            "fits",
+            lambda *arguments: compared.append(1) or fits(*arguments),
+        )
+        starter.start_ready([item], workers, pipelines.TABLE, {}, 1.0)
+        assert not item.ready
+        assert not workers[0].placements
+        assert len(compared) <= len(workers) + 200
+
 
 class TestRoomForLastingTasks:
     """A full fleet, on which much small work waits for the next free core."""
