A worker that its restarted agent has not heard of gets no starts

What callers would see: LOST. After an agent restarts, a task whose best worker is on that host waits until that worker's next heartbeat, though other workers have room. Cause: the agent refuses starts before the heartbeat ("no-heartbeat"), as the registered capacity may be outdated, but did not tell the leader why. The leader chose the same worker again and again, since it looks the emptiest. Class: a refusal without the state that explains it, repeated towards the same place. Fix: the agent's state of a worker says whether the worker was heard, and reports at once when it is; until then the leader gives it no attempts. The refusal stays as it was.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -395,6 +395,7 @@
             self.registered
             and self.reconciled
             and self.state.reachable
+            and self.state.announced
             and not self.state.draining
             and not self.orphans
             and now >= self.suspect_until_s
--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -158,7 +158,7 @@
     @property
     def announced(self) -> bool:
         """Whether it has sent a heartbeat to this process of the agent."""
-        return self.heartbeat.sequence >= 0
+        return _is_announced(self.heartbeat)
 
     @property
     def confirmed(self) -> bool:
@@ -944,9 +944,15 @@
     return (epoch << _INCARNATION_BITS) | incarnation_bits
 
 
+def _is_announced(heartbeat: ports.WorkerHeartbeat) -> bool:
+    """Returns whether a worker sent it; see `_registered_heartbeat`."""
+    return heartbeat.sequence >= 0
+
+
 def _start_conditions(heartbeat: ports.WorkerHeartbeat) -> tuple:
     """Returns what decides which tasks may start on a worker."""
     return (
+        _is_announced(heartbeat),
         heartbeat.draining,
         heartbeat.capacity,
         heartbeat.service,
@@ -1001,4 +1007,5 @@
         fresh=fresh,
         reachable=worker.reachable,
         lapsed=lapsed and not worker.reachable,
+        announced=worker.announced,
     )
--- a/pomelostair/pipelinemessages.py
+++ b/pomelostair/pipelinemessages.py
@@ -138,6 +138,8 @@
         reachable: Whether the worker answered the last call.
         lapsed: Whether the lease of an unreachable worker has certainly
             lapsed, so that nothing runs on it.
+        announced: Whether the agent has had a heartbeat of it. Before, it
+            starts nothing there, as the capacity may be outdated.
     """
 
     worker: str
@@ -157,6 +159,7 @@
     fresh: bool
     reachable: bool
     lapsed: bool
+    announced: bool = True
 
 
 # Run time from which an attempt is no suspect in the crash of its worker. A
--- a/tests/faultfleet.py
+++ b/tests/faultfleet.py
@@ -112,6 +112,7 @@
         labels: Labels of the worker.
         known: Whether the agent knows the worker.
         heard: Whether the agent has had a heartbeat of it.
+        mute: Whether its heartbeats get lost.
         down: Whether the worker does not run.
         unreachable: Whether the worker does not answer its agent.
         delays_starts: Whether start orders get no answer from the worker and
@@ -143,6 +144,7 @@
     labels: tuple[str, ...] = ("a", "r1")
     known: bool = True
     heard: bool = True
+    mute: bool = False
     down: bool = False
     unreachable: bool = False
     delays_starts: bool = False
@@ -465,6 +467,7 @@
         ]
         if (
             host.answers
+            and not host.mute
             and age_s > HEARTBEAT_INTERVAL_S
             and host.key not in agent.gone_since_s
         ):
@@ -503,8 +506,9 @@
             for row in worker_runner.running_rows()
         )
         host.listed_s = self.now
-        changed = (
-            host.state is not None and host.state.draining != host.draining
+        changed = host.state is not None and (
+            host.state.draining != host.draining
+            or host.state.announced != host.heard
         )
         host.state = pipelines.worker_state(
             host.worker,
@@ -521,6 +525,7 @@
             draining=host.draining,
             remaining_ms=2000 if host.draining else 0,
             labels=host.labels,
+            announced=host.heard,
         )
         if changed or host.schedule.is_due(
             host.state, results, host.acknowledged, self.now
@@ -677,6 +682,8 @@
         )
         if host.draining:
             return messages.REFUSED, "draining"
+        if not host.heard:
+            return messages.REFUSED, "no-heartbeat"
         if until_ms - worker_runner.clock_ms < pipelineagent.MIN_START_LEASE_MS:
             return messages.REFUSED, "late"
         host.requested_end_ms = max(host.requested_end_ms, until_ms)
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -862,6 +862,33 @@
 
 
 class TestRestartedAgent:
+    @pytest.mark.parametrize("lasting", [True, False])
+    def test_worker_without_heartbeat_holds_up_no_task(self, lasting):
+        """Guards against LOST: a worker that refuses each start is preferred.
+
+        An agent starts nothing before it has heard of the worker's capacity.
+        """
+        fleet = calm_fleet()
+        fleet.submit("a", pipelines.stage(3, lasting=True))
+        fleet.run_for(3)
+        ((busiest, _),) = collections.Counter(
+            host for _, host in fleet.running()
+        ).most_common(1)
+        (host,) = [h for h in fleet.hosts.values() if h.name != busiest]
+        fleet.stop_agent(host.agent)
+        host.mute = True
+        fleet.return_agent(host.agent)
+        fleet.run_for(0.5)
+        stage = pipelines.stage(2, lasting=lasting, estimate_ms=60_000)
+        fleet.submit("b", stage)
+        fleet.run_for(IDLE_S)
+        assert workers_of(fleet, "b.0.0.0") == [busiest]
+        assert workers_of(fleet, "b.0.0.1") == [busiest]
+        host.mute = False
+        fleet.submit("c", pipelines.stage(8, lasting=lasting))
+        fleet.run_for(IDLE_S)
+        assert host.name in {name for _, name in fleet.running()}
+
     def test_silent_worker_counts_until_its_leases_lapsed(self):
         """Guards against a second run while the first has a lease.
 
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -951,10 +951,24 @@
             await harness.wait_until(
                 lambda: any(r.workers for r in harness.reports)
             )
-            await harness.instruct(start_order(capacity=self.LARGE))
+            assert not any(
+                state.announced
+                for report in harness.reports
+                for state in report.workers
+            )
+            await harness.instruct(
+                start_order(capacity=self.LARGE), report_interval_ms=60_000
+            )
             await harness.wait_until(harness.results)
             assert harness.results()[0] == (1, messages.REFUSED)
             await harness.heartbeat(capacity=self.LARGE)
+            await harness.wait_until(
+                lambda: any(
+                    state.announced
+                    for report in harness.reports
+                    for state in report.workers
+                )
+            )
             await harness.instruct(
                 start_order(2, task="a.0.0.1", capacity=self.LARGE)
             )
