A filler that starts slowed moves like one that is slowed later

What callers would see: a filler pipeline that takes up to twenty times as long as it should, although other workers have room for its task by now.

Cause: `slowed_since_s` was set only by a change of the pace. An attempt that starts at the pace that its worker can bear keeps it, so that it never counted as slowed and never moved. It weighs more since idle pipelines start at any pace.

Evidence: test_attempt_that_starts_slowed_moves_later, before: `assert False`, for should_move 1.1 s after a start at a pace below 60 %.

Why it works: an attempt counts as slowed from its start, and moves after 1 s to a worker that offers 80 %, unless too much progress would be lost.

--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -479,6 +479,8 @@
     ) -> fleet.Placement:
         placement = fleet.Placement(task, attempt, worker, now)
         placement.pace_percent = self._pacer.initial_pace(task, worker, now)
+        if placement.pace_percent < pacing.FULL_PERCENT:
+            placement.slowed_since_s = now
         self._attempts.attach(placement)
         return placement
 
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -113,6 +113,33 @@
         assert advanced.state is fleet.AttemptState.RUNNING
         assert recent.state is fleet.AttemptState.STOPPING
 
+    def test_attempt_that_starts_slowed_moves_later(self):
+        """Guards against a filler that keeps the low pace of its start.
+
+        Its pace is the best that its worker offers, so that it never changes.
+        """
+        pacer = pacing.Pacer(METRICS)
+        placed = attempts.Attempts(pacer, METRICS)
+        starter = pipelinestarts.Starter(
+            1, placed, pacer, METRICS, lambda item: None
+        )
+        now = placement_module.MAX_IDLE_S + 0.1
+        worker = pipelines.worker("w1", cores=8, now=now)
+        serving = pipelines.stage(
+            lasting=True, image="serving", latency_target_ms=18.0
+        )
+        pipelines.place(worker, serving)
+        item = pipeline.Pipeline(
+            pipelines.declare("waiting", FILLER), 1, pipeline.Progress(), 0.0
+        )
+        starter.start_ready([item], [worker], pipelines.TABLE, {}, now)
+        (placement,) = placed.of_task(item.tasks(0, 0)[0])
+        assert placement.pace_percent < pacing.MOVE_BELOW_PERCENT
+        placement.state = fleet.AttemptState.RUNNING
+        assert not pacer.should_move(placement, now)
+        later = now + pacing.MOVE_AFTER_S + 0.1
+        assert pacer.should_move(placement, later)
+
 
 class TestServicesOnMostOfTheCapacity:
     """Services, half of them spread, that fill five in six workers at once.
