An attempt on a silent worker hides no other task of its pipeline

An attempt whose start is not confirmed, or whose worker has been silent, is placed until its leases have lapsed, for up to 7.9 s. Meanwhile its other tasks waited for a good pace.

Evidence: test_attempt_on_a_silent_worker_hides_no_other_task[lost], before: `assert False`, nothing of the pipeline runs 3 s after its worker was lost.

Why it works: a pipeline is idle unless some attempt is likely to be running: its worker was heard of in the last 2 s, and its start is confirmed or younger than 0.8 s. The task of the silent attempt itself still waits, so that nothing runs twice. Attempts are indexed by pipeline; the first live one ends the check.

--- a/pomelostair/attempts.py
+++ b/pomelostair/attempts.py
@@ -22,6 +22,8 @@
         self._metrics = metrics
         self._by_key: dict[fleet.AttemptKey, fleet.Placement] = {}
         self._by_task: dict[str, list[fleet.Placement]] = {}
+        self._by_pipeline: dict[str, dict[fleet.AttemptKey, fleet.Placement]]
+        self._by_pipeline = {}
         self._unproven: dict[fleet.AttemptKey, fleet.Placement] = {}
 
     @property
@@ -44,10 +46,26 @@
         """Returns the attempts of a task that may be running."""
         return list(self._by_task.get(task.id, ()))
 
+    def any_live(self, item: pipeline.Pipeline, now: float) -> bool:
+        """Returns whether any attempt of a pipeline is likely to be running.
+
+        One on a silent worker, or whose start is not confirmed in time, counts
+        as an attempt of its task, but may not be running.
+
+        Args:
+            item: The pipeline.
+            now: Monotonic seconds.
+        """
+        placements = self._by_pipeline.get(item.id, {})
+        return any(p.is_live(now) for p in placements.values())
+
     def attach(self, placement: fleet.Placement) -> None:
         """Adds an attempt to the index and to its worker."""
         self._by_key[placement.key] = placement
         self._by_task.setdefault(placement.task.id, []).append(placement)
+        self._by_pipeline.setdefault(placement.task.pipeline.id, {})[
+            placement.key
+        ] = placement
         placement.worker.add(placement)
         placement.task.placed_on.add(placement.worker.key)
         if placement.task.crashes:
@@ -85,6 +103,11 @@
         if self._by_key.get(placement.key) is placement:
             del self._by_key[placement.key]
         task = placement.task
+        of_pipeline = self._by_pipeline.get(task.pipeline.id, {})
+        if of_pipeline.get(placement.key) is placement:
+            del of_pipeline[placement.key]
+            if not of_pipeline:
+                del self._by_pipeline[task.pipeline.id]
         remaining = [
             p for p in self._by_task.get(task.id, ()) if p is not placement
         ]
--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -12,6 +12,9 @@
 # A worker whose latest report is older gets no new attempts. This is about
 # two report intervals.
 REPORT_FRESH_S = 2.0
+# An order that is not confirmed for this long may have been lost. The agent
+# reports its result as soon as it has been carried out.
+UNCONFIRMED_S = 0.8
 # How long resources stay reserved for a task that moves. A stop takes 0.4 s,
 # and its end must then be reported.
 RESERVATION_S = 1.2
@@ -88,6 +91,17 @@
         """Task id and attempt number."""
         return self.task.id, self.attempt
 
+    def is_live(self, now: float) -> bool:
+        """Returns whether recent reports suggest that it is running.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        return self.worker.is_heard(now) and (
+            self.state is not AttemptState.ORDERED
+            or now - self.ordered_s < UNCONFIRMED_S
+        )
+
 
 @attrs.frozen
 class KnownIncarnation:
@@ -378,6 +392,16 @@
             if task_id != task.id
         ]
 
+    def is_heard(self, now: float) -> bool:
+        """Returns whether it answers its agent, which reports that.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        return (
+            self.state.reachable and now - self.last_report_s < REPORT_FRESH_S
+        )
+
     def is_schedulable(self, now: float) -> bool:
         """Returns whether the worker may be given new attempts.
 
@@ -387,11 +411,10 @@
         return (
             self.registered
             and self.reconciled
-            and self.state.reachable
+            and self.is_heard(now)
             and not self.state.draining
             and not self.orphans
             and now >= self.suspect_until_s
-            and now - self.last_report_s < REPORT_FRESH_S
         )
 
     def grant_lease(self, now: float) -> None:
--- a/pomelostair/pipelineidle.py
+++ b/pomelostair/pipelineidle.py
@@ -159,7 +159,9 @@
         }
         found = []
         for rank, item, queue in ranked:
-            if not item.declaration.has_filler or not item.idle:
+            if not (item.ready and item.declaration.has_filler):
+                continue
+            if self._attempts.any_live(item, now):
                 continue
             search = self._searches.get(item.id)
             if search is not None and now < search.not_before_s:
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -824,6 +824,36 @@
         fleet.run_for(IDLE_S + 1)
         assert workers_of(fleet, f"{name}.0.0.0")
 
+    @pytest.mark.parametrize("fault", ["lost"])
+    def test_attempt_on_a_silent_worker_hides_no_other_task(self, fault):
+        """Guards against a pipeline that counts as running, but does not.
+
+        Its other task fits only where its pace would be low.
+        """
+        fleet = calm_fleet()
+        service = pipelines.stage(
+            lasting=True, image="s1", latency_target_ms=50.0, label="a"
+        )
+        fleet.submit("service", service)
+        fleet.run_for(4)
+        learned = pipelines.stage(
+            1, 1000, estimate_ms=6000, filler=True, image="f2", label="a"
+        )
+        fleet.submit("first", learned)
+        fleet.run_for(10)
+        if fault == "unanswered":
+            fleet.hosts["w2"].agent.orders_lost = True
+        filler = pipelines.stage(
+            2, 6000, estimate_ms=60_000, filler=True, image="f2"
+        )
+        fleet.submit("p", filler)
+        fleet.run_for(1)
+        if fault == "lost":
+            assert workers_of(fleet, "p.0.0.0") == ["w2"]
+            fleet.lose_agent(fleet.hosts["w2"].agent)
+        fleet.run_for(IDLE_S)
+        assert any(task.startswith("p.") for task, _ in fleet.running())
+
     def test_pipeline_that_needs_advice_is_not_idle_beside_other_fillers(self):
         """Guards against tickets that are asked only for unused time."""
         fleet = calm_fleet(names=("w1",))
