Workers whose agents confirm no orders are chosen last

What callers would see: LOST. Nothing of a filler pipeline runs for over 3 s with room.

Cause: a worker whose agent reports, but does not get or confirm orders, has the most unused time, as nothing starts there. Task after task went to it, and each is bound to it until its start is fenced off.

Evidence: test_attempt_on_a_silent_worker_hides_no_other_task[unanswered], before: `assert False`, nothing of the pipeline runs 4 s after its acceptance, though the other worker has room.

Why it works: once an order that was sent is not confirmed for 0.8 s, its worker counts like one on which a suspect task starts: it is chosen only if no other fits. Confirmed orders end that at once. It costs one comparison of a worker no further look at the fleet.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -402,6 +402,19 @@
             self.state.reachable and now - self.last_report_s < REPORT_FRESH_S
         )
 
+    def confirms_orders(self, now: float) -> bool:
+        """Returns whether its agent confirms orders, as far as is known.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        orders = self.unconfirmed_orders
+        return (
+            not orders
+            or orders[0].number > self.last_sent_order_number
+            or now - self.orders_confirmed_s < UNCONFIRMED_S
+        )
+
     def is_schedulable(self, now: float) -> bool:
         """Returns whether the worker may be given new attempts.
 
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -49,6 +49,8 @@
 # Penalty of a worker with an attempt that may crash it. It exceeds all other
 # differences between two workers.
 UNPROVEN_PENALTY_MILLICORES = 1_000_000
+# Penalty of a worker whose agent does not confirm its orders; as large.
+UNCONFIRMED_PENALTY_MILLICORES = 1_000_000
 # Time for which a success shows that a worker is healthy.
 RECENT_SUCCESS_S = 10.0
 # Longest time for which a task that has room is not started. By the platform's
@@ -292,6 +294,8 @@
     value = score(task, worker, pace_share)
     if worker.unproven:
         value -= UNPROVEN_PENALTY_MILLICORES
+    if not worker.confirms_orders(now):
+        value -= UNCONFIRMED_PENALTY_MILLICORES
     return value
 
 
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -824,7 +824,7 @@
         fleet.run_for(IDLE_S + 1)
         assert workers_of(fleet, f"{name}.0.0.0")
 
-    @pytest.mark.parametrize("fault", ["lost"])
+    @pytest.mark.parametrize("fault", ["lost", "unanswered"])
     def test_attempt_on_a_silent_worker_hides_no_other_task(self, fault):
         """Guards against a pipeline that counts as running, but does not.
 
