A service whose workers are all suspect is not idle for 4 s

What callers would see: LOST. Nothing of an accepted pipeline runs for over 3 s although the only worker of its service has room.

Cause: attempts of three pipelines that fail on a worker, or a stall there, withhold new attempts from it for 4 s. At most 34 % of all workers can be suspect, but those may be all workers of one service.

Evidence: test_service_whose_workers_are_all_suspect_is_not_idle, before: `assert False`, a.0.0.0 is not started within 3 s of its acceptance.

Why it works: if all workers of a service that accept attempts are suspect, they are suspect for 2 s only. Not for less: on a worker that is at fault itself, each start may use up one of the attempts that a task has.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -415,8 +415,8 @@
             or now - self.orders_confirmed_s < UNCONFIRMED_S
         )
 
-    def is_schedulable(self, now: float) -> bool:
-        """Returns whether the worker may be given new attempts.
+    def accepts_attempts(self, now: float) -> bool:
+        """Returns whether the worker can be given attempts, also if suspect.
 
         Args:
             now: Monotonic seconds.
@@ -427,9 +427,16 @@
             and self.is_heard(now)
             and not self.state.draining
             and not self.orphans
-            and now >= self.suspect_until_s
         )
 
+    def is_schedulable(self, now: float) -> bool:
+        """Returns whether the worker may be given new attempts.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        return now >= self.suspect_until_s and self.accepts_attempts(now)
+
     def grant_lease(self, now: float) -> None:
         """Records that a lease is granted now."""
         self.lease_granted_s = now
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -18,6 +18,7 @@
 from pomelostair import pipelinecrashes
 from pomelostair import pipelineidle
 from pomelostair import pipelinemessages as messages
+from pomelostair import pipelinemonitor
 from pomelostair import pipelineorder
 from pomelostair import pipelineplacement as placement_module
 from pomelostair import queues
@@ -113,10 +114,7 @@
             may_start: Returns whether no earlier leader can have started a
                 task.
         """
-        schedulable: dict[str, list[fleet.Worker]] = {}
-        for worker in workers:
-            if worker.is_schedulable(now):
-                schedulable.setdefault(worker.state.service, []).append(worker)
+        schedulable = _schedulable(workers, now)
         if not schedulable:
             return
         ranked = []
@@ -650,6 +648,28 @@
             self._full.add_too_slow(stage, required_pace_share)
 
 
+def _schedulable(
+    workers: Iterable[fleet.Worker], now: float
+) -> dict[str, list[fleet.Worker]]:
+    """Returns the workers that may be given new attempts, by service.
+
+    The workers of a service without others are suspect for `MAX_IDLE_S` only.
+    """
+    shortened_s = pipelinemonitor.SUSPECT_S - placement_module.MAX_IDLE_S
+    schedulable: dict[str, list[fleet.Worker]] = {}
+    suspects: dict[str, list[fleet.Worker]] = {}
+    for worker in workers:
+        service = worker.state.service
+        if worker.is_schedulable(now):
+            schedulable.setdefault(service, []).append(worker)
+        elif (
+            worker.accepts_attempts(now)
+            and now >= worker.suspect_until_s - shortened_s
+        ):
+            suspects.setdefault(service, []).append(worker)
+    return {**suspects, **schedulable}
+
+
 def _by_rack(workers: Iterable[fleet.Worker]) -> list[list[fleet.Worker]]:
     """Returns the workers of each rack, followed by all workers."""
     racks: dict[str, list[fleet.Worker]] = {}
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -785,6 +785,27 @@
         assert workers_of(fleet, "a.0.0.0")
 
 
+class TestSuspectWorkers:
+    def test_service_whose_workers_are_all_suspect_is_not_idle(self):
+        """Guards against 4 s without starts after failures of some pipelines.
+
+        The only worker of the service is suspect, and has room.
+        """
+        fleet = calm_fleet(names=("w1",))
+        fleet.hosts["w1"].failing = True
+        for number in range(3):
+            fleet.submit(f"p{number}")
+        fleet.run_for(1.2)
+        fleet.hosts["w1"].failing = False
+        (worker,) = fleet.scheduler.workers.values()
+        assert worker.suspect_until_s > fleet.now + IDLE_S
+        fleet.submit("a")
+        fleet.run_for(1)
+        assert not any(task == "a.0.0.0" for _, task, _ in fleet.started)
+        fleet.run_for(IDLE_S - 1)
+        assert any(task == "a.0.0.0" for _, task, _ in fleet.started)
+
+
 class TestFillers:
     @pytest.mark.parametrize(
         "fields",
