Pipelines that certainly have no room hide no others

What callers would see: LOST. Pipelines that could run stand still behind 600 others that wait for something else: accelerators, a label, or large pieces of room.

Cause: a round looks for workers for 600 tasks at most, and counted those for which it knew from an equal or smaller task that there is no room. A label that no worker with room has was not known from one pipeline to the next, so that each compared all workers.

Evidence: test_pipelines_without_room_hide_no_other [large], [label], [filler with label], before: `assert False`, the other pipeline is not started.

Why it works: a task counts only if workers are compared for it, and a demand that fits on no worker with its label is kept for the rest of the round. Whether it fits on an idle worker is looked up once a round and demand. A round looks at 50,000 ready tasks at most. Tasks that need advice still count.

--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -105,6 +105,11 @@
     )
 
 
+def has_label(stage: pipeline.Stage, worker: fleet.Worker) -> bool:
+    """Returns whether a worker has the label that a stage requires."""
+    return not stage.label or stage.label in worker.state.labels
+
+
 def meets_constraints(
     task: pipeline.Task, worker: fleet.Worker, now: float
 ) -> bool:
@@ -116,7 +121,7 @@
         now: Monotonic seconds.
     """
     stage = task.stage
-    if stage.label and stage.label not in worker.state.labels:
+    if not has_label(stage, worker):
         return False
     if stage.most_per_worker:
         tasks = [p.task for p in worker.placements.values()]
@@ -132,8 +137,7 @@
 ) -> bool:
     """Returns whether any worker, if idle, could run a task of a stage."""
     return any(
-        worker.state.capacity.covers(stage.demand)
-        and (not stage.label or stage.label in worker.state.labels)
+        worker.state.capacity.covers(stage.demand) and has_label(stage, worker)
         for worker in workers
     )
 
@@ -339,7 +343,7 @@
 
     @property
     def fits_anywhere(self) -> bool:
-        """Whether any worker had room for the task, whatever its pace."""
+        """Whether any worker with its label had room, whatever its pace."""
         return self._fits_anywhere
 
     def best(self) -> fleet.Worker | None:
@@ -364,6 +368,8 @@
     ) -> tuple[float, int, fleet.Worker] | None:
         if not fits(task, worker, self._now, self._min_filler_share):
             return None
+        if not has_label(task.stage, worker):
+            return None
         self._fits_anywhere = True
         if not meets_constraints(task, worker, self._now):
             return None
@@ -381,7 +387,7 @@
     kind has none either and no worker needs to be compared for it.
     """
 
-    _unfitting: list[tuple[bool, resources.Resources]] = attrs.field(
+    _unfitting: list[tuple[bool, str, resources.Resources]] = attrs.field(
         factory=list
     )
     _too_slow: list[tuple[str, resources.Resources, float]] = attrs.field(
@@ -389,8 +395,8 @@
     )
 
     def add_unfitting(self, stage: pipeline.Stage) -> None:
-        """Records that a stage's task fits on no worker."""
-        self._unfitting.append((stage.filler, stage.demand))
+        """Records that a stage's task fits on no worker with its label."""
+        self._unfitting.append((stage.filler, stage.label, stage.demand))
 
     def add_too_slow(
         self, stage: pipeline.Stage, required_pace_share: float
@@ -403,8 +409,10 @@
     ) -> bool:
         """Returns whether a stage's task certainly has no room."""
         if any(
-            filler == stage.filler and stage.demand.covers(demand)
-            for filler, demand in self._unfitting
+            filler == stage.filler
+            and label in ("", stage.label)
+            and stage.demand.covers(demand)
+            for filler, label, demand in self._unfitting
         ):
             return True
         return stage.filler and any(
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -22,6 +22,7 @@
 from pomelostair import pipelineorder
 from pomelostair import pipelineplacement as placement_module
 from pomelostair import queues
+from pomelostair import resources
 
 # Attempt numbers of a task that are set aside for each epoch. A new leader
 # can't know the last number that the previous one used, so it starts above all
@@ -32,8 +33,11 @@
 GATHER_DELAY_S = 0.3
 # Largest progress that a move may lose.
 MAX_LOST_PROGRESS_PERCENT = 10
-# Most ready tasks for which one round looks for a worker.
+# Most ready tasks for which one round looks for a worker. Those that certainly
+# have no room do not count.
 MAX_CONSIDERED_TASKS = 600
+# Most ready tasks of the pipelines that one round looks at.
+MAX_READY_TASKS = 50_000
 # Most suspect tasks of a service that one round places. Each is compared with
 # all workers.
 MAX_SUSPECT_SEARCHES = 20
@@ -132,8 +136,13 @@
             service: _Search(same_service, self._pacer, now)
             for service, same_service in schedulable.items()
         }
+        ready_count = 0
         for _, item, queue in ranked:
-            if considered >= MAX_CONSIDERED_TASKS:
+            ready_count += len(item.ready)
+            if (
+                considered >= MAX_CONSIDERED_TASKS
+                or ready_count > MAX_READY_TASKS
+            ):
                 break
             considered += self._start_pipeline(
                 item, queue, searches[queue.service], now, may_start
@@ -179,6 +188,15 @@
             stage_key = (task.occurrence, task.stage_number)
             if unrestricted and stage_key in stages_without_worker:
                 continue
+            if (
+                unrestricted
+                and queue.advice is None
+                and task.reserved_until_s <= now
+                and search.is_full_for(task)
+            ):
+                stages_without_worker.add(stage_key)
+                self._report_unplaceable(task, search)
+                continue
             considered += 1
             allowed = workers
             if queue.advice is not None:
@@ -196,7 +214,7 @@
             if worker is None:
                 if unrestricted:
                     stages_without_worker.add(stage_key)
-                self._report_unplaceable(task, workers)
+                self._report_unplaceable(task, search)
                 continue
             self._start(task, worker, self._next_attempt(task), now)
             search.record_start(task)
@@ -334,15 +352,15 @@
         self._attempts.stop(placement, "it slows serving tasks on its worker")
 
     def _report_unplaceable(
-        self, task: pipeline.Task, workers: list[fleet.Worker]
+        self, task: pipeline.Task, search: "_Search"
     ) -> None:
         """Logs, once per pipeline, that a task fits on none of the workers.
 
         The pipeline does not fail, since larger workers may join.
         """
         pipeline_id = task.pipeline.id
-        if pipeline_id in self._unplaceable or placement_module.could_ever_fit(
-            task.stage, workers
+        if pipeline_id in self._unplaceable or search.could_ever_fit(
+            task.stage
         ):
             return
         self._unplaceable.add(pipeline_id)
@@ -353,7 +371,7 @@
             task=task.id,
             demand=attrs.astuple(task.stage.demand),
             label=task.stage.label,
-            workers=len(workers),
+            workers=len(search.workers),
         )
 
     def _start_gang(
@@ -584,6 +602,7 @@
         self._pacer = pacer
         self._now = now
         self._full = placement_module.FullDemands()
+        self._could_ever_fit: dict[tuple[str, resources.Resources], bool] = {}
         self._suspect_searches = 0
         self._stage_key: tuple | None = None
         self._candidates: placement_module.Candidates | None = None
@@ -592,6 +611,21 @@
         """Drops the comparison: other attempts may have been placed since."""
         self._candidates = None
 
+    def is_full_for(self, task: pipeline.Task) -> bool:
+        """Returns whether an earlier search showed that a task has no room."""
+        return self._full.includes(
+            task.stage, self._pacer.required_pace_share(task, self._now)
+        )
+
+    def could_ever_fit(self, stage: pipeline.Stage) -> bool:
+        """Returns whether any worker, if idle, could run a task of a stage."""
+        key = (stage.label, stage.demand)
+        if key not in self._could_ever_fit:
+            self._could_ever_fit[key] = placement_module.could_ever_fit(
+                stage, self.workers
+            )
+        return self._could_ever_fit[key]
+
     def choose(
         self, task: pipeline.Task, allowed: list[fleet.Worker]
     ) -> fleet.Worker | None:
@@ -609,8 +643,6 @@
                 task, allowed, self._pacer, self._now
             )
         required_pace_share = self._pacer.required_pace_share(task, self._now)
-        if self._full.includes(task.stage, required_pace_share):
-            return None
         key = (task.occurrence, task.stage_number, required_pace_share)
         if self._candidates is None or key != self._stage_key:
             self._stage_key = key
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -456,6 +456,55 @@
         assert not services.started
 
 
+class TestWorkBehindFullResources:
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"millicores": 9000},
+            {"label": "nowhere"},
+            {"label": "nowhere", "filler": True},
+        ],
+        ids=["large", "label", "filler with label"],
+    )
+    def test_pipelines_without_room_hide_no_other(self, fields):
+        """Guards against work that stands still behind many pipelines.
+
+        They wait for what is used up, and it needs none of that.
+        """
+        cluster = TwoWorkers()
+        stage = pipelines.stage(estimate_ms=60_000, **fields)
+        waiting = [
+            pipeline.Pipeline(
+                pipelines.declare(f"p{number}", stage, queue="fit"),
+                1,
+                pipeline.Progress(),
+                1.0,
+            )
+            for number in range(pipelinestarts.MAX_CONSIDERED_TASKS)
+        ]
+        other = pipeline.Pipeline(
+            pipelines.declare("other"), 1, pipeline.Progress(), 1.0
+        )
+        cluster.start_ready(*waiting, other)
+        assert other.started
+
+    def test_reserved_room_is_used_though_others_have_none(self):
+        """Guards against a moving task that is left out with the others."""
+        cluster = TwoWorkers()
+        moving = cluster.place_slowed()
+        item = moving.task.pipeline
+        cluster.start_ready(item, slowed=[moving])
+        cluster.attempts.remove(moving, 1.1)
+        first = pipeline.Pipeline(
+            pipelines.declare("first", FILLER, queue="fit"),
+            1,
+            pipeline.Progress(),
+            1.1,
+        )
+        cluster.start_ready(first, item, now=1.2)
+        assert cluster.attempts.of_task(moving.task)[0].worker is cluster.empty
+
+
 class TestBurst:
     def test_waiting_pipelines_do_not_compare_all_workers(self, monkeypatch):
         """A burst of wide pipelines on a fleet that is full.
