--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -12,6 +12,9 @@
 # A worker whose latest report is older gets no new attempts. This is about
 # two report intervals.
 REPORT_FRESH_S = 2.0
+# An order that is not confirmed for this long may have been lost. The agent
+# reports its result as soon as it has been carried out.
+UNCONFIRMED_S = 0.8
 # How long resources stay reserved for a task that moves or waits for room. A
 # stop takes 0.4 s, and its end must then be reported.
 RESERVATION_S = 1.2
@@ -98,6 +101,17 @@
             return 0
         return self.worker.state.clock_ms - self.listed_since_ms
 
+    def is_live(self, now: float) -> bool:
+        """Returns whether recent reports suggest that it is running.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        return self.worker.is_heard(now) and (
+            self.state is not AttemptState.ORDERED
+            or now - self.ordered_s < UNCONFIRMED_S
+        )
+
 
 @attrs.frozen
 class KnownIncarnation:
@@ -394,8 +408,31 @@
             if task_id != task.id
         ]
 
-    def is_schedulable(self, now: float) -> bool:
-        """Returns whether the worker may be given new attempts.
+    def is_heard(self, now: float) -> bool:
+        """Returns whether it answers its agent, which reports that.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        return (
+            self.state.reachable and now - self.last_report_s < REPORT_FRESH_S
+        )
+
+    def confirms_orders(self, now: float) -> bool:
+        """Returns whether its agent confirms orders, as far as is known.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        orders = self.unconfirmed_orders
+        return (
+            not orders
+            or orders[0].number > self.last_sent_order_number
+            or now - self.orders_confirmed_s < UNCONFIRMED_S
+        )
+
+    def accepts_attempts(self, now: float) -> bool:
+        """Returns whether the worker can be given attempts, also if suspect.
 
         Args:
             now: Monotonic seconds.
@@ -403,14 +440,20 @@
         return (
             self.registered
             and self.reconciled
-            and self.state.reachable
+            and self.is_heard(now)
             and self.state.announced
             and not self.state.draining
             and not self.orphans
-            and now >= self.suspect_until_s
-            and now - self.last_report_s < REPORT_FRESH_S
         )
 
+    def is_schedulable(self, now: float) -> bool:
+        """Returns whether the worker may be given new attempts.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        return now >= self.suspect_until_s and self.accepts_attempts(now)
+
     def grant_lease(self, now: float) -> None:
         """Records that a lease is granted now."""
         self.lease_granted_s = now
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -18,9 +18,11 @@
 from pomelostair import pipelinecrashes
 from pomelostair import pipelineidle
 from pomelostair import pipelinemessages as messages
+from pomelostair import pipelinemonitor
 from pomelostair import pipelineorder
 from pomelostair import pipelineplacement as placement_module
 from pomelostair import queues
+from pomelostair import resources
 
 # Attempt numbers of a task that are set aside for each epoch. A new leader
 # can't know the last number that the previous one used, so it starts above all
@@ -31,8 +33,11 @@
 GATHER_DELAY_S = 0.3
 # Largest progress that a move may lose.
 MAX_LOST_PROGRESS_PERCENT = 10
-# Most ready tasks for which one round looks for a worker.
+# Most ready tasks for which one round looks for a worker. Those that certainly
+# have no room do not count.
 MAX_CONSIDERED_TASKS = 600
+# Most ready tasks of the pipelines that one round looks at.
+MAX_READY_TASKS = 50_000
 # Most suspect tasks of a service that one round places. Each is compared with
 # all workers.
 MAX_SUSPECT_SEARCHES = 20
@@ -121,10 +126,7 @@
                 task.
         """
         self._drop_lapsed_rooms(now)
-        schedulable: dict[str, list[fleet.Worker]] = {}
-        for worker in workers:
-            if worker.is_schedulable(now):
-                schedulable.setdefault(worker.state.service, []).append(worker)
+        schedulable = _schedulable(workers, now)
         if not schedulable:
             return
         ranked = []
@@ -146,8 +148,13 @@
         for _, _, queue in ranked:
             known = top_priority.get(queue.service, queue.priority)
             top_priority[queue.service] = min(known, queue.priority)
+        ready_count = 0
         for _, item, queue in ranked:
-            if considered >= MAX_CONSIDERED_TASKS:
+            ready_count += len(item.ready)
+            if (
+                considered >= MAX_CONSIDERED_TASKS
+                or ready_count > MAX_READY_TASKS
+            ):
                 break
             considered += self._start_pipeline(
                 item,
@@ -204,6 +211,15 @@
             stage_key = (task.occurrence, task.stage_number)
             if unrestricted and stage_key in stages_without_worker:
                 continue
+            if (
+                unrestricted
+                and queue.advice is None
+                and task.reserved_until_s <= now
+                and search.is_full_for(task)
+            ):
+                stages_without_worker.add(stage_key)
+                self._record_no_room(task, search, workers, is_most_urgent, now)
+                continue
             considered += 1
             allowed = workers
             if queue.advice is not None:
@@ -221,12 +237,7 @@
             if worker is None:
                 if unrestricted:
                     stages_without_worker.add(stage_key)
-                self._report_unplaceable(task, workers)
-                if task.stage.lasting and (
-                    is_most_urgent
-                    or now - task.ready_since_s >= placement_module.MAX_IDLE_S
-                ):
-                    self._keep_room(task, allowed, now)
+                self._record_no_room(task, search, allowed, is_most_urgent, now)
                 continue
             self._start(task, worker, self._next_attempt(task), now)
             search.record_start(task)
@@ -303,6 +314,30 @@
         self._start(task, worker, self._next_attempt(task), now)
         return True
 
+    def _record_no_room(
+        self,
+        task: pipeline.Task,
+        search: "_Search",
+        workers: list[fleet.Worker],
+        is_most_urgent: bool,
+        now: float,
+    ) -> None:
+        """Records that a task has no room, and keeps some for a lasting one.
+
+        Args:
+            task: The task.
+            search: Search for room on the workers of its service.
+            workers: Those of them on which it may run.
+            is_most_urgent: Whether no work that waits is more urgent.
+            now: Monotonic seconds.
+        """
+        self._report_unplaceable(task, search)
+        waited_s = now - task.ready_since_s
+        if task.stage.lasting and (
+            is_most_urgent or waited_s >= placement_module.MAX_IDLE_S
+        ):
+            self._keep_room(task, workers, now)
+
     def _keep_room(
         self, task: pipeline.Task, workers: list[fleet.Worker], now: float
     ) -> None:
@@ -396,15 +431,15 @@
         self._attempts.stop(placement, "it slows serving tasks on its worker")
 
     def _report_unplaceable(
-        self, task: pipeline.Task, workers: list[fleet.Worker]
+        self, task: pipeline.Task, search: "_Search"
     ) -> None:
         """Logs, once per pipeline, that a task fits on none of the workers.
 
         The pipeline does not fail, since larger workers may join.
         """
         pipeline_id = task.pipeline.id
-        if pipeline_id in self._unplaceable or placement_module.could_ever_fit(
-            task.stage, workers
+        if pipeline_id in self._unplaceable or search.could_ever_fit(
+            task.stage
         ):
             return
         self._unplaceable.add(pipeline_id)
@@ -415,7 +450,7 @@
             task=task.id,
             demand=attrs.astuple(task.stage.demand),
             label=task.stage.label,
-            workers=len(workers),
+            workers=len(search.workers),
         )
 
     def _start_gang(
@@ -542,6 +577,8 @@
         kept_at = self._kept_rooms.pop(task.id, None)
         if kept_at is not None:
             kept_at.release(task)
+        if placement.pace_percent < pacing.FULL_PERCENT:
+            placement.slowed_since_s = now
         self._attempts.attach(placement)
         return placement
 
@@ -708,6 +745,7 @@
         self._pacer = pacer
         self._now = now
         self._full = placement_module.FullDemands()
+        self._could_ever_fit: dict[tuple[str, resources.Resources], bool] = {}
         self._suspect_searches = 0
         self._stage_key: tuple | None = None
         self._candidates: placement_module.Candidates | None = None
@@ -716,6 +754,21 @@
         """Drops the comparison: other attempts may have been placed since."""
         self._candidates = None
 
+    def is_full_for(self, task: pipeline.Task) -> bool:
+        """Returns whether an earlier search showed that a task has no room."""
+        return self._full.includes(
+            task.stage, self._pacer.required_pace_share(task, self._now)
+        )
+
+    def could_ever_fit(self, stage: pipeline.Stage) -> bool:
+        """Returns whether any worker, if idle, could run a task of a stage."""
+        key = (stage.label, stage.demand)
+        if key not in self._could_ever_fit:
+            self._could_ever_fit[key] = placement_module.could_ever_fit(
+                stage, self.workers
+            )
+        return self._could_ever_fit[key]
+
     def choose(
         self, task: pipeline.Task, allowed: list[fleet.Worker]
     ) -> fleet.Worker | None:
@@ -733,8 +786,6 @@
                 task, allowed, self._pacer, self._now
             )
         required_pace_share = self._pacer.required_pace_share(task, self._now)
-        if self._full.includes(task.stage, required_pace_share):
-            return None
         key = (task.occurrence, task.stage_number, required_pace_share)
         if self._candidates is None or key != self._stage_key:
             self._stage_key = key
@@ -772,6 +823,28 @@
             self._full.add_too_slow(stage, required_pace_share)
 
 
+def _schedulable(
+    workers: Iterable[fleet.Worker], now: float
+) -> dict[str, list[fleet.Worker]]:
+    """Returns the workers that may be given new attempts, by service.
+
+    The workers of a service without others are suspect for `MAX_IDLE_S` only.
+    """
+    shortened_s = pipelinemonitor.SUSPECT_S - placement_module.MAX_IDLE_S
+    schedulable: dict[str, list[fleet.Worker]] = {}
+    suspects: dict[str, list[fleet.Worker]] = {}
+    for worker in workers:
+        service = worker.state.service
+        if worker.is_schedulable(now):
+            schedulable.setdefault(service, []).append(worker)
+        elif (
+            worker.accepts_attempts(now)
+            and now >= worker.suspect_until_s - shortened_s
+        ):
+            suspects.setdefault(service, []).append(worker)
+    return {**suspects, **schedulable}
+
+
 def _by_rack(workers: Iterable[fleet.Worker]) -> list[list[fleet.Worker]]:
     """Returns the workers of each rack, followed by all workers."""
     racks: dict[str, list[fleet.Worker]] = {}
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -888,6 +888,27 @@
         assert workers_of(fleet, "a.0.0.0")
 
 
+class TestSuspectWorkers:
+    def test_service_whose_workers_are_all_suspect_is_not_idle(self):
+        """Guards against 4 s without starts after failures of some pipelines.
+
+        The only worker of the service is suspect, and has room.
+        """
+        fleet = calm_fleet(names=("w1",))
+        fleet.hosts["w1"].failing = True
+        for number in range(3):
+            fleet.submit(f"p{number}")
+        fleet.run_for(1.2)
+        fleet.hosts["w1"].failing = False
+        (worker,) = fleet.scheduler.workers.values()
+        assert worker.suspect_until_s > fleet.now + IDLE_S
+        fleet.submit("a")
+        fleet.run_for(1)
+        assert not any(task == "a.0.0.0" for _, task, _ in fleet.started)
+        fleet.run_for(IDLE_S - 1)
+        assert any(task == "a.0.0.0" for _, task, _ in fleet.started)
+
+
 class TestFillers:
     @pytest.mark.parametrize(
         "fields",
@@ -927,6 +948,36 @@
         fleet.run_for(IDLE_S + 1)
         assert workers_of(fleet, f"{name}.0.0.0")
 
+    @pytest.mark.parametrize("fault", ["lost", "unanswered"])
+    def test_attempt_on_a_silent_worker_hides_no_other_task(self, fault):
+        """Guards against a pipeline that counts as running, but does not.
+
+        Its other task fits only where its pace would be low.
+        """
+        fleet = calm_fleet()
+        service = pipelines.stage(
+            lasting=True, image="s1", latency_target_ms=50.0, label="a"
+        )
+        fleet.submit("service", service)
+        fleet.run_for(4)
+        learned = pipelines.stage(
+            1, 1000, estimate_ms=6000, filler=True, image="f2", label="a"
+        )
+        fleet.submit("first", learned)
+        fleet.run_for(10)
+        if fault == "unanswered":
+            fleet.hosts["w2"].agent.orders_lost = True
+        filler = pipelines.stage(
+            2, 6000, estimate_ms=60_000, filler=True, image="f2"
+        )
+        fleet.submit("p", filler)
+        fleet.run_for(1)
+        if fault == "lost":
+            assert workers_of(fleet, "p.0.0.0") == ["w2"]
+            fleet.lose_agent(fleet.hosts["w2"].agent)
+        fleet.run_for(IDLE_S)
+        assert any(task.startswith("p.") for task, _ in fleet.running())
+
     def test_pipeline_that_needs_advice_is_not_idle_beside_other_fillers(self):
         """Guards against tickets that are asked only for unused time."""
         fleet = calm_fleet(names=("w1",))
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -126,6 +126,33 @@
         assert advanced.state is fleet.AttemptState.RUNNING
         assert recent.state is fleet.AttemptState.STOPPING
 
+    def test_attempt_that_starts_slowed_moves_later(self):
+        """Guards against a filler that keeps the low pace of its start.
+
+        Its pace is the best that its worker offers, so that it never changes.
+        """
+        pacer = pacing.Pacer(METRICS)
+        placed = attempts.Attempts(pacer, METRICS)
+        starter = pipelinestarts.Starter(
+            1, placed, pacer, METRICS, lambda item: None
+        )
+        now = placement_module.MAX_IDLE_S + 0.1
+        worker = pipelines.worker("w1", cores=8, now=now)
+        serving = pipelines.stage(
+            lasting=True, image="serving", latency_target_ms=18.0
+        )
+        pipelines.place(worker, serving)
+        item = pipeline.Pipeline(
+            pipelines.declare("waiting", FILLER), 1, pipeline.Progress(), 0.0
+        )
+        starter.start_ready([item], [worker], pipelines.TABLE, {}, now)
+        (placement,) = placed.of_task(item.tasks(0, 0)[0])
+        assert placement.pace_percent < pacing.MOVE_BELOW_PERCENT
+        placement.state = fleet.AttemptState.RUNNING
+        assert not pacer.should_move(placement, now)
+        later = now + pacing.MOVE_AFTER_S + 0.1
+        assert pacer.should_move(placement, later)
+
 
 class TestServicesOnMostOfTheCapacity:
     """Services, half of them spread, that fill five in six workers at once.
@@ -442,6 +469,55 @@
         assert not services.started
 
 
+class TestWorkBehindFullResources:
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"millicores": 9000},
+            {"label": "nowhere"},
+            {"label": "nowhere", "filler": True},
+        ],
+        ids=["large", "label", "filler with label"],
+    )
+    def test_pipelines_without_room_hide_no_other(self, fields):
+        """Guards against work that stands still behind many pipelines.
+
+        They wait for what is used up, and it needs none of that.
+        """
+        cluster = TwoWorkers()
+        stage = pipelines.stage(estimate_ms=60_000, **fields)
+        waiting = [
+            pipeline.Pipeline(
+                pipelines.declare(f"p{number}", stage, queue="fit"),
+                1,
+                pipeline.Progress(),
+                1.0,
+            )
+            for number in range(pipelinestarts.MAX_CONSIDERED_TASKS)
+        ]
+        other = pipeline.Pipeline(
+            pipelines.declare("other"), 1, pipeline.Progress(), 1.0
+        )
+        cluster.start_ready(*waiting, other)
+        assert other.started
+
+    def test_reserved_room_is_used_though_others_have_none(self):
+        """Guards against a moving task that is left out with the others."""
+        cluster = TwoWorkers()
+        moving = cluster.place_slowed()
+        item = moving.task.pipeline
+        cluster.start_ready(item, slowed=[moving])
+        cluster.attempts.remove(moving, 1.1)
+        first = pipeline.Pipeline(
+            pipelines.declare("first", FILLER, queue="fit"),
+            1,
+            pipeline.Progress(),
+            1.1,
+        )
+        cluster.start_ready(first, item, now=1.2)
+        assert cluster.attempts.of_task(moving.task)[0].worker is cluster.empty
+
+
 class TestBurst:
     def test_waiting_pipelines_do_not_compare_all_workers(self, monkeypatch):
         """A burst of wide pipelines on a fleet that is full.
@@ -624,6 +700,16 @@
         ]
         assert holders == [cluster.busy, cluster.empty]
 
+    def test_equal_tasks_of_several_pipelines_get_room(self):
+        """Guards against keeping room only for the first that found none."""
+        cluster = TwoWorkers()
+        cluster.fill(cluster.busy)
+        cluster.fill(cluster.empty)
+        stage = pipelines.stage(1, 5000, lasting=True)
+        items = [cluster.add(name, stage) for name in ("s1", "s2")]
+        cluster.start_ready(*items, now=1.0)
+        assert cluster.busy.reservations and cluster.empty.reservations
+
     def test_room_is_not_kept_where_lasting_tasks_leave_too_little(self):
         cluster = TwoWorkers()
         cluster.fill(cluster.busy, lasting=True)
