A lasting gang without room gets the next that becomes free

Without an end of the small work it never starts.

Cause: room is kept for single lasting tasks only. A gang is tried as a whole in the branch before that.

Evidence, on the code before: TestFullFleet::test_lasting_tasks_start_beside_short_ones [gang]: AssertionError: b.0.0.0, assert []: no run 9 s after it was submitted.

A gang is tried once a round, not once for each member, so that the work of a round does not grow with the square of its size. test_gang_without_room_for_all_keeps_none fails if a part of them is kept.

A lasting task of a queue that needs advice still starves like that (KNOWN-RED).

--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -195,6 +195,7 @@
         considered = 0
         search.drop_comparison()
         stages_without_worker: set[tuple[int, int]] = set()
+        gangs: set[tuple[int, int]] = set()
         permitted: dict[str, list[fleet.Worker]] = {}
         for task in list(item.ready.values()):
             if task.not_before_s > now or self._attempts.has_attempts(task):
@@ -210,9 +211,15 @@
                 or task.reserved_until_s > now
             )
             stage_key = (task.occurrence, task.stage_number)
-            if unrestricted and stage_key in stages_without_worker:
+            if stage_key in gangs or (
+                unrestricted and stage_key in stages_without_worker
+            ):
                 continue
             considered += 1
+            keeps_room = task.stage.lasting and (
+                is_most_urgent
+                or now - task.ready_since_s >= placement_module.MAX_IDLE_S
+            )
             allowed = workers
             if queue.advice is not None:
                 step = pipelineadvice.step_name(task)
@@ -222,7 +229,8 @@
                     )
                 allowed = permitted[step]
             if task.stage.gang:
-                self._start_gang(task, allowed, now, may_start)
+                gangs.add(stage_key)
+                self._start_gang(task, allowed, keeps_room, now, may_start)
                 search.drop_comparison()
                 continue
             worker = search.choose(task, allowed)
@@ -230,10 +238,7 @@
                 if unrestricted:
                     stages_without_worker.add(stage_key)
                 self._report_unplaceable(task, workers)
-                if task.stage.lasting and (
-                    is_most_urgent
-                    or now - task.ready_since_s >= placement_module.MAX_IDLE_S
-                ):
+                if keeps_room:
                     self._keep_room(task, allowed, now)
                 continue
             self._start(task, worker, self._next_attempt(task), now)
@@ -404,12 +409,14 @@
         self,
         task: pipeline.Task,
         workers: list[fleet.Worker],
+        keeps_room: bool,
         now: float,
         may_start: Callable[[pipeline.Task], bool],
     ) -> None:
         """Starts all members of a gang, or none.
 
-        A gang that prefers a common rack is first tried on each rack.
+        A gang that prefers a common rack is first tried on each rack. If it has
+        no room and `keeps_room` is set, room is kept for all members.
         """
         members = task.pipeline.tasks(task.occurrence, task.stage_number)
         if any(
@@ -439,6 +446,29 @@
             started.clear()
         for placement in started:
             self._order_start(placement, now)
+        if keeps_room and not started:
+            self._keep_rooms(members, workers, now)
+
+    def _keep_rooms(
+        self,
+        members: list[pipeline.Task],
+        workers: list[fleet.Worker],
+        now: float,
+    ) -> None:
+        """Keeps room for all members of a gang, or for none."""
+        others = self._kept_rooms.keys() - {member.id for member in members}
+        if len(others) + len(members) > MAX_KEPT_ROOMS:
+            return
+        for member in members:
+            self._keep_room(member, workers, now)
+            if member.id not in self._kept_rooms:
+                break
+        else:
+            return
+        for member in members:
+            kept_at = self._kept_rooms.pop(member.id, None)
+            if kept_at is not None:
+                kept_at.release(member)
 
     def _next_attempt(self, task: pipeline.Task) -> int:
         return (
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -751,6 +751,42 @@
         assert not watch.violations
 
 
+class TestFullFleet:
+    @pytest.mark.parametrize(
+        "queue, gang",
+        [("recast", False), ("recast", True), ("advised", False)],
+        ids=["single", "gang", "advised"],
+    )
+    def test_lasting_tasks_start_beside_short_ones(self, queue, gang):
+        """Guards against lasting tasks that starve on a full fleet."""
+        fleet = calm_fleet(names=("w1", "w2", "w3", "w4", "w5", "w6"))
+        for step in range(120):
+            if step % 3 == 0:
+                fleet.submit(
+                    f"short-{step}", pipelines.stage(12, estimate_ms=1500)
+                )
+            if step == 30:
+                fleet.submit("a", pipelines.stage(2, 4000, lasting=True))
+                fleet.submit(
+                    "b",
+                    pipelines.stage(2, 4000, lasting=True, gang=gang),
+                    queue=queue,
+                )
+            fleet.step()
+        for task in ("a.0.0.0", "a.0.0.1", "b.0.0.0", "b.0.0.1"):
+            assert workers_of(fleet, task), task
+
+    def test_gang_without_room_for_all_keeps_none(self):
+        """Guards against workers that are held for a gang that never starts."""
+        fleet = calm_fleet()
+        fleet.submit("short", pipelines.stage(8, 2000, estimate_ms=60_000))
+        fleet.submit("a", pipelines.stage(3, 5000, lasting=True, gang=True))
+        for _ in range(60):
+            fleet.step()
+            workers = fleet.scheduler.workers.values()
+            assert not any(worker.reservations for worker in workers)
+
+
 class TestOtherTasks:
     def test_many_tasks_without_room_do_not_hide_a_lasting_one(self):
         """Guards against a lasting task behind a wide pipeline."""
