--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -196,6 +196,7 @@
         considered = 0
         search.drop_comparison()
         stages_without_worker: set[tuple[int, int]] = set()
+        gangs: set[tuple[int, int]] = set()
         permitted: dict[tuple[str, frozenset[str]], list[fleet.Worker]] = {}
         for task in list(item.ready.values()):
             if task.not_before_s > now or self._attempts.has_attempts(task):
@@ -209,12 +210,14 @@
                 task.failed_on or task.suspect or task.reserved_until_s > now
             )
             stage_key = (task.occurrence, task.stage_number)
-            if unrestricted and stage_key in stages_without_worker:
+            if stage_key in gangs or (
+                unrestricted and stage_key in stages_without_worker
+            ):
                 continue
             if (
                 unrestricted
                 and queue.advice is None
-                and task.reserved_until_s <= now
+                and not (task.stage.gang and task.stage.lasting)
                 and search.is_full_for(task)
             ):
                 stages_without_worker.add(stage_key)
@@ -230,7 +233,9 @@
                     )
                 allowed = permitted[key]
             if task.stage.gang:
-                self._start_gang(task, allowed, now, may_start)
+                gangs.add(stage_key)
+                keeps_room = _keeps_room(task, is_most_urgent, now)
+                self._start_gang(task, allowed, keeps_room, now, may_start)
                 search.drop_comparison()
                 continue
             worker = search.choose(task, allowed)
@@ -296,6 +301,7 @@
             return self._start_gang(
                 task,
                 workers,
+                False,
                 now,
                 may_start,
                 required_pace_share=0.0,
@@ -332,10 +338,7 @@
             now: Monotonic seconds.
         """
         self._report_unplaceable(task, search)
-        waited_s = now - task.ready_since_s
-        if task.stage.lasting and (
-            is_most_urgent or waited_s >= placement_module.MAX_IDLE_S
-        ):
+        if _keeps_room(task, is_most_urgent, now):
             self._keep_room(task, workers, now)
 
     def _keep_room(
@@ -457,6 +460,7 @@
         self,
         task: pipeline.Task,
         workers: list[fleet.Worker],
+        keeps_room: bool,
         now: float,
         may_start: Callable[[pipeline.Task], bool],
         required_pace_share: float | None = None,
@@ -464,7 +468,8 @@
     ) -> bool:
         """Starts all members of a gang, or none.
 
-        A gang that prefers a common rack is first tried on each rack.
+        A gang that prefers a common rack is first tried on each rack. If it has
+        no room and `keeps_room` is set, room is kept for all members.
 
         Returns:
             Whether it was started.
@@ -495,8 +500,31 @@
                 break
         for placement in started:
             self._order_start(placement, now)
+        if keeps_room and not started:
+            self._keep_rooms(members, workers, now)
         return bool(started)
 
+    def _keep_rooms(
+        self,
+        members: list[pipeline.Task],
+        workers: list[fleet.Worker],
+        now: float,
+    ) -> None:
+        """Keeps room for all members of a gang, or for none."""
+        others = self._kept_rooms.keys() - {member.id for member in members}
+        if len(others) + len(members) > MAX_KEPT_ROOMS:
+            return
+        for member in members:
+            self._keep_room(member, workers, now)
+            if member.id not in self._kept_rooms:
+                break
+        else:
+            return
+        for member in members:
+            kept_at = self._kept_rooms.pop(member.id, None)
+            if kept_at is not None:
+                kept_at.release(member)
+
     def _attach_members(
         self,
         members: list[pipeline.Task],
@@ -845,6 +873,20 @@
     return {**suspects, **schedulable}
 
 
+def _keeps_room(task: pipeline.Task, is_most_urgent: bool, now: float) -> bool:
+    """Returns whether room is kept for a task that finds none.
+
+    Args:
+        task: The task.
+        is_most_urgent: Whether no work that waits is more urgent.
+        now: Monotonic seconds.
+    """
+    return task.stage.lasting and (
+        is_most_urgent
+        or now - task.ready_since_s >= placement_module.MAX_IDLE_S
+    )
+
+
 def _by_rack(workers: Iterable[fleet.Worker]) -> list[list[fleet.Worker]]:
     """Returns the workers of each rack, followed by all workers."""
     racks: dict[str, list[fleet.Worker]] = {}
