Room is not kept for a lasting task on a worker that has become too small

What callers would see: a lasting task without room waits for good, and the worker on which its room is kept starts nothing else, once that worker has less capacity than the task needs. Cause: the worker is chosen once and its reservation is renewed in each round, without a look at its capacity, which may change. Evidence: test_room_is_kept_elsewhere_once_its_worker_has_shrunk, on the code before: `assert not held.reservations` fails; the reservation is renewed to 2.4 s at 1.2 s. Fix: such a room is given up, so that another one is chosen in the same round.

--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -315,6 +315,11 @@
                 or not worker.is_schedulable(now)
             ):
                 del self._kept_rooms[task_id]
+            elif not worker.state.capacity.covers(
+                reservation.task.stage.demand
+            ):
+                worker.release(reservation.task)
+                del self._kept_rooms[task_id]
 
     def _workers_with_ticket(
         self,
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -485,6 +485,21 @@
         assert not cluster.busy.reservations
         assert cluster.empty.reservations
 
+    def test_room_is_kept_elsewhere_once_its_worker_has_shrunk(self):
+        """Guards against a task that waits for good for what is too small."""
+        cluster = TwoWorkers()
+        cluster.fill(cluster.busy)
+        cluster.fill(cluster.empty)
+        item = cluster.add("service", pipelines.stage(1, 5000, lasting=True))
+        cluster.start_ready(item, now=1.0)
+        (held,) = [w for w in (cluster.busy, cluster.empty) if w.reservations]
+        other = cluster.empty if held is cluster.busy else cluster.busy
+        held.state = pipelines.worker_state(held.id, cores=4)
+        cluster.start_ready(item, now=1.1)
+        cluster.start_ready(item, now=1.2)
+        assert not held.reservations
+        assert other.reservations
+
     def test_start_elsewhere_ends_the_reservation(self):
         """Guards against room that nobody uses."""
         cluster = TwoWorkers()
