Services that wait on a full fleet do not each search all workers for room

What callers would see: a leader that loses its lease in each round, and nothing starts, while services wait on a large fleet whose room is taken by other services. Cause: the search for the worker that can have room soonest is repeated for each pipeline that waits, in each round, if it finds none. MAX_KEPT_ROOMS bounds only searches that find one. Evidence, on the code before: test_waiting_services_do_not_look_for_the_same_room fails with `assert 200 == 1`, 200 searches for 200 pipelines that wait. Fix: a demand without such a worker is remembered for the round, like one without room.

--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -232,7 +232,7 @@
                     is_most_urgent
                     or now - task.ready_since_s >= placement_module.MAX_IDLE_S
                 ):
-                    self._keep_room(task, allowed, now)
+                    self._keep_room(task, search, allowed, now)
                 continue
             self._start(task, worker, self._next_attempt(task), now)
             search.record_start(task)
@@ -287,7 +287,11 @@
         return False
 
     def _keep_room(
-        self, task: pipeline.Task, workers: list[fleet.Worker], now: float
+        self,
+        task: pipeline.Task,
+        search: "_Search",
+        allowed: list[fleet.Worker],
+        now: float,
     ) -> None:
         """Keeps others from the room that becomes free on one worker.
 
@@ -298,7 +302,7 @@
         if worker is None:
             if len(self._kept_rooms) >= MAX_KEPT_ROOMS:
                 return
-            worker = placement_module.choose_to_free(task, workers, now)
+            worker = search.choose_to_free(task, allowed)
             if worker is None:
                 return
             self._kept_rooms[task.id] = worker
@@ -574,6 +578,7 @@
         self._pacer = pacer
         self._now = now
         self._full = placement_module.FullDemands()
+        self._never_free = placement_module.FullDemands()
         self._suspect_searches = 0
         self._stage_key: tuple | None = None
         self._candidates: placement_module.Candidates | None = None
@@ -612,6 +617,30 @@
             self._record_full(task.stage, required_pace_share)
         return worker
 
+    def choose_to_free(
+        self, task: pipeline.Task, allowed: list[fleet.Worker]
+    ) -> fleet.Worker | None:
+        """Returns the worker that can have room for a task soonest, if any.
+
+        Args:
+            task: A task without room on any worker.
+            allowed: The workers, or those of them for which it has a ticket.
+        """
+        stage = task.stage
+        has_reservation = task.reserved_until_s > self._now
+        if not has_reservation and self._never_free.includes(stage, 0.0):
+            return None
+        worker = placement_module.choose_to_free(task, allowed, self._now)
+        if worker is None and not (
+            has_reservation
+            or task.avoided_workers
+            or stage.label
+            or stage.most_per_worker
+            or allowed is not self.workers
+        ):
+            self._never_free.add_unfitting(stage)
+        return worker
+
     def _choose_for_suspect(
         self, task: pipeline.Task, allowed: list[fleet.Worker]
     ) -> fleet.Worker | None:
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -422,6 +422,43 @@
         starter.start_ready(items, workers, pipelines.TABLE, {}, 1.0)
         assert len(compared) <= len(workers)
 
+    def test_waiting_services_do_not_look_for_the_same_room(self, monkeypatch):
+        """A fleet that is full of services, where none can become free.
+
+        Each round would examine every worker for every waiting service, for
+        longer than the leader's lease lasts on a large fleet.
+        """
+        pacer = pacing.Pacer(METRICS)
+        starter = pipelinestarts.Starter(
+            1,
+            attempts.Attempts(pacer, METRICS),
+            pacer,
+            METRICS,
+            lambda item: None,
+        )
+        workers = [pipelines.worker(f"w{n}", cores=4) for n in range(50)]
+        for worker in workers:
+            worker.last_report_s = 1.0
+            pipelines.place(
+                worker, pipelines.stage(millicores=3000, lasting=True)
+            )
+        service = pipelines.stage(3, 3500, lasting=True)
+        items = [
+            pipeline.Pipeline(
+                pipelines.declare(f"p{n}", service), 1, pipeline.Progress(), 0.0
+            )
+            for n in range(200)
+        ]
+        searches = []
+        choose_to_free = placement_module.choose_to_free
+        monkeypatch.setattr(
+            placement_module,
+            "choose_to_free",
+            lambda *args: searches.append(1) or choose_to_free(*args),
+        )
+        starter.start_ready(items, workers, pipelines.TABLE, {}, 1.0)
+        assert len(searches) == 1
+
 
 class TestRoomForLastingTasks:
     """A full fleet, on which much small work waits for the next free core."""
