Test: kept rooms hold small work up (KNOWN-RED)

What callers would see: LOST. A lasting task of 1 core, or a pipeline of one small task, does not start while each worker keeps room for a large lasting task, however much is free and however long the work lasts that has to leave first. `choose_to_free` does not ask when the work on a worker ends, a reservation is renewed without a bound, and it holds up every other task, whether it lasts or has nothing running. Not mended here: a smaller demand is also skipped through FullDemands, which does not tell who may use a kept room.

--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -537,6 +537,23 @@
         assert not held.reservations
         assert other.reservations
 
+    @pytest.mark.parametrize("lasting", [True, False], ids=["lasting", "batch"])
+    def test_kept_rooms_do_not_hold_small_work_up(self, lasting):
+        """Guards against LOST: cores that stay idle beside long work."""
+        fleet = faultfleet.FaultFleet(("w1", "w2", "w3"), cores=8)
+        fleet.run_for(1.5)
+        long = pipelines.stage(3, 3500, estimate_ms=30_000)
+        fleet.submit("long", long, queue="fit")
+        fleet.run_for(1)
+        large = pipelines.stage(3, 5000, lasting=True, estimate_ms=0)
+        fleet.submit("large", large, queue="fit")
+        fleet.run_for(1)
+        small = pipelines.stage(1, 1000, lasting=lasting)
+        fleet.submit("small", small, queue="fit")
+        fleet.run_for(9)
+        assert len([t for t, _ in fleet.running() if t.startswith("long")]) == 3
+        assert any(t.startswith("small") for _, t, _ in fleet.started)
+
     def test_start_elsewhere_ends_the_reservation(self):
         """Guards against room that nobody uses."""
         cluster = TwoWorkers()
