Short grants after an outage of the store are followed by full ones at once

What callers would see: all work ends in an outage of the store that is shorter than the grants last, since the leader extends the leases up to 0.8 s later than it could. Cause: a leader whose lease had lapsed commits twice before it can extend leases. A report between the two commits is answered with the short grant that is left, and the next answer comes with the next regular report, GRANT_INTERVAL_S or more later. Class: an answer that is known to be insufficient and that nobody repeats soon. Evidence: test_short_grant_is_followed_by_a_full_one_at_once, on the code before: `assert 3695 > 3695`. Fix: workers that are answered in between are answered again once the renewal is stored.

--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -107,8 +107,12 @@
         self._stored_learned_s = 0.0
         self._hello_sent_s: dict[str, float] = {}
         # Workers that reported although the stored lease row lists them as
-        # silent; they are granted leases once a row without them is stored.
+        # silent, or leases are short; they are granted leases once a further
+        # row is stored.
         self._withheld: set[fleet.WorkerKey] = set()
+        # Whether the lease had lapsed and leases of workers are short until a
+        # further renewal is stored.
+        self._extension_due = False
         advisor = parts.settings.pipelines.advisor
         self._advisor = parts.port.advisor(advisor) if advisor else None
         parts.bus.handle(messages.AgentReport, self._on_report)
@@ -235,6 +239,7 @@
         )
         self._scheduler.set_queues(self._peers.queues)
         self._withheld.clear()
+        self._extension_due = False
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._commit_at_intervals)
             await group.spawn(self._recover_and_watch, observed.handover)
@@ -477,10 +482,10 @@
             case outcome.Committed():
                 self._last_renewal_s = started_s
                 if handover is not None:
+                    self._extension_due = False
                     await self._grant_withheld()
                 elif self._leading:
-                    # The lease had lapsed. The leases of workers can be
-                    # extended once a further renewal is stored.
+                    self._extension_due = True
                     await self._commit_requested.set()
                 await self._notify_agents(scheduler.confirm(batch))
                 if scheduler.has_uncommitted:
@@ -730,6 +735,8 @@
         elif is_listed and (grant_ms := grants.grant_ms(now_s)):
             lease_end_ms = worker.state.clock_ms + grant_ms
             worker.grant_lease(now_s)
+            if self._extension_due:
+                self._withheld.add(worker.key)
         worker.instructed_s = now_s
         await self._send_instructions(worker, lease_end_ms)
 
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -384,6 +384,30 @@
 
         harness.run(body)
 
+    def test_short_grant_is_followed_by_a_full_one_at_once(self):
+        """Guards against work that ends after an outage of the store.
+
+        The next regular answer comes GRANT_INTERVAL_S later.
+        """
+        harness, leader = self.lead()
+        worker = self.add_worker(leader)
+
+        async def body():
+            assert await leader._commit()
+            leader._lease._held_until_s = 0.0
+            leader._scheduler.grants.confirm(leader._clock.now() + 3.0)
+            assert await leader._commit()
+            await leader._answer_report(worker, leader._clock.now())
+            short_ms = self.sent[-1].lease_end_ms
+            assert await leader._commit()
+            assert self.sent[-1].lease_end_ms > short_ms
+            sent = len(self.sent)
+            await leader._answer_report(worker, leader._clock.now())
+            assert await leader._commit()
+            assert len(self.sent) == sent + 1
+
+        harness.run(body)
+
     def test_start_of_a_lasting_task_is_sent_once_it_is_stored(self):
         harness, leader = self.lead()
         scheduler = leader._scheduler
