--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -235,7 +235,13 @@
             if task.stage.gang:
                 gangs.add(stage_key)
                 keeps_room = _keeps_room(task, is_most_urgent, now)
-                self._start_gang(task, allowed, keeps_room, now, may_start)
+                self._start_gang(
+                    task,
+                    allowed,
+                    search if keeps_room else None,
+                    now,
+                    may_start,
+                )
                 search.drop_comparison()
                 continue
             worker = search.choose(task, allowed)
@@ -301,7 +307,7 @@
             return self._start_gang(
                 task,
                 workers,
-                False,
+                None,
                 now,
                 may_start,
                 required_pace_share=0.0,
@@ -339,10 +345,14 @@
         """
         self._report_unplaceable(task, search)
         if _keeps_room(task, is_most_urgent, now):
-            self._keep_room(task, workers, now)
+            self._keep_room(task, search, workers, now)
 
     def _keep_room(
-        self, task: pipeline.Task, workers: list[fleet.Worker], now: float
+        self,
+        task: pipeline.Task,
+        search: "_Search",
+        allowed: list[fleet.Worker],
+        now: float,
     ) -> None:
         """Keeps others from the room that becomes free on one worker.
 
@@ -353,7 +363,7 @@
         if worker is None:
             if len(self._kept_rooms) >= MAX_KEPT_ROOMS:
                 return
-            worker = placement_module.choose_to_free(task, workers, now)
+            worker = search.choose_to_free(task, allowed)
             if worker is None:
                 return
             self._kept_rooms[task.id] = worker
@@ -370,6 +380,11 @@
                 or not worker.is_schedulable(now)
             ):
                 del self._kept_rooms[task_id]
+            elif not worker.state.capacity.covers(
+                reservation.task.stage.demand
+            ):
+                worker.release(reservation.task)
+                del self._kept_rooms[task_id]
 
     def _workers_with_ticket(
         self,
@@ -460,7 +475,7 @@
         self,
         task: pipeline.Task,
         workers: list[fleet.Worker],
-        keeps_room: bool,
+        search: "_Search | None",
         now: float,
         may_start: Callable[[pipeline.Task], bool],
         required_pace_share: float | None = None,
@@ -469,7 +484,7 @@
         """Starts all members of a gang, or none.
 
         A gang that prefers a common rack is first tried on each rack. If it has
-        no room and `keeps_room` is set, room is kept for all members.
+        no room, it is kept for all members by `search`, unless that is None.
 
         Returns:
             Whether it was started.
@@ -500,13 +515,14 @@
                 break
         for placement in started:
             self._order_start(placement, now)
-        if keeps_room and not started:
-            self._keep_rooms(members, workers, now)
+        if search is not None and not started:
+            self._keep_rooms(members, search, workers, now)
         return bool(started)
 
     def _keep_rooms(
         self,
         members: list[pipeline.Task],
+        search: "_Search",
         workers: list[fleet.Worker],
         now: float,
     ) -> None:
@@ -515,7 +531,7 @@
         if len(others) + len(members) > MAX_KEPT_ROOMS:
             return
         for member in members:
-            self._keep_room(member, workers, now)
+            self._keep_room(member, search, workers, now)
             if member.id not in self._kept_rooms:
                 break
         else:
@@ -548,7 +564,11 @@
             pace_share = required_pace_share
             if pace_share is None:
                 pace_share = self._pacer.required_pace_share(member, now)
-            if member.suspect or member.failed_on:
+            if (
+                member.suspect
+                or member.failed_on
+                or member.reserved_until_s > now
+            ):
                 comparison = None
                 worker = placement_module.choose(
                     member,
@@ -774,6 +794,7 @@
         self._now = now
         self._full = placement_module.FullDemands()
         self._could_ever_fit: dict[tuple[str, resources.Resources], bool] = {}
+        self._never_free = placement_module.FullDemands()
         self._suspect_searches = 0
         self._stage_key: tuple | None = None
         self._candidates: placement_module.Candidates | None = None
@@ -825,6 +846,30 @@
             self._record_full(task.stage, required_pace_share)
         return worker
 
+    def choose_to_free(
+        self, task: pipeline.Task, allowed: list[fleet.Worker]
+    ) -> fleet.Worker | None:
+        """Returns the worker that can have room for a task soonest, if any.
+
+        Args:
+            task: A task without room on any worker.
+            allowed: The workers, or those of them for which it has a ticket.
+        """
+        stage = task.stage
+        has_reservation = task.reserved_until_s > self._now
+        if not has_reservation and self._never_free.includes(stage, 0.0):
+            return None
+        worker = placement_module.choose_to_free(task, allowed, self._now)
+        if worker is None and not (
+            has_reservation
+            or task.avoided_workers
+            or stage.label
+            or stage.most_per_worker
+            or allowed is not self.workers
+        ):
+            self._never_free.add_unfitting(stage)
+        return worker
+
     def _choose_for_suspect(
         self, task: pipeline.Task, allowed: list[fleet.Worker]
     ) -> fleet.Worker | None:
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -646,6 +646,43 @@
         assert not workers[0].placements
         assert len(compared) <= len(workers) + 200
 
+    def test_waiting_services_do_not_look_for_the_same_room(self, monkeypatch):
+        """A fleet that is full of services, where none can become free.
+
+        Each round would examine every worker for every waiting service, for
+        longer than the leader's lease lasts on a large fleet.
+        """
+        pacer = pacing.Pacer(METRICS)
+        starter = pipelinestarts.Starter(
+            1,
+            attempts.Attempts(pacer, METRICS),
+            pacer,
+            METRICS,
+            lambda item: None,
+        )
+        workers = [pipelines.worker(f"w{n}", cores=4) for n in range(50)]
+        for worker in workers:
+            worker.last_report_s = 1.0
+            pipelines.place(
+                worker, pipelines.stage(millicores=3000, lasting=True)
+            )
+        service = pipelines.stage(3, 3500, lasting=True)
+        items = [
+            pipeline.Pipeline(
+                pipelines.declare(f"p{n}", service), 1, pipeline.Progress(), 0.0
+            )
+            for n in range(200)
+        ]
+        searches = []
+        choose_to_free = placement_module.choose_to_free
+        monkeypatch.setattr(
+            placement_module,
+            "choose_to_free",
+            lambda *args: searches.append(1) or choose_to_free(*args),
+        )
+        starter.start_ready(items, workers, pipelines.TABLE, {}, 1.0)
+        assert len(searches) == 1
+
 
 class TestRoomForLastingTasks:
     """A full fleet, on which much small work waits for the next free core."""
@@ -719,6 +756,38 @@
         assert not cluster.busy.reservations
         assert cluster.empty.reservations
 
+    def test_room_is_kept_elsewhere_once_its_worker_has_shrunk(self):
+        """Guards against a task that waits for good for what is too small."""
+        cluster = TwoWorkers()
+        cluster.fill(cluster.busy)
+        cluster.fill(cluster.empty)
+        item = cluster.add("service", pipelines.stage(1, 5000, lasting=True))
+        cluster.start_ready(item, now=1.0)
+        (held,) = [w for w in (cluster.busy, cluster.empty) if w.reservations]
+        other = cluster.empty if held is cluster.busy else cluster.busy
+        held.state = pipelines.worker_state(held.id, cores=4)
+        cluster.start_ready(item, now=1.1)
+        cluster.start_ready(item, now=1.2)
+        assert not held.reservations
+        assert other.reservations
+
+    @pytest.mark.parametrize("lasting", [True, False], ids=["lasting", "batch"])
+    def test_kept_rooms_do_not_hold_small_work_up(self, lasting):
+        """Guards against LOST: cores that stay idle beside long work."""
+        fleet = faultfleet.FaultFleet(("w1", "w2", "w3"), cores=8)
+        fleet.run_for(1.5)
+        long = pipelines.stage(3, 3500, estimate_ms=30_000)
+        fleet.submit("long", long, queue="fit")
+        fleet.run_for(1)
+        large = pipelines.stage(3, 5000, lasting=True, estimate_ms=0)
+        fleet.submit("large", large, queue="fit")
+        fleet.run_for(1)
+        small = pipelines.stage(1, 1000, lasting=lasting)
+        fleet.submit("small", small, queue="fit")
+        fleet.run_for(9)
+        assert len([t for t, _ in fleet.running() if t.startswith("long")]) == 3
+        assert any(t.startswith("small") for _, t, _ in fleet.started)
+
     def test_start_elsewhere_ends_the_reservation(self):
         """Guards against room that nobody uses."""
         cluster = TwoWorkers()
