--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -350,8 +350,8 @@
 
     def release(self, task: pipeline.Task) -> None:
         """Ends the reservation for a task, if there is one."""
-        if self.reservations.pop(task.id, None) is not None:
-            task.reserved_until_s = 0.0
+        self.reservations.pop(task.id, None)
+        task.reserved_until_s = 0.0
 
     def has_reservation_for(self, task: pipeline.Task, now: float) -> bool:
         """Returns whether resources are reserved for a task.
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -21,6 +21,7 @@
 from pomelostair import pipelinemonitor
 from pomelostair import pipelineorder
 from pomelostair import pipelineplacement as placement_module
+from pomelostair import pipelinerooms
 from pomelostair import queues
 from pomelostair import resources
 
@@ -47,9 +48,6 @@
 # Most comparisons of a task with a worker by which one round looks for workers
 # for idle pipelines, about 40 ms of processor time.
 MAX_IDLE_COMPARISONS = 5_000
-# Most lasting tasks for which room is kept at a time. Each is compared with all
-# workers in each round.
-MAX_KEPT_ROOMS = 20
 # Most comparisons of a slowed attempt with a worker of one round. An attempt is
 # offered again after the next check of its worker.
 MAX_MOVE_COMPARISONS = 5_000
@@ -86,8 +84,7 @@
         self._metrics = metrics
         self._advice = pipelineadvice.Advice()
         self._unplaceable: set[str] = set()
-        # Lasting tasks without room, each with the worker where it is kept.
-        self._kept_rooms: dict[str, fleet.Worker] = {}
+        self._rooms = pipelinerooms.KeptRooms(metrics)
         self._idle_pipelines = pipelineidle.IdlePipelines(attempts)
 
     @property
@@ -125,7 +122,7 @@
             may_start: Returns whether no earlier leader can have started a
                 task.
         """
-        self._drop_lapsed_rooms(now)
+        self._rooms.expire(now)
         schedulable = _schedulable(workers, now)
         if not schedulable:
             return
@@ -345,46 +342,9 @@
         """
         self._report_unplaceable(task, search)
         if _keeps_room(task, is_most_urgent, now):
-            self._keep_room(task, search, workers, now)
-
-    def _keep_room(
-        self,
-        task: pipeline.Task,
-        search: "_Search",
-        allowed: list[fleet.Worker],
-        now: float,
-    ) -> None:
-        """Keeps others from the room that becomes free on one worker.
-
-        A large task would otherwise never find room while smaller ones take
-        each core as it becomes free.
-        """
-        worker = self._kept_rooms.get(task.id)
-        if worker is None:
-            if len(self._kept_rooms) >= MAX_KEPT_ROOMS:
-                return
-            worker = search.choose_to_free(task, allowed)
-            if worker is None:
-                return
-            self._kept_rooms[task.id] = worker
-            self._metrics.count("rooms_kept")
-        worker.reserve(task, now + fleet.RESERVATION_S)
-
-    def _drop_lapsed_rooms(self, now: float) -> None:
-        """Forgets rooms that are not kept any more."""
-        for task_id, worker in list(self._kept_rooms.items()):
-            reservation = worker.reservations.get(task_id)
-            if (
-                reservation is None
-                or reservation.until_s <= now
-                or not worker.is_schedulable(now)
-            ):
-                del self._kept_rooms[task_id]
-            elif not worker.state.capacity.covers(
-                reservation.task.stage.demand
-            ):
-                worker.release(reservation.task)
-                del self._kept_rooms[task_id]
+            self._rooms.keep(
+                [task], lambda task: search.choose_to_free(task, workers), now
+            )
 
     def _workers_with_ticket(
         self,
@@ -516,31 +476,11 @@
         for placement in started:
             self._order_start(placement, now)
         if search is not None and not started:
-            self._keep_rooms(members, search, workers, now)
+            self._rooms.keep(
+                members, lambda task: search.choose_to_free(task, workers), now
+            )
         return bool(started)
 
-    def _keep_rooms(
-        self,
-        members: list[pipeline.Task],
-        search: "_Search",
-        workers: list[fleet.Worker],
-        now: float,
-    ) -> None:
-        """Keeps room for all members of a gang, or for none."""
-        others = self._kept_rooms.keys() - {member.id for member in members}
-        if len(others) + len(members) > MAX_KEPT_ROOMS:
-            return
-        for member in members:
-            self._keep_room(member, search, workers, now)
-            if member.id not in self._kept_rooms:
-                break
-        else:
-            return
-        for member in members:
-            kept_at = self._kept_rooms.pop(member.id, None)
-            if kept_at is not None:
-                kept_at.release(member)
-
     def _attach_members(
         self,
         members: list[pipeline.Task],
@@ -622,9 +562,6 @@
     ) -> fleet.Placement:
         placement = fleet.Placement(task, attempt, worker, now)
         placement.pace_percent = self._pacer.initial_pace(task, worker, now)
-        kept_at = self._kept_rooms.pop(task.id, None)
-        if kept_at is not None:
-            kept_at.release(task)
         if placement.pace_percent < pacing.FULL_PERCENT:
             placement.slowed_since_s = now
         self._attempts.attach(placement)
@@ -731,6 +668,7 @@
         """
         task = placement.task
         worker = placement.worker
+        self._rooms.release(task)
         waited_s = now - task.ready_since_s
         placement.awaits_report = (
             not task.last_attempt and waited_s < placement_module.MAX_IDLE_S
