A task is not tied to a worker that refuses it, whatever the reason

What callers would see: LOST. A task whose best worker refused each start was sent there again and again beside others with room, unless the reason was "busy". An agent that has restarted refuses starts until its worker's next heartbeat ("no-heartbeat"), one without a grant does so ("late"), and a worker that counts its room otherwise ("room"). Cause: only "busy" refusals were kept with the task. Class: as for a task that all workers have refused. Evidence: test_task_is_not_tied_to_a_worker_that_refuses_it with "no-heartbeat", "late" and "room": `assert [] == ['w2']` 3 s after the submission on the code before. Fix: every refusal counts but those for the number of the attempt ("old") and for a ticket that has expired ("ticket"), which another start on the same worker does not meet. The simulated agents can refuse starts for a given reason.

--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -248,8 +248,8 @@
         checkpoint: Latest known checkpoint, empty for none.
         failed_on: Monotonic time of the latest attempt that failed or stalled,
             by id of the worker.
-        refused_by: Monotonic time of the latest start that a worker refused as
-            busy, by id of the worker. The members of a gang share it.
+        refused_by: Monotonic time of the latest start that a worker or its
+            agent refused, by id of the worker. The members of a gang share it.
         ready_since_s: Monotonic time since which it can start.
         not_before_s: Monotonic time before which it is not tried again.
         reserved_until_s: Monotonic time until which a worker may have room
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -50,6 +50,8 @@
 # An ended incarnation is remembered for this long, so that late reports about
 # it are ignored.
 ENDED_RETENTION_S = 30.0
+# Reasons of refusals that say nothing about a further start on the worker.
+_REASONS_OF_THE_TASK = ("old", "ticket")
 
 
 class PipelineScheduler:
@@ -761,7 +763,7 @@
         if reason == "old":
             # An earlier leader used more numbers than are set aside for a term.
             task.last_attempt += pipelinestarts.ATTEMPTS_PER_EPOCH
-        if reason == "busy":
+        if reason not in _REASONS_OF_THE_TASK:
             task.refused_by[placement.worker.id] = now
         self._attempts.remove(placement, now)
 
--- a/tests/faultfleet.py
+++ b/tests/faultfleet.py
@@ -117,6 +117,7 @@
         delays_starts: Whether start orders get no answer from the worker and
             are carried out late.
         busy: Whether the worker refuses starts for want of room.
+        refusal: Reason for which its agent refuses starts, empty for none.
         failing: Whether every attempt fails soon after its start.
         draining: Whether the worker is about to deregister.
         delayed_starts: Start orders to be carried out late.
@@ -147,6 +148,7 @@
     unreachable: bool = False
     delays_starts: bool = False
     busy: bool = False
+    refusal: str = ""
     failing: bool = False
     draining: bool = False
     delayed_starts: list = attrs.field(factory=list)
@@ -678,6 +680,8 @@
         )
         if host.draining:
             return messages.REFUSED, "draining"
+        if host.refusal:
+            return messages.REFUSED, host.refusal
         if until_ms - worker_runner.clock_ms < pipelineagent.MIN_START_LEASE_MS:
             return messages.REFUSED, "late"
         host.requested_end_ms = max(host.requested_end_ms, until_ms)
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -794,6 +794,16 @@
         fleet.run_for(9)
         assert workers_of(fleet, "a.0.0.0") == ["w2"]
 
+    @pytest.mark.parametrize("reason", ["no-heartbeat", "late", "room"])
+    def test_task_is_not_tied_to_a_worker_that_refuses_it(self, reason):
+        """Guards against tries on one worker while another has room."""
+        fleet = calm_fleet()
+        # The choice between equal workers falls on the first.
+        fleet.hosts["w1"].refusal = reason
+        fleet.submit("a", pipelines.stage(lasting=True))
+        fleet.run_for(IDLE_S)
+        assert workers_of(fleet, "a.0.0.0") == ["w2"]
+
     def test_gang_is_not_refused_once_for_each_member(self):
         """Guards against a wait for a gang that grows with its size.
 
