A suspect is not tied to the only worker without other suspects

What callers would see: LOST. A task under which a worker has crashed starts apart from others. If the only worker that keeps it apart refused it, it was sent there again and again. Cause: the workers were narrowed down before refusals were considered. Class: as for a task that all workers have refused. Evidence, on the code before: test_suspect_is_not_tied_to_the_only_worker_without_others, only w1 is ever chosen, 30 times in 12 s. Fix: workers that have refused the suspect are left out before; once all have, only the latest one is. The bounds of the waits for separation stay as they are.

--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -235,7 +235,9 @@
             if _score_if_paced(task, w, pacer, required_pace_share, now)
             is not None
         ]
-        candidates = pipelinecrashes.separated(task, candidates, now)
+        candidates = pipelinecrashes.separated(
+            task, _without_refusals(task, candidates), now
+        )
     groups = [candidates]
     if task.avoided_workers:
         groups = _groups_for_retry(task, candidates, workers, now)
@@ -253,6 +255,23 @@
     return None
 
 
+def _without_refusals(
+    task: pipeline.Task, candidates: list[fleet.Worker]
+) -> list[fleet.Worker]:
+    """Returns the candidates that have not refused a task.
+
+    If all have, only the latest one to do so is left out, if there are others.
+    """
+    refused_by = task.refused_by
+    if not refused_by:
+        return candidates
+    left = [w for w in candidates if w.id not in refused_by]
+    if not left:
+        latest = max(refused_by, key=refused_by.__getitem__)
+        left = [w for w in candidates if w.id != latest]
+    return left or candidates
+
+
 def _groups_for_retry(
     task: pipeline.Task,
     candidates: list[fleet.Worker],
--- a/tests/test_pipelinecrashes.py
+++ b/tests/test_pipelinecrashes.py
@@ -339,6 +339,34 @@
         assert chosen == [None, workers[0]]
 
 
+class TestRefusedSuspects:
+    def test_suspect_is_not_tied_to_the_only_worker_without_others(self):
+        """Guards against a LOST task: that worker refuses it each time.
+
+        Another one has a suspect, and the third is on the host of its crash.
+        """
+        item = pipeline.Pipeline(
+            pipelines.declare("a"), 1, pipeline.Progress(), 0.0
+        )
+        (task,) = item.tasks(0, 0)
+        task.crashes.append(pipeline.Crash(1, "agent-w0", 1, 1))
+        workers = [pipelines.worker(name, now=100.0) for name in names(3)]
+        other = pipelines.place(workers[2], pipelines.stage())
+        workers[2].unproven.add(other.key)
+        chosen = []
+        for step in range(30):
+            now = 100.0 + step * 0.4
+            worker = pipelineplacement.choose(
+                task, workers, pacing.Pacer(METRICS), now
+            )
+            if worker is not None:
+                chosen.append((now - 100.0 < PLATFORM_IDLE_S, worker.id))
+                task.refused_by[worker.id] = now
+        assert {name for in_time, name in chosen if in_time} >= {"w1", "w2"}
+        counts = collections.Counter(name for _, name in chosen)
+        assert set(counts) == {"w0", "w1", "w2"}
+
+
 class TestFrozenWorkers:
     def test_two_freezes_fail_no_task(self):
         """Guards against failing healthy work under which no worker crashed."""
