Old refusals do not keep work away from a worker

What callers would see: services that are packed worse, and fillers with less room. A task kept away from each worker that had ever refused it in the term, while others had room. Cause: refusals were never forgotten. They say nothing about a worker after some seconds. Evidence: test_old_refusal_does_not_decide_the_worker[60-empty] on the code before: `assert 'busy' == 'empty'`. Fix: after 10 s without a refusal a task forgets all of its refusals. They are not forgotten one by one: a task that is refused everywhere takes all workers in turn, however many.

--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -249,7 +249,8 @@
         failed_on: Monotonic time of the latest attempt that failed or stalled,
             by id of the worker.
         refused_by: Monotonic time of the latest start that a worker or its
-            agent refused, by id of the worker. The members of a gang share it.
+            agent refused, by id of the worker, unless all are long ago. The
+            members of a gang share it.
         ready_since_s: Monotonic time since which it can start.
         not_before_s: Monotonic time before which it is not tried again.
         reserved_until_s: Monotonic time until which a worker may have room
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -37,6 +37,9 @@
 # Delay before a suspect task without a worker is tried again. The others have
 # their turn meanwhile.
 SUSPECT_RETRY_DELAY_S = 0.25
+# Time without a refusal after which a task forgets the workers that refused it.
+# One that each worker refuses in turn is refused more often.
+REFUSAL_MEMORY_S = 10.0
 # Time after which an idle pipeline that misses its objective starts one filler
 # without unused processor time while counted work uses at least BUSY_SHARE of
 # the capacity; while it uses less, the time is `pipelineplacement.MAX_IDLE_S`.
@@ -183,6 +186,8 @@
             is_first_start = task.stage.lasting and not task.last_attempt
             if is_first_start and now - task.ready_since_s < GATHER_DELAY_S:
                 continue
+            if task.refused_by:
+                _forget_old_refusals(task, now)
             unrestricted = not (task.failed_on or task.suspect)
             stage_key = (task.occurrence, task.stage_number)
             if unrestricted and stage_key in stages_without_worker:
@@ -583,6 +588,11 @@
     return MAX_BUSY_IDLE_S
 
 
+def _forget_old_refusals(task: pipeline.Task, now: float) -> None:
+    if now - max(task.refused_by.values()) > REFUSAL_MEMORY_S:
+        task.refused_by.clear()
+
+
 def _by_rack(workers: Iterable[fleet.Worker]) -> list[list[fleet.Worker]]:
     """Returns the workers of each rack, followed by all workers."""
     racks: dict[str, list[fleet.Worker]] = {}
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -373,6 +373,26 @@
         assert not services.started
 
 
+class TestRefusals:
+    @pytest.mark.parametrize(
+        ("age_s", "expected"), [(1, "busy"), (60, "empty")]
+    )
+    def test_old_refusal_does_not_decide_the_worker(self, age_s, expected):
+        """Guards against work that keeps away from a worker for a whole term.
+
+        Else the empty worker has the better score.
+        """
+        cluster = TwoWorkers()
+        item = pipeline.Pipeline(
+            pipelines.declare("a"), 1, pipeline.Progress(), 0.0
+        )
+        (task,) = item.tasks(0, 0)
+        task.refused_by["empty"] = 1.0
+        cluster.start_ready(item, now=1.0 + age_s)
+        (placement,) = cluster.attempts.of_task(task)
+        assert placement.worker.id == expected
+
+
 class TestBurst:
     def test_waiting_pipelines_do_not_compare_all_workers(self, monkeypatch):
         """A burst of wide pipelines on a fleet that is full.
