--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -51,6 +51,9 @@
 # Most comparisons of a slowed attempt with a worker of one round. An attempt is
 # offered again after the next check of its worker.
 MAX_MOVE_COMPARISONS = 5_000
+# Time without a refusal after which a task forgets the workers that refused it.
+# One that each worker refuses in turn is refused more often.
+REFUSAL_MEMORY_S = 10.0
 
 
 class Starter:
@@ -203,6 +206,8 @@
             is_first_start = task.stage.lasting and not task.last_attempt
             if is_first_start and now - task.ready_since_s < GATHER_DELAY_S:
                 continue
+            if task.refused_by:
+                _forget_old_refusals(task, now)
             unrestricted = not (
                 task.failed_on or task.suspect or task.reserved_until_s > now
             )
@@ -870,6 +875,11 @@
     )
 
 
+def _forget_old_refusals(task: pipeline.Task, now: float) -> None:
+    if now - max(task.refused_by.values()) > REFUSAL_MEMORY_S:
+        task.refused_by.clear()
+
+
 def _by_rack(workers: Iterable[fleet.Worker]) -> list[list[fleet.Worker]]:
     """Returns the workers of each rack, followed by all workers."""
     racks: dict[str, list[fleet.Worker]] = {}
