Random scenarios with racks, all hosts and leaders lost together

With `busy`, short tasks ask for 90 % of the cores, and short tasks do not count as taking the room of lasting ones.

--- a/tests/faultfleet.py
+++ b/tests/faultfleet.py
@@ -777,13 +777,14 @@
     return digest[0] % 4 != 0
 
 
-def free_slots(fleet, stage, key):
+def free_slots(fleet, stage, key, lasting_only=False):
     """Returns how many further tasks of a stage the usable workers can run.
 
     Args:
         fleet: The simulated fleet.
         stage: The stage.
         key: Key of its tasks without the index, "PIPELINE.OCCURRENCE.STAGE".
+        lasting_only: Whether only lasting tasks count as taking room.
     """
     advised = fleet.rows[key.split(".")[0]][0].queue == ADVISED.name
     slots = 0
@@ -797,6 +798,8 @@
         millicores, memory_mb, siblings = host.cores * 1000, 128_000, 0
         for run in host.runner.runs.values():
             other = fleet.stage_of(run.task)
+            if lasting_only and not other.lasting:
+                continue
             memory_mb -= other.demand.memory_mb
             if stage.filler or not other.filler:
                 millicores -= other.demand.millicores
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -21,6 +21,11 @@
 # Time after which an attempt without an answer, and a sound worker without
 # attempts, count as stuck.
 STUCK_S = 5.0
+# Share of the cores that short tasks use in a busy scenario, and the time until
+# which it gets them.
+BUSY_SHARE = 0.9
+BUSY_UNTIL_S = 1040.0
+FILL_INTERVAL_S = 0.25
 TERMINAL = pipeline.TERMINAL_PHASES
 
 
@@ -29,10 +34,13 @@
 
     Args:
         fleet: The simulated fleet.
+        short_tasks_yield: Whether a lasting task has room where only tasks
+            that end take it.
     """
 
-    def __init__(self, fleet):
+    def __init__(self, fleet, short_tasks_yield=False):
         self.fleet = fleet
+        self._short_tasks_yield = short_tasks_yield
         self.active = 0
         self.disturbed_s = fleet.now
         self.violations = []
@@ -180,10 +188,13 @@
 
     def _has_room(self, task, stage):
         needed = stage.count if stage.gang else 1
-        return (
-            faultfleet.free_slots(self.fleet, stage, task.rpartition(".")[0])
-            >= 2 * needed
+        slots = faultfleet.free_slots(
+            self.fleet,
+            stage,
+            task.rpartition(".")[0],
+            stage.lasting and self._short_tasks_yield,
         )
+        return slots >= 2 * needed
 
     def _stuck(self):
         fleet = self.fleet
@@ -214,10 +225,7 @@
     def __init__(self, seed, timed=True):
         self.random = random.Random(seed)
         self.timed = timed
-        names = tuple(f"w{n + 1}" for n in range(self.random.randint(2, 5)))
-        self.fleet = faultfleet.FaultFleet(
-            names, self.random.choice((6, 10)), self.random.choice((1, 1, 2))
-        )
+        self.fleet = self.make_fleet()
         self.fleet.commit_steps = self.random.choice((0, 0, 1, 3))
         self.fleet.lists_at_once = self.random.random() < 0.3
         self.watch = Watch(self.fleet)
@@ -226,6 +234,13 @@
         self.count = 0
         self.lasting_millicores = 0
 
+    def make_fleet(self):
+        """Returns a fleet of random size."""
+        names = tuple(f"w{n + 1}" for n in range(self.random.randint(2, 5)))
+        return faultfleet.FaultFleet(
+            names, self.random.choice((6, 10)), self.random.choice((1, 1, 2))
+        )
+
     def play(self):
         """Plays the scenario; returns the violations."""
         self.run_for(1)
@@ -565,6 +580,165 @@
         assert not violations, "\n".join([*scenario.log, *map(str, violations)])
 
 
+class JointScenario(Scenario):
+    """A random scenario whose faults strike several hosts and the leader.
+
+    Args:
+        seed: Seed of the random choices.
+        busy: Whether short tasks fill most of the fleet.
+    """
+
+    def __init__(self, seed, busy=False):
+        super().__init__(seed, timed=False)
+        self.busy = busy
+        self.watch = Watch(self.fleet, short_tasks_yield=busy)
+
+    def make_fleet(self):
+        """Returns a fleet of some racks."""
+        names = tuple(f"w{n + 1}" for n in range(self.random.randint(4, 9)))
+        return faultfleet.FaultFleet(
+            names, self.random.choice((6, 10)), self.random.choice((1, 1, 2))
+        )
+
+    def play(self):
+        """Plays the scenario; returns the violations."""
+        self.run_for(1)
+        for _ in range(self.random.randint(1, 3)):
+            self.submit_lasting()
+        if self.busy:
+            self.fill()
+        self.run_for(self.random.choice((1, 4, 8)))
+        for _ in range(2):
+            for _ in range(self.random.choice((1, 1, 2))):
+                self.at(self.random.uniform(0, 2), self.inject)
+            for _ in range(self.random.randint(0, 2)):
+                self.at(self.random.uniform(0, 4), self.submit_batch)
+            if self.random.random() < 0.3:
+                self.at(self.random.uniform(0, 4), self.submit_lasting)
+            self.run_for(self.random.choice((3, 6, 10, 16, 24)))
+        while self.actions or self.watch.active:
+            self.run_for(faultfleet.STEP_S)
+        self.run_for(RECOVERY_S + 3 * IDLE_S)
+        return self.watch.violations
+
+    def fill(self):
+        """Submits short tasks now and again, for most of the cores."""
+        if self.fleet.now > BUSY_UNTIL_S:
+            return
+        usable = [h for h in self.fleet.hosts.values() if h.usable]
+        capacity = sum(host.cores for host in usable)
+        # Each takes 2 cores for 1.5 s on average.
+        per_second = BUSY_SHARE * capacity / (2 * 1.5)
+        count = max(1, round(per_second * FILL_INTERVAL_S))
+        # Without a note: the log would hold little else.
+        self.count += 1
+        self.fleet.submit(
+            f"p{self.count}",
+            pipelines.stage(
+                count, 2000, estimate_ms=self.random.choice((1000, 1500, 2000))
+            ),
+            queue=self.random.choice(("recast", "fit")),
+        )
+        self.at(FILL_INTERVAL_S, self.fill)
+
+    def inject(self):
+        """Injects a random fault."""
+        self.watch.disturb()
+        faults = (
+            self.lose_rack,
+            self.lose_rack,
+            self.lose_all,
+            self.lose_leader_while_it_recovers,
+            self.lose_hosts_and_leaders,
+        )
+        self.random.choice(faults)()
+
+    def agents(self):
+        """Returns the agents that run."""
+        agents = {h.agent.name: h.agent for h in self.fleet.hosts.values()}
+        return [a for a in agents.values() if not a.down]
+
+    def lose_rack(self):
+        """Loses a third of the hosts, and maybe the leader, at one moment."""
+        agents = self.agents()
+        if self.random.random() < 0.7:
+            self.lose_leader_for_some_time()
+        count = max(1, len(agents) // 3)
+        for agent in self.random.sample(agents, min(count, len(agents))):
+            self.lose_host(agent)
+
+    def lose_all(self):
+        """Loses all hosts and the leader at one moment."""
+        self.lose_leader_for_some_time()
+        for agent in self.agents():
+            self.lose_host(agent)
+
+    def lose_hosts_and_leaders(self):
+        """Loses a rack with the leader, and the next leader soon after."""
+        self.lose_rack()
+        self.lose_leader_while_it_recovers()
+
+    def lose_leader_for_some_time(self):
+        """Loses the leader; the next one starts once its lease has lapsed."""
+        self.at(0.0, self.lose_leader)
+        self.at(self.random.choice((1.8, 1.8, 2.2, 4.0)), self.start_leader)
+
+    def lose_leader_while_it_recovers(self):
+        """Loses several leaders, each soon after its start."""
+        delay_s = 0.0
+        for _ in range(self.random.choice((2, 3))):
+            self.at(delay_s, self.lose_leader)
+            self.at(delay_s + 1.8, self.start_leader)
+            delay_s += 1.8 + self.random.choice((0.1, 0.3, 0.6, 1.0))
+
+    def lose_host(self, agent):
+        """Loses an agent and its workers, which return under other ids."""
+        hosts = self.fleet.hosts_of(agent)
+        for_good = self.random.random() < 0.2 and self.spare_hosts() >= len(
+            hosts
+        )
+        duration_s = self.random.choice((0.5, 1.0, 2.0, 4.0, 8.0, 12.0))
+        self.note(f"{agent.name} lost for {'good' if for_good else duration_s}")
+        if for_good:
+            self.fleet.lose_agent(agent)
+            return
+        self.fleet.stop_agent(agent)
+        for host in hosts:
+            self.fleet.stop_worker(host.name)
+        self.hold_fault(duration_s, lambda: self.return_host(agent))
+
+    def return_host(self, agent):
+        """Starts an agent and its workers, in a random order."""
+        if agent.lost:
+            return
+        agent_first = self.random.random() < 0.5
+        if agent_first:
+            self.fleet.return_agent(agent)
+        for host in self.fleet.hosts_of(agent):
+            if host.down:
+                same = self.random.random() < 0.2
+                worker_id = f"{host.name}-{int(self.fleet.now * 10)}"
+                self.fleet.return_worker(host.name, None if same else worker_id)
+        if not agent_first:
+            self.fleet.return_agent(agent)
+
+
+class TestJointFaults:
+    @pytest.mark.parametrize("seed", range(8))
+    def test_no_task_stands_still_after_a_rack_and_the_leader(self, seed):
+        """Guards against waits that add up where several parts are lost."""
+        scenario = JointScenario(seed)
+        violations = scenario.play()
+        assert not violations, "\n".join([*scenario.log, *map(str, violations)])
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_short_tasks_do_not_take_the_room_of_lasting_ones(self, seed):
+        """Guards against lasting tasks that starve on a full fleet."""
+        scenario = JointScenario(seed, busy=True)
+        violations = scenario.play()
+        assert not violations, "\n".join([*scenario.log, *map(str, violations)])
+
+
 def calm_fleet(names=("w1", "w2"), cores=8):
     """Returns a fleet whose workers are schedulable."""
     fleet = faultfleet.FaultFleet(names, cores)
@@ -572,6 +746,11 @@
     return fleet
 
 
+def steps_in(seconds):
+    """Returns the number of steps in a time."""
+    return round(seconds / faultfleet.STEP_S)
+
+
 def workers_of(fleet, task):
     """Returns the hosts on which a task runs."""
     return [host for other, host in fleet.running() if other == task]
@@ -1069,6 +1248,29 @@
         )
         assert workers_of(fleet, "a.0.0.0")
 
+    def test_first_start_on_a_host_lost_with_the_leader_is_made_up_in_time(
+        self,
+    ):
+        """Guards against waiting for leases of a worker that never ran a task.
+
+        Its record is stored, and its start may have arrived.
+        """
+        fleet = calm_fleet(names=("w1", "w2", "w3"))
+        watch = Watch(fleet)
+        fleet.submit("a", pipelines.stage(lasting=True))
+        task = fleet.scheduler.registry.find_task("a.0.0.0")
+        while not task.placed_on:
+            watch.step()
+        ((name, _),) = task.placed_on
+        fleet.lose_agent(fleet.hosts[name].agent)
+        fleet.lose_leader()
+        watch.disturb()
+        for step in range(steps_in(AFTER_RUN_S + 2 * IDLE_S)):
+            if step == steps_in(faultfleet.LEADER_LEASE_S):
+                fleet.start_leader()
+            watch.step()
+        assert not watch.violations
+
     def test_leaders_that_are_lost_at_once_do_not_add_their_waits(self):
         """Guards against a wait that each of several leaders begins anew.
 
