A worker that is lost before its leader is listed after 1.2 s

What callers would see: LOST.

Cause: a worker is listed in the lease row, with the end of its own leases, only once it has been silent for 2 s.

A report is due each 0.8 s, so that a sound worker is seldom listed; one that is gets its next grant with the next commit.

--- a/pomelostair/pipelinegrants.py
+++ b/pomelostair/pipelinegrants.py
@@ -15,9 +15,10 @@
 
 from pomelostair import fleet
 
-# Time without a list after which a worker counts as silent. Lists are several
-# times as frequent.
-SILENT_S = fleet.REPORT_FRESH_S
+# Time without a list after which a worker counts as silent: one and a half
+# report intervals. Of one that is lost less than this before its leader, the
+# next one knows only the end that the last renewal names.
+SILENT_S = 1.2
 # Most listed workers; the lease row is written several times a second. The next
 # leader waits for the others as long as a lease granted last may last.
 MAX_LISTED = 100
