A worker without a lease is granted one with its first list

What callers would see: work that starts a second late on hosts that are back.

Cause: the first report of a worker that is not fresh, or whose grant has to wait, is answered without a lease, and the next answer follows GRANT_INTERVAL_S (0.7 s) later.

test_first_list_is_answered_at_once failed before. The tests beside it are about workers with leases and now say so.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -466,8 +466,13 @@
             now: Monotonic seconds.
             interval_s: Interval of the answers without news.
         """
-        return now - self.instructed_s >= interval_s or any(
-            row[0] <= self.acknowledged_end for row in self.state.ended
+        awaits_lease = (
+            not self.granted and self.state.fresh and self.state.reachable
+        )
+        return (
+            awaits_lease
+            or now - self.instructed_s >= interval_s
+            or any(row[0] <= self.acknowledged_end for row in self.state.ended)
         )
 
     def add(self, placement: Placement) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -66,14 +66,26 @@
 
 class TestNeedsAnswer:
     def test_only_at_intervals_without_news(self):
-        worker = pipelines.worker()
+        worker = pipelines.worker(granted=True)
         worker.instructed_s = 10.0
         assert not worker.needs_answer(10.5, 0.7)
         assert worker.needs_answer(10.8, 0.7)
 
-    def test_repeated_end_is_acknowledged_again(self):
+    def test_first_list_is_answered_at_once(self):
+        """Guards against starts that a worker refuses for want of a lease.
+
+        An earlier report, which could not be answered with a lease, does not
+        count.
+        """
         worker = pipelines.worker()
         worker.instructed_s = 10.0
+        assert worker.needs_answer(10.1, 0.7)
+        worker.state = attrs.evolve(worker.state, fresh=False)
+        assert not worker.needs_answer(10.1, 0.7)
+
+    def test_repeated_end_is_acknowledged_again(self):
+        worker = pipelines.worker(granted=True)
+        worker.instructed_s = 10.0
         worker.state = attrs.evolve(
             worker.state, ended=((3, "a.0.0.0", 1, "done", ""),)
         )
