A lease row never names an earlier end of the leases than the row before

What callers would see: two runs of a task (TWICE), if two leaders have settings with leases of different length. Not seen; found by the review. A row of the later leader could name an end before that of leases which the earlier one had granted. test_end_of_the_leases_is_not_ moved_forward failed before (it compares the ends of both rows).

--- a/pomelostair/pipelinelease.py
+++ b/pomelostair/pipelinelease.py
@@ -307,9 +307,11 @@
             self._row, token=uuid.uuid4().hex, end_ms=self._end_ms()
         )
         if handover is not None:
+            leases_end_ms = self._latest_ms() + self._worker_leases_s * 1000
+            # Earlier holders may grant longer leases, by other settings.
+            earlier_end_ms = self._row.handover.leases_end_ms or 0.0
             handover = attrs.evolve(
-                handover,
-                leases_end_ms=self._latest_ms() + self._worker_leases_s * 1000,
+                handover, leases_end_ms=max(leases_end_ms, earlier_end_ms)
             )
             row = attrs.evolve(row, handover=handover)
         transaction = store.Transaction(
--- a/tests/test_pipelinelease.py
+++ b/tests/test_pipelinelease.py
@@ -35,9 +35,9 @@
         self.clock = clock_module.ManualClock(100.0)
         self.table = ClockedFaultyTable(self.clock)
 
-    def new_lease(self, name):
+    def new_lease(self, name, worker_leases_s=WORKER_LEASES_S):
         return pipelinelease.PipelineLease(
-            self.table, self.clock, name, f"bus-{name}", WORKER_LEASES_S
+            self.table, self.clock, name, f"bus-{name}", worker_leases_s
         )
 
     async def acquired_lease(self, name):
@@ -283,3 +283,21 @@
             assert observed.handover.leases_end_ms > leases_end_ms
 
         curio.run(main)
+
+    def test_end_of_the_leases_is_not_moved_forward(self):
+        """Guards against two runs if an earlier leader grants longer leases."""
+
+        async def main():
+            harness = LeaseHarness()
+            granting = pipelinelease.Handover()
+            first = await harness.acquired_lease("a")
+            await first.commit(PUTS, (), granting)
+            leases_end_ms = (await first.read_lease()).handover.leases_end_ms
+            await first.vacate()
+            second = harness.new_lease("b", WORKER_LEASES_S / 2)
+            assert await second.acquire(await second.read_lease())
+            await second.commit(PUTS, (), granting)
+            observed = await second.read_lease()
+            assert observed.handover.leases_end_ms == leases_end_ms
+
+        curio.run(main)
