A restart of a peer is not forgotten while a send waits

Found by the review: the new incarnation was recorded although the connection could not be renewed at that moment, so that the next message of the peer did not renew it either. test_connection_with_a_waiting_send_is_renewed_later failed before.

--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -397,8 +397,9 @@
         if peer is None:
             return
         restarted = peer.incarnation not in ("", incarnation)
-        peer.incarnation = incarnation
-        if restarted or peer.unreachable:
+        if not restarted and not peer.unreachable:
+            peer.incarnation = incarnation
+        elif not peer.has_waiting_send:
             self._metrics.count("connections_renewed")
             self.disconnect(address)
 
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -370,6 +370,26 @@
         pair.run(body)
         assert pair.received_epochs == [1, 2, 3, 4]
 
+    def test_connection_with_a_waiting_send_is_renewed_later(self):
+        """Guards against forgetting a restart while a send waits."""
+        pair = Pair("nng")
+        counts = pair.metrics["a"].counts
+
+        async def body():
+            await pair.a.call(pair.b.address, messages.Nudge(1), WAIT_S)
+            connection = pair.a._peers[pair.b.address]
+            pair.b._incarnation = "restarted"
+            async with connection._send_lock:
+                await pair.b.send(pair.a.address, messages.Nudge(2))
+                await wait_until(
+                    lambda: counts["messages_dropped", "unhandled"]
+                )
+                assert pair.a._peers[pair.b.address] is connection
+            await pair.a.call(pair.b.address, messages.Nudge(3), WAIT_S)
+            assert pair.b.address not in pair.a._peers
+
+        pair.run(body)
+
 
 def fill_accept_queue(address, stack):
     """Lets connections to an address hang, as those to a dark host do."""
