--- a/tests/pipelines.py
+++ b/tests/pipelines.py
@@ -3,6 +3,7 @@
 from pomelostair import fleet
 from pomelostair import pipeline
 from pomelostair import pipelinemessages as messages
+from pomelostair import pipelineplacement
 from pomelostair import queues
 from pomelostair import resources
 
@@ -96,3 +97,15 @@
     item.place(task, attempt)
     target.add(placement)
     return placement
+
+
+def record_comparisons(monkeypatch):
+    """Returns a list that grows by one with each worker that is compared."""
+    compared = []
+    fits = pipelineplacement.fits
+    monkeypatch.setattr(
+        pipelineplacement,
+        "fits",
+        lambda *arguments: compared.append(1) or fits(*arguments),
+    )
+    return compared
--- a/tests/test_pipelineidle.py
+++ b/tests/test_pipelineidle.py
@@ -75,13 +75,7 @@
         """
         fleet = FullFleet(1000)
         waiting = fleet.submit(300)
-        compared = []
-        fits = placement_module.fits
-        monkeypatch.setattr(
-            placement_module,
-            "fits",
-            lambda *arguments: compared.append(1) or fits(*arguments),
-        )
+        compared = pipelines.record_comparisons(monkeypatch)
         for _ in range(15):
             compared.clear()
             fleet.run_round()
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -19,6 +19,18 @@
 )
 
 
+def new_starter():
+    """Returns a starter without attempts, which stores nothing."""
+    pacer = pacing.Pacer(METRICS)
+    return pipelinestarts.Starter(
+        1,
+        attempts.Attempts(pacer, METRICS),
+        pacer,
+        METRICS,
+        lambda item: None,
+    )
+
+
 class TwoWorkers:
     """A busy worker and an empty one that fits a single filler task."""
 
@@ -545,14 +557,7 @@
         Each round would compare every worker for every waiting pipeline, and
         leave no time to take in the ends that free room.
         """
-        pacer = pacing.Pacer(METRICS)
-        starter = pipelinestarts.Starter(
-            1,
-            attempts.Attempts(pacer, METRICS),
-            pacer,
-            METRICS,
-            lambda item: None,
-        )
+        starter = new_starter()
         workers = [pipelines.worker(f"w{n}", cores=4) for n in range(50)]
         for worker in workers:
             worker.last_report_s = 1.0
@@ -564,38 +569,19 @@
             )
             for n in range(200)
         ]
-        compared = []
-        fits = placement_module.fits
-        monkeypatch.setattr(
-            placement_module,
-            "fits",
-            lambda *arguments: compared.append(1) or fits(*arguments),
-        )
+        compared = pipelines.record_comparisons(monkeypatch)
         starter.start_ready(items, workers, pipelines.TABLE, {}, 1.0)
         assert len(compared) <= len(workers)
 
     def test_members_of_a_gang_share_the_comparison(self, monkeypatch):
         """A gang would compare all workers for each of its members."""
-        pacer = pacing.Pacer(METRICS)
-        starter = pipelinestarts.Starter(
-            1,
-            attempts.Attempts(pacer, METRICS),
-            pacer,
-            METRICS,
-            lambda item: None,
-        )
+        starter = new_starter()
         workers = [pipelines.worker(f"w{n}", now=1.0) for n in range(50)]
         gang = pipelines.stage(40, millicores=20_000, gang=True)
         item = pipeline.Pipeline(
             pipelines.declare("gang", gang), 1, pipeline.Progress(), 0.0
         )
-        compared = []
-        fits = placement_module.fits
-        monkeypatch.setattr(
-            placement_module,
-            "fits",
-            lambda *arguments: compared.append(1) or fits(*arguments),
-        )
+        compared = pipelines.record_comparisons(monkeypatch)
         starter.start_ready([item], workers, pipelines.TABLE, {}, 1.0)
         assert item.started
         assert not item.ready
@@ -619,13 +605,7 @@
             worker.remove(placement)
             placed.attach(placement)
             slowed[placement.task.pipeline.id] = [placement]
-        compared = []
-        fits = placement_module.fits
-        monkeypatch.setattr(
-            placement_module,
-            "fits",
-            lambda *arguments: compared.append(1) or fits(*arguments),
-        )
+        compared = pipelines.record_comparisons(monkeypatch)
         items = [rows[0].task.pipeline for rows in slowed.values()]
         starter.start_ready(items, workers, pipelines.TABLE, slowed, 1.0)
         assert len(compared) <= pipelinestarts.MAX_MOVE_COMPARISONS + len(
@@ -637,14 +617,7 @@
 
         The worker has refused every task of a wide stage.
         """
-        pacer = pacing.Pacer(METRICS)
-        starter = pipelinestarts.Starter(
-            1,
-            attempts.Attempts(pacer, METRICS),
-            pacer,
-            METRICS,
-            lambda item: None,
-        )
+        starter = new_starter()
         workers = [pipelines.worker(f"w{n}", now=1.0) for n in range(50)]
         item = pipeline.Pipeline(
             pipelines.declare("a", pipelines.stage(count=200)),
@@ -654,13 +627,7 @@
         )
         for task in item.ready.values():
             task.refused_by["w0"] = 0.5
-        compared = []
-        fits = placement_module.fits
-        monkeypatch.setattr(
-            placement_module,
-            "fits",
-            lambda *arguments: compared.append(1) or fits(*arguments),
-        )
+        compared = pipelines.record_comparisons(monkeypatch)
         starter.start_ready([item], workers, pipelines.TABLE, {}, 1.0)
         assert not item.ready
         assert not workers[0].placements
@@ -672,14 +639,7 @@
         Each round would examine every worker for every waiting service, for
         longer than the leader's lease lasts on a large fleet.
         """
-        pacer = pacing.Pacer(METRICS)
-        starter = pipelinestarts.Starter(
-            1,
-            attempts.Attempts(pacer, METRICS),
-            pacer,
-            METRICS,
-            lambda item: None,
-        )
+        starter = new_starter()
         workers = [pipelines.worker(f"w{n}", cores=4) for n in range(50)]
         for worker in workers:
             worker.last_report_s = 1.0
