--- a/pomelostair/pipelineidle.py
+++ b/pomelostair/pipelineidle.py
@@ -90,11 +90,14 @@
         chosen = self.workers[start : start + size]
         return chosen + self.workers[: size - len(chosen)]
 
-    def goes_on(self, now: float) -> bool:
-        """Returns whether anything is left to compare in this round.
+    def advance(self, now: float) -> bool:
+        """Records that the workers returned last have no room.
 
         Args:
             now: Monotonic seconds.
+
+        Returns:
+            Whether anything is left to compare in this round.
         """
         self.not_before_s = now
         if self.compared >= len(self.workers):
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -199,12 +199,7 @@
         gangs: set[tuple[int, int]] = set()
         permitted: dict[tuple[str, frozenset[str]], list[fleet.Worker]] = {}
         for task in list(item.ready.values()):
-            if task.not_before_s > now or self._attempts.has_attempts(task):
-                continue
-            if not may_start(task):
-                continue
-            is_first_start = task.stage.lasting and not task.last_attempt
-            if is_first_start and now - task.ready_since_s < GATHER_DELAY_S:
+            if not (self._is_due(task, now) and may_start(task)):
                 continue
             if task.refused_by:
                 _forget_old_refusals(task, now)
@@ -256,6 +251,13 @@
             search.record_start(task)
         return considered
 
+    def _is_due(self, task: pipeline.Task, now: float) -> bool:
+        """Returns whether a ready task is to be started in this round."""
+        if task.not_before_s > now or self._attempts.has_attempts(task):
+            return False
+        is_first_start = task.stage.lasting and not task.last_attempt
+        return not is_first_start or now - task.ready_since_s >= GATHER_DELAY_S
+
     def _start_idle(
         self,
         searches: list[pipelineidle.Search],
@@ -282,7 +284,7 @@
             ):
                 self._metrics.count("overdue_starts")
                 self._idle_pipelines.forget(search.pipeline_id)
-            elif search.goes_on(now):
+            elif search.advance(now):
                 waiting.append(search)
             else:
                 failed.append(search)
