--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -348,8 +348,8 @@
         self.reservations[task.id] = Reservation(task, until_s)
         task.reserved_until_s = until_s
 
-    def release(self, task: pipeline.Task) -> None:
-        """Ends the reservation for a task, if there is one."""
+    def cancel_reservation(self, task: pipeline.Task) -> None:
+        """Cancels the reservation for a task, if there is one."""
         self.reservations.pop(task.id, None)
         task.reserved_until_s = 0.0
 
--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -324,7 +324,7 @@
         """Key within the pipeline, "OCCURRENCE.STAGE.INDEX"."""
         return f"{self.occurrence}.{self.stage_number}.{self.index}"
 
-    def last_trouble_s(self, worker_id: str) -> float:
+    def last_failure_s(self, worker_id: str) -> float:
         """Returns when a start or an attempt last went wrong on a worker.
 
         Args:
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -370,7 +370,7 @@
         (w for w in candidates if w.id in avoided),
         key=lambda w: (
             may_wait and w.id in task.failed_on,
-            task.last_trouble_s(w.id),
+            task.last_failure_s(w.id),
         ),
     )
     return [proven, not_failing, untried, *([w] for w in tried)]
@@ -430,7 +430,7 @@
         self._now = now
         self._fits_anywhere = False
         self._heap: list[tuple[float, int, fleet.Worker]] = []
-        # Workers that are better than the best one, but refused its task.
+        # Workers that have refused the task of the latest call of `best`.
         self._set_aside: list[tuple[float, int, fleet.Worker]] = []
         for index, worker in enumerate(workers):
             entry = self._entry(task, worker, index)
--- a/pomelostair/pipelinerooms.py
+++ b/pomelostair/pipelinerooms.py
@@ -81,7 +81,7 @@
         """Keeps no room for a task any more."""
         room = self._rooms.pop(task.id, None)
         if room is not None:
-            room.worker.release(task)
+            room.worker.cancel_reservation(task)
 
     def expire(self, now: float) -> None:
         """Forgets the rooms that are of no use, or were kept for long.
