--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -74,7 +74,7 @@
         record: Where to write what happens.
         edges: Number of machines with an entry.
         sides: Number of machines with an agent and a minion.
-        proxied: Whether entries reach the store through a proxy.
+        proxied: Whether each entry reaches the store through a proxy.
     """
 
     def __init__(
@@ -107,11 +107,17 @@
         """
         self._spawn("store", ["-m", "review.standins.store"], self.store)
         if self._proxied:
-            self._spawn(
-                "proxy",
-                ["-m", "review.standins.silentproxy", "--target", self.store],
-                f"{self._hub}:{self._ports['proxy']}",
-            )
+            for number, edge in enumerate(self.edges):
+                self._spawn(
+                    f"proxy-{number}",
+                    [
+                        "-m",
+                        "review.standins.storeproxy",
+                        "--target",
+                        self.store,
+                    ],
+                    f"{edge}:{self._ports['proxy']}",
+                )
         self._until(lambda: self.configure(1, *routes))
         for number in range(len(self.edges)):
             self.start_daemon("edge", number)
@@ -242,7 +248,7 @@
         ports = self._ports
         seeds = [f"{edge}:{ports['control']}" for edge in self.edges[:3]]
         through_proxy = self._proxied and kind == "edge"
-        store_port = ports["proxy" if through_proxy else "store"]
+        store = f"{ip}:{ports['proxy']}" if through_proxy else self.store
         lines = [
             f"nodeName={name}",
             f"role={kind}",
@@ -273,7 +279,7 @@
             "bounds.gangWaitMs=3000",
             "bounds.status_s=120",
             "orders=call",
-            f"platform.address={self._hub}:{store_port}",
+            f"platform.address={store}",
             "platform.form=table",
             "platform.rowBytes=65536",
         ]
