--- a/review/2/play.py
+++ b/review/2/play.py
@@ -94,7 +94,7 @@
             runs.add((minion, number))
             if len(runs) > 1:
                 twice.add(task)
-        else:
+        elif what != "noted":
             runs.discard((minion, number))
     return twice
 
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import shutil
+import signal
 import sys
 import traceback
 
@@ -34,6 +35,8 @@
     record = site_module.Record(folder / "record.txt")
     record.line(f"TROUBLE={int(trouble)}")
     code, verdict = COULD_NOT_RUN, "could not run"
+    # The processes are ended also if the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     site = site_module.Site(record, edges, sides, proxied)
     if os.environ.get("KEEP") == "1":
         record.line(f"logs are in {site.folder}")
--- a/review/standins/minion.py
+++ b/review/standins/minion.py
@@ -2,8 +2,9 @@
 
 What a task does stands in the `spec` of its submission, a JSON object:
 `work_ms` for a task that ends `done` after that time, `fail_ms` for one that
-ends `failed` after that time. Without either it lasts. Each start and each end
-is written to a file, with the time of day. SIGTERM begins a planned end.
+ends `failed` after that time. Without either it lasts. Each start, each end
+and each end that was taken note of is written to a file, with the time of day.
+SIGTERM begins a planned end.
 """
 
 import argparse
@@ -195,6 +196,9 @@
 
     async def _hold(self, body: dict) -> httpio.Answer:
         seen = body.get("lastSeen", 0)
+        for end, task, number, _, _ in self._ended:
+            if end <= seen:
+                self.record("noted", task, number)
         self._ended = [row for row in self._ended if row[0] > seen]
         if body.get("untilMs") is not None:
             self._extend(body["untilMs"])
