An entry takes no lease without the store's time, which peers tell it

Cause: PipelineLease._latest_ms took an unknown time of the store for 0. An entry that the store has never served leads through a peer that relays its operations, and relayed answers had no reading of the store's clock. So its lease row named ends near 0, of its own lease and of the workers' leases that it granted, and the next leader waited for none of them.

LEASE_ACQUIRED now also has worker_leases_left_s.

Before the fix these fail: test_pipelinelease.py::TestLeaderTurnedAwayByTheStore, ::TestStoreTime::test_lease_is_not_available_while_it_is_unknown (3), test_relaytable.py::...::test_time_of_the_store_is_known_from_a_peer.

Why it works: an answer to a relayed operation has the bounds of the store's clock that the peer knows, widened by the time of the call, so that an entry knows them once it has read the lease row; and without them no lease is available, so that no row can name an end that is not one.

--- a/pomelostair/entrypeers.py
+++ b/pomelostair/entrypeers.py
@@ -65,7 +65,9 @@
         direct_table = circuitbreaker.CircuitBreakerTable(
             parts.table, self._clock
         )
-        self._table = relaytable.RelayTable(direct_table, parts.bus, self.peers)
+        self._table = relaytable.RelayTable(
+            direct_table, parts.bus, self.peers, self._clock
+        )
         self._relay = relaytable.Relay(direct_table)
         self._leader = messages.LeaderInfo()
         self._leader_update_s = 0.0
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -208,6 +208,9 @@
             await curio.sleep(jitter_s + takeover_delay_s(cores))
             return observed
         row = observed.row
+        if row is None:
+            await curio.sleep(LEASE_POLL_S)
+            return None
         # Only a newer epoch is reported: the row remains when its holder fails,
         # so reading it again must not reset the leader's silence.
         if row.epoch > self._peers.leader.epoch:
@@ -224,11 +227,18 @@
         lapsed_s = 0.0
         if previous is not None:
             lapsed_s = self._lease.lapsed_for_s(previous)
+        leases_left_s = None
+        if observed.handover.leases_end_ms is not None:
+            leases_end_s = self._lease.local_time_s(
+                observed.handover.leases_end_ms
+            )
+            leases_left_s = round(leases_end_s - self._clock.now(), 3)
         log.emit(
             events.Events.LEASE_ACQUIRED,
             epoch=epoch,
             previous=previous.holder if previous else "",
             lapsed_s=round(lapsed_s, 3),
+            worker_leases_left_s=leases_left_s,
         )
         self._scheduler = pipelinescheduler.PipelineScheduler(
             epoch,
--- a/pomelostair/pipelinelease.py
+++ b/pomelostair/pipelinelease.py
@@ -18,6 +18,7 @@
 from pomelostair import codec
 from pomelostair import outcome
 from pomelostair import store
+from pomelostair import storeclock
 
 KEY = "lease/cell/pipelines"
 # Duration of the lease, after which a leader that lost its host is replaced. If
@@ -26,7 +27,6 @@
 LEASE_S = 1.8
 SLOW_LEASE_S = 3.0
 SLOW_COMMIT_S = 0.25
-MAX_CLOCK_DRIFT_SHARE = 0.02  # The platform bounds clock drift by 2 %.
 TAKEOVER_MARGIN_MS = 50  # Covers rounding of clock readings on both sides.
 RETRY_MIN_S = 0.02
 RETRY_MAX_S = 0.3
@@ -179,16 +179,16 @@
         """Returns whether this process may acquire an observed lease.
 
         If this process listens at the bus address of the holder, it is the
-        holder's successor on the same host, and the holder has ended.
+        holder's successor on the same host, and the holder has ended. Without
+        the store's time no lease is available: its row could not name an end.
         """
+        time = self._table.time()
+        if time is None:
+            return False
         row = observed.row
         if row is None or row.vacated or row.bus == self._bus:
             return True
-        time = self._table.time()
-        return (
-            time is not None
-            and time.earliest_ms > row.end_ms + TAKEOVER_MARGIN_MS
-        )
+        return time.earliest_ms > row.end_ms + TAKEOVER_MARGIN_MS
 
     def lapsed_for_s(self, row: LeaseRow) -> float:
         """Returns the time since a lease has lapsed, negative before it has."""
@@ -212,7 +212,7 @@
             return math.inf
         ahead_s = (store_ms - time.earliest_ms) / 1000
         if ahead_s > 0:
-            ahead_s *= 1 + MAX_CLOCK_DRIFT_SHARE
+            ahead_s *= 1 + storeclock.MAX_CLOCK_DRIFT_SHARE
         return self._clock.now() + ahead_s
 
     def store_time_ms(self, local_s: float) -> float | None:
@@ -228,7 +228,9 @@
         if time is None:
             return None
         ahead_s = max(0.0, local_s - self._clock.now())
-        return time.latest_ms + ahead_s * 1000 * (1 + MAX_CLOCK_DRIFT_SHARE)
+        return time.latest_ms + ahead_s * 1000 * (
+            1 + storeclock.MAX_CLOCK_DRIFT_SHARE
+        )
 
     async def read_lease(self) -> ObservedLease | outcome.Unavailable:
         """Reads the lease row.
@@ -256,8 +258,11 @@
             observed: The lease row as it was read.
 
         Returns:
-            Whether this process now holds the lease.
+            Whether this process now holds the lease. Without the store's time
+            it does not.
         """
+        if self._table.time() is None:
+            return False
         epoch = 1 if observed.row is None else observed.row.epoch + 1
         self._row = LeaseRow(
             epoch,
@@ -326,7 +331,7 @@
             self._held_until_s = start_s + self._duration_s
             if handover is not None:
                 self._worker_leases_end_s = start_s + self._worker_leases_s / (
-                    1 + MAX_CLOCK_DRIFT_SHARE
+                    1 + storeclock.MAX_CLOCK_DRIFT_SHARE
                 )
             took_s = self._clock.now() - start_s
             is_slow = took_s > SLOW_COMMIT_S
@@ -353,10 +358,13 @@
 
     def _latest_ms(self) -> float:
         time = self._table.time()
-        return 0.0 if time is None else time.latest_ms
+        assert time is not None, "leases are acquired with the store's time"
+        return time.latest_ms
 
     def _end_ms(self) -> float:
-        duration_ms = self._duration_s * 1000 * (1 + MAX_CLOCK_DRIFT_SHARE)
+        duration_ms = (
+            self._duration_s * 1000 * (1 + storeclock.MAX_CLOCK_DRIFT_SHARE)
+        )
         return self._latest_ms() + duration_ms
 
     async def _commit_until_known(
--- a/pomelostair/pipelinemessages.py
+++ b/pomelostair/pipelinemessages.py
@@ -367,6 +367,8 @@
         conflict: Key of the check that failed, None without a conflict.
         unavailable: Why the operation was not applied, empty if it was.
         unknown: Why the outcome is unknown, empty if it is known.
+        time: Bounds of the store's clock at the answer, None if the peer knows
+            none.
     """
 
     rows: tuple[store.Row, ...] | None = None
@@ -378,3 +380,4 @@
     conflict: str | None = None
     unavailable: str = ""
     unknown: str = ""
+    time: store.StoreTime | None = None
--- a/pomelostair/platform/store.py
+++ b/pomelostair/platform/store.py
@@ -7,11 +7,11 @@
 """
 
 import base64
-import time
 from urllib import parse
 
 import msgspec
 
+from pomelostair import clock as clock_module
 from pomelostair import codec
 from pomelostair import errors
 from pomelostair import http
@@ -19,9 +19,8 @@
 from pomelostair import metrics as metrics_module
 from pomelostair import outcome
 from pomelostair import store
+from pomelostair import storeclock
 
-# The platform guarantees that its clocks drift by at most 2 %.
-MAX_CLOCK_DRIFT_SHARE = 0.02
 # Time for the answer of a watch, in addition to the requested wait.
 WATCH_TIMEOUT_MARGIN_S = 1.0
 # An operation without an answer is given up after this multiple of the recent
@@ -113,54 +112,6 @@
     return f"{row.table}/{part_prefix}{row.key}"
 
 
-class _StoreClock:
-    """Bounds the store's monotonic clock, based on its answers.
-
-    The reading in an answer to a long poll is old by an unknown part of the
-    poll, so it must not loosen the bounds that an earlier answer gave.
-    """
-
-    def __init__(self):
-        self._bounds: store.StoreTime | None = None
-        self._updated_s = 0.0
-
-    def update(self, reading_ms: float, sent_s: float) -> None:
-        """Records a reading of the store's clock.
-
-        Args:
-            reading_ms: Reading in the answer; 0 if the answer had none.
-            sent_s: Local time at which the request was sent.
-        """
-        if reading_ms <= 0:
-            return
-        now_s = _boottime_s()
-        took_ms = (now_s - sent_s) * (1 + MAX_CLOCK_DRIFT_SHARE) * 1000
-        earliest_ms, latest_ms = reading_ms, reading_ms + took_ms
-        known = self._bounds_at(now_s)
-        if known is not None:
-            tighter_earliest_ms = max(earliest_ms, known.earliest_ms)
-            tighter_latest_ms = min(latest_ms, known.latest_ms)
-            # Otherwise the clock has begun anew.
-            if tighter_earliest_ms <= tighter_latest_ms:
-                earliest_ms = tighter_earliest_ms
-                latest_ms = tighter_latest_ms
-        self._bounds = store.StoreTime(earliest_ms, latest_ms)
-        self._updated_s = now_s
-
-    def bounds(self) -> store.StoreTime | None:
-        """Returns the current bounds, None before the first reading."""
-        return self._bounds_at(_boottime_s())
-
-    def _bounds_at(self, now_s: float) -> store.StoreTime | None:
-        if self._bounds is None:
-            return None
-        elapsed_ms = (now_s - self._updated_s) * 1000
-        return store.StoreTime(
-            self._bounds.earliest_ms + elapsed_ms * (1 - MAX_CLOCK_DRIFT_SHARE),
-            self._bounds.latest_ms + elapsed_ms * (1 + MAX_CLOCK_DRIFT_SHARE),
-        )
-
-
 class AdaptiveTimeout:
     """Timeout of operations that follows their recent answer times.
 
@@ -210,13 +161,14 @@
         self._max_timeout_s = timeout_s
         self._read_timeout = AdaptiveTimeout(timeout_s)
         self._commit_timeout = AdaptiveTimeout(timeout_s)
-        self._clock = _StoreClock()
+        self._clock = clock_module.BoottimeClock()
+        self._store_clock = storeclock.StoreClock(self._clock)
 
     async def read(self, key: str) -> store.ReadResult:
         """Reads one row."""
         table, part, name = split_key(key)
         query = {"table": table, "part": part, "from": name, "limit": 1}
-        sent_s = _boottime_s()
+        sent_s = self._clock.now()
         body = await self._fetch_rows(
             "read",
             "/rows-get",
@@ -226,7 +178,7 @@
         )
         if not isinstance(body, RowsBody):
             return _as_unavailable(body)
-        self._read_timeout.record_answer(_boottime_s() - sent_s)
+        self._read_timeout.record_answer(self._clock.now() - sent_s)
         if not body.rows or body.rows[0].key != name:
             return store.Absent()
         return store.Found(_decode_row(body.rows[0]))
@@ -280,14 +232,14 @@
             (("content-type", "application/json"),),
             msgspec.json.encode(_encode_transaction(transaction)),
         )
-        sent_s = _boottime_s()
+        sent_s = self._clock.now()
         result = await self._send_transaction(request, sent_s)
         self._count_operation("commit", result)
         return result
 
     def time(self) -> store.StoreTime | None:
         """Returns the store's time, None before the store first answered."""
-        return self._clock.bounds()
+        return self._store_clock.bounds()
 
     async def _send_transaction(
         self, request: http.Request, sent_s: float
@@ -298,10 +250,10 @@
         except errors.NotSentError as error:
             return outcome.Unavailable(str(error))
         except errors.AnswerLostError as error:
-            if _boottime_s() - sent_s >= timeout_s:
+            if self._clock.now() - sent_s >= timeout_s:
                 self._commit_timeout.record_timeout()
             return outcome.Unknown(str(error))
-        self._commit_timeout.record_answer(_boottime_s() - sent_s)
+        self._commit_timeout.record_answer(self._clock.now() - sent_s)
         if response.status in (429, 503):
             return outcome.Unavailable(f"status {response.status}")
         if response.status not in (200, 412):
@@ -309,7 +261,7 @@
         body = _decode(response, RowsBody)
         if not isinstance(body, RowsBody):
             return outcome.Unknown(body.reason)
-        self._clock.update(body.clock_ms, sent_s)
+        self._record_time(body, sent_s)
         if response.status == 200:
             return outcome.Committed(body.version)
         if not body.rows:
@@ -325,7 +277,7 @@
         timeout_s: float,
     ) -> RowsBody | store.HistoryGone | outcome.Unavailable:
         target = f"{path}?{parse.urlencode(query)}"
-        sent_s = _boottime_s()
+        sent_s = self._clock.now()
         response = await _get(client, target, timeout_s)
         self._count_operation(operation, response)
         if isinstance(response, outcome.Unavailable):
@@ -336,9 +288,14 @@
             return outcome.Unavailable(f"status {response.status}")
         body = _decode(response, RowsBody)
         if isinstance(body, RowsBody):
-            self._clock.update(body.clock_ms, sent_s)
+            self._record_time(body, sent_s)
         return body
 
+    def _record_time(self, body: RowsBody, sent_s: float) -> None:
+        if body.clock_ms > 0:
+            reading = store.StoreTime(body.clock_ms, body.clock_ms)
+            self._store_clock.update(reading, sent_s)
+
     def _count_operation(self, operation: str, result: object) -> None:
         self._metrics.count(
             "store_operations",
@@ -454,7 +411,3 @@
     removes = [RowNameBody(*split_key(key)) for key in transaction.deletes]
     parts = {entry.part for entry in (*checks, *puts, *removes)}
     return TransactionBody(checks, puts, removes, len(parts) > 1)
-
-
-def _boottime_s() -> float:
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/pomelostair/relaytable.py
+++ b/pomelostair/relaytable.py
@@ -2,15 +2,21 @@
 
 The store may refuse some processes and serve others. A peer then performs the
 operation. A commit is relayed only if it is known not to have been applied.
+Answers of peers also tell the time of the store, so that a process which the
+store has never served can lead.
 """
 
 from collections.abc import Callable
 
+import attrs
+
 from pomelostair import bus as bus_module
 from pomelostair import circuitbreaker
+from pomelostair import clock as clock_module
 from pomelostair import outcome
 from pomelostair import pipelinemessages as messages
 from pomelostair import store
+from pomelostair import storeclock
 
 RELAY_TIMEOUT_S = 1.5  # Longer than one transaction of a slow store.
 MAX_PEERS = 2  # Further peers are likely refused for the same reason.
@@ -24,6 +30,7 @@
         direct_table: The store as accessed by this process.
         bus: Bus of this process.
         peers: Returns the bus URLs of peers, preferred ones first.
+        clock: Clock that also advances while the host is suspended.
     """
 
     def __init__(
@@ -31,10 +38,13 @@
         direct_table: circuitbreaker.CircuitBreakerTable,
         bus: bus_module.Bus,
         peers: Callable[[], tuple[str, ...]],
+        clock: clock_module.Clock,
     ):
         self._direct_table = direct_table
         self._bus = bus
         self._peers = peers
+        self._clock = clock
+        self._relayed_clock = storeclock.StoreClock(clock)
 
     async def read(self, key: str) -> store.ReadResult:
         """Reads one row."""
@@ -92,8 +102,12 @@
         return outcome.Unknown(answer.unknown)
 
     def time(self) -> store.StoreTime | None:
-        """Returns the store's time, None before the store first answered."""
-        return self._direct_table.time()
+        """Returns the store's time, None before the first answer.
+
+        Until the store has answered this process, it is known from peers.
+        """
+        direct = self._direct_table.time()
+        return self._relayed_clock.bounds() if direct is None else direct
 
     async def _relay(
         self, message: object
@@ -106,11 +120,14 @@
         """
         reason = "store unreachable, and no peer is known"
         for peer in self._peers()[:MAX_PEERS]:
+            sent_s = self._clock.now()
             result = await self._bus.call(peer, message, RELAY_TIMEOUT_S)
             match result:
                 case bus_module.Answered(
                     message=messages.RelayedResult() as answer
                 ):
+                    if answer.time is not None:
+                        self._relayed_clock.update(answer.time, sent_s)
                     if not answer.unavailable:
                         return answer
                     reason = answer.unavailable
@@ -134,7 +151,11 @@
         self._direct_table = direct_table
 
     async def answer(self, message: object) -> messages.RelayedResult:
-        """Returns the store's answer to a relayed operation."""
+        """Returns the store's answer to a relayed operation, and its time."""
+        result = await self._perform(message)
+        return attrs.evolve(result, time=self._direct_table.time())
+
+    async def _perform(self, message: object) -> messages.RelayedResult:
         match message:
             case messages.RelayedRead(key=key):
                 return _result_of_read(await self._direct_table.read(key))
--- a/tests/faultystore.py
+++ b/tests/faultystore.py
@@ -31,6 +31,7 @@
         is_targeted: Whether a transaction consumes a fault.
         down: Whether every operation fails as unavailable.
         frozen: Whether reads and commits block until it is reset.
+        answered: Whether any read, scan or commit was answered.
         commits: Number of commits requested.
         bytes: Total size of the values in these commits.
     """
@@ -41,6 +42,7 @@
         self.is_targeted = lambda transaction: True
         self.down = False
         self.frozen = False
+        self.answered = False
         self.commits = 0
         self.bytes = 0
         self._delayed = []
@@ -53,13 +55,18 @@
         await self.wait_while_frozen()
         if self.down:
             return outcome.Unavailable("down")
+        self.answered = True
         return await self.table.read(key)
 
     async def scan(self, prefix, after="", limit=500):
         if self.down:
             return outcome.Unavailable("down")
+        self.answered = True
         return await self.table.scan(prefix, after, limit)
 
+    def time(self):
+        return self.table.time() if self.answered else None
+
     async def commit(self, transaction):
         await self.wait_while_frozen()
         result = await self._commit(transaction)
@@ -76,6 +83,7 @@
             return outcome.Unavailable("down")
         match fault:
             case Fault.NONE:
+                self.answered = True
                 return await self.table.commit(transaction)
             case Fault.UNAVAILABLE:
                 return outcome.Unavailable("refused")
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -93,38 +93,6 @@
             expected_s *= 2
 
 
-class TestStoreClock:
-    @pytest.fixture
-    def clock(self, monkeypatch):
-        self.now_s = 100.0
-        monkeypatch.setattr(platform_store, "_boottime_s", lambda: self.now_s)
-        return platform_store._StoreClock()
-
-    def answer(self, clock, reading_ms, took_s):
-        self.now_s += took_s
-        clock.update(reading_ms, self.now_s - took_s)
-        bounds = clock.bounds()
-        assert bounds.earliest_ms <= reading_ms + took_s * 1000
-        return bounds.latest_ms - bounds.earliest_ms
-
-    def test_answer_to_a_long_poll_does_not_loosen_the_bounds(self, clock):
-        """Guards against a leader whose lease ends seconds too late.
-
-        On a quiet site, the last answer before a commit is that to a watch.
-        """
-        assert self.answer(clock, 5000.0, 0.02) < 25
-        assert self.answer(clock, 7000.0, 2.0) < 125
-
-    def test_later_answer_makes_them_tighter(self, clock):
-        self.answer(clock, 5000.0, 1.0)
-        assert self.answer(clock, 5015.0, 0.01) < 15
-
-    def test_clock_that_begins_anew_is_followed(self, clock):
-        self.answer(clock, 5000.0, 0.02)
-        self.answer(clock, 10.0, 0.02)
-        assert clock.bounds().latest_ms < 100
-
-
 class TestRowsTable:
     def test_page_may_take_longer_than_a_row(self):
         """Guards a recovery over a slow link, which reads many rows at once."""
--- a/tests/test_pipelinelease.py
+++ b/tests/test_pipelinelease.py
@@ -10,6 +10,7 @@
 from pomelostair import pipelinelease
 from pomelostair import store
 from tests import faultystore
+from tests import test_relaytable
 
 F = faultystore.Fault
 MAX_LEASE_S = pipelinelease.SLOW_LEASE_S
@@ -245,6 +246,62 @@
         assert lease.store_time_ms(1.0) is None
         assert lease.local_time_s(1.0) == math.inf
 
+    @pytest.mark.parametrize("holder", ["a", "b", None])
+    def test_lease_is_not_available_while_it_is_unknown(self, holder):
+        """Guards against two runs of the work of a leader without the time.
+
+        Its row names ends of its own and the workers' leases in the past.
+        """
+
+        async def main():
+            harness = LeaseHarness()
+            if holder is not None:
+                earlier = await harness.acquired_lease(holder)
+                assert await earlier.vacate()
+            lease = harness.new_lease("a")
+            observed = await lease.read_lease()
+            assert lease.is_available(observed)
+            harness.table.time = lambda: None
+            assert not lease.is_available(observed)
+            assert not await lease.acquire(observed)
+            assert harness.table.commits == (0 if holder is None else 2)
+
+        curio.run(main)
+
+
+class TestLeaderTurnedAwayByTheStore:
+    def test_next_leader_waits_for_the_leases_that_it_granted(self):
+        """Guards against two runs after a restart without the store.
+
+        The restarted leader has never been served, and leads through a peer.
+        """
+        harness = LeaseHarness()
+        relayed = test_relaytable.Harness(harness.table, harness.clock)
+        relayed.own_table.down = True
+
+        async def main(table):
+            granting = pipelinelease.Handover()
+            crashed = await harness.acquired_lease("a")
+            await crashed.commit(PUTS, (), granting)
+            harness.clock.advance(0.1)
+            restarted = pipelinelease.PipelineLease(
+                table, harness.clock, "a", "bus-a", WORKER_LEASES_S
+            )
+            observed = await restarted.read_lease()
+            assert restarted.is_available(observed)
+            assert await restarted.acquire(observed)
+            for _ in range(20):
+                harness.clock.advance(0.45)
+                await restarted.commit(PUTS, (), granting)
+            candidate = harness.new_lease("b")
+            observed = await candidate.read_lease()
+            assert not candidate.is_available(observed)
+            lapse_s = candidate.local_time_s(observed.handover.leases_end_ms)
+            assert lapse_s >= restarted.worker_leases_end_s
+            assert lapse_s <= restarted.worker_leases_end_s + 0.5
+
+        relayed.run(main)
+
 
 class TestHandover:
     def test_silent_workers_reach_the_next_leader(self):
--- a/tests/test_relaytable.py
+++ b/tests/test_relaytable.py
@@ -19,12 +19,12 @@
 class Harness:
     """A process and a peer that access one store, each with own faults."""
 
-    def __init__(self):
-        self.shared_table = store.MemoryTable()
+    def __init__(self, shared_table=None, clock=None):
+        self.shared_table = shared_table or store.MemoryTable()
         self.own_table = faultystore.FaultyTable(self.shared_table)
         self.peer_table = faultystore.FaultyTable(self.shared_table)
         self.network = bus_module.MemoryNetwork()
-        self.clock = clock_module.ManualClock(10.0)
+        self.clock = clock or clock_module.ManualClock(10.0)
         self.peer_addresses = ["memory:peer"]
 
     def run(self, body):
@@ -49,6 +49,7 @@
                 self._direct_table(self.own_table),
                 bus,
                 lambda: tuple(self.peer_addresses),
+                self.clock,
             )
             return await curio.timeout_after(20, body, table)
 
@@ -170,5 +171,23 @@
         assert [row.key for row in found.rows] == [KEY]
         assert gone == store.HistoryGone()
 
+    def test_time_of_the_store_is_known_from_a_peer(self):
+        """Guards against leases that end in the past.
+
+        A process that the store has turned away since its start may lead.
+        """
+        harness = Harness()
+        harness.own_table.down = True
+
+        async def body(table):
+            before = table.time()
+            await table.read(KEY)
+            return before, table.time(), harness.shared_table.time()
+
+        before, relayed, actual = harness.run(body)
+        assert before is None
+        assert relayed.earliest_ms <= actual.latest_ms
+        assert relayed.earliest_ms > actual.earliest_ms - 1000
+
     async def unavailable_watch(self, *_arguments):
         return outcome.Unavailable("down")
