A task that requests nothing ends no term of the leader

Cause: pipelineplacement._missing_share took the maximum over the resources that a task requests. For a task that requests none, the ValueError ended the leader's term, as soon as the task got no worker in a round; the next leader read the same submission.

Before the fix these fail: test_pipelinescheduler.py::TestTasksWithoutDemand (5 of 5) and ::TestBoundaryValues with seeds 15, 67, 111 and 349.

Why it works: of a demand for nothing, nothing is missing, so that the search for room compares such a task like any other.

--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -304,15 +304,21 @@
 def _missing_share(
     demand: resources.Resources, free: resources.Resources
 ) -> float:
-    """Returns the largest share of a demand that is not free."""
+    """Returns the largest share of a demand that is not free.
+
+    Of a demand for nothing, nothing is missing.
+    """
     return max(
-        (needed - available) / needed
-        for needed, available in (
-            (demand.millicores, free.millicores),
-            (demand.memory_mb, free.memory_mb),
-            (demand.accelerators, free.accelerators),
-        )
-        if needed
+        (
+            (needed - available) / needed
+            for needed, available in (
+                (demand.millicores, free.millicores),
+                (demand.memory_mb, free.memory_mb),
+                (demand.accelerators, free.accelerators),
+            )
+            if needed
+        ),
+        default=0.0,
     )
 
 
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -9,6 +9,8 @@
 from pomelostair import fleet as fleet_module
 from pomelostair import pipeline
 from pomelostair import pipelinemessages as messages
+from tests import boundaryvalues
+from tests import faultfleet
 from tests import pipelines
 from tests import simfleet
 
@@ -921,6 +923,61 @@
         assert len(numbers) == 2
 
 
+class TestTasksWithoutDemand:
+    @pytest.mark.parametrize(
+        ("queue", "fields"),
+        [
+            ("fit", {"lasting": True}),
+            ("fit", {"lasting": True, "gang": True}),
+            ("fit", {"lasting": True, "filler": True}),
+            ("fit", {"lasting": True, "latency_target_ms": 18.0}),
+            ("advised", {"lasting": True}),
+        ],
+        ids=["alone", "gang", "filler", "serving", "advised"],
+    )
+    def test_run_again_after_a_crash(self, queue, fields):
+        """Guards against a submission that ends the term of each leader.
+
+        The tasks are suspected of the crash, and wait for a distance from each
+        other.
+        """
+        fleet = simfleet.Fleet()
+        table = faultfleet.TABLE
+        fleet.scheduler.set_queues(table)
+        for host in fleet.hosts.values():
+            host.runner.lasting = True
+        fleet.run_for(0.5)
+        idle = pipelines.stage(12, 0, 0, estimate_ms=0, **fields)
+        beside = pipelines.stage(2, 1000, filler=True, image="filler")
+        fleet.submit("idle", idle, queue=queue)
+        fleet.submit("beside", beside)
+        crashed = False
+        for _ in range(250):
+            request = fleet.scheduler.advice.next_request()
+            if request is not None:
+                tickets = {worker: "ticket" for worker, _ in request.workers}
+                fleet.scheduler.advice.apply_answer(request, tickets, fleet.now)
+            fleet.step()
+            running = dict(fleet.running())
+            if not crashed and "idle.0.0.0" in running:
+                fleet.hosts[running["idle.0.0.0"]].runner.crashed = crashed = (
+                    True
+                )
+        assert crashed
+        lasting = [task for task in running if task.startswith("idle.")]
+        assert len(lasting) == 12
+
+
+class TestBoundaryValues:
+    @pytest.mark.parametrize("seed", [15, 67, 111, 349, *range(10)])
+    def test_end_no_term_of_a_leader(self, seed):
+        """Guards against a submission or report that stops all scheduling.
+
+        The next leader would fail at the same data.
+        """
+        boundaryvalues.Play(seed).run()
+
+
 class FaultMachine(stateful.RuleBasedStateMachine):
     """Random faults must never break the invariants."""
 
