A tiny latency target costs no report of a worker

Cause: contention derives utilizations from the ratio of the reported latency to the unloaded one, which is a share of the target. That share was rounded to 0, and 0 / 0 is no number.

Not seen on a site.

Why it works: the unloaded latency is at least 1 us, so that every ratio to it is a number.

--- a/pomelostair/contention.py
+++ b/pomelostair/contention.py
@@ -19,6 +19,8 @@
 # A service is seldom observed idle, so its unloaded latency is taken to be this
 # share of the lowest latency reported.
 UNLOADED_SHARE_OF_MIN = 0.8
+# Least unloaded latency, since utilizations are derived from ratios to it.
+MIN_UNLOADED_MS = 1e-3
 # Above this utilization it cannot be derived from the latency.
 MAX_MEASURABLE_UTILIZATION = 0.95
 # Time constant with which reported latencies follow the actual latency, as
@@ -147,10 +149,11 @@
     def unloaded_ms(self, image: str, target_ms: float) -> float:
         """Returns the estimated tail latency of an image without load."""
         min_latency_ms = self._min_latencies_ms.get(image, math.inf)
-        return min(
+        unloaded_ms = min(
             UNLOADED_LATENCY_SHARE * target_ms,
             UNLOADED_SHARE_OF_MIN * min_latency_ms,
         )
+        return max(unloaded_ms, MIN_UNLOADED_MS)
 
     def utilization(self, key: tuple[str, int], now: float) -> float:
         """Returns a conservative utilization of an attempt without fillers."""
--- a/tests/test_contention.py
+++ b/tests/test_contention.py
@@ -9,6 +9,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from pomelostair import contention
 
@@ -59,6 +60,24 @@
         return self.model.pressure("service", image, self.now)
 
 
+class TestObserve:
+    @pytest.mark.parametrize("tiny", [5e-324, 1e-300])
+    @pytest.mark.parametrize("what", ["target", "latency"])
+    def test_tiny_value_is_accepted(self, what, tiny):
+        """Guards against a target or report that costs all later reports."""
+        model = contention.Contention()
+        target_ms = tiny if what == "target" else TARGET_MS
+        latencies_ms = [9.0, tiny if what == "latency" else 9.0, 9.0, 0.5]
+        now = 0.0
+        for latency_ms in latencies_ms:
+            now += 0.2
+            model.observe(
+                KEY, "service", target_ms, latency_ms, {"f": 0.5}, now
+            )
+        assert 0 <= model.utilization(KEY, now) < 2
+        assert 0 <= model.pressure("service", "f", now) < math.inf
+
+
 class TestPressure:
     def test_unknown_pair_is_assumed_to_have_high_pressure(self):
         unknown = contention.Contention().pressure("service", "new", 0.0)
