Room for a lasting task is kept until it has come together

Cause: room was kept for 2.5 s and then given up for 1 s, while the work that had to end there takes 4.4 s in the mean. So room that needs two ends on one worker was given up again and again. It was kept where the least was missing, however long that takes, and on each worker for one task only.

Before the fix these fail: test_idletasks.py::TestFullFleet::test_room_that_needs_two_ends_comes_together, test_pipelineplacement.py::TestChooseToFree (first and last).

Why it works: the worker is chosen by when its work is expected to end. While counted work uses half of the service, which is the platform's condition for work that may wait, the room stays until the task starts. Otherwise others have their turn, as before.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -372,10 +372,7 @@
         """
         free = self.free
         for other in self.reserved_for_others(task, now):
-            demand = other.stage.demand
-            if other.stage.filler:
-                demand = attrs.evolve(demand, millicores=0)
-            free = free.minus(demand)
+            free = free.minus(other.stage.counted_demand)
         return free
 
     def unused_millicores_for(self, task: pipeline.Task, now: float) -> int:
--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -65,6 +65,13 @@
     filler: bool = False
     skippable: codec.Count = 0
 
+    @property
+    def counted_demand(self) -> resources.Resources:
+        """Part of the demand that counts against a worker's capacity."""
+        if self.filler:
+            return attrs.evolve(self.demand, millicores=0)
+        return self.demand
+
 
 @attrs.frozen
 class Declaration:
--- a/pomelostair/pipelineidle.py
+++ b/pomelostair/pipelineidle.py
@@ -157,7 +157,7 @@
                 task.
         """
         busy = {
-            service: _is_busy(workers)
+            service: is_busy(workers)
             for service, workers in schedulable.items()
         }
         found = []
@@ -220,7 +220,7 @@
         return [found[key] for key in sorted(found)]
 
 
-def _is_busy(workers: list[fleet.Worker]) -> bool:
+def is_busy(workers: list[fleet.Worker]) -> bool:
     """Returns whether counted work uses at least `BUSY_SHARE` of workers."""
     used = sum(worker.used.millicores for worker in workers)
     capacity = sum(worker.state.capacity.millicores for worker in workers)
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Iterable
 import heapq
+import math
 
 import attrs
 
@@ -55,6 +56,10 @@
 RECENT_SUCCESS_S = 10.0
 # Most workers that are examined for room that will become free.
 MAX_WORKERS_TO_FREE = 16
+# Expected time until a stopped attempt has ended; the platform's stopGraceMs.
+STOP_S = 0.4
+# Expected time until an attempt ends whose duration was not estimated.
+UNKNOWN_DURATION_S = 10.0
 # Longest time for which a task that has room is not started. By the platform's
 # rules, no accepted pipeline may be idle for 3 s.
 MAX_IDLE_S = 2.0
@@ -264,12 +269,14 @@
 
 
 def choose_to_free(
-    task: pipeline.Task, workers: Iterable[fleet.Worker], now: float
+    task: pipeline.Task,
+    workers: Iterable[fleet.Worker],
+    now: float,
 ) -> fleet.Worker | None:
     """Returns the worker that can have room for a task soonest, if any.
 
-    What does not last ends there while nothing else starts in its room. Workers
-    with reservations are left out, so that no two tasks wait for the same room.
+    What does not last ends there while nothing else starts in its room. Room
+    that is reserved for others is left to them.
 
     Args:
         task: A task without room on any worker.
@@ -281,24 +288,59 @@
     eligible = (
         worker
         for worker in workers
-        if not worker.reserved_for_others(task, now)
-        and worker.id not in avoided
+        if worker.id not in avoided
         and worker.state.capacity.covers(demand)
         and meets_constraints(task, worker, now)
     )
     nearest = heapq.nsmallest(
         MAX_WORKERS_TO_FREE,
         eligible,
-        key=lambda worker: (_missing_share(demand, worker.free), worker.id),
+        key=lambda worker: (
+            bool(worker.reserved_for_others(task, now)),
+            _missing_share(demand, worker.free),
+            worker.id,
+        ),
     )
+    best, best_delay_s = None, math.inf
     for worker in nearest:
-        left = worker.state.capacity
-        for placement in worker.placements.values():
-            if placement.task.stage.lasting:
-                left = left.minus(placement.task.stage.demand)
-        if left.covers(demand):
-            return worker
-    return None
+        delay_s = _room_delay_s(task, worker, now)
+        if delay_s < best_delay_s:
+            best, best_delay_s = worker, delay_s
+    return best
+
+
+def _room_delay_s(
+    task: pipeline.Task,
+    worker: fleet.Worker,
+    now: float,
+) -> float:
+    """Returns the expected time until a worker has room for a task.
+
+    Infinity if lasting tasks and reservations leave too little. The arguments
+    are those of `choose_to_free`.
+    """
+    free = worker.free_for(task, now)
+    ends = []
+    for placement in worker.placements.values():
+        stage = placement.task.stage
+        if placement.state is fleet.AttemptState.STOPPING:
+            left_s = STOP_S
+        elif stage.lasting:
+            continue
+        elif stage.estimate_ms:
+            left_share = 1 - placement.progress_percent / 100
+            left_s = stage.estimate_ms / 1000 * left_share
+        else:
+            left_s = UNKNOWN_DURATION_S
+        ends.append((left_s, placement.key, stage.counted_demand))
+    ends.sort()
+    delay_s = 0.0
+    for left_s, _, freed in ends:
+        if free.covers(task.stage.demand):
+            break
+        free = free.plus(freed)
+        delay_s = left_s
+    return delay_s if free.covers(task.stage.demand) else math.inf
 
 
 def _missing_share(
--- a/pomelostair/pipelinerooms.py
+++ b/pomelostair/pipelinerooms.py
@@ -16,8 +16,9 @@
 # Most tasks for which room is kept at a time. Each is compared with all workers
 # in each round.
 MAX_ROOMS = 20
-# Longest time for which room is kept. By the platform's rules, other work may
-# not stand still for 3 s while there is room for it.
+# Longest time for which room is kept unless the service is busy. By the
+# platform's rules, other work may not stand still for 3 s while there is room
+# for it and counted work uses under half of the capacity.
 KEEP_S = 2.5
 # Time after that in which others have their turn.
 PAUSE_S = 1.0
@@ -63,6 +64,7 @@
         self,
         tasks: Iterable[pipeline.Task],
         choose: Callable[[pipeline.Task], fleet.Worker | None],
+        is_busy: bool,
         now: float,
     ) -> None:
         """Keeps room for all of several tasks, or for none of them.
@@ -70,10 +72,11 @@
         Args:
             tasks: Tasks without room.
             choose: Returns the worker that can have room for a task soonest.
+            is_busy: Whether the service is so busy that others may wait.
             now: Monotonic seconds.
         """
         tasks = list(tasks)
-        if not all(self._keep(task, choose, now) for task in tasks):
+        if not all(self._keep(task, choose, is_busy, now) for task in tasks):
             for task in tasks:
                 self.release(task)
 
@@ -106,6 +109,7 @@
         self,
         task: pipeline.Task,
         choose: Callable[[pipeline.Task], fleet.Worker | None],
+        is_busy: bool,
         now: float,
     ) -> bool:
         room = self._rooms.get(task.id)
@@ -117,6 +121,11 @@
                 return False
             room = self._rooms[task.id] = _Room(task, worker, now + KEEP_S)
             self._metrics.count("rooms_kept")
+        elif is_busy and now < room.until_s:
+            # Room that was given up and had to be gathered anew might never
+            # come together.
+            room = attrs.evolve(room, until_s=now + KEEP_S)
+            self._rooms[task.id] = room
         if now < room.until_s:
             until_s = min(now + fleet.RESERVATION_S, room.until_s)
             room.worker.reserve(task, until_s)
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+import functools
 
 import attrs
 
@@ -156,14 +157,12 @@
                 or ready_count > MAX_READY_TASKS
             ):
                 break
-            considered += self._start_pipeline(
-                item,
+            terms = _Terms(
                 queue,
                 searches[queue.service],
                 queue.priority <= top_priority[queue.service],
-                now,
-                may_start,
             )
+            considered += self._start_pipeline(item, terms, now, may_start)
             for placement in slowed.get(item.id, ()):
                 if move_comparisons < MAX_MOVE_COMPARISONS:
                     targets = schedulable[queue.service]
@@ -178,21 +177,17 @@
     def _start_pipeline(
         self,
         item: pipeline.Pipeline,
-        queue: queues.Queue,
-        search: "_Search",
-        is_most_urgent: bool,
+        terms: "_Terms",
         now: float,
         may_start: Callable[[pipeline.Task], bool],
     ) -> int:
         """Starts the ready tasks of a pipeline for which there is room.
 
-        For lasting tasks without room, it is kept where it becomes free; at
-        once if no work that waits is more urgent.
-
         Returns:
             Number of tasks for which it looked for a worker.
         """
-        workers = search.workers
+        queue = terms.queue
+        search = terms.search
         considered = 0
         search.drop_comparison()
         stages_without_worker: set[tuple[int, int]] = set()
@@ -218,34 +213,33 @@
                 and search.is_full_for(task)
             ):
                 stages_without_worker.add(stage_key)
-                self._record_no_room(task, search, workers, is_most_urgent, now)
+                self._report_unplaceable(task, search)
+                self._keep_rooms([task], search.workers, terms, now)
                 continue
             considered += 1
-            allowed = workers
+            allowed = search.workers
             if queue.advice is not None:
                 key = (pipelineadvice.step_name(task), task.avoided_workers)
                 if key not in permitted:
                     permitted[key] = self._workers_with_ticket(
-                        task, queue.advice, workers, now
+                        task, queue.advice, allowed, now
                     )
                 allowed = permitted[key]
             if task.stage.gang:
                 gangs.add(stage_key)
-                keeps_room = _keeps_room(task, is_most_urgent, now)
-                self._start_gang(
-                    task,
-                    allowed,
-                    search if keeps_room else None,
-                    now,
-                    may_start,
-                )
+                if self._may_start_gang(
+                    task, may_start
+                ) and not self._start_gang(task, allowed, now):
+                    members = item.tasks(*stage_key)
+                    self._keep_rooms(members, allowed, terms, now)
                 search.drop_comparison()
                 continue
             worker = search.choose(task, allowed)
             if worker is None:
                 if unrestricted:
                     stages_without_worker.add(stage_key)
-                self._record_no_room(task, search, allowed, is_most_urgent, now)
+                self._report_unplaceable(task, search)
+                self._keep_rooms([task], allowed, terms, now)
                 continue
             self._start(task, worker, self._next_attempt(task), now)
             search.record_start(task)
@@ -308,12 +302,10 @@
                 task, queue.advice, workers, now, min_filler_share=0.0
             )
         if task.stage.gang:
-            return self._start_gang(
+            return self._may_start_gang(task, may_start) and self._start_gang(
                 task,
                 workers,
-                None,
                 now,
-                may_start,
                 required_pace_share=0.0,
                 min_filler_share=0.0,
             )
@@ -330,28 +322,31 @@
         self._start(task, worker, self._next_attempt(task), now)
         return True
 
-    def _record_no_room(
+    def _keep_rooms(
         self,
-        task: pipeline.Task,
-        search: "_Search",
+        tasks: list[pipeline.Task],
         workers: list[fleet.Worker],
-        is_most_urgent: bool,
+        terms: "_Terms",
         now: float,
     ) -> None:
-        """Records that a task has no room, and keeps some for a lasting one.
+        """Keeps room for lasting tasks where it becomes free.
+
+        They get it at once if no work that waits is more urgent.
 
         Args:
-            task: The task.
-            search: Search for room on the workers of its service.
-            workers: Those of them on which it may run.
-            is_most_urgent: Whether no work that waits is more urgent.
+            tasks: A task without room, or the members of a gang.
+            workers: Workers on which they may run.
+            terms: Terms of their pipeline.
             now: Monotonic seconds.
         """
-        self._report_unplaceable(task, search)
-        if _keeps_room(task, is_most_urgent, now):
-            self._rooms.keep(
-                [task], lambda task: search.choose_to_free(task, workers), now
-            )
+        if not _keeps_room(tasks[0], terms.is_most_urgent, now):
+            return
+        self._rooms.keep(
+            tasks,
+            lambda task: terms.search.choose_to_free(task, workers),
+            terms.search.is_busy,
+            now,
+        )
 
     def _workers_with_ticket(
         self,
@@ -438,32 +433,37 @@
             workers=len(search.workers),
         )
 
+    def _may_start_gang(
+        self,
+        task: pipeline.Task,
+        may_start: Callable[[pipeline.Task], bool],
+    ) -> bool:
+        """Returns whether no member of the gang of a task may be running."""
+        return all(
+            member.phase is pipeline.TaskPhase.READY
+            and not self._attempts.has_attempts(member)
+            and may_start(member)
+            for member in task.pipeline.tasks(
+                task.occurrence, task.stage_number
+            )
+        )
+
     def _start_gang(
         self,
         task: pipeline.Task,
         workers: list[fleet.Worker],
-        search: "_Search | None",
         now: float,
-        may_start: Callable[[pipeline.Task], bool],
         required_pace_share: float | None = None,
         min_filler_share: float = placement_module.MIN_FILLER_SHARE,
     ) -> bool:
         """Starts all members of a gang, or none.
 
-        A gang that prefers a common rack is first tried on each rack. If it has
-        no room, it is kept for all members by `search`, unless that is None.
+        A gang that prefers a common rack is first tried on each rack.
 
         Returns:
             Whether it was started.
         """
         members = task.pipeline.tasks(task.occurrence, task.stage_number)
-        if any(
-            m.phase is not pipeline.TaskPhase.READY
-            or self._attempts.has_attempts(m)
-            or not may_start(m)
-            for m in members
-        ):
-            return False
         pipelinecrashes.begin_wait(members, workers, now)
         attempt = max(self._next_attempt(member) for member in members)
         started: list[fleet.Placement] = []
@@ -482,10 +482,6 @@
                 break
         for placement in started:
             self._order_start(placement, now)
-        if search is not None and not started:
-            self._rooms.keep(
-                members, lambda task: search.choose_to_free(task, workers), now
-            )
         return bool(started)
 
     def _attach_members(
@@ -721,6 +717,21 @@
         )
 
 
+@attrs.frozen
+class _Terms:
+    """Terms on which the tasks of a pipeline start in one round.
+
+    Attributes:
+        queue: Queue of the pipeline.
+        search: Search for room on the workers of its service.
+        is_most_urgent: Whether no work that waits is more urgent.
+    """
+
+    queue: queues.Queue
+    search: "_Search"
+    is_most_urgent: bool
+
+
 class _Search:
     """Search for room on the workers of a service in one round.
 
@@ -744,6 +755,11 @@
         self._stage_key: tuple | None = None
         self._candidates: placement_module.Candidates | None = None
 
+    @functools.cached_property
+    def is_busy(self) -> bool:
+        """Whether counted work uses at least half of the workers."""
+        return pipelineidle.is_busy(self.workers)
+
     def drop_comparison(self) -> None:
         """Drops the comparison: other attempts may have been placed since."""
         self._candidates = None
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -976,6 +976,23 @@
         for task in ("a.0.0.0", "a.0.0.1", "b.0.0.0", "b.0.0.1"):
             assert workers_of(fleet, task), task
 
+    def test_room_that_needs_two_ends_comes_together(self):
+        """Guards against giving up room for a lasting task again and again.
+
+        Other tasks take 4.4 s, and are as urgent. On each worker, one of them
+        ends 2.2 s after the other.
+        """
+        fleet = calm_fleet(names=("w1", "w2", "w3"))
+        stage = pipelines.stage(3, 3500, estimate_ms=4400)
+        fleet.submit("batch-0", stage, queue="fit")
+        fleet.run_for(2.2)
+        for number in range(1, 20):
+            fleet.submit(f"batch-{number}", stage, queue="fit")
+        fleet.run_for(1)
+        fleet.submit("a", pipelines.stage(1, 7000, lasting=True), queue="fit")
+        fleet.run_for(CALM_S)
+        assert workers_of(fleet, "a.0.0.0")
+
     def test_gang_without_room_for_all_keeps_none(self):
         """Guards against workers that are held for a gang that never starts."""
         fleet = calm_fleet()
--- a/tests/test_pipelineplacement.py
+++ b/tests/test_pipelineplacement.py
@@ -1,5 +1,6 @@
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from pomelostair import contention
 from pomelostair import fleet
@@ -270,6 +271,44 @@
     ]
 
 
+class TestChooseToFree:
+    LARGE = pipelines.stage(1, 7000, lasting=True)
+
+    def worker(self, name, *durations_ms, **changes):
+        worker = pipelines.worker(name, cores=8)
+        for duration_ms in durations_ms:
+            stage = pipelines.stage(1, 3000, estimate_ms=duration_ms)
+            pipelines.place(worker, stage, **changes)
+        return worker
+
+    def choose(self, *workers):
+        return placement.choose_to_free(task_of(self.LARGE), workers, 1.0)
+
+    def test_worker_whose_work_ends_first_is_chosen(self):
+        """Guards against a wait for long work where the least is missing."""
+        soon, late = self.worker("soon", 1000, 1200), self.worker("late", 9000)
+        assert self.choose(late, soon) is soon
+
+    def test_progress_counts(self):
+        nearly = self.worker("nearly", 9000, progress_percent=95.0)
+        assert self.choose(self.worker("soon", 1000), nearly) is nearly
+
+    def test_work_of_unknown_duration_is_the_last_choice(self):
+        known, unknown = self.worker("known", 4000), self.worker("unknown", 0)
+        assert self.choose(unknown, known) is known
+
+    @pytest.mark.parametrize(("others", "has_room"), [(1, True), (2, False)])
+    def test_room_beside_that_of_other_tasks_is_chosen(self, others, has_room):
+        """Guards against waits for one task after the other."""
+        worker = pipelines.worker("large", cores=16)
+        pipelines.place(worker, pipelines.stage(1, 16_000))
+        for number in range(others):
+            other = task_of(self.LARGE)
+            other.id = f"other.0.0.{number}"
+            worker.reserve(other, 9.0)
+        assert (self.choose(worker) is worker) == has_room
+
+
 class TestCouldEverFit:
     def test_stage_larger_than_every_worker_never_fits(self):
         workers = [pipelines.worker(cores=32)]
