A lasting task preempts less urgent work in the room kept for it

Cause: room only came from work that ended by itself. After the leases of a lost worker have lapsed, about a second is left of the time that the platform allows, and work of seconds to come does not end in it, however little it matters.

Before the fix this fails: test_idletasks.py::TestFullFleet::test_lost_lasting_task_preempts_less_urgent_work (with and without the leader).

Why it works: a queue's priority gives the right to preempt. In the room that is kept for it, a lasting task that has run before, or has waited for 2 s, stops as many attempts of less urgent queues as it needs, those that lose the least work first; they end within the platform's 0.4 s. Members of gangs and lasting tasks are spared, and equally urgent work is.

--- a/pomelostair/eviction.py
+++ b/pomelostair/eviction.py
@@ -15,7 +15,7 @@
     Attributes:
         task: Id of the task.
         attempt: Number of the attempt.
-        urgency: Urgency class.
+        urgency: Urgency class or priority; larger ones are less urgent.
         survive: Whether it is declared to survive shedding.
         progress: Share of its work that is done, 0 to 1.
         size: Size that its eviction frees.
@@ -23,7 +23,7 @@
 
     task: str
     attempt: int
-    urgency: messages.Urgency
+    urgency: int
     survive: bool
     progress: float
     size: messages.Size
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -10,6 +10,7 @@
 penalties in the same unit.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import heapq
 import math
@@ -272,16 +273,18 @@
     task: pipeline.Task,
     workers: Iterable[fleet.Worker],
     now: float,
+    may_preempt: Callable[[fleet.Placement], bool] = lambda placement: False,
 ) -> fleet.Worker | None:
     """Returns the worker that can have room for a task soonest, if any.
 
-    What does not last ends there while nothing else starts in its room. Room
-    that is reserved for others is left to them.
+    What does not last ends there, or is preempted, while nothing else starts in
+    its room. Room that is reserved for others is left to them.
 
     Args:
         task: A task without room on any worker.
         workers: Workers of its service that accept new attempts.
         now: Monotonic seconds.
+        may_preempt: Returns whether the task may preempt an attempt.
     """
     demand = task.stage.demand
     avoided = task.avoided_workers
@@ -303,7 +306,7 @@
     )
     best, best_delay_s = None, math.inf
     for worker in nearest:
-        delay_s = _room_delay_s(task, worker, now)
+        delay_s = _room_delay_s(task, worker, now, may_preempt)
         if delay_s < best_delay_s:
             best, best_delay_s = worker, delay_s
     return best
@@ -313,6 +316,7 @@
     task: pipeline.Task,
     worker: fleet.Worker,
     now: float,
+    may_preempt: Callable[[fleet.Placement], bool],
 ) -> float:
     """Returns the expected time until a worker has room for a task.
 
@@ -323,7 +327,9 @@
     ends = []
     for placement in worker.placements.values():
         stage = placement.task.stage
-        if placement.state is fleet.AttemptState.STOPPING:
+        if placement.state is fleet.AttemptState.STOPPING or may_preempt(
+            placement
+        ):
             left_s = STOP_S
         elif stage.lasting:
             continue
--- a/pomelostair/pipelinerooms.py
+++ b/pomelostair/pipelinerooms.py
@@ -80,6 +80,13 @@
             for task in tasks:
                 self.release(task)
 
+    def worker_for(
+        self, task: pipeline.Task, now: float
+    ) -> fleet.Worker | None:
+        """Returns the worker on which room is kept for a task now, if any."""
+        room = self._rooms.get(task.id)
+        return room.worker if room is not None and now < room.until_s else None
+
     def release(self, task: pipeline.Task) -> None:
         """Keeps no room for a task any more."""
         room = self._rooms.pop(task.id, None)
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -22,6 +22,7 @@
 from pomelostair import pipelinemonitor
 from pomelostair import pipelineorder
 from pomelostair import pipelineplacement as placement_module
+from pomelostair import pipelinepreemption
 from pomelostair import pipelinerooms
 from pomelostair import queues
 from pomelostair import resources
@@ -160,6 +161,7 @@
             terms = _Terms(
                 queue,
                 searches[queue.service],
+                pipelinepreemption.Preemption(queue.priority, table),
                 queue.priority <= top_priority[queue.service],
             )
             considered += self._start_pipeline(item, terms, now, may_start)
@@ -331,7 +333,8 @@
     ) -> None:
         """Keeps room for lasting tasks where it becomes free.
 
-        They get it at once if no work that waits is more urgent.
+        They get it at once if no work that waits is more urgent. Those that
+        have run before, or have waited, preempt less urgent work there.
 
         Args:
             tasks: A task without room, or the members of a gang.
@@ -343,10 +346,19 @@
             return
         self._rooms.keep(
             tasks,
-            lambda task: terms.search.choose_to_free(task, workers),
+            lambda task: terms.search.choose_to_free(
+                task, workers, terms.preemption.permits
+            ),
             terms.search.is_busy,
             now,
         )
+        for task in tasks:
+            worker = self._rooms.worker_for(task, now)
+            if worker is None or not _preempts(task, now):
+                continue
+            for victim in terms.preemption.choose_victims(task, worker, now):
+                self._metrics.count("attempts_preempted")
+                self._attempts.stop(victim, "a more urgent task needs its room")
 
     def _workers_with_ticket(
         self,
@@ -724,11 +736,13 @@
     Attributes:
         queue: Queue of the pipeline.
         search: Search for room on the workers of its service.
+        preemption: What its tasks may preempt.
         is_most_urgent: Whether no work that waits is more urgent.
     """
 
     queue: queues.Queue
     search: "_Search"
+    preemption: pipelinepreemption.Preemption
     is_most_urgent: bool
 
 
@@ -808,19 +822,25 @@
         return worker
 
     def choose_to_free(
-        self, task: pipeline.Task, allowed: list[fleet.Worker]
+        self,
+        task: pipeline.Task,
+        allowed: list[fleet.Worker],
+        may_preempt: Callable[[fleet.Placement], bool],
     ) -> fleet.Worker | None:
         """Returns the worker that can have room for a task soonest, if any.
 
         Args:
             task: A task without room on any worker.
             allowed: The workers, or those of them for which it has a ticket.
+            may_preempt: Returns whether the task may preempt an attempt.
         """
         stage = task.stage
         has_reservation = task.reserved_until_s > self._now
         if not has_reservation and self._never_free.includes(stage, 0.0):
             return None
-        worker = placement_module.choose_to_free(task, allowed, self._now)
+        worker = placement_module.choose_to_free(
+            task, allowed, self._now, may_preempt
+        )
         if worker is None and not (
             has_reservation
             or task.avoided_workers
@@ -893,6 +913,16 @@
     )
 
 
+def _preempts(task: pipeline.Task, now: float) -> bool:
+    """Returns whether a task preempts others in the room kept for it.
+
+    One that has run before was away for some time already.
+    """
+    return bool(task.last_attempt) or (
+        now - task.ready_since_s >= placement_module.MAX_IDLE_S
+    )
+
+
 def _forget_old_refusals(task: pipeline.Task, now: float) -> None:
     if now - max(task.refused_by.values()) > REFUSAL_MEMORY_S:
         task.refused_by.clear()
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -8,6 +8,7 @@
 from pomelostair import pipeline
 from pomelostair import pipelinestarts as starts
 from pomelostair import queues
+from pomelostair_standins import runner
 from tests import faultfleet
 from tests import pipelines
 
@@ -21,6 +22,8 @@
 # Time after which an attempt without an answer, and a sound worker without
 # attempts, count as stuck.
 STUCK_S = 5.0
+# Longest time that a stop takes on the platform.
+STOP_GRACE_MS = 400
 # Share of the cores that short tasks use in a busy scenario, and the time until
 # which it gets them.
 BUSY_SHARE = 0.9
@@ -976,6 +979,20 @@
         for task in ("a.0.0.0", "a.0.0.1", "b.0.0.0", "b.0.0.1"):
             assert workers_of(fleet, task), task
 
+    def fill(self, fleet, queue, duration_ms):
+        """Submits more work than fits, in tasks of 3.5 of 8 cores."""
+        for number in range(12):
+            fleet.submit(
+                f"batch-{number}",
+                pipelines.stage(
+                    len(fleet.hosts),
+                    3500,
+                    estimate_ms=duration_ms + 130 * number,
+                ),
+                queue=queue,
+            )
+            fleet.run_for(0.3)
+
     def test_room_that_needs_two_ends_comes_together(self):
         """Guards against giving up room for a lasting task again and again.
 
@@ -993,6 +1010,27 @@
         fleet.run_for(CALM_S)
         assert workers_of(fleet, "a.0.0.0")
 
+    @pytest.mark.parametrize("with_leader", [False, True])
+    def test_lost_lasting_task_preempts_less_urgent_work(
+        self, with_leader, monkeypatch
+    ):
+        """Guards against LOST: it has priority, and room only with that."""
+        monkeypatch.setattr(runner, "STOP_GRACE_MS", STOP_GRACE_MS)
+        fleet = calm_fleet(names=("w1", "w2", "w3"))
+        fleet.submit("a", pipelines.stage(1, 7000, lasting=True), queue="fit")
+        fleet.run_for(1)
+        self.fill(fleet, "recast", 20_000)
+        (name,) = workers_of(fleet, "a.0.0.0")
+        fleet.lose_agent(fleet.hosts[name].agent)
+        leaderless_s = 0.0
+        if with_leader:
+            fleet.lose_leader()
+            leaderless_s = faultfleet.LEADER_LEASE_S
+            fleet.run_for(leaderless_s)
+            fleet.start_leader()
+        fleet.run_for(AFTER_RUN_S + IDLE_S - leaderless_s)
+        assert workers_of(fleet, "a.0.0.0")
+
     def test_gang_without_room_for_all_keeps_none(self):
         """Guards against workers that are held for a gang that never starts."""
         fleet = calm_fleet()
