Room is kept in advance for lasting tasks whose leases are about to lapse

Callers saw (LOST, the same report) a lasting task of a lost worker that waited for the worker's leases, and then for room.

Cause: a wait whose begin depends on the end of another one, though the end of the leases is known. Room was looked for only once they had lapsed, 7.4 to 7.9 s after the loss; the platform allows 9 s.

Why it works: one second before the leases of a silent worker lapse, room for its lasting tasks is kept like for ready ones, on the best worker or where it becomes free soonest. The same holds for the work of earlier leaders. Tasks of gangs, and of queues with an advisor, are left out.

--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -47,6 +47,9 @@
 # beside serving tasks, whose paces depend on recent latencies.
 REPORT_INTERVAL_S = 0.8
 LEARNING_REPORT_INTERVAL_S = 0.3
+# Time before the leases of a silent worker lapse at which room for its lasting
+# tasks is prepared: a preempted attempt takes about half of it to end.
+PREPARE_S = 1.0
 # An ended incarnation is remembered for this long, so that late reports about
 # it are ignored.
 ENDED_RETENTION_S = 30.0
@@ -343,6 +346,7 @@
             slowed,
             now,
             self._may_start,
+            self._lapsing_tasks(now),
         )
         self._wait_monitor.check(
             self._registry.open.values(),
@@ -873,6 +877,46 @@
                 self._registry.mark_changed(item)
                 self._to_record.add(item.id)
 
+    def _lapsing_tasks(self, now: float) -> list[pipeline.Task]:
+        """Returns the lasting tasks whose last attempts lapse soon.
+
+        Their workers are silent. Members of gangs are left out, as room is kept
+        for whole gangs only.
+        """
+        soon_s = now + PREPARE_S
+        tasks = [
+            placement.task
+            for worker in self._workers.values()
+            if worker.lease_granted_s + self._max_lease_s <= soon_s
+            and not worker.is_heard(now)
+            for placement in worker.placements.values()
+        ]
+        if not self._reconciliation.is_complete:
+            tasks += [
+                task
+                for item in self._registry.open.values()
+                if item.declaration.lasting
+                for task in item.ready.values()
+                if self._lapses_by(task, soon_s)
+            ]
+        return [
+            task
+            for task in tasks
+            if task.stage.lasting
+            and not task.stage.gang
+            and not task.pipeline.ended
+        ]
+
+    def _lapses_by(self, task: pipeline.Task, at_s: float) -> bool:
+        """Returns whether attempts of earlier terms lapse by a time."""
+        if self._may_start(task) or not self._earlier_placements_recorded:
+            return False
+        return bool(task.earlier_placed_on) and all(
+            self._grants.earlier_lapse_s(key) <= at_s
+            for key in task.earlier_placed_on
+            if self._reconciliation.may_run_work(key)
+        )
+
     def _may_start_any(self, item: pipeline.Pipeline) -> bool:
         """Returns whether any task of a pipeline may be allowed to start."""
         return (
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -112,6 +112,7 @@
         slowed: dict[str, list[fleet.Placement]],
         now: float,
         may_start: Callable[[pipeline.Task], bool] = lambda task: True,
+        lapsing: Iterable[pipeline.Task] = (),
     ) -> None:
         """Starts ready tasks, in the order of the pipelines' ranks.
 
@@ -126,6 +127,8 @@
             now: Monotonic seconds.
             may_start: Returns whether no earlier leader can have started a
                 task.
+            lapsing: Lasting tasks that will be ready soon, for which room is
+                kept until then.
         """
         self._rooms.expire(now)
         schedulable = _schedulable(workers, now)
@@ -150,6 +153,16 @@
         for _, _, queue in ranked:
             known = top_priority.get(queue.service, queue.priority)
             top_priority[queue.service] = min(known, queue.priority)
+
+        def terms_of(queue: queues.Queue) -> _Terms:
+            top = top_priority.get(queue.service, queue.priority)
+            return _Terms(
+                queue,
+                searches[queue.service],
+                pipelinepreemption.Preemption(queue.priority, table),
+                queue.priority <= top,
+            )
+
         ready_count = 0
         for _, item, queue in ranked:
             ready_count += len(item.ready)
@@ -158,18 +171,26 @@
                 or ready_count > MAX_READY_TASKS
             ):
                 break
-            terms = _Terms(
-                queue,
-                searches[queue.service],
-                pipelinepreemption.Preemption(queue.priority, table),
-                queue.priority <= top_priority[queue.service],
+            considered += self._start_pipeline(
+                item, terms_of(queue), now, may_start
             )
-            considered += self._start_pipeline(item, terms, now, may_start)
             for placement in slowed.get(item.id, ()):
                 if move_comparisons < MAX_MOVE_COMPARISONS:
                     targets = schedulable[queue.service]
                     move_comparisons += len(targets)
                     self._move(placement, targets, now)
+        for task in lapsing:
+            queue = table.by_name(task.pipeline.declaration.queue)
+            # Where an advisor must agree, only it knows the workers.
+            if (
+                queue is not None
+                and queue.advice is None
+                and queue.service in searches
+            ):
+                terms = terms_of(queue)
+                self._keep_rooms(
+                    [task], terms.search.workers, terms, now, in_advance=True
+                )
         self._start_idle(
             self._idle_pipelines.searches(ranked, schedulable, now, may_start),
             now,
@@ -330,6 +351,7 @@
         workers: list[fleet.Worker],
         terms: "_Terms",
         now: float,
+        in_advance: bool = False,
     ) -> None:
         """Keeps room for lasting tasks where it becomes free.
 
@@ -341,14 +363,17 @@
             workers: Workers on which they may run.
             terms: Terms of their pipeline.
             now: Monotonic seconds.
+            in_advance: Whether they are not ready yet, so that there may be
+                room already.
         """
         if not _keeps_room(tasks[0], terms.is_most_urgent, now):
             return
+        choose = terms.search.choose_to_free
+        if in_advance:
+            choose = terms.search.choose_in_advance
         self._rooms.keep(
             tasks,
-            lambda task: terms.search.choose_to_free(
-                task, workers, terms.preemption.permits
-            ),
+            lambda task: choose(task, workers, terms.preemption.permits),
             terms.search.is_busy,
             now,
         )
@@ -851,6 +876,21 @@
             self._never_free.add_unfitting(stage)
         return worker
 
+    def choose_in_advance(
+        self,
+        task: pipeline.Task,
+        allowed: list[fleet.Worker],
+        may_preempt: Callable[[fleet.Placement], bool],
+    ) -> fleet.Worker | None:
+        """Returns the worker for a task that is not ready yet, if any.
+
+        The best one that has room, or else the one of `choose_to_free`.
+        """
+        worker = placement_module.choose(task, allowed, self._pacer, self._now)
+        if worker is None:
+            worker = self.choose_to_free(task, allowed, may_preempt)
+        return worker
+
     def _choose_for_suspect(
         self, task: pipeline.Task, allowed: list[fleet.Worker]
     ) -> fleet.Worker | None:
