A lost lasting task is not bound to a host that was lost meanwhile

Cause: a start after such a wait was ordered at once, on any worker that was heard within the last 2 s. If that host was lost just before, the start may still be carried out there, so that the task is bound to it for another 7.9 s. Only first starts waited for a report.

Before the fix these fail: test_idletasks.py::TestFullFleet:: test_lost_lasting_task_is_not_bound_to_a_host_lost_meanwhile (both), and test_pipelineplacement.py::TestChoose::test_silent_worker_is_the_last_choice.

Why it works: after a wait for leases a start is sent only once its worker has reported since, and is withdrawn 1.2 s after its last list. Workers on which room is kept report every 0.15 s, so that this costs little; silent ones are the last choice.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -12,6 +12,9 @@
 # A worker whose latest report is older gets no new attempts. This is about
 # two report intervals.
 REPORT_FRESH_S = 2.0
+# Time without a list after which a worker counts as silent: one and a half
+# report intervals.
+SILENT_S = 1.2
 # An order that is not confirmed for this long may have been lost. The agent
 # reports its result as soon as it has been carried out.
 UNCONFIRMED_S = 0.8
@@ -415,6 +418,14 @@
             self.state.reachable and now - self.last_report_s < REPORT_FRESH_S
         )
 
+    def is_silent(self, now: float) -> bool:
+        """Returns whether it has neither a recent list nor a recent grant.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        return now - max(self.lease_granted_s, self.last_listed_s) >= SILENT_S
+
     def confirms_orders(self, now: float) -> bool:
         """Returns whether its agent confirms orders, as far as is known.
 
--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -276,6 +276,8 @@
         early_losses: Numbers of the attempts that were lost with their workers
             before they were known to run for `pipelinecrashes.EARLY_LOSS_S`,
             since the last one that was.
+        lapsed: Whether an attempt has ended as the leases of its worker have
+            lapsed, and no further one was ordered.
     """
 
     pipeline: "Pipeline"
@@ -297,6 +299,7 @@
     kept_apart_s: float = 0.0
     proven_attempt: int = 0
     early_losses: set[int] = attrs.field(factory=set)
+    lapsed: bool = False
     stage: Stage = attrs.field(init=False)
     id: str = attrs.field(init=False)
 
--- a/pomelostair/pipelinegrants.py
+++ b/pomelostair/pipelinegrants.py
@@ -7,7 +7,9 @@
 
 No lease outlasts a time that the last stored renewal names. So a new leader
 counts the leases of lost workers from that renewal, not from its own start: the
-workers' leases and the leader's lapse beside each other.
+workers' leases and the leader's lapse beside each other. Of a worker that is
+lost shortly before its leader, and so not listed as silent, the next one knows
+only that time.
 """
 
 from collections.abc import Iterable
@@ -15,10 +17,6 @@
 
 from pomelostair import fleet
 
-# Time without a list after which a worker counts as silent: one and a half
-# report intervals. Of one that is lost less than this before its leader, the
-# next one knows only the end that the last renewal names.
-SILENT_S = 1.2
 # Most listed workers; the lease row is written several times a second. The next
 # leader waits for the others as long as a lease granted last may last.
 MAX_LISTED = 100
@@ -127,8 +125,7 @@
                 else self.earlier_lapse_s(key)
             )
             for key, worker in workers.items()
-            if now - max(worker.lease_granted_s, worker.last_listed_s)
-            >= SILENT_S
+            if worker.is_silent(now)
         }
         for key in unreported:
             if key not in workers or not workers[key].granted:
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -51,7 +51,8 @@
 # Penalty of a worker with an attempt that may crash it. It exceeds all other
 # differences between two workers.
 UNPROVEN_PENALTY_MILLICORES = 1_000_000
-# Penalty of a worker whose agent does not confirm its orders; as large.
+# Penalty of a worker that is silent, or whose agent does not confirm its
+# orders; as large.
 UNCONFIRMED_PENALTY_MILLICORES = 1_000_000
 # Time for which a success shows that a worker is healthy.
 RECENT_SUCCESS_S = 10.0
@@ -299,16 +300,18 @@
         MAX_WORKERS_TO_FREE,
         eligible,
         key=lambda worker: (
+            worker.is_silent(now),
             bool(worker.reserved_for_others(task, now)),
             _missing_share(demand, worker.free),
             worker.id,
         ),
     )
-    best, best_delay_s = None, math.inf
+    best, best_key = None, None
     for worker in nearest:
         delay_s = _room_delay_s(task, worker, now, may_preempt)
-        if delay_s < best_delay_s:
-            best, best_delay_s = worker, delay_s
+        key = (worker.is_silent(now), delay_s)
+        if delay_s < math.inf and (best is None or key < best_key):
+            best, best_key = worker, key
     return best
 
 
@@ -446,7 +449,7 @@
     value = score(task, worker, pace_share)
     if worker.unproven:
         value -= UNPROVEN_PENALTY_MILLICORES
-    if not worker.confirms_orders(now):
+    if worker.is_silent(now) or not worker.confirms_orders(now):
         value -= UNCONFIRMED_PENALTY_MILLICORES
     return value
 
--- a/pomelostair/pipelinerooms.py
+++ b/pomelostair/pipelinerooms.py
@@ -44,9 +44,11 @@
         Args:
             now: Monotonic seconds.
         """
-        return self.worker.is_schedulable(
-            now
-        ) and self.worker.state.capacity.covers(self.task.stage.demand)
+        return (
+            self.worker.is_schedulable(now)
+            and not self.worker.is_silent(now)
+            and self.worker.state.capacity.covers(self.task.stage.demand)
+        )
 
 
 class KeptRooms:
@@ -128,6 +130,8 @@
                 return False
             room = self._rooms[task.id] = _Room(task, worker, now + KEEP_S)
             self._metrics.count("rooms_kept")
+            # Its next report is answered, and thus made more frequent.
+            worker.instructed_s = 0.0
         elif is_busy and now < room.until_s:
             # Room that was given up and had to be gathered anew might never
             # come together.
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -47,6 +47,8 @@
 # beside serving tasks, whose paces depend on recent latencies.
 REPORT_INTERVAL_S = 0.8
 LEARNING_REPORT_INTERVAL_S = 0.3
+# Interval where tasks wait for room: their starts then wait for a report.
+WAITED_REPORT_INTERVAL_S = 0.15
 # Time before the leases of a silent worker lapse at which room for its lasting
 # tasks is prepared: a preempted attempt takes about half of it to end.
 PREPARE_S = 1.0
@@ -369,6 +371,10 @@
 
     def report_interval_s(self, worker: fleet.Worker) -> float:
         """Returns how often a worker without news is to be reported."""
+        if worker.reservations or any(
+            placement.awaits_report for placement in worker.placements.values()
+        ):
+            return WAITED_REPORT_INTERVAL_S
         if worker.filler_millicores and worker.serving_millicores:
             return LEARNING_REPORT_INTERVAL_S
         return REPORT_INTERVAL_S
@@ -825,6 +831,7 @@
                 placement
             ):
                 hopeless.append(placement.task)
+            placement.task.lapsed = not ended
             self._attempts.remove(placement, now)
         for task in hopeless:
             self._give_up(task)
@@ -851,12 +858,25 @@
             for known in lapsed:
                 if not self._all_reconciled((known.key,)):
                     self._unregister(agent, known.key)
+        self._mark_lapsed({k.key for _, lapsed in dropped for k in lapsed})
         if dropped:
             log.emit(
                 events.Events.EARLIER_LEASES_LAPSED,
                 agents=[agent for agent, _ in dropped],
             )
 
+    def _mark_lapsed(self, keys: set[fleet.WorkerKey]) -> None:
+        """Records whose attempts of earlier terms have lapsed.
+
+        Args:
+            keys: Worker ids and incarnations whose leases have lapsed.
+        """
+        for item in self._registry.open.values() if keys else ():
+            if item.declaration.lasting:
+                for task in item.ready.values():
+                    if task.earlier_placed_on and keys & task.earlier_placed_on:
+                        task.lapsed = True
+
     def _unregister(self, agent: str, key: fleet.WorkerKey) -> None:
         """Stores that an incarnation has no work, as its leases have lapsed."""
         self._registry.unregister(agent, key)
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -675,8 +675,7 @@
             for key, placements in list(starts.items()):
                 left = []
                 for placement in filter(self._is_wanted, placements):
-                    listed_s = placement.worker.last_listed_s
-                    is_silent = now - listed_s >= fleet.REPORT_FRESH_S
+                    is_silent = placement.worker.is_silent(now)
                     (withdrawn if is_silent else left).append(placement)
                 if left:
                     starts[key] = left
@@ -703,14 +702,15 @@
         The next leader knows then where the task may be running, and does not
         wait for other workers before it starts it. At a first start, the worker
         must have reported since it was chosen: if it is lost, a task that was
-        ordered there is bound to it until its leases have lapsed. A task that
-        has waited before, for the leases of another worker, goes at once.
+        ordered there is bound to it until its leases have lapsed. The same
+        holds after such a wait, as hosts are seldom lost alone. Any other task
+        that has run or waited before goes at once.
         """
         task = placement.task
         worker = placement.worker
         self._rooms.release(task)
         waited_s = now - task.ready_since_s
-        placement.awaits_report = (
+        placement.awaits_report = task.lapsed or (
             not task.last_attempt and waited_s < placement_module.MAX_IDLE_S
         )
         task.pipeline.place(task, placement.attempt)
@@ -743,6 +743,7 @@
 
     def _enqueue_start(self, placement: fleet.Placement) -> None:
         task = placement.task
+        task.lapsed = placement.awaits_report = False
         placement.worker.enqueue_order(
             messages.START,
             placement,
--- a/tests/faultfleet.py
+++ b/tests/faultfleet.py
@@ -623,6 +623,7 @@
             and host.agent.epoch == self.epoch
         ):
             return
+        host.schedule.interval_s = self.scheduler.report_interval_s(worker)
         host.lease_limit_ms = max(host.lease_limit_ms, limit_ms)
         host.acknowledged = max(host.acknowledged, worker.acknowledged_end)
         host.results = [
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -1048,6 +1048,30 @@
         fleet.run_for(AFTER_RUN_S + IDLE_S)
         assert workers_of(fleet, "a.0.0.0")
 
+    @pytest.mark.parametrize("later_s", [0.3, 0.9])
+    def test_lost_lasting_task_is_not_bound_to_a_host_lost_meanwhile(
+        self, later_s
+    ):
+        """Guards against a wait for leases that follows another one."""
+        fleet = calm_fleet(names=("w1", "w2", "w3"))
+        fleet.submit("a", pipelines.stage(1, 7000, lasting=True), queue="fit")
+        fleet.run_for(1)
+        self.fill(fleet, "recast", 20_000)
+        (name,) = workers_of(fleet, "a.0.0.0")
+        fleet.lose_agent(fleet.hosts[name].agent)
+        task = fleet.scheduler.registry.find_task("a.0.0.0")
+        while not task.reserved_until_s > fleet.now:
+            fleet.step()
+        fleet.run_for(later_s)
+        (held,) = [
+            worker
+            for worker in fleet.scheduler.workers.values()
+            if worker.has_reservation_for(task, fleet.now)
+        ]
+        fleet.lose_agent(fleet.host_of(held.id).agent)
+        fleet.run_for(CALM_S)
+        assert workers_of(fleet, "a.0.0.0")
+
     def test_gang_without_room_for_all_keeps_none(self):
         """Guards against workers that are held for a gang that never starts."""
         fleet = calm_fleet()
--- a/tests/test_pipelinegrants.py
+++ b/tests/test_pipelinegrants.py
@@ -1,3 +1,4 @@
+from pomelostair import fleet
 from pomelostair import pipelinegrants
 from tests import pipelines
 
@@ -91,7 +92,7 @@
 
 class TestListSilent:
     def test_worker_with_recent_grants_is_not_listed(self):
-        recent_s = 100.0 + pipelinegrants.SILENT_S - 0.1
+        recent_s = 100.0 + fleet.SILENT_S - 0.1
         workers = workers_granted_at(100.0)
         assert not begin().next_silent(workers, [], recent_s)
 
--- a/tests/test_pipelineplacement.py
+++ b/tests/test_pipelineplacement.py
@@ -111,6 +111,16 @@
             pipelines.place(chosen, filler)
         assert 1 <= workers[0].filler_millicores // 4000 <= 3
 
+    def test_silent_worker_is_the_last_choice(self):
+        """Guards against starts on a host that was just lost."""
+        silent, heard = pipelines.worker("silent"), pipelines.worker("heard")
+        pipelines.place(heard, pipelines.stage(millicores=30_000))
+        heard.last_listed_s = fleet.SILENT_S
+        task = task_of(pipelines.stage())
+        assert choose(task, [silent, heard], fleet.SILENT_S) is heard
+        silent.last_listed_s = fleet.SILENT_S
+        assert choose(task, [silent, heard], fleet.SILENT_S) is silent
+
     def test_moving_task_goes_to_worker_that_reserved_room(self):
         roomy, tight = pipelines.worker("roomy"), pipelines.worker("tight")
         service = pipelines.stage(
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -385,6 +385,21 @@
         assert simfleet.Fleet().scheduler.last_report("agent-w9") == 0
 
 
+class TestReportInterval:
+    def test_worker_on_which_room_is_kept_reports_often(self):
+        """Guards against waits for a report, once the room is there."""
+        fleet = simfleet.Fleet(("w1",))
+        fleet.run_for(1)
+        fleet.submit("a", pipelines.stage(1, 500, lasting=True))
+        task = fleet.scheduler.registry.find_task("a.0.0.0")
+        (worker,) = fleet.scheduler.workers.values()
+        usual_s = fleet.scheduler.report_interval_s(worker)
+        worker.reserve(task, fleet.now + 1.0)
+        assert fleet.scheduler.report_interval_s(worker) < usual_s / 4
+        worker.cancel_reservation(task)
+        assert fleet.scheduler.report_interval_s(worker) == usual_s
+
+
 class TestTakeover:
     def test_new_leader_adopts_running_attempts(self):
         fleet = simfleet.Fleet()
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -66,7 +66,8 @@
     def start_ready(
         self, *items, slowed=(), now=1.0, may_start=lambda task: True
     ):
-        self.busy.last_report_s = self.empty.last_report_s = now
+        for worker in (self.busy, self.empty):
+            worker.last_report_s = worker.last_listed_s = now
         by_pipeline = {}
         for placement in slowed:
             by_pipeline.setdefault(placement.task.pipeline.id, []).append(
