Two tasks with room on one worker do not wait for each other

Cause: since room may be kept for several tasks on one worker, each of them left the other's room alone. So neither started before there was room for both.

Before the fix this fails: test_fleet.py::TestReservations:: test_first_of_two_does_not_wait_for_room_for_both.

Why it works: reservations count in the order in which they were made, so that the first task waits for its own room only. All others leave all rooms alone.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -1,6 +1,7 @@
 """The pipeline leader's view of the workers and of what runs on them."""
 
 import enum
+import itertools
 
 import attrs
 
@@ -367,7 +368,9 @@
         return reservation is not None and now < reservation.until_s
 
     def free_for(self, task: pipeline.Task, now: float) -> resources.Resources:
-        """Returns the free resources that are not reserved for other tasks.
+        """Returns the free resources that are not reserved for others.
+
+        See `reserved_for_others`.
 
         Args:
             task: A task that does not run on this worker.
@@ -379,7 +382,9 @@
         return free
 
     def unused_millicores_for(self, task: pipeline.Task, now: float) -> int:
-        """Returns the unused millicores not reserved for other tasks.
+        """Returns the unused millicores that are not reserved for others.
+
+        See `reserved_for_others`.
 
         Args:
             task: A task that does not run on this worker.
@@ -393,7 +398,11 @@
     def reserved_for_others(
         self, task: pipeline.Task, now: float
     ) -> list[pipeline.Task]:
-        """Returns the other tasks with a reservation; drops expired ones.
+        """Returns the other tasks whose reservations go first.
+
+        These are all but those made after the task's own one, if it has any.
+        Otherwise two tasks would wait until there is room for both. Expired
+        reservations are dropped.
 
         Args:
             task: A task that does not run on this worker.
@@ -402,11 +411,10 @@
         for task_id, reservation in list(self.reservations.items()):
             if reservation.until_s <= now:
                 del self.reservations[task_id]
-        return [
-            reservation.task
-            for task_id, reservation in self.reservations.items()
-            if task_id != task.id
-        ]
+        first = itertools.takewhile(
+            lambda task_id: task_id != task.id, self.reservations
+        )
+        return [self.reservations[task_id].task for task_id in first]
 
     def is_heard(self, now: float) -> bool:
         """Returns whether it answers its agent, which reports that.
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,6 +1,7 @@
 import attrs
 
 from pomelostair import fleet
+from pomelostair import pipeline
 from pomelostair import pipelinemessages as messages
 from tests import pipelines
 
@@ -122,3 +123,34 @@
         changed = attrs.evolve(self.KNOWN, labels=("b",))
         updated = registration.with_reported("bus", (changed,), True)
         assert updated.lives == (changed,)
+
+
+class TestReservations:
+    def tasks(self):
+        item = pipeline.Pipeline(
+            pipelines.declare("a", pipelines.stage(2, 3000)),
+            1,
+            pipeline.Progress(),
+            0.0,
+        )
+        return item.tasks(0, 0)
+
+    def test_first_of_two_does_not_wait_for_room_for_both(self):
+        """Guards against two tasks that wait for each other."""
+        worker = pipelines.worker(cores=4)
+        first, second = self.tasks()
+        for now in (1.0, 1.5):
+            worker.reserve(first, now + 1.0)
+            worker.reserve(second, now + 1.0)
+        assert worker.free_for(first, 1.6).millicores == 4000
+        assert worker.free_for(second, 1.6).millicores == 1000
+
+    def test_others_leave_both_rooms(self):
+        worker = pipelines.worker(cores=8)
+        first, second = self.tasks()
+        worker.reserve(first, 2.0)
+        worker.reserve(second, 3.0)
+        other = self.tasks()[0]
+        other.id = "other.0.0.0"
+        assert worker.free_for(other, 1.0).millicores == 2000
+        assert worker.free_for(other, 2.5).millicores == 5000
