Room kept in advance has the time to come together

Cause: its room was kept for one second before the leases lapsed. Work that is as urgent is not preempted there, and took up to 3.5 s to end.

Before the fix this fails: test_idletasks.py::TestFullFleet:: test_room_is_there_when_the_leases_of_a_lost_worker_lapse[4400].

Why it works: the room is kept from 3 s before the lapse on, without a pause. Less urgent work is preempted in the last second only, as most of it ends by itself.

--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+import math
 import types
 
 import attrs
@@ -49,9 +50,9 @@
 LEARNING_REPORT_INTERVAL_S = 0.3
 # Interval where tasks wait for room: their starts then wait for a report.
 WAITED_REPORT_INTERVAL_S = 0.15
-# Time before the leases of a silent worker lapse at which room for its lasting
-# tasks is prepared: a preempted attempt takes about half of it to end.
-PREPARE_S = 1.0
+# Time before the leases of a silent worker lapse from which room for its
+# lasting tasks is kept. After the lapse, the platform's rules leave about 1 s.
+PREPARE_S = 3.0
 # An ended incarnation is remembered for this long, so that late reports about
 # it are ignored.
 ENDED_RETENTION_S = 30.0
@@ -897,44 +898,50 @@
                 self._registry.mark_changed(item)
                 self._to_record.add(item.id)
 
-    def _lapsing_tasks(self, now: float) -> list[pipeline.Task]:
+    def _lapsing_tasks(self, now: float) -> dict[pipeline.Task, float]:
         """Returns the lasting tasks whose last attempts lapse soon.
 
         Their workers are silent. Members of gangs are left out, as room is kept
         for whole gangs only.
+
+        Returns:
+            Monotonic time of the lapse by task.
         """
-        soon_s = now + PREPARE_S
-        tasks = [
-            placement.task
-            for worker in self._workers.values()
-            if worker.lease_granted_s + self._max_lease_s <= soon_s
-            and not worker.is_heard(now)
-            for placement in worker.placements.values()
-        ]
+        lapsing = {}
+        for worker in self._workers.values():
+            lapse_s = worker.lease_granted_s + self._max_lease_s
+            if lapse_s <= now + PREPARE_S and not worker.is_heard(now):
+                tasks = [p.task for p in worker.placements.values()]
+                lapsing.update(dict.fromkeys(tasks, lapse_s))
         if not self._reconciliation.is_complete:
-            tasks += [
-                task
-                for item in self._registry.open.values()
-                if item.declaration.lasting
-                for task in item.ready.values()
-                if self._lapses_by(task, soon_s)
-            ]
-        return [
-            task
-            for task in tasks
+            for item in self._registry.open.values():
+                if item.declaration.lasting:
+                    for task in item.ready.values():
+                        lapse_s = self._earlier_lapse_s(task)
+                        if lapse_s <= now + PREPARE_S:
+                            lapsing[task] = lapse_s
+        return {
+            task: lapse_s
+            for task, lapse_s in lapsing.items()
             if task.stage.lasting
             and not task.stage.gang
             and not task.pipeline.ended
-        ]
+        }
+
+    def _earlier_lapse_s(self, task: pipeline.Task) -> float:
+        """Returns when a task of an earlier term may start at the latest.
 
-    def _lapses_by(self, task: pipeline.Task, at_s: float) -> bool:
-        """Returns whether attempts of earlier terms lapse by a time."""
+        Infinity if it may start now, or if that time is not known.
+        """
         if self._may_start(task) or not self._earlier_placements_recorded:
-            return False
-        return bool(task.earlier_placed_on) and all(
-            self._grants.earlier_lapse_s(key) <= at_s
-            for key in task.earlier_placed_on
-            if self._reconciliation.may_run_work(key)
+            return math.inf
+        return max(
+            (
+                self._grants.earlier_lapse_s(key)
+                for key in task.earlier_placed_on or ()
+                if self._reconciliation.may_run_work(key)
+            ),
+            default=math.inf,
         )
 
     def _may_start_any(self, item: pipeline.Pipeline) -> bool:
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import functools
+import types
 
 import attrs
 
@@ -53,6 +54,9 @@
 # Most comparisons of a slowed attempt with a worker of one round. An attempt is
 # offered again after the next check of its worker.
 MAX_MOVE_COMPARISONS = 5_000
+# Time before a task will be ready from which it preempts others in its room. A
+# preempted attempt takes about half of it to end.
+PREEMPTION_LEAD_S = 1.0
 # Time without a refusal after which a task forgets the workers that refused it.
 # One that each worker refuses in turn is refused more often.
 REFUSAL_MEMORY_S = 10.0
@@ -112,7 +116,7 @@
         slowed: dict[str, list[fleet.Placement]],
         now: float,
         may_start: Callable[[pipeline.Task], bool] = lambda task: True,
-        lapsing: Iterable[pipeline.Task] = (),
+        lapsing: Mapping[pipeline.Task, float] = types.MappingProxyType({}),
     ) -> None:
         """Starts ready tasks, in the order of the pipelines' ranks.
 
@@ -127,8 +131,8 @@
             now: Monotonic seconds.
             may_start: Returns whether no earlier leader can have started a
                 task.
-            lapsing: Lasting tasks that will be ready soon, for which room is
-                kept until then.
+            lapsing: Monotonic time at which lasting tasks will be ready, for
+                which room is kept in advance.
         """
         self._rooms.expire(now)
         schedulable = _schedulable(workers, now)
@@ -179,7 +183,7 @@
                     targets = schedulable[queue.service]
                     move_comparisons += len(targets)
                     self._move(placement, targets, now)
-        for task in lapsing:
+        for task, ready_s in lapsing.items():
             queue = table.by_name(task.pipeline.declaration.queue)
             # Where an advisor must agree, only it knows the workers.
             if (
@@ -189,7 +193,7 @@
             ):
                 terms = terms_of(queue)
                 self._keep_rooms(
-                    [task], terms.search.workers, terms, now, in_advance=True
+                    [task], terms.search.workers, terms, now, ready_s
                 )
         self._start_idle(
             self._idle_pipelines.searches(ranked, schedulable, now, may_start),
@@ -351,7 +355,7 @@
         workers: list[fleet.Worker],
         terms: "_Terms",
         now: float,
-        in_advance: bool = False,
+        ready_s: float = 0.0,
     ) -> None:
         """Keeps room for lasting tasks where it becomes free.
 
@@ -363,20 +367,23 @@
             workers: Workers on which they may run.
             terms: Terms of their pipeline.
             now: Monotonic seconds.
-            in_advance: Whether they are not ready yet, so that there may be
-                room already.
+            ready_s: Monotonic time at which they are ready. If that is later,
+                there may be room already.
         """
         if not _keeps_room(tasks[0], terms.is_most_urgent, now):
             return
+        in_advance = ready_s > now
         choose = terms.search.choose_to_free
         if in_advance:
             choose = terms.search.choose_in_advance
         self._rooms.keep(
             tasks,
             lambda task: choose(task, workers, terms.preemption.permits),
-            terms.search.is_busy,
+            in_advance or terms.search.is_busy,
             now,
         )
+        if ready_s - now > PREEMPTION_LEAD_S:
+            return
         for task in tasks:
             worker = self._rooms.worker_for(task, now)
             if worker is None or not _preempts(task, now):
--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -1031,15 +1031,18 @@
         fleet.run_for(AFTER_RUN_S + IDLE_S - leaderless_s)
         assert workers_of(fleet, "a.0.0.0")
 
-    def test_room_is_there_when_the_leases_of_a_lost_worker_lapse(self):
+    @pytest.mark.parametrize("duration_ms", [2000, 4400])
+    def test_room_is_there_when_the_leases_of_a_lost_worker_lapse(
+        self, duration_ms
+    ):
         """Guards against waits for leases and for room one after the other.
 
-        The tasks that fill the fleet are as urgent, and take 2 s.
+        The tasks that fill the fleet are as urgent.
         """
         fleet = calm_fleet(names=("w1", "w2", "w3"))
         fleet.submit("a", pipelines.stage(1, 7000, lasting=True), queue="fit")
         fleet.run_for(1)
-        stage = pipelines.stage(2, 3500, estimate_ms=2000)
+        stage = pipelines.stage(2, 3500, estimate_ms=duration_ms)
         for number in range(60):
             fleet.submit(f"batch-{number}", stage, queue="fit")
             fleet.run_for(0.9 if number < 2 else 0.1)
