A start on a silent worker is not withdrawn in each round

Callers would see a lasting task use up attempts, and the log fill with its starts, while no worker that has room reports for 1.2 to 2 s.

Cause: a worker that is silent may still be the only one with room. The start that was ordered there was withdrawn in the next round, and ordered there again.

Before the fix this fails: test_pipelinestarts.py::TestReportBeforeAStart:: test_start_on_a_silent_worker_is_not_withdrawn_in_each_round (both).

Why it works: a start is withdrawn after 1.2 s only if its worker has fallen silent since it was ordered. Otherwise it waits until the worker gets no more starts, 2 s after its last list, as before.

--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -669,7 +669,7 @@
                 self._enqueue_start(placement)
 
     def withdraw_from_silent(self, now: float) -> None:
-        """Withdraws the starts that were not ordered yet at silent workers.
+        """Withdraws the starts that were not sent yet to silent workers.
 
         They certainly take no effect, so that the tasks may start elsewhere at
         once.
@@ -682,8 +682,8 @@
             for key, placements in list(starts.items()):
                 left = []
                 for placement in filter(self._is_wanted, placements):
-                    is_silent = placement.worker.is_silent(now)
-                    (withdrawn if is_silent else left).append(placement)
+                    fell_silent = _fell_silent(placement, now)
+                    (withdrawn if fell_silent else left).append(placement)
                 if left:
                     starts[key] = left
                 else:
@@ -961,6 +961,18 @@
     )
 
 
+def _fell_silent(placement: fleet.Placement, now: float) -> bool:
+    """Returns whether a worker has fallen silent since a start was ordered.
+
+    On one that was silent before, as no other had room, the start waits until
+    the worker counts as not heard; otherwise it would be ordered there again.
+    """
+    worker = placement.worker
+    if now - worker.last_listed_s >= fleet.REPORT_FRESH_S:
+        return True
+    return worker.is_silent(now) and not worker.is_silent(placement.ordered_s)
+
+
 def _preempts(task: pipeline.Task, now: float) -> bool:
     """Returns whether a task preempts others in the room kept for it.
 
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -805,3 +805,26 @@
     def test_task_that_has_waited_does_not_wait_longer(self):
         """Guards against adding it to the wait for an earlier leader's work."""
         assert self.released(now=placement_module.MAX_IDLE_S)
+
+    @pytest.mark.parametrize(
+        ("silent_s", "orders"), [(fleet.SILENT_S - 0.1, 2), (1.5, 1)]
+    )
+    def test_start_on_a_silent_worker_is_not_withdrawn_in_each_round(
+        self, silent_s, orders
+    ):
+        """Guards against attempts that are used up while no worker reports."""
+        cluster = TwoWorkers()
+        item = cluster.add("service", pipelines.stage(1, 7000, lasting=True))
+        task = item.tasks(0, 0)[0]
+        attempts_seen = set()
+        for step in range(4):
+            now = 10.0 + step / 10
+            cluster.starter.withdraw_from_silent(now)
+            cluster.start_ready(item, now=now)
+            for worker in (cluster.busy, cluster.empty):
+                worker.lease_granted_s = worker.last_listed_s = 10.0 - silent_s
+            attempts_seen.update(
+                placement.attempt
+                for placement in cluster.attempts.of_task(task)
+            )
+        assert len(attempts_seen) <= orders
