A lasting filler preempts nothing

Callers would see counted work of a less urgent queue stopped for a filler, which uses only what is left over.

Cause: the right to preempt came with the kept room, which lasting fillers get, too.

Before the fix this fails: test_pipelinestarts.py::TestRoomForLastingTasks:: test_filler_preempts_nothing[filler].

Why it works: fillers keep room, and wait for it.

--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -976,10 +976,12 @@
 def _preempts(task: pipeline.Task, now: float) -> bool:
     """Returns whether a task preempts others in the room kept for it.
 
-    One that has run before was away for some time already.
+    One that has run before was away for some time already. Fillers use only
+    what others leave.
     """
-    return bool(task.last_attempt) or (
-        now - task.ready_since_s >= placement_module.MAX_IDLE_S
+    return not task.stage.filler and (
+        bool(task.last_attempt)
+        or now - task.ready_since_s >= placement_module.MAX_IDLE_S
     )
 
 
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -769,6 +769,24 @@
         assert len([t for t, _ in fleet.running() if t.startswith("long")]) == 3
         assert any(t.startswith("small") for _, t, _ in fleet.started)
 
+    @pytest.mark.parametrize("filler", [False, True], ids=["plain", "filler"])
+    def test_filler_preempts_nothing(self, filler):
+        """Guards against stopping counted work for what is left over."""
+        cluster = TwoWorkers()
+        for worker in (cluster.busy, cluster.empty):
+            cluster.fill(worker)
+        stage = pipelines.stage(1, 5000, lasting=True, filler=filler)
+        item = cluster.add("service", stage)
+        item.tasks(0, 0)[0].last_attempt = 1
+        cluster.start_ready(item, now=1.0)
+        stopped = [
+            placement
+            for worker in (cluster.busy, cluster.empty)
+            for placement in worker.placements.values()
+            if placement.state is fleet.AttemptState.STOPPING
+        ]
+        assert bool(stopped) != filler
+
     def test_start_elsewhere_ends_the_reservation(self):
         """Guards against room that nobody uses."""
         cluster = TwoWorkers()
