--- a/tests/test_idletasks.py
+++ b/tests/test_idletasks.py
@@ -993,6 +993,19 @@
             )
             fleet.run_for(0.3)
 
+    def lose_worker_of_a(self):
+        """Returns a fleet full of less urgent work that lost the worker of "a".
+
+        The lasting task needs a worker nearly for itself.
+        """
+        fleet = calm_fleet(names=("w1", "w2", "w3"))
+        fleet.submit("a", pipelines.stage(1, 7000, lasting=True), queue="fit")
+        fleet.run_for(1)
+        self.fill(fleet, "recast", 20_000)
+        (name,) = workers_of(fleet, "a.0.0.0")
+        fleet.lose_agent(fleet.hosts[name].agent)
+        return fleet
+
     def test_room_that_needs_two_ends_comes_together(self):
         """Guards against giving up room for a lasting task again and again.
 
@@ -1016,12 +1029,7 @@
     ):
         """Guards against LOST: it has priority, and room only with that."""
         monkeypatch.setattr(runner, "STOP_GRACE_MS", STOP_GRACE_MS)
-        fleet = calm_fleet(names=("w1", "w2", "w3"))
-        fleet.submit("a", pipelines.stage(1, 7000, lasting=True), queue="fit")
-        fleet.run_for(1)
-        self.fill(fleet, "recast", 20_000)
-        (name,) = workers_of(fleet, "a.0.0.0")
-        fleet.lose_agent(fleet.hosts[name].agent)
+        fleet = self.lose_worker_of_a()
         leaderless_s = 0.0
         if with_leader:
             fleet.lose_leader()
@@ -1056,12 +1064,7 @@
         self, later_s
     ):
         """Guards against a wait for leases that follows another one."""
-        fleet = calm_fleet(names=("w1", "w2", "w3"))
-        fleet.submit("a", pipelines.stage(1, 7000, lasting=True), queue="fit")
-        fleet.run_for(1)
-        self.fill(fleet, "recast", 20_000)
-        (name,) = workers_of(fleet, "a.0.0.0")
-        fleet.lose_agent(fleet.hosts[name].agent)
+        fleet = self.lose_worker_of_a()
         task = fleet.scheduler.registry.find_task("a.0.0.0")
         while not task.reserved_until_s > fleet.now:
             fleet.step()
