--- a/pomelostair/pipelinerooms.py
+++ b/pomelostair/pipelinerooms.py
@@ -1,4 +1,4 @@
-"""Room that is kept for lasting tasks that fit on no worker.
+"""Room that is kept for lasting tasks, until they start in it.
 
 Smaller tasks would otherwise take each core as it becomes free, so that the
 room for a large task never comes together.
@@ -66,7 +66,7 @@
         self,
         tasks: Iterable[pipeline.Task],
         choose: Callable[[pipeline.Task], fleet.Worker | None],
-        is_busy: bool,
+        without_pause: bool,
         now: float,
     ) -> None:
         """Keeps room for all of several tasks, or for none of them.
@@ -74,11 +74,13 @@
         Args:
             tasks: Tasks without room.
             choose: Returns the worker that can have room for a task soonest.
-            is_busy: Whether the service is so busy that others may wait.
+            without_pause: Whether others may wait until the tasks have started.
             now: Monotonic seconds.
         """
         tasks = list(tasks)
-        if not all(self._keep(task, choose, is_busy, now) for task in tasks):
+        if not all(
+            self._keep(task, choose, without_pause, now) for task in tasks
+        ):
             for task in tasks:
                 self.release(task)
 
@@ -118,7 +120,7 @@
         self,
         task: pipeline.Task,
         choose: Callable[[pipeline.Task], fleet.Worker | None],
-        is_busy: bool,
+        without_pause: bool,
         now: float,
     ) -> bool:
         room = self._rooms.get(task.id)
@@ -132,7 +134,7 @@
             self._metrics.count("rooms_kept")
             # Its next report is answered, and thus made more frequent.
             worker.instructed_s = 0.0
-        elif is_busy and now < room.until_s:
+        elif without_pause and now < room.until_s:
             # Room that was given up and had to be gathered anew might never
             # come together.
             room = attrs.evolve(room, until_s=now + KEEP_S)
