Each attempt that is lost early is logged, with what is known of its worker

Event 433 gives only the number of attempts that were lost early when a pipeline is given up. Event 427 does, and the counter early_losses has the label cause. No decision is changed.

--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -79,6 +79,7 @@
     ATTEMPT_ORPHANED = Event(424, logging.WARNING, "unknown attempt is running")
     ATTEMPT_PACED = Event(425, logging.INFO, "attempt paced")
     ORDER_CARRIED_OUT = Event(426, logging.INFO, "order carried out")
+    ATTEMPT_LOST = Event(427, logging.WARNING, "attempt lost with its worker")
     PIPELINE_ACCEPTED = Event(430, logging.INFO, "pipeline accepted")
     PIPELINE_REFUSED = Event(431, logging.WARNING, "call refused")
     PIPELINE_CANCELLED = Event(432, logging.INFO, "pipeline cancelled")
--- a/pomelostair/pipelinecrashes.py
+++ b/pomelostair/pipelinecrashes.py
@@ -186,7 +186,9 @@
                 hopeless.append(task)
         return hopeless
 
-    def record_loss(self, placement: fleet.Placement) -> bool:
+    def record_loss(
+        self, placement: fleet.Placement, ended: bool = True
+    ) -> bool:
         """Records that an attempt was lost with its worker.
 
         An agent that restarts, or is lost with its worker, reports no crash,
@@ -194,6 +196,8 @@
 
         Args:
             placement: The attempt, which is not removed yet.
+            ended: Whether the incarnation of the worker has ended; otherwise
+                its leases have lapsed, and it may be working.
 
         Returns:
             Whether its task is to be given up.
@@ -211,7 +215,20 @@
         ):
             return False
         task.early_losses.add(placement.attempt)
-        self._metrics.count("early_losses")
+        cause = "ended" if ended else "lapsed"
+        self._metrics.count("early_losses", cause=cause)
+        log.emit(
+            events.Events.ATTEMPT_LOST,
+            task=task.id,
+            attempt=placement.attempt,
+            worker=placement.worker.id,
+            life=placement.worker.incarnation,
+            host=placement.worker.agent,
+            cause=cause,
+            listed=placement.reported,
+            known_run_ms=placement.known_run_ms,
+            losses=len(task.early_losses),
+        )
         self._registry.mark_changed(task.pipeline)
         return is_hopeless(task.crashes, task.early_losses) and not any(
             other.reported
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -829,7 +829,7 @@
         hopeless = []
         for placement in list(worker.placements.values()):
             if not worker.state.draining and self._crashes.record_loss(
-                placement
+                placement, ended
             ):
                 hopeless.append(placement.task)
             placement.task.lapsed = not ended
