--- a/tests/test_pipelinecrashes.py
+++ b/tests/test_pipelinecrashes.py
@@ -454,6 +454,36 @@
         assert [c.attempt for c in harness.task.crashes] == [1, 2]
 
 
+class TestLapsedLeases:
+    """Agents are lost right after starts; their workers do not crash."""
+
+    @pytest.mark.parametrize("returns", [True, False])
+    @pytest.mark.parametrize("lasting", [True, False])
+    def test_fail_no_task(self, lasting, returns):
+        """Guards against LOST: healthy work is shown as failed.
+
+        Its leases lapse, as one agent after another is suspended or stopped.
+        """
+        fleet = simfleet.Fleet(names=names(8))
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 30_000
+            host.runner.lasting = lasting
+        fleet.submit("a", pipelines.stage(lasting=lasting, estimate_ms=30_000))
+        lost = []
+        for _ in range(700):
+            fleet.step()
+            if len(lost) < min(6, len(fleet.starts)):
+                if returns and lost:
+                    lost[-1].partitioned = False
+                lost.append(fleet.hosts[fleet.starts[-1][1]])
+                lost[-1].partitioned = True
+        assert len(lost) == 6
+        assert fleet.phase("a") is RUNNING
+        assert [task for task, _ in fleet.running()] == ["a.0.0.0"]
+        assert {how for _, _, how in fleet.finished} == {"lapsed"}
+
+
 class TestAcquittal:
     @pytest.mark.parametrize("lasting", [True, False])
     def test_task_is_not_blamed_again_by_a_new_leader(self, lasting):
