A lapse of leases counts as no crash until it is explained

Callers saw LOST: a healthy submission shown as failed, once its task had four runs that lapsed in a row.

Cause: CrashTracker.record_loss counted each attempt that was removed before it was known to run for 2 s, also where only the leases of its worker had lapsed. The agent, or the link to it, was away; of the worker nothing was known. Four of these, and the leader gave the task up. Class of fault: the unknown is taken for a value, here for a crash.

Why it works: a lapse is kept as an unexplained loss, stored for later leaders, and counts for nothing until the agent explains it. If the incarnation answers, it is dropped. If it has a successor or is reported as gone, it counts like any crash that no agent reports. An agent that was running all the while and finds the worker silent beyond its leases is evidence as well, which the next answer withdraws; so a task whose workers stay away is still given up after five starts (TestDeadlyTask, unchanged).

--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -18,6 +18,8 @@
 MAX_TASKS = 10_000
 # Most tasks of a pipeline whose crashes are stored, so that they fit in a row.
 MAX_CRASHED_TASKS = 100
+# The same for its unexplained losses.
+MAX_STORED_LOSSES = 100
 
 
 @attrs.frozen
@@ -206,6 +208,30 @@
     certain: bool = True
 
 
+@attrs.frozen
+class Loss:
+    """An early loss of an attempt, as the leases of its worker have lapsed.
+
+    Whether the worker has crashed is not known yet.
+
+    Attributes:
+        attempt: Number of the attempt.
+        host: Name of the agent of the worker.
+        worker: Id of the worker.
+        life: Its incarnation.
+        address: HTTP address of the worker, empty if unknown.
+        silent: Whether its agent, in touch with the leader, reports that it
+            does not respond.
+    """
+
+    attempt: codec.Count
+    host: str
+    worker: str
+    life: codec.Count
+    address: str = ""
+    silent: bool = False
+
+
 @attrs.frozen
 class Progress:
     """Stored state of a pipeline, besides its declaration.
@@ -229,6 +255,8 @@
             and was seen to crash no worker, by the same key.
         lost: Numbers of the attempts of unfinished tasks that were lost early,
             see `Task.early_losses`, by the same key.
+        unexplained: Unexplained early losses of attempts of unfinished tasks,
+            by the same key.
     """
 
     phase: Phase = Phase.QUEUED
@@ -241,6 +269,7 @@
     crashes: dict[str, list[Crash]] = attrs.field(factory=dict)
     acquitted: dict[str, codec.Count] = attrs.field(factory=dict)
     lost: dict[str, list[codec.Count]] = attrs.field(factory=dict)
+    unexplained: dict[str, list[Loss]] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -273,9 +302,11 @@
         kept_apart_s: Monotonic time since which it could start but for the
             distance that is kept between suspects, 0 if it does not wait so.
         proven_attempt: Highest attempt that was seen to crash no worker.
-        early_losses: Numbers of the attempts that were lost with their workers
-            before they were known to run for `pipelinecrashes.EARLY_LOSS_S`,
-            since the last one that was.
+        early_losses: Numbers of the attempts whose workers have ended before
+            they were known to run for `pipelinecrashes.EARLY_LOSS_S`, since the
+            last one that was.
+        unexplained_losses: The same of attempts whose workers may not have
+            ended, as only their leases have lapsed.
         lapsed: Whether an attempt has ended as the leases of its worker have
             lapsed, and no further one was ordered.
     """
@@ -299,6 +330,7 @@
     kept_apart_s: float = 0.0
     proven_attempt: int = 0
     early_losses: set[int] = attrs.field(factory=set)
+    unexplained_losses: list[Loss] = attrs.field(factory=list)
     lapsed: bool = False
     stage: Stage = attrs.field(init=False)
     id: str = attrs.field(init=False)
@@ -329,6 +361,17 @@
         """Whether it is likely to crash workers, as far as is known."""
         return bool(self.crashes) and any(c.suspects for c in self.crashes)
 
+    @property
+    def counted_losses(self) -> set[int]:
+        """Numbers of the attempts under which a worker seems to have crashed.
+
+        A loss counts once the worker is known to have ended, or while its agent
+        finds it silent. If nothing is heard of either, it proves nothing.
+        """
+        return self.early_losses | {
+            loss.attempt for loss in self.unexplained_losses if loss.silent
+        }
+
     @property
     def key(self) -> str:
         """Key within the pipeline, "OCCURRENCE.STAGE.INDEX"."""
@@ -636,6 +679,8 @@
         crashes: dict[str, list[Crash]] = {}
         acquitted: dict[str, int] = {}
         lost: dict[str, list[int]] = {}
+        unexplained: dict[str, list[Loss]] = {}
+        loss_count = 0
         for (occurrence, number), tasks in self._tasks.items():
             bits = 0
             for task in tasks:
@@ -652,6 +697,9 @@
                     acquitted[task.key] = task.proven_attempt
                 if task.early_losses and len(lost) < MAX_CRASHED_TASKS:
                     lost[task.key] = sorted(task.early_losses)
+                loss_count += len(task.unexplained_losses)
+                if task.unexplained_losses and loss_count <= MAX_STORED_LOSSES:
+                    unexplained[task.key] = list(task.unexplained_losses)
             if bits or self._declaration.timed:
                 size = (len(tasks) + 7) // 8
                 done[f"{occurrence}.{number}"] = bits.to_bytes(size, "little")
@@ -668,6 +716,7 @@
             crashes,
             acquitted,
             lost,
+            unexplained,
         )
 
     def _open_next_occurrence(
@@ -711,6 +760,9 @@
                 task.early_losses.update(
                     self._stored_progress.lost.get(task.key, ())
                 )
+                task.unexplained_losses = list(
+                    self._stored_progress.unexplained.get(task.key, ())
+                )
                 task.proven_attempt = self._stored_progress.acquitted.get(
                     task.key, 0
                 )
--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -40,6 +40,9 @@
 NO_LEADER_POLL_S = 0.05
 # Pause after a failed call of a worker.
 RETRY_S = 0.25
+# Longest time that a call of a worker takes, with a margin. One that took
+# longer shows that this process was suspended meanwhile.
+MAX_CALL_S = 2.0
 # Time without instructions after which the agent looks for another leader:
 # three report intervals. A new leader announces itself sooner.
 LEADER_TIMEOUT_S = 2.5
@@ -120,6 +123,8 @@
         listing: Its latest answer to a `hold` call.
         listed_epoch: Epoch of the leader under which that call was made.
         reachable: Whether it answered the last call.
+        unanswered: Whether the last call got no answer at all, although this
+            process was not suspended during it.
         wake: Set to call `hold` again at once.
         schedule: Decides when it is reported.
         recent_starts: Attempts that it was told to start and that are not known
@@ -142,6 +147,7 @@
     listing: ports.HoldAnswer | None = None
     listed_epoch: int = 0
     reachable: bool = True
+    unanswered: bool = False
     wake: curio.Event = attrs.field(factory=curio.Event)
     schedule: reportschedule.ReportSchedule = attrs.field(
         factory=reportschedule.ReportSchedule
@@ -777,12 +783,16 @@
         )
         acknowledged = worker.acknowledged
         results = tuple(worker.unconfirmed_results)
+        called_s = self._clock.now()
         result = await worker.client.hold(
             _fencing_token(epoch, worker),
             acknowledged,
             extended_end_ms,
             self._hold_wait_ms(worker, acknowledged),
         )
+        worker.unanswered = (
+            not _is_answer(result) and self._clock.now() - called_s < MAX_CALL_S
+        )
         if epoch != self._leader.epoch:
             return
         match result:
@@ -871,6 +881,17 @@
         least_ms = worker.clock_ms + elapsed_ms * (1 - CLOCK_DRIFT)
         return 0 < worker.requested_end_ms < least_ms
 
+    def _is_silent(self, worker: _Worker) -> bool:
+        """Returns whether a worker stays silent beyond its leases.
+
+        This process then knows of no fault of its own that explains it.
+        """
+        return (
+            not worker.reachable
+            and worker.unanswered
+            and self._lease_has_lapsed(worker)
+        )
+
     async def _report(
         self,
         workers: tuple[_Worker, ...],
@@ -903,7 +924,11 @@
             tuple(w.key for w in self._workers.values() if w.confirmed),
             tuple(
                 _worker_state(
-                    worker, fresh, results, self._lease_has_lapsed(worker)
+                    worker,
+                    fresh,
+                    results,
+                    self._lease_has_lapsed(worker),
+                    self._is_silent(worker),
                 )
                 for worker in workers
                 if worker.listing is not None
@@ -947,6 +972,18 @@
     return (epoch << _INCARNATION_BITS) | incarnation_bits
 
 
+def _is_answer(
+    result: ports.HoldAnswer | ports.Denied | ports.NoAnswer,
+) -> bool:
+    """Returns whether any incarnation of a worker has answered a call."""
+    match result:
+        case ports.HoldAnswer():
+            return True
+        case ports.Denied():
+            return result.is_answer
+    return False
+
+
 def _is_announced(heartbeat: ports.WorkerHeartbeat) -> bool:
     """Returns whether a worker sent it; see `_registered_heartbeat`."""
     return heartbeat.sequence >= 0
@@ -989,6 +1026,7 @@
     fresh: bool,
     results: tuple[messages.OrderResult, ...],
     lapsed: bool,
+    silent: bool,
 ) -> messages.WorkerState:
     heartbeat = worker.heartbeat
     listing = worker.listing
@@ -1011,4 +1049,5 @@
         reachable=worker.reachable,
         lapsed=lapsed and not worker.reachable,
         announced=worker.announced,
+        silent=silent,
     )
--- a/pomelostair/pipelinecrashes.py
+++ b/pomelostair/pipelinecrashes.py
@@ -8,6 +8,7 @@
 caused it.
 """
 
+from collections.abc import Iterable
 from collections.abc import Set
 
 import attrs
@@ -40,6 +41,8 @@
 # Run time from which the loss of an attempt with its worker says nothing about
 # its task. The lists that show it are up to two report intervals old.
 EARLY_LOSS_S = 2.0
+# Most unexplained losses that are kept of a task, the latest ones.
+MAX_UNEXPLAINED_LOSSES = 8
 # Longest wait of a suspect for a worker on another host without new attempts.
 # It covers the time in which those are seen to run.
 MAX_ISOLATION_WAIT_S = 1.5
@@ -120,6 +123,44 @@
     )
 
 
+@attrs.frozen
+class _Evidence:
+    """What a report tells of the workers on its host.
+
+    Attributes:
+        alive: Id and incarnation of each worker that has just answered.
+        silent: The same of workers that do not respond to their agent.
+        gone: The same of workers that have ended.
+        known: Incarnations that the agent knows.
+    """
+
+    alive: frozenset[fleet.WorkerKey]
+    silent: frozenset[fleet.WorkerKey]
+    gone: frozenset[fleet.WorkerKey]
+    known: tuple[fleet.KnownIncarnation, ...]
+
+    @classmethod
+    def of(cls, report: messages.AgentReport) -> "_Evidence":
+        """Returns the evidence in a report."""
+        states = report.workers
+        return cls(
+            _keys(s for s in states if s.fresh and s.reachable),
+            _keys(s for s in states if s.silent),
+            frozenset(report.gone),
+            tuple(
+                fleet.KnownIncarnation(*key, report.addresses.get(key[0], ""))
+                for key in report.lives
+            ),
+        )
+
+    def has_ended(self, loss: pipeline.Loss) -> bool:
+        """Returns whether the worker of a loss has ended."""
+        lost = fleet.KnownIncarnation(loss.worker, loss.life, loss.address)
+        return lost.key in self.gone or any(
+            lost.is_succeeded_by(other) for other in self.known
+        )
+
+
 class CrashTracker:
     """Records crashes under tasks, during one term of a leader.
 
@@ -138,6 +179,9 @@
         self._registry = registry
         self._attempts = attempts
         self._metrics = metrics
+        # Tasks with unexplained losses, by the name of the agent that can
+        # explain them.
+        self._unexplained: dict[str, set[pipeline.Task]] = {}
 
     def apply(
         self, host: str, crash: messages.WorkerCrash
@@ -180,14 +224,47 @@
                 self._attempts.mark_unproven(placement)
             # A crash is reported late if the worker was away for long. What the
             # task does meanwhile on another worker decides.
-            if is_hopeless(task.crashes, task.early_losses) and not any(
+            if is_hopeless(task.crashes, task.counted_losses) and not any(
                 placement.reported for placement in later
             ):
                 hopeless.append(task)
         return hopeless
 
+    def explain(self, report: messages.AgentReport) -> list[pipeline.Task]:
+        """Explains earlier losses by an agent's report.
+
+        A worker that answers in the same incarnation has not crashed. One that
+        has a successor, or that its agent reports as gone, has ended.
+
+        Args:
+            report: The report, whose crashes have been applied.
+
+        Returns:
+            Tasks that are to be given up.
+        """
+        for item in self._registry.take_restored():
+            for task in item.unfinished():
+                for loss in task.unexplained_losses:
+                    self._expect_explanation(task, loss.host)
+        evidence = _Evidence.of(report)
+        hopeless = []
+        for task in list(self._unexplained.get(report.agent, ())):
+            if task.pipeline.ended or task.phase is pipeline.TaskPhase.DONE:
+                self._expect_no_explanation(task, report.agent)
+                continue
+            if not self._explain_task(task, report.agent, evidence):
+                continue
+            self._registry.mark_changed(task.pipeline)
+            if is_hopeless(task.crashes, task.counted_losses) and not any(
+                placement.reported for placement in self._attempts.of_task(task)
+            ):
+                hopeless.append(task)
+        return hopeless
+
     def record_loss(
-        self, placement: fleet.Placement, ended: bool = True
+        self,
+        placement: fleet.Placement,
+        ended: bool = True,
     ) -> bool:
         """Records that an attempt was lost with its worker.
 
@@ -196,8 +273,9 @@
 
         Args:
             placement: The attempt, which is not removed yet.
-            ended: Whether the incarnation of the worker has ended; otherwise
-                its leases have lapsed, and it may be working.
+            ended: Whether the incarnation of the worker has ended. Otherwise
+                its leases have lapsed, as it or its agent was not heard of;
+                that counts once it is explained.
 
         Returns:
             Whether its task is to be given up.
@@ -214,23 +292,36 @@
             or task.phase is pipeline.TaskPhase.DONE
         ):
             return False
-        task.early_losses.add(placement.attempt)
+        worker = placement.worker
+        if ended:
+            task.early_losses.add(placement.attempt)
+        else:
+            task.unexplained_losses.append(
+                pipeline.Loss(
+                    placement.attempt,
+                    worker.agent,
+                    *worker.key,
+                    self._registry.address_of(worker.agent, worker.key),
+                )
+            )
+            del task.unexplained_losses[:-MAX_UNEXPLAINED_LOSSES]
+            self._expect_explanation(task, worker.agent)
         cause = "ended" if ended else "lapsed"
         self._metrics.count("early_losses", cause=cause)
         log.emit(
             events.Events.ATTEMPT_LOST,
             task=task.id,
             attempt=placement.attempt,
-            worker=placement.worker.id,
-            life=placement.worker.incarnation,
-            host=placement.worker.agent,
+            worker=worker.id,
+            life=worker.incarnation,
+            host=worker.agent,
             cause=cause,
             listed=placement.reported,
             known_run_ms=placement.known_run_ms,
-            losses=len(task.early_losses),
+            losses=len(task.counted_losses),
         )
         self._registry.mark_changed(task.pipeline)
-        return is_hopeless(task.crashes, task.early_losses) and not any(
+        return is_hopeless(task.crashes, task.counted_losses) and not any(
             other.reported
             for other in self._attempts.of_task(task)
             if other is not placement
@@ -288,9 +379,41 @@
                 if any((c.host, c.life) in causes for c in task.crashes):
                     self._clear(task, causes)
 
+    def _expect_explanation(self, task: pipeline.Task, agent: str) -> None:
+        self._unexplained.setdefault(agent, set()).add(task)
+
+    def _expect_no_explanation(self, task: pipeline.Task, agent: str) -> None:
+        tasks = self._unexplained[agent]
+        tasks.discard(task)
+        if not tasks:
+            del self._unexplained[agent]
+
+    def _explain_task(
+        self, task: pipeline.Task, agent: str, evidence: "_Evidence"
+    ) -> bool:
+        """Applies evidence to a task; returns whether that changed anything."""
+        losses = []
+        ended = set()
+        for loss in task.unexplained_losses:
+            if loss.host != agent:
+                losses.append(loss)
+            elif evidence.has_ended(loss):
+                ended.add(loss.attempt)
+            elif (loss.worker, loss.life) in evidence.silent:
+                losses.append(attrs.evolve(loss, silent=True))
+            elif (loss.worker, loss.life) not in evidence.alive:
+                losses.append(loss)
+        is_changed = losses != task.unexplained_losses
+        task.unexplained_losses = losses
+        task.early_losses |= ended
+        if not any(loss.host == agent for loss in losses):
+            self._expect_no_explanation(task, agent)
+        return is_changed
+
     def _forget_losses(self, task: pipeline.Task) -> None:
-        if task.early_losses:
+        if task.early_losses or task.unexplained_losses:
             task.early_losses.clear()
+            task.unexplained_losses.clear()
             self._registry.mark_changed(task.pipeline)
 
     def _clear(self, task: pipeline.Task, causes: set[tuple[str, int]]) -> None:
@@ -327,6 +450,12 @@
         )
 
 
+def _keys(
+    states: Iterable[messages.WorkerState],
+) -> frozenset[fleet.WorkerKey]:
+    return frozenset((state.worker, state.life) for state in states)
+
+
 def _is_news(task: pipeline.Task, attempt: int, certain: bool) -> bool:
     """Returns whether a crash at an attempt of a task counts.
 
--- a/pomelostair/pipelinemessages.py
+++ b/pomelostair/pipelinemessages.py
@@ -140,6 +140,9 @@
             lapsed, so that nothing runs on it.
         announced: Whether the agent has had a heartbeat of it. Before, it
             starts nothing there, as the capacity may be outdated.
+        silent: Whether the leases have lapsed and the agent, which was running
+            all the while, got no answer to its last call. Without that, a lapse
+            does not show whether the worker or its agent was away.
     """
 
     worker: str
@@ -160,6 +163,7 @@
     reachable: bool
     lapsed: bool
     announced: bool = True
+    silent: bool = False
 
 
 # Run time from which an attempt is no suspect in the crash of its worker. A
--- a/pomelostair/pipelineregistry.py
+++ b/pomelostair/pipelineregistry.py
@@ -74,6 +74,8 @@
         self._changed_agents: dict[str, fleet.Registration] = {}
         self._committing_agents: dict[str, fleet.Registration] = {}
         self._to_remove: list[str] = []
+        # Pipelines with stored losses that were not taken yet.
+        self._restored: list[pipeline.Pipeline] = []
 
     @property
     def open(self) -> dict[str, pipeline.Pipeline]:
@@ -152,6 +154,19 @@
             )
         )
 
+    def address_of(self, agent: str, key: fleet.WorkerKey) -> str:
+        """Returns the address of a registered incarnation, empty if unknown.
+
+        Args:
+            agent: Name of its agent.
+            key: Worker id and incarnation.
+        """
+        registration = self._latest_agents.get(agent)
+        for known in () if registration is None else registration.lives:
+            if known.key == key:
+                return known.address
+        return ""
+
     def replace_malformed(self, agent: str) -> None:
         """Schedules an empty registration in place of a malformed one.
 
@@ -227,12 +242,22 @@
         self._stored_phases[item.id] = progress.phase
         if not item.ended:
             self._open[item.id] = item
+            if progress.unexplained:
+                self._restored.append(item)
             if declaration.timed:
                 # Attempts of these occurrences may be reported before the
                 # first round.
                 item.open_due(self._unix_ms(), now)
                 self._timed[item.id] = item
 
+    def take_restored(self) -> list[pipeline.Pipeline]:
+        """Returns pipelines added since the last call, if they have losses.
+
+        Earlier leaders stored unexplained losses of their tasks.
+        """
+        restored, self._restored = self._restored, []
+        return restored
+
     def phase(self, pipeline_id: str) -> pipeline.Phase | None:
         """Returns the durable phase of a pipeline, None if it is unknown.
 
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -315,6 +315,8 @@
                 self._give_up(task)
         for key in message.gone:
             self._remove_worker(key, now, "its agent reported its end")
+        for task in self._crashes.explain(message):
+            self._give_up(task)
         workers = []
         for state in message.workers:
             key = (state.worker, state.life)
@@ -658,7 +660,8 @@
             phase=item.phase.value,
             task=task.id,
             crashes=len(task.crashes),
-            early_losses=len(task.early_losses),
+            early_losses=len(task.counted_losses),
+            unexplained_losses=len(task.unexplained_losses),
             hosts=sorted({crash.host for crash in task.crashes}),
         )
         self._close_pipeline(item)
--- a/pomelostair/ports.py
+++ b/pomelostair/ports.py
@@ -84,6 +84,11 @@
 
     reason: str
 
+    @property
+    def is_answer(self) -> bool:
+        """Whether the call was rejected by an answer, and not just unsent."""
+        return not self.reason.startswith("not-sent")
+
 
 @attrs.frozen
 class NoAnswer:
