An agent that was suspended takes no worker for crashed

Callers saw LOST: healthy work shown as failed after five starts, with crashes of four hosts counted (the users' runs with real programs, agents stopped one after another and going on).

Cause: two takings of the unknown for a crash. An agent that goes on after a suspension finds that its call of the worker has timed out and that the lease has lapsed, and reports the worker as possibly crashed, though only the agent itself was away. And nothing withdrew such a report: when the same incarnation answered, the uncertain crash stayed and added up.

Evidence, each failing before: TestSilence (the agent reports a crash from calls in which it was suspended), TestFrozenWorkers: six freezes one after another fail a task, and silences of sound workers add up, also those that an earlier leader recorded.

Why it works: a call that took longer than any timeout shows that the agent was suspended, so it says nothing about the worker. An answer of the same incarnation proves that it did not crash, so the leader drops the uncertain crashes of that incarnation. Proved crashes stay.

--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -953,9 +953,7 @@
         silent = [
             attrs.evolve(worker.crash(), certain=False)
             for worker in self._workers.values()
-            if worker.recent_starts
-            and not worker.reachable
-            and self._lease_has_lapsed(worker)
+            if worker.recent_starts and self._is_silent(worker)
         ]
         return (*gone, *silent)
 
--- a/pomelostair/pipelinecrashes.py
+++ b/pomelostair/pipelinecrashes.py
@@ -153,6 +153,11 @@
             ),
         )
 
+    @property
+    def alive_lives(self) -> frozenset[int]:
+        """Incarnations of the workers that have just answered."""
+        return frozenset(life for _, life in self.alive)
+
     def has_ended(self, loss: pipeline.Loss) -> bool:
         """Returns whether the worker of a loss has ended."""
         lost = fleet.KnownIncarnation(loss.worker, loss.life, loss.address)
@@ -179,8 +184,8 @@
         self._registry = registry
         self._attempts = attempts
         self._metrics = metrics
-        # Tasks with unexplained losses, by the name of the agent that can
-        # explain them.
+        # Tasks with unexplained losses or uncertain crashes, by the name of the
+        # agent that can explain them.
         self._unexplained: dict[str, set[pipeline.Task]] = {}
 
     def apply(
@@ -231,7 +236,7 @@
         return hopeless
 
     def explain(self, report: messages.AgentReport) -> list[pipeline.Task]:
-        """Explains earlier losses by an agent's report.
+        """Explains earlier losses and uncertain crashes by an agent's report.
 
         A worker that answers in the same incarnation has not crashed. One that
         has a successor, or that its agent reports as gone, has ended.
@@ -244,8 +249,8 @@
         """
         for item in self._registry.take_restored():
             for task in item.unfinished():
-                for loss in task.unexplained_losses:
-                    self._expect_explanation(task, loss.host)
+                for blame in (*task.crashes, *task.unexplained_losses):
+                    self._expect_explanation(task, blame.host)
         evidence = _Evidence.of(report)
         hopeless = []
         for task in list(self._unexplained.get(report.agent, ())):
@@ -392,6 +397,13 @@
         self, task: pipeline.Task, agent: str, evidence: "_Evidence"
     ) -> bool:
         """Applies evidence to a task; returns whether that changed anything."""
+        crashes = [
+            crash
+            for crash in task.crashes
+            if crash.certain
+            or crash.host != agent
+            or crash.life not in evidence.alive_lives
+        ]
         losses = []
         ended = set()
         for loss in task.unexplained_losses:
@@ -403,10 +415,16 @@
                 losses.append(attrs.evolve(loss, silent=True))
             elif (loss.worker, loss.life) not in evidence.alive:
                 losses.append(loss)
-        is_changed = losses != task.unexplained_losses
+        is_changed = (
+            len(crashes) < len(task.crashes)
+            or losses != task.unexplained_losses
+        )
+        task.crashes = crashes
         task.unexplained_losses = losses
         task.early_losses |= ended
-        if not any(loss.host == agent for loss in losses):
+        if not any(loss.host == agent for loss in losses) and not any(
+            crash.host == agent and not crash.certain for crash in crashes
+        ):
             self._expect_no_explanation(task, agent)
         return is_changed
 
@@ -434,6 +452,8 @@
     ) -> None:
         task.crashes = [c for c in task.crashes if c.attempt != record.attempt]
         task.crashes.append(record)
+        if not record.certain:
+            self._expect_explanation(task, record.host)
         task.kept_apart_s = 0.0
         self._registry.mark_changed(task.pipeline)
         self._metrics.count("crashes_at_start")
--- a/pomelostair/pipelineregistry.py
+++ b/pomelostair/pipelineregistry.py
@@ -74,7 +74,7 @@
         self._changed_agents: dict[str, fleet.Registration] = {}
         self._committing_agents: dict[str, fleet.Registration] = {}
         self._to_remove: list[str] = []
-        # Pipelines with stored losses that were not taken yet.
+        # Pipelines with stored crashes or losses that were not taken yet.
         self._restored: list[pipeline.Pipeline] = []
 
     @property
@@ -242,7 +242,7 @@
         self._stored_phases[item.id] = progress.phase
         if not item.ended:
             self._open[item.id] = item
-            if progress.unexplained:
+            if progress.crashes or progress.unexplained:
                 self._restored.append(item)
             if declaration.timed:
                 # Attempts of these occurrences may be reported before the
@@ -251,9 +251,9 @@
                 self._timed[item.id] = item
 
     def take_restored(self) -> list[pipeline.Pipeline]:
-        """Returns pipelines added since the last call, if they have losses.
+        """Returns pipelines added since the last call that need explanations.
 
-        Earlier leaders stored unexplained losses of their tasks.
+        Earlier leaders stored crashes or unexplained losses of their tasks.
         """
         restored, self._restored = self._restored, []
         return restored
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -772,7 +772,7 @@
     """A worker does not answer until its leases have lapsed."""
 
     def lapse(self, *, suspended=False, busy=False):
-        """Returns the states reported after the lapse.
+        """Returns the states reported after the lapse, and the crashes.
 
         Args:
             suspended: Whether calls take so long that the agent must have been
@@ -801,21 +801,27 @@
             ]
 
         harness.run(body)
-        return lapsed()
+        return lapsed(), [c for r in harness.reports for c in r.crashes]
 
-    def test_is_reported(self):
-        assert self.lapse()[-1].silent
+    def test_is_reported_with_a_possible_crash(self):
+        states, crashes = self.lapse()
+        assert states[-1].silent
+        assert crashes
+        assert not any(crash.certain for crash in crashes)
 
     def test_of_a_worker_that_rejects_calls_is_none(self):
-        assert not any(state.silent for state in self.lapse(busy=True))
+        states, crashes = self.lapse(busy=True)
+        assert not any(state.silent for state in states)
+        assert not crashes
 
     def test_is_not_concluded_from_calls_in_which_the_agent_was_suspended(
         self, monkeypatch
     ):
         """Guards against LOST: the agent takes its own absence for a crash."""
         monkeypatch.setattr(pipelineagent, "MAX_CALL_S", 0.25)
-        states = self.lapse(suspended=True)
+        states, crashes = self.lapse(suspended=True)
         assert not any(state.silent for state in states)
+        assert not crashes
 
 
 class TestRegisteredWorkers:
--- a/tests/test_pipelinecrashes.py
+++ b/tests/test_pipelinecrashes.py
@@ -445,6 +445,80 @@
         fleet.run_for(9)
         assert fleet.phase("a") is pipeline.Phase.RUNNING
 
+    def test_freezes_one_after_another_fail_no_task(self):
+        """Guards against LOST: workers that answer again did not crash."""
+        fleet = simfleet.Fleet(names=names(8))
+        fleet.rebirth_s = 1e9
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 30_000
+        fleet.submit("a", pipelines.stage(estimate_ms=30_000))
+        frozen = []
+        for _ in range(700):
+            fleet.step()
+            if len(frozen) < min(6, len(fleet.starts)):
+                if frozen:
+                    self.thaw(fleet, frozen[-1])
+                frozen.append(fleet.hosts[fleet.starts[-1][1]])
+                frozen[-1].runner.crashed = True
+                frozen[-1].crashed_s = fleet.now
+        assert len(frozen) == 6
+        assert fleet.phase("a") is COMPLETED
+
+    def thaw(self, fleet, host):
+        """Lets a frozen worker go on; its steady clock has advanced."""
+        host.runner.crashed = False
+        host.runner.advance((fleet.now - host.crashed_s) * 1000)
+        host.crashed_s = None
+
+    def test_silence_is_refuted_by_an_answer_of_the_same_incarnation(self):
+        """Guards against LOST: silences of five sound workers add up."""
+        harness = Harness()
+        for number in range(1, 40):
+            host = f"agent-{number}"
+            assert not harness.crash(number, host, certain=False)
+            assert harness.task.suspect
+            state = pipelines.worker_state("w9", 1)
+            report = messages.AgentReport(host, 1, 1, True, (), (state,))
+            assert not harness.tracker.explain(report)
+            assert not harness.task.crashes
+
+    def test_proved_crash_is_not_refuted(self):
+        harness = Harness()
+        harness.crash(1, "agent-w9")
+        harness.crash(2, "agent-w8", certain=False)
+        for host, life in (("agent-w9", 1), ("agent-w8", 2)):
+            state = pipelines.worker_state("w9", life)
+            report = messages.AgentReport(host, 1, 1, True, (), (state,))
+            assert not harness.tracker.explain(report)
+        assert [c.attempt for c in harness.task.crashes] == [1, 2]
+
+    def test_silence_that_an_earlier_leader_recorded_is_refuted(self):
+        """Guards against LOST after a change of the leader."""
+        fleet = simfleet.Fleet(names=names(8))
+        fleet.rebirth_s = 1e9
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 30_000
+        fleet.submit("a", pipelines.stage(estimate_ms=30_000))
+        for _ in range(50):
+            fleet.step()
+            if fleet.starts:
+                break
+        host = fleet.hosts[fleet.starts[0][1]]
+        host.runner.crashed = True
+        host.crashed_s = fleet.now
+        task = fleet.scheduler.registry.find_task("a.0.0.0")
+        for _ in range(100):
+            fleet.step()
+            if task.crashes:
+                break
+        assert fleet.stored_progress["a"].crashes
+        fleet.start_leader()
+        self.thaw(fleet, host)
+        fleet.run_for(0.2)
+        assert not fleet.stored_progress["a"].crashes
+
     def test_silence_counts_once_it_proves_to_be_a_crash(self):
         harness = Harness()
         for number in (1, 2):
