A site that a shell started in the background can be interrupted

Cause: a shell without job control starts background programs with SIGINT ignored, which Python keeps, and the launcher relied on the default. Seen again with SigIgn 6 in /proc/self/status, and not with the default disposition.

Before the fix the test failed with SIGINT ignored, the new second case of it. The launcher now sets its handlers for both signals.

--- a/pomelostair_standins/site.py
+++ b/pomelostair_standins/site.py
@@ -440,7 +440,9 @@
         workers=options.workers,
         links=options.links,
     )
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    # A shell starts background programs with SIGINT ignored.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.default_int_handler)
     with contextlib.suppress(KeyboardInterrupt), running(shape) as site:
         print(json.dumps(site.describe()), flush=True)
         _wait_for_interrupt()
--- a/tests/test_standin_site.py
+++ b/tests/test_standin_site.py
@@ -4,6 +4,8 @@
 import sys
 import time
 
+import pytest
+
 from pomelostair_standins import site
 from tests import caller
 
@@ -11,12 +13,21 @@
 
 
 class TestMain:
-    def test_lists_processes_and_stops_when_interrupted_twice(self):
+    @pytest.mark.parametrize("inherited", [signal.SIG_DFL, signal.SIG_IGN])
+    def test_lists_processes_and_stops_when_interrupted_twice(self, inherited):
+        """Guards against a site that can't be stopped.
+
+        A shell starts programs in the background with SIGINT ignored.
+        """
         command = [sys.executable, "-m", "pomelostair_standins.site"]
         command += ["--entries", "1", "--minions", "1", "--workers", "1"]
-        launcher = subprocess.Popen(
-            [*command, "--links"], stdout=subprocess.PIPE, text=True
-        )
+        own = signal.signal(signal.SIGINT, inherited)
+        try:
+            launcher = subprocess.Popen(
+                [*command, "--links"], stdout=subprocess.PIPE, text=True
+            )
+        finally:
+            signal.signal(signal.SIGINT, own)
         try:
             line = json.loads(launcher.stdout.readline())
             rows = line["processes"]
