Tasks that keep failing do not outgrow the row of their submission

Cause: Progress.failed held the number of every failed attempt, also of lasting tasks, whose failures have no limit. After some 27,800 failures the row passes the store's limit; the store refuses it, and the leader, and each one after it, repeats the refused transaction for ever. Of a row that is too large only checkpoints and placements were left out.

Before the fix these failed: TestRowSize.test_failures_of_lasting_tasks_fit_in_a_row and test_what_is_known_of_many_tasks_fits_in_a_row (10,000 tasks with a failure each).

Why it works: of a lasting task only the highest failed attempt is kept, which is all that is used of it. A row that is too large holds each further field in part, and so is never refused.

--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -283,7 +283,8 @@
         index: Index within the stage.
         phase: Phase of the task.
         last_attempt: Highest attempt number so far.
-        failed_attempts: Numbers of the attempts that failed.
+        failed_attempts: Numbers of the attempts that failed; of a lasting task,
+            which may fail without limit, only the highest.
         checkpoint: Latest known checkpoint, empty for none.
         failed_on: Monotonic time of the latest attempt that failed or stalled,
             by id of the worker.
@@ -619,12 +620,11 @@
         """
         if attempt in task.failed_attempts:
             return False
+        if task.stage.lasting:
+            task.failed_attempts = {max({attempt} | task.failed_attempts)}
+            return True
         task.failed_attempts.add(attempt)
-        if (
-            max_attempts
-            and len(task.failed_attempts) >= max_attempts
-            and not task.stage.lasting
-        ):
+        if max_attempts and len(task.failed_attempts) >= max_attempts:
             task.phase = TaskPhase.FAILED
             self._ready.pop(task.id, None)
             self.end(Phase.FAILED, unix_ms)
--- a/pomelostair/pipelinerows.py
+++ b/pomelostair/pipelinerows.py
@@ -27,9 +27,19 @@
 # The store limits a row to 64 KiB.
 MAX_ROW_BYTES = 48_000
 MAX_LEARNED_PAIRS = 800
-# Most checkpoints in a row of progress that is too large with all of them;
-# halved until the row fits.
-MAX_CHECKPOINTS = 1000
+# Most entries of a field in a row of progress that is too large with all of
+# them; halved until the row fits.
+MAX_KEPT_ENTRIES = 1000
+# Fields of progress that a row that is too large holds in part, in the order in
+# which they are cut down.
+_PARTIAL_FIELDS = (
+    "checkpoints",
+    "unexplained",
+    "acquitted",
+    "crashes",
+    "lost",
+    "failed",
+)
 _DECLARATIONS = "job/"
 _CANCELLATIONS = "cancel/"
 
@@ -112,7 +122,8 @@
 
     A task without its checkpoint runs from its beginning if its worker is lost.
     A lasting task without its worker waits for all workers if the leader is.
-    A row that the store refuses would keep the leader from any commit.
+    What else is left out counts for nothing with the next leader. A row that
+    the store refuses would keep the leader from any commit.
     """
     value = pipeline.encode(progress)
     if len(value) <= MAX_ROW_BYTES:
@@ -120,11 +131,17 @@
     without_checkpoints = attrs.evolve(progress, checkpoints={})
     if len(pipeline.encode(without_checkpoints)) > MAX_ROW_BYTES:
         progress = attrs.evolve(progress, placed=None)
-    max_checkpoints = MAX_CHECKPOINTS
-    while len(value) > MAX_ROW_BYTES and max_checkpoints:
-        kept = itertools.islice(progress.checkpoints.items(), max_checkpoints)
-        value = pipeline.encode(attrs.evolve(progress, checkpoints=dict(kept)))
-        max_checkpoints //= 2
+        value = pipeline.encode(progress)
+    for field in _PARTIAL_FIELDS:
+        entries = getattr(progress, field)
+        max_entries = MAX_KEPT_ENTRIES
+        while len(value) > MAX_ROW_BYTES and entries:
+            kept = dict(itertools.islice(entries.items(), max_entries))
+            progress = attrs.evolve(progress, **{field: kept})
+            value = pipeline.encode(progress)
+            if not max_entries:
+                break
+            max_entries //= 2
     return value
 
 
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -6,6 +6,7 @@
 import pytest
 
 from pomelostair import pipeline
+from pomelostair import pipelinerows
 from tests import pipelines
 
 DONE = pipeline.TaskPhase.DONE
@@ -241,6 +242,38 @@
             pipeline.Pipeline(declared, 1, progress, 0.0)
 
 
+class TestRowSize:
+    """A row that the store refuses keeps the leader from any commit."""
+
+    def test_failures_of_lasting_tasks_fit_in_a_row(self):
+        """Guards against LOST: tasks that keep failing end all scheduling."""
+        item = make_pipeline(pipelines.stage(48, lasting=True))
+        for attempt in range(1, 2_000):
+            for task in item.tasks(0, 0):
+                assert item.fail(task, attempt, 3, 1000)
+                assert not item.fail(task, attempt, 3, 1000)
+        assert len(pipeline.encode(item.progress())) < 2_000
+        (task, *_) = make_pipeline(
+            pipelines.stage(48, lasting=True), progress=item.progress()
+        ).tasks(0, 0)
+        assert task.last_attempt == 1_999
+
+    def test_what_is_known_of_many_tasks_fits_in_a_row(self):
+        item = make_pipeline(pipelines.stage(10_000))
+        crash = pipeline.Crash(10**6, "h" * 38, 1_764_000_000_000, 7)
+        loss = pipeline.Loss(10**6, "h" * 38, "w" * 38, 1_764_000_000_000)
+        for task in item.tasks(0, 0):
+            task.failed_attempts = {1, 10**6}
+            task.checkpoint = "c" * 40
+            task.crashes = [crash] * 4
+            task.early_losses = set(range(4))
+            task.unexplained_losses = [loss] * 4
+            task.proven_attempt = 10**6
+        value = pipelinerows.encode_progress(item.progress())
+        assert len(value) <= pipelinerows.MAX_ROW_BYTES
+        assert pipeline.decode_progress(value).failed
+
+
 class TestPlacements:
     def service(self, progress):
         return pipeline.Pipeline(
