explain names the losses of a task that was given up without a reported crash

An operator saw a failed submission with no cause: explain looked at events 449 only, and where no agent reported a crash there is none. It now reads events 427 as well. The new test failed before.

--- a/pomelostair/explain.py
+++ b/pomelostair/explain.py
@@ -219,7 +219,7 @@
     if not failed:
         return []
     task = failed[0].fields.get("task")
-    if failed[0].fields.get("crashes"):
+    if "early_losses" in failed[0].fields:
         return [_explain_crashes(request_lines, str(task))]
     workers = [
         str(line.fields.get("worker"))
@@ -249,11 +249,11 @@
 
 def _explain_crashes(request_lines: tuple[LogLine, ...], task: str) -> str:
     """Returns why a task was given up under which workers crashed."""
+    losses = (_Events.WORKER_CRASHED_AT_START, _Events.ATTEMPT_LOST)
     hosts = [
         str(line.fields.get("host"))
         for line in request_lines
-        if line.event is _Events.WORKER_CRASHED_AT_START
-        and line.fields.get("task") == task
+        if line.event in losses and line.fields.get("task") == task
     ]
     return (
         f"{task} was given up: workers crashed when they started it, on "
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -172,6 +172,20 @@
         )
         assert any("its worker crashed at the start" in c for c in found)
 
+    def test_task_is_named_though_no_agent_reported_a_crash(self, record_log):
+        """Guards against a failure without a cause."""
+        fleet = simfleet.Fleet(names=("w1", "w2", "w3"))
+        recorder = record_log("edge", lambda: fleet.now)
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.loses_crashes = True
+        fleet.deadly.add("a.0.0.0")
+        fleet.submit("a")
+        fleet.run_for(30)
+        found = causes(recorder, "a")
+        (failure,) = [cause for cause in found if "given up" in cause]
+        assert all(host in failure for _, host in fleet.starts)
+
 
 class TestRestartedTask:
     def test_lost_worker_is_named(self, record_log):
