Losses are forgotten once a task has run, and explained by successors' addresses

Callers saw LOST: healthy work is given up for losses that lie behind it.

Causes, of one class (the unknown, or what is past, counts as a crash of now): - Early losses were forgotten only if a later long run ended by a loss.

Why it works: losses are dropped as soon as an attempt is seen running for 2 s; an adopted attempt counts for none; a task is given up only when it is known that no attempt of an earlier term runs; the leader keeps the address of each worker; silence is as the agent said last. What is awaited of agents is dropped with the task.

--- a/pomelostair/attempts.py
+++ b/pomelostair/attempts.py
@@ -28,7 +28,7 @@
 
     @property
     def unproven(self) -> dict[fleet.AttemptKey, fleet.Placement]:
-        """Attempts of tasks under which workers have crashed, by key.
+        """Attempts of tasks with crashes or early losses, by key.
 
         They are included until they are seen running for a while.
         """
@@ -68,7 +68,7 @@
         ] = placement
         placement.worker.add(placement)
         placement.task.placed_on.add(placement.worker.key)
-        if placement.task.crashes:
+        if placement.task.crashes or placement.task.has_losses:
             self.mark_unproven(placement)
 
     def mark_unproven(self, placement: fleet.Placement) -> None:
--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -72,6 +72,8 @@
             worker.
         listed_since_ms: Worker clock of the first list that shows it running,
             0 if that is unknown.
+        is_adopted: Whether an earlier leader ordered it, so that it may have
+            run for longer than its worker's lists show.
     """
 
     task: pipeline.Task
@@ -92,6 +94,7 @@
     known_capacity: resources.Resources | None = None
     awaits_report: bool = False
     listed_since_ms: int = 0
+    is_adopted: bool = False
 
     @property
     def key(self) -> AttemptKey:
@@ -271,6 +274,7 @@
             room, by task id.
         unproven: Its attempts of suspect tasks, which may crash it, until they
             are seen running for a while.
+        address: HTTP address at which it accepts orders, empty if unknown.
     """
 
     id: str
@@ -307,6 +311,7 @@
     last_pace_step_s: float = 0.0
     reservations: dict[str, Reservation] = attrs.field(factory=dict)
     unproven: set[AttemptKey] = attrs.field(factory=set)
+    address: str = ""
 
     @property
     def key(self) -> WorkerKey:
--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -362,6 +362,11 @@
         """Whether it is likely to crash workers, as far as is known."""
         return bool(self.crashes) and any(c.suspects for c in self.crashes)
 
+    @property
+    def has_losses(self) -> bool:
+        """Whether any early loss of an attempt is recorded."""
+        return bool(self.early_losses or self.unexplained_losses)
+
     @property
     def counted_losses(self) -> set[int]:
         """Numbers of the attempts under which a worker seems to have crashed.
--- a/pomelostair/pipelinecrashes.py
+++ b/pomelostair/pipelinecrashes.py
@@ -128,15 +128,19 @@
     """What a report tells of the workers on its host.
 
     Attributes:
-        alive: Id and incarnation of each worker that has just answered.
+        listed: Id and incarnation of each worker whose state it gives.
+        alive: The same of workers that have just answered.
         silent: The same of workers that do not respond to their agent.
         gone: The same of workers that have ended.
+        blameless: The same of ended workers that do not seem to have crashed.
         known: Incarnations that the agent knows.
     """
 
+    listed: frozenset[fleet.WorkerKey]
     alive: frozenset[fleet.WorkerKey]
     silent: frozenset[fleet.WorkerKey]
     gone: frozenset[fleet.WorkerKey]
+    blameless: frozenset[fleet.WorkerKey]
     known: tuple[fleet.KnownIncarnation, ...]
 
     @classmethod
@@ -144,9 +148,11 @@
         """Returns the evidence in a report."""
         states = report.workers
         return cls(
+            _keys(states),
             _keys(s for s in states if s.fresh and s.reachable),
-            _keys(s for s in states if s.silent),
+            _keys(s for s in states if _is_silent(s)),
             frozenset(report.gone),
+            frozenset(report.blameless),
             tuple(
                 fleet.KnownIncarnation(*key, report.addresses.get(key[0], ""))
                 for key in report.lives
@@ -158,6 +164,11 @@
         """Incarnations of the workers that have just answered."""
         return frozenset(life for _, life in self.alive)
 
+    def is_harmless(self, loss: pipeline.Loss) -> bool:
+        """Returns whether the worker of a loss shows no sign of a crash."""
+        key = (loss.worker, loss.life)
+        return key in self.alive or key in self.blameless
+
     def has_ended(self, loss: pipeline.Loss) -> bool:
         """Returns whether the worker of a loss has ended."""
         lost = fleet.KnownIncarnation(loss.worker, loss.life, loss.address)
@@ -165,6 +176,13 @@
             lost.is_succeeded_by(other) for other in self.known
         )
 
+    def update_silence(self, loss: pipeline.Loss) -> pipeline.Loss:
+        """Returns a loss with what the agent now says of its worker."""
+        key = (loss.worker, loss.life)
+        if key not in self.listed:
+            return loss
+        return attrs.evolve(loss, silent=key in self.silent)
+
 
 class CrashTracker:
     """Records crashes under tasks, during one term of a leader.
@@ -186,7 +204,7 @@
         self._metrics = metrics
         # Tasks with unexplained losses or uncertain crashes, by the name of the
         # agent that can explain them.
-        self._unexplained: dict[str, set[pipeline.Task]] = {}
+        self._unexplained: dict[str, dict[pipeline.Task, None]] = {}
 
     def apply(
         self, host: str, crash: messages.WorkerCrash
@@ -227,14 +245,22 @@
             ]
             for placement in later:
                 self._attempts.mark_unproven(placement)
-            # A crash is reported late if the worker was away for long. What the
-            # task does meanwhile on another worker decides.
             if is_hopeless(task.crashes, task.counted_losses) and not any(
                 placement.reported for placement in later
             ):
                 hopeless.append(task)
         return hopeless
 
+    def is_to_be_given_up(self, task: pipeline.Task) -> bool:
+        """Returns whether too many workers have crashed under a task.
+
+        A crash may be reported late, if the worker or its agent was away for
+        long. What the task does meanwhile on another worker decides.
+        """
+        return is_hopeless(task.crashes, task.counted_losses) and not any(
+            placement.reported for placement in self._attempts.of_task(task)
+        )
+
     def explain(self, report: messages.AgentReport) -> list[pipeline.Task]:
         """Explains earlier losses and uncertain crashes by an agent's report.
 
@@ -249,70 +275,88 @@
         """
         for item in self._registry.take_restored():
             for task in item.unfinished():
-                for blame in (*task.crashes, *task.unexplained_losses):
-                    self._expect_explanation(task, blame.host)
+                for crash in task.crashes:
+                    if not crash.certain:
+                        self._expect_explanation(task, crash.host)
+                for loss in task.unexplained_losses:
+                    self._expect_explanation(task, loss.host)
+        if report.agent not in self._unexplained:
+            return []
         evidence = _Evidence.of(report)
         hopeless = []
-        for task in list(self._unexplained.get(report.agent, ())):
-            if task.pipeline.ended or task.phase is pipeline.TaskPhase.DONE:
-                self._expect_no_explanation(task, report.agent)
-                continue
-            if not self._explain_task(task, report.agent, evidence):
-                continue
-            self._registry.mark_changed(task.pipeline)
-            if is_hopeless(task.crashes, task.counted_losses) and not any(
-                placement.reported for placement in self._attempts.of_task(task)
-            ):
-                hopeless.append(task)
+        for task in list(self._unexplained[report.agent]):
+            if self._explain_task(task, report.agent, evidence):
+                self._registry.mark_changed(task.pipeline)
+                for placement in self._attempts.of_task(task):
+                    self._attempts.mark_unproven(placement)
+                if self.is_to_be_given_up(task):
+                    hopeless.append(task)
         return hopeless
 
-    def record_loss(
-        self,
-        placement: fleet.Placement,
-        ended: bool = True,
-    ) -> bool:
-        """Records that an attempt was lost with its worker.
+    def record_loss(self, placement: fleet.Placement) -> bool:
+        """Records that an attempt was lost, as its worker has ended.
 
         An agent that restarts, or is lost with its worker, reports no crash,
         and none reports one after `pipelinemessages.START_CRASH_S`.
 
         Args:
             placement: The attempt, which is not removed yet.
-            ended: Whether the incarnation of the worker has ended. Otherwise
-                its leases have lapsed, as it or its agent was not heard of;
-                that counts once it is explained.
 
         Returns:
             Whether its task is to be given up.
         """
         task = placement.task
+        if not self._is_early(placement):
+            return False
+        task.early_losses.add(placement.attempt)
+        self._log_loss(placement, "ended")
+        return is_hopeless(task.crashes, task.counted_losses) and not any(
+            other.reported
+            for other in self._attempts.of_task(task)
+            if other is not placement
+        )
+
+    def record_lapse(self, placement: fleet.Placement) -> None:
+        """Records that an attempt was lost, as its worker's leases lapsed.
+
+        The worker or its agent was not heard of; that counts only once it is
+        explained.
+
+        Args:
+            placement: The attempt, which is not removed yet.
+        """
+        if not self._is_early(placement):
+            return
+        task = placement.task
+        worker = placement.worker
+        loss = pipeline.Loss(
+            placement.attempt, worker.agent, *worker.key, worker.address
+        )
+        task.unexplained_losses.append(loss)
+        del task.unexplained_losses[:-MAX_UNEXPLAINED_LOSSES]
+        self._expect_explanation(task, worker.agent)
+        self._log_loss(placement, "lapsed")
+
+    def _is_early(self, placement: fleet.Placement) -> bool:
+        """Returns whether the loss of an attempt may be due to its task."""
+        task = placement.task
         if placement.known_run_ms >= EARLY_LOSS_S * 1000:
             self._forget_losses(task)
             return False
         was_ordered = placement.reported or placement.order_number > 0
-        if (
-            not was_ordered
-            or placement.state is fleet.AttemptState.STOPPING
-            or task.pipeline.ended
-            or task.phase is pipeline.TaskPhase.DONE
-        ):
-            return False
+        return (
+            was_ordered
+            and not placement.is_adopted
+            and placement.state is not fleet.AttemptState.STOPPING
+            and not task.pipeline.ended
+            and task.phase is not pipeline.TaskPhase.DONE
+        )
+
+    def _log_loss(self, placement: fleet.Placement, cause: str) -> None:
+        task = placement.task
         worker = placement.worker
-        if ended:
-            task.early_losses.add(placement.attempt)
-        else:
-            task.unexplained_losses.append(
-                pipeline.Loss(
-                    placement.attempt,
-                    worker.agent,
-                    *worker.key,
-                    self._registry.address_of(worker.agent, worker.key),
-                )
-            )
-            del task.unexplained_losses[:-MAX_UNEXPLAINED_LOSSES]
-            self._expect_explanation(task, worker.agent)
-        cause = "ended" if ended else "lapsed"
         self._metrics.count("early_losses", cause=cause)
+        self._registry.mark_changed(task.pipeline)
         log.emit(
             events.Events.ATTEMPT_LOST,
             task=task.id,
@@ -325,15 +369,12 @@
             known_run_ms=placement.known_run_ms,
             losses=len(task.counted_losses),
         )
-        self._registry.mark_changed(task.pipeline)
-        return is_hopeless(task.crashes, task.counted_losses) and not any(
-            other.reported
-            for other in self._attempts.of_task(task)
-            if other is not placement
-        )
 
     def check(self) -> None:
-        """Acquits the tasks that were seen running for long enough."""
+        """Acquits the tasks that were seen running for long enough.
+
+        Of one that runs for `EARLY_LOSS_S`, earlier losses say nothing more.
+        """
         for placement in list(self._attempts.unproven.values()):
             state = placement.worker.state
             if not any(
@@ -344,6 +385,9 @@
                 placement.listed_since_ms = state.clock_ms
             if placement.known_run_ms >= messages.START_CRASH_S * 1000:
                 self.acquit(placement.task, placement.attempt)
+            if placement.known_run_ms >= EARLY_LOSS_S * 1000:
+                self._forget_losses(placement.task)
+                self._attempts.mark_proven(placement)
 
     def acquit(self, task: pipeline.Task, attempt: int) -> None:
         """Drops the crashes of a task, an attempt of which crashed no worker.
@@ -358,7 +402,10 @@
         task.crashes.clear()
         task.proven_attempt = max(task.proven_attempt, attempt)
         for placement in self._attempts.of_task(task):
-            self._attempts.mark_proven(placement)
+            if task.has_losses:
+                self._attempts.mark_unproven(placement)
+            else:
+                self._attempts.mark_proven(placement)
         self._registry.mark_changed(task.pipeline)
         self._metrics.count("suspect_tasks_acquitted")
 
@@ -384,17 +431,24 @@
                 if any((c.host, c.life) in causes for c in task.crashes):
                     self._clear(task, causes)
 
+    def stop_awaiting(self, task: pipeline.Task) -> None:
+        """Awaits no explanations any more for a task that has ended."""
+        hosts = {loss.host for loss in task.unexplained_losses}
+        hosts.update(crash.host for crash in task.crashes)
+        for host in hosts:
+            self._expect_no_explanation(task, host)
+
     def _expect_explanation(self, task: pipeline.Task, agent: str) -> None:
-        self._unexplained.setdefault(agent, set()).add(task)
+        self._unexplained.setdefault(agent, {})[task] = None
 
     def _expect_no_explanation(self, task: pipeline.Task, agent: str) -> None:
-        tasks = self._unexplained[agent]
-        tasks.discard(task)
+        tasks = self._unexplained.get(agent, {})
+        tasks.pop(task, None)
         if not tasks:
-            del self._unexplained[agent]
+            self._unexplained.pop(agent, None)
 
     def _explain_task(
-        self, task: pipeline.Task, agent: str, evidence: "_Evidence"
+        self, task: pipeline.Task, agent: str, evidence: _Evidence
     ) -> bool:
         """Applies evidence to a task; returns whether that changed anything."""
         crashes = [
@@ -405,23 +459,20 @@
             or crash.life not in evidence.alive_lives
         ]
         losses = []
-        ended = set()
         for loss in task.unexplained_losses:
             if loss.host != agent:
                 losses.append(loss)
+            elif evidence.is_harmless(loss):
+                continue
             elif evidence.has_ended(loss):
-                ended.add(loss.attempt)
-            elif (loss.worker, loss.life) in evidence.silent:
-                losses.append(attrs.evolve(loss, silent=True))
-            elif (loss.worker, loss.life) not in evidence.alive:
-                losses.append(loss)
+                task.early_losses.add(loss.attempt)
+            else:
+                losses.append(evidence.update_silence(loss))
         is_changed = (
-            len(crashes) < len(task.crashes)
-            or losses != task.unexplained_losses
+            crashes != task.crashes or losses != task.unexplained_losses
         )
         task.crashes = crashes
         task.unexplained_losses = losses
-        task.early_losses |= ended
         if not any(loss.host == agent for loss in losses) and not any(
             crash.host == agent and not crash.certain for crash in crashes
         ):
@@ -429,7 +480,7 @@
         return is_changed
 
     def _forget_losses(self, task: pipeline.Task) -> None:
-        if task.early_losses or task.unexplained_losses:
+        if task.has_losses:
             task.early_losses.clear()
             task.unexplained_losses.clear()
             self._registry.mark_changed(task.pipeline)
@@ -476,6 +527,14 @@
     return frozenset((state.worker, state.life) for state in states)
 
 
+def _is_silent(state: messages.WorkerState) -> bool:
+    """Returns whether an agent in touch finds a worker silent.
+
+    Older versions of the agent do not tell whether they were suspended.
+    """
+    return state.lapsed if state.silent is None else state.silent
+
+
 def _is_news(task: pipeline.Task, attempt: int, certain: bool) -> bool:
     """Returns whether a crash at an attempt of a task counts.
 
--- a/pomelostair/pipelinemessages.py
+++ b/pomelostair/pipelinemessages.py
@@ -140,9 +140,10 @@
             lapsed, so that nothing runs on it.
         announced: Whether the agent has had a heartbeat of it. Before, it
             starts nothing there, as the capacity may be outdated.
-        silent: Whether the leases have lapsed and the agent, which was running
-            all the while, got no answer to its last call. Without that, a lapse
-            does not show whether the worker or its agent was away.
+        silent: Whether the leases have lapsed and the agent, which was not
+            suspended during its last call, got no answer to it. Without that, a
+            lapse does not show whether the worker or its agent was away. None
+            in reports of older versions.
     """
 
     worker: str
@@ -163,7 +164,7 @@
     reachable: bool
     lapsed: bool
     announced: bool = True
-    silent: bool = False
+    silent: bool | None = None
 
 
 # Run time from which an attempt is no suspect in the crash of its worker. A
@@ -215,6 +216,9 @@
         crashes: Crashes of workers under attempts that had just started.
         started_ms: Unix milliseconds of the start of the agent's process, 0 in
             reports of older versions.
+        blameless: Id and incarnation of ended workers whose end is no sign of a
+            crash: they announced it by draining or deregistering, or the agent
+            was suspended meanwhile.
     """
 
     agent: str
@@ -227,6 +231,7 @@
     addresses: dict[str, str] = attrs.field(factory=dict)
     crashes: tuple[WorkerCrash, ...] = ()
     started_ms: int = 0
+    blameless: tuple[tuple[str, int], ...] = ()
 
 
 @attrs.frozen
--- a/pomelostair/pipelineregistry.py
+++ b/pomelostair/pipelineregistry.py
@@ -154,19 +154,6 @@
             )
         )
 
-    def address_of(self, agent: str, key: fleet.WorkerKey) -> str:
-        """Returns the address of a registered incarnation, empty if unknown.
-
-        Args:
-            agent: Name of its agent.
-            key: Worker id and incarnation.
-        """
-        registration = self._latest_agents.get(agent)
-        for known in () if registration is None else registration.lives:
-            if known.key == key:
-                return known.address
-        return ""
-
     def replace_malformed(self, agent: str) -> None:
         """Schedules an empty registration in place of a malformed one.
 
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -111,6 +111,8 @@
         self._crashes = pipelinecrashes.CrashTracker(
             self._registry, self._attempts, metrics
         )
+        # Tasks that are to be given up, if it proves that none of them runs.
+        self._hopeless: dict[pipeline.Task, None] = {}
         self._starter = pipelinestarts.Starter(
             epoch,
             self._attempts,
@@ -311,12 +313,15 @@
             message.agent, bus, reported, message.complete
         )
         for crash in message.crashes:
-            for task in self._crashes.apply(message.agent, crash):
-                self._give_up(task)
+            self._give_up_all(self._crashes.apply(message.agent, crash))
         for key in message.gone:
-            self._remove_worker(key, now, "its agent reported its end")
-        for task in self._crashes.explain(message):
-            self._give_up(task)
+            self._remove_worker(
+                key,
+                now,
+                "its agent reported its end",
+                is_blameless=key in message.blameless,
+            )
+        self._give_up_all(self._crashes.explain(message))
         workers = []
         for state in message.workers:
             key = (state.worker, state.life)
@@ -327,6 +332,7 @@
                     state, message.agent, bus, agent_incarnation, now
                 )
             )
+            workers[-1].address = message.addresses.get(state.worker, "")
         self._account_for(message, reported)
         return workers
 
@@ -335,6 +341,7 @@
         self._expire_workers(now)
         self._registry.open_due(now)
         self._crashes.check()
+        self._give_up_deferred()
         slowed: dict[str, list[fleet.Placement]] = {}
         for worker in self._workers.values():
             for placement in self._monitor.check(worker, now):
@@ -602,6 +609,7 @@
         if task.stage.gang:
             members = item.tasks(task.occurrence, task.stage_number)
         for member in members:
+            self._crashes.stop_awaiting(member)
             if item.finish(member, now, int(self._unix_ms())):
                 self._registry.mark_changed(item)
             for other in self._attempts.of_task(member):
@@ -647,6 +655,25 @@
             )
             self._close_pipeline(item)
 
+    def _give_up_all(self, hopeless: list[pipeline.Task]) -> None:
+        """Gives up tasks that crash each worker.
+
+        An attempt that an earlier leader started may be running; this waits
+        until it is known.
+        """
+        for task in hopeless:
+            if self._may_start(task):
+                self._give_up(task)
+            else:
+                self._hopeless[task] = None
+
+    def _give_up_deferred(self) -> None:
+        for task in list(self._hopeless):
+            if task.pipeline.ended or self._may_start(task):
+                del self._hopeless[task]
+                if self._crashes.is_to_be_given_up(task):
+                    self._give_up(task)
+
     def _give_up(self, task: pipeline.Task) -> None:
         """Fails the pipeline of a task that crashes each worker."""
         item = task.pipeline
@@ -670,6 +697,7 @@
         """Closes an ended pipeline and stops its remaining attempts."""
         self._registry.close(item)
         for task in item.unfinished():
+            self._crashes.stop_awaiting(task)
             for placement in self._attempts.of_task(task):
                 self._attempts.stop(placement, "the pipeline has ended")
 
@@ -702,7 +730,7 @@
         task = self._registry.find_task(task_id)
         if task is None:
             return None
-        placement = fleet.Placement(task, attempt, worker, now)
+        placement = fleet.Placement(task, attempt, worker, now, is_adopted=True)
         others = self._attempts.of_task(task)
         self._attempts.attach(placement)
         placement.state = fleet.AttemptState.RUNNING
@@ -799,7 +827,12 @@
                 self._attempts.remove(placement, now)
 
     def _remove_worker(
-        self, key: fleet.WorkerKey, now: float, reason: str, ended: bool = True
+        self,
+        key: fleet.WorkerKey,
+        now: float,
+        reason: str,
+        ended: bool = True,
+        is_blameless: bool = False,
     ) -> None:
         """Removes an incarnation of a worker on which certainly nothing runs.
 
@@ -809,6 +842,7 @@
             reason: Reason for the log.
             ended: Whether the incarnation has ended, so that later reports
                 about it are outdated and must be ignored.
+            is_blameless: Whether its end is no sign of a crash.
         """
         if ended:
             self._ended_since_s[key] = now
@@ -831,14 +865,14 @@
         )
         hopeless = []
         for placement in list(worker.placements.values()):
-            if not worker.state.draining and self._crashes.record_loss(
-                placement, ended
-            ):
-                hopeless.append(placement.task)
+            if not (is_blameless or worker.state.draining):
+                if not ended:
+                    self._crashes.record_lapse(placement)
+                elif self._crashes.record_loss(placement):
+                    hopeless.append(placement.task)
             placement.task.lapsed = not ended
             self._attempts.remove(placement, now)
-        for task in hopeless:
-            self._give_up(task)
+        self._give_up_all(hopeless)
 
     def _expire_workers(self, now: float) -> None:
         for key, worker in list(self._workers.items()):
--- a/tests/test_pipelinecrashes.py
+++ b/tests/test_pipelinecrashes.py
@@ -559,6 +559,98 @@
         assert {how for _, _, how in fleet.finished} == {"lapsed"}
 
 
+class TestLossesFarApart:
+    """A task runs for long between the losses of its workers."""
+
+    def fleet(self, lasting):
+        """Returns a fleet on which the task has just been submitted."""
+        fleet = simfleet.Fleet(names=names(8))
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 10**7
+            host.runner.lasting = lasting
+        fleet.submit("a", pipelines.stage(lasting=lasting, estimate_ms=10**7))
+        return fleet
+
+    def await_start(self, fleet):
+        """Returns the host on which the task runs, once it does."""
+        for _ in range(100):
+            if fleet.running():
+                break
+            fleet.step()
+        return fleet.hosts[fleet.running()[0][1]]
+
+    @pytest.mark.parametrize("lasting", [True, False])
+    def test_after_changes_of_the_leader_fail_no_task(self, lasting):
+        """Guards against LOST: a new leader takes its own start for the task's.
+
+        Each worker crashes soon after a change of the leader, when the task has
+        run on it for half a minute.
+        """
+        fleet = self.fleet(lasting)
+        for _ in range(6):
+            self.await_start(fleet)
+            fleet.run_for(30)
+            fleet.start_leader(gap_s=0.5)
+            fleet.run_for(1)
+            self.await_start(fleet).runner.crash()
+            fleet.run_for(4)
+            assert fleet.phase("a") is RUNNING
+
+    @pytest.mark.parametrize("lasting", [True, False])
+    @pytest.mark.parametrize("is_reported", [True, False])
+    @pytest.mark.parametrize("end", ["lapsed", "stopped"])
+    def test_with_ends_by_other_causes_fail_no_task(
+        self, lasting, is_reported, end
+    ):
+        """Guards against LOST: early losses add up over runs of half a minute.
+
+        Those end otherwise than by a loss: by a stop, or by a lapse that the
+        worker lists itself.
+        """
+        fleet = self.fleet(lasting)
+        task = fleet.scheduler.registry.find_task("a.0.0.0")
+        for host in fleet.hosts.values():
+            host.loses_crashes = not is_reported
+        for _ in range(6):
+            self.await_start(fleet).runner.crash()
+            fleet.run_for(4)
+            assert fleet.phase("a") is RUNNING
+            host = self.await_start(fleet)
+            fleet.run_for(30)
+            if end == "lapsed":
+                host.partitioned = True
+                fleet.run_for(6.5)
+                host.partitioned = False
+            else:
+                attempts_of_fleet = fleet.scheduler._attempts
+                for placement in attempts_of_fleet.of_task(task):
+                    attempts_of_fleet.stop(placement, "its worker is draining")
+            fleet.run_for(1)
+        assert {how for _, _, how in fleet.finished} == {end}
+
+
+class TestLostMachines:
+    """A deadly task takes the agents of its workers away with them."""
+
+    @pytest.mark.parametrize("rebirth_s", [3.0, 9.0, 15.0, 30.0])
+    def test_deadly_task_is_given_up_in_time(self, rebirth_s):
+        """Guards against BUDGET: losses stay unexplained for too long."""
+        fleet = simfleet.Fleet(names=names(8))
+        fleet.rebirth_s = rebirth_s
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.loses_crashes = True
+        fleet.deadly.add("a.0.0.0")
+        fleet.submit("a", pipelines.stage(2))
+        for _ in range(1200):
+            for host in fleet.hosts.values():
+                host.partitioned = host.runner.crashed
+            fleet.step()
+        assert start_counts(fleet)["a.0.0.0"] <= ALLOWED_STARTS
+        assert fleet.phase("a") is FAILED
+
+
 class TestAcquittal:
     @pytest.mark.parametrize("lasting", [True, False])
     def test_task_is_not_blamed_again_by_a_new_leader(self, lasting):
@@ -837,7 +929,11 @@
         placement = harness.place(number, worker)
         for name, value in fields.items():
             setattr(placement, name, value)
-        hopeless = harness.tracker.record_loss(placement, ended)
+        hopeless = False
+        if ended:
+            hopeless = harness.tracker.record_loss(placement)
+        else:
+            harness.tracker.record_lapse(placement)
         harness.attempts.detach(placement)
         return hopeless
 
@@ -882,6 +978,18 @@
         ]
         assert lost == [False] * 3 + [True]
 
+    def test_are_forgotten_once_an_attempt_runs_for_long(self):
+        """Guards against LOST: early losses add up over long runs."""
+        harness = Harness()
+        for number in (1, 2, 3):
+            assert not self.lose(harness, number)
+        harness.place(4, harness.workers[1])
+        harness.list_running(harness.workers[1], 4, 1000)
+        harness.list_running(harness.workers[1], 4, 2900)
+        assert harness.task.early_losses == {1, 2, 3}
+        harness.list_running(harness.workers[1], 4, 3000)
+        assert not harness.task.early_losses
+
     def test_do_not_stop_a_copy_that_runs(self):
         harness = Harness()
         harness.place(99, harness.workers[1])
@@ -900,13 +1008,17 @@
             (2, "lapsed", 1),
         ]
 
-    def test_workers_that_leave_count_for_none(self):
-        """Guards against blaming tasks for planned shutdowns."""
+    @pytest.mark.parametrize("is_heard", [True, False])
+    def test_workers_that_leave_count_for_none(self, is_heard):
+        """Guards against blaming tasks for planned shutdowns.
+
+        Their drains may be unknown to the leader.
+        """
         harness = Harness()
         fleet = harness.fleet
         fleet.step()
         for worker in fleet.scheduler.workers.values():
-            worker.state = pipelines.worker_state(worker.id, draining=True)
+            worker.state = pipelines.worker_state(worker.id, draining=is_heard)
         for host in fleet.hosts.values():
             host.ended.append(host.key)
         fleet.scheduler.apply_report(
@@ -917,6 +1029,7 @@
                 False,
                 (),
                 gone=tuple(fleet.scheduler.workers),
+                blameless=() if is_heard else tuple(fleet.scheduler.workers),
             ),
             "bus",
             "life",
@@ -934,11 +1047,9 @@
 
     def lose(self, harness, life):
         """Loses an attempt on an incarnation of a worker."""
-        worker = pipelines.worker("w1", incarnation=life)
-        known = fleet_module.KnownIncarnation("w1", life, "127.0.0.1:1")
-        harness.registry.register_agent(self.AGENT, "bus", (known,), True)
+        worker = pipelines.worker("w1", incarnation=life, address="127.0.0.1:1")
         placement = harness.place(life, worker)
-        assert not harness.tracker.record_loss(placement, ended=False)
+        harness.tracker.record_lapse(placement)
         harness.attempts.detach(placement)
 
     def report(self, *states, lives=(), addresses=None, gone=()):
@@ -1024,6 +1135,84 @@
             assert not harness.tracker.explain(self.report(state))
         assert not harness.task.counted_losses
 
+    def test_silence_no_longer_counts_if_the_agent_takes_it_back(self):
+        """Guards against LOST: the agent was suspended in its next call."""
+        harness = Harness()
+        self.lose(harness, 1)
+        fields = {"fresh": False, "reachable": False, "lapsed": True}
+        for silent, counted in ((True, {1}), (False, set()), (None, {1})):
+            state = pipelines.worker_state("w1", 1, silent=silent, **fields)
+            harness.tracker.explain(self.report(state))
+            assert harness.task.counted_losses == counted
+
+    def test_of_a_worker_with_a_blameless_end_count_for_nothing(self):
+        """Guards against LOST: a worker leaves by plan after the lapse."""
+        harness = Harness()
+        for life in (1, 2, 3, 4):
+            self.lose(harness, life)
+        ended = tuple(("w1", life) for life in (1, 2, 3, 4))
+        report = messages.AgentReport(
+            self.AGENT, 1, 1, True, (("w1", 9),), gone=ended, blameless=ended
+        )
+        assert not harness.tracker.explain(report)
+        assert not harness.task.has_losses
+
+    def test_are_awaited_no_longer_once_the_task_has_ended(self):
+        """Guards against memory that is kept for hosts that never return."""
+        fleet = simfleet.Fleet(names=names(2))
+        fleet.run_for(1)
+        fleet.submit("a", pipelines.stage(2, estimate_ms=20_000))
+        fleet.step()
+        fleet.hosts["w0"].partitioned = True
+        fleet.hosts["w1"].partitioned = True
+        fleet.run_for(10)
+        tracker = fleet.scheduler._crashes
+        assert tracker._unexplained
+        fleet.cancel("a")
+        assert not tracker._unexplained
+
+    def test_are_explained_by_an_agent_that_restarted_meanwhile(self):
+        """Guards against BUDGET: it knows the successor of the worker only."""
+        fleet = simfleet.Fleet(names=names(8))
+        fleet.rebirth_s = 12.0
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.loses_crashes = True
+        fleet.deadly.add("a.0.0.0")
+        fleet.submit("a")
+        for _ in range(900):
+            for host in fleet.hosts.values():
+                host.partitioned = host.runner.crashed
+                host.ended.clear()
+            fleet.step()
+        assert start_counts(fleet)["a.0.0.0"] <= ALLOWED_STARTS
+        assert fleet.phase("a") is FAILED
+
+    def test_do_not_fail_a_task_that_an_earlier_leader_started(self):
+        """Guards against LOST: it runs, but its agent has not reported yet."""
+        fleet = simfleet.Fleet(names=names(3))
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 60_000
+        fleet.submit("a", pipelines.stage(estimate_ms=60_000))
+        fleet.run_for(1)
+        ((_, name),) = fleet.running()
+        other = next(n for n in fleet.hosts if n != name)
+        fleet.stored_progress["a"] = pipeline.Progress(
+            placed={},
+            lost={"0.0.0": [90, 91, 92]},
+            unexplained={
+                "0.0.0": [pipeline.Loss(93, f"agent-{other}", other, 0)]
+            },
+        )
+        fleet.hosts[name].partitioned = True
+        fleet.start_leader()
+        fleet.run_for(2)
+        fleet.hosts[name].partitioned = False
+        fleet.run_for(4)
+        assert fleet.phase("a") is RUNNING
+        assert not fleet.stored_progress["a"].lost
+
     def test_do_not_add_up_over_an_attempt_that_ended(self):
         harness = Harness()
         self.lose(harness, 1)
