An end of a worker that its agent did not witness is no crash

Cause: an agent that was suspended knows neither when its worker ended nor whether it had drained. It reported a certain crash, with the run time of the last answer before the suspension. And ends that were announced to the agent reached a leader that was cut off meanwhile as plain ends, which count as unreported crashes. Class of fault: the unknown is taken for a value.

Before the fix these failed: TestSuspendedAgent (4 cases).

Why it works: the agent notices a pause of its own loop. Ends that fall into one, and those that were announced, are reported as blameless, for 60 s, and count for nothing. An answer that has been missing since before a suspension is no silence either.

--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -41,7 +41,8 @@
 # Pause after a failed call of a worker.
 RETRY_S = 0.25
 # Longest time that a call of a worker takes, with a margin. One that took
-# longer shows that this process was suspended meanwhile.
+# longer shows that this process was suspended meanwhile, as does a pause of its
+# own loop.
 MAX_CALL_S = 2.0
 # Time without instructions after which the agent looks for another leader:
 # three report intervals. A new leader announces itself sooner.
@@ -58,6 +59,9 @@
 RUN_POLL_S = 0.2
 # Time for which an ended incarnation is reported as gone.
 GONE_REPORT_S = 10.0
+# Time for which an ended incarnation is reported as blameless. The agent may be
+# cut off from the leader meanwhile.
+BLAMELESS_REPORT_S = 60.0
 # Least remaining lease for the start of an attempt.
 MIN_START_LEASE_MS = 1000
 # Time for which a start without an answer may still take effect. The platform
@@ -123,8 +127,8 @@
         listing: Its latest answer to a `hold` call.
         listed_epoch: Epoch of the leader under which that call was made.
         reachable: Whether it answered the last call.
-        unanswered: Whether the last call got no answer at all, although this
-            process was not suspended during it.
+        unanswered_s: Time of the end of the last call, if it got no answer and
+            this process was not suspended during it, else minus infinity.
         wake: Set to call `hold` again at once.
         schedule: Decides when it is reported.
         recent_starts: Attempts that it was told to start and that are not known
@@ -147,7 +151,7 @@
     listing: ports.HoldAnswer | None = None
     listed_epoch: int = 0
     reachable: bool = True
-    unanswered: bool = False
+    unanswered_s: float = -math.inf
     wake: curio.Event = attrs.field(factory=curio.Event)
     schedule: reportschedule.ReportSchedule = attrs.field(
         factory=reportschedule.ReportSchedule
@@ -167,6 +171,12 @@
         """Whether it has sent a heartbeat to this process of the agent."""
         return _is_announced(self.heartbeat)
 
+    @property
+    def last_contact_s(self) -> float:
+        """Time of its last answer, or of the last start that it was told."""
+        calls_s = (start.called_s for start in self.recent_starts.values())
+        return max(self.answered_s, *calls_s, 0.0)
+
     @property
     def confirmed(self) -> bool:
         """Whether it has sent a heartbeat or answered a `hold` call."""
@@ -264,6 +274,11 @@
         )
         self._workers: dict[tuple[str, int], _Worker] = {}
         self._gone_since_s: dict[tuple[str, int], float] = {}
+        # Times since which ended incarnations are known to be blameless.
+        self._blameless_since_s: dict[tuple[str, int], float] = {}
+        # Time since which this process was not suspended, and of the latest
+        # check of that.
+        self._active_since_s = self._active_s = self._started_s
         # Crashes of ended incarnations, for as long as they may be reported.
         self._crashes: dict[tuple[str, int], messages.WorkerCrash] = {}
         # Ended incarnations, by the successor that must be held before they
@@ -291,6 +306,13 @@
                     await self._report(())
                 await curio.sleep(RUN_POLL_S)
 
+    def _check_suspension(self) -> None:
+        """Notices that this process was suspended since the last check."""
+        now_s = self._clock.now()
+        if now_s - self._active_s > MAX_CALL_S:
+            self._active_since_s = now_s
+        self._active_s = now_s
+
     async def _adopt_registered_workers(self) -> None:
         """Calls the workers that an earlier process of this agent reported.
 
@@ -436,7 +458,10 @@
             self._predecessors.setdefault(successor, []).extend(ended)
         else:
             self._gone_since_s.update(dict.fromkeys(ended, self._clock.now()))
-        if crashed and worker.recent_starts:
+        self._check_suspension()
+        if not crashed or worker.last_contact_s < self._active_since_s:
+            self._blameless_since_s[worker.key] = self._clock.now()
+        elif worker.recent_starts:
             self._crashes[worker.key] = worker.crash()
         log.emit(
             events.Events.PIPELINE_WORKER_GONE,
@@ -738,6 +763,7 @@
     async def _hold_until_gone(self, worker: _Worker) -> None:
         """Calls `hold` for one incarnation of a worker until it is gone."""
         while worker.key in self._workers:
+            self._check_suspension()
             if not self._leader.epoch:
                 await curio.sleep(NO_LEADER_POLL_S)
                 continue
@@ -790,9 +816,10 @@
             extended_end_ms,
             self._hold_wait_ms(worker, acknowledged),
         )
-        worker.unanswered = (
-            not _is_answer(result) and self._clock.now() - called_s < MAX_CALL_S
-        )
+        ended_s = self._clock.now()
+        worker.unanswered_s = -math.inf
+        if not _is_answer(result) and ended_s - called_s < MAX_CALL_S:
+            worker.unanswered_s = ended_s
         if epoch != self._leader.epoch:
             return
         match result:
@@ -884,11 +911,12 @@
     def _is_silent(self, worker: _Worker) -> bool:
         """Returns whether a worker stays silent beyond its leases.
 
-        This process then knows of no fault of its own that explains it.
+        A call that ended long ago, or took long, shows that this process was
+        suspended since.
         """
         return (
             not worker.reachable
-            and worker.unanswered
+            and self._clock.now() - worker.unanswered_s < MAX_CALL_S
             and self._lease_has_lapsed(worker)
         )
 
@@ -912,6 +940,9 @@
             if now_s - since_s > GONE_REPORT_S:
                 del self._gone_since_s[key]
                 self._crashes.pop(key, None)
+        for key, since_s in list(self._blameless_since_s.items()):
+            if now_s - since_s > BLAMELESS_REPORT_S:
+                del self._blameless_since_s[key]
         self._sequence += 1
         self._last_report_s = now_s
         self._report_sent_s[self._sequence] = now_s
@@ -941,6 +972,7 @@
             },
             self._reported_crashes(),
             self._started_ms,
+            tuple(self._blameless_since_s),
         )
         await self._parts.bus.post(self._leader.bus, report)
 
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -749,6 +749,7 @@
                 await harness.heartbeat(sequence=2, draining=True)
             await self.replace(harness)
             assert not self.crashes(harness)
+            assert harness.reports[-1].blameless == (("w1", 7),)
 
         harness.run(body)
 
@@ -824,6 +825,48 @@
         assert not crashes
 
 
+class TestSuspendedAgent:
+    """The agent is suspended soon after a start, and its worker ends then."""
+
+    @pytest.mark.parametrize("worker", ["w1", "w2"], ids=["same id", "other"])
+    @pytest.mark.parametrize("away_s", [6.0, 30.0])
+    def test_end_of_a_worker_meanwhile_is_no_certain_crash(
+        self, monkeypatch, away_s, worker
+    ):
+        """Guards against LOST: its last sign of life is taken for its end.
+
+        The task may have run for long since, and the worker may have left by
+        plan: the agent, which was away, has heard of neither.
+        """
+        harness = Harness()
+        client = harness.port.client
+        now = harness.agent._clock.now
+        suspended_s = 0.0
+        monkeypatch.setattr(
+            harness.agent._clock, "now", lambda: now() + suspended_s
+        )
+
+        async def body():
+            nonlocal suspended_s
+            await harness.heartbeat()
+            await harness.instruct(start_order(), lease_end_ms=6000)
+            await harness.wait_until(harness.results)
+            suspended_s = away_s
+            client.runner = runner.Runner(9)
+            await harness.heartbeat(incarnation=9, worker=worker)
+            await harness.wait_until(
+                lambda: any(("w1", 7) in r.gone for r in harness.reports)
+            )
+            assert not any(
+                crash.certain
+                for report in harness.reports
+                for crash in report.crashes
+            )
+            assert harness.reports[-1].blameless == (("w1", 7),)
+
+        harness.run(body)
+
+
 class TestRegisteredWorkers:
     """Workers that an earlier process of the agent had reported.
 
