--- a/tests/test_pipelinecrashes.py
+++ b/tests/test_pipelinecrashes.py
@@ -37,6 +37,16 @@
     return collections.Counter(task for task, _ in fleet.starts)
 
 
+def working_fleet(worker_count, work_ms, lasting=False):
+    """Returns a fleet whose workers take so long for each task."""
+    fleet = simfleet.Fleet(names=names(worker_count))
+    fleet.run_for(1)
+    for host in fleet.hosts.values():
+        host.runner.work_ms = work_ms
+        host.runner.lasting = lasting
+    return fleet
+
+
 def crash_hosts(fleet, *hosts):
     """Crashes the workers of some hosts at the same moment."""
     for name in hosts:
@@ -447,11 +457,8 @@
 
     def test_freezes_one_after_another_fail_no_task(self):
         """Guards against LOST: workers that answer again did not crash."""
-        fleet = simfleet.Fleet(names=names(8))
+        fleet = working_fleet(8, 30_000)
         fleet.rebirth_s = 1e9
-        fleet.run_for(1)
-        for host in fleet.hosts.values():
-            host.runner.work_ms = 30_000
         fleet.submit("a", pipelines.stage(estimate_ms=30_000))
         frozen = []
         for _ in range(700):
@@ -495,11 +502,8 @@
 
     def test_silence_that_an_earlier_leader_recorded_is_refuted(self):
         """Guards against LOST after a change of the leader."""
-        fleet = simfleet.Fleet(names=names(8))
+        fleet = working_fleet(8, 30_000)
         fleet.rebirth_s = 1e9
-        fleet.run_for(1)
-        for host in fleet.hosts.values():
-            host.runner.work_ms = 30_000
         fleet.submit("a", pipelines.stage(estimate_ms=30_000))
         for _ in range(50):
             fleet.step()
@@ -539,11 +543,7 @@
 
         Its leases lapse, as one agent after another is suspended or stopped.
         """
-        fleet = simfleet.Fleet(names=names(8))
-        fleet.run_for(1)
-        for host in fleet.hosts.values():
-            host.runner.work_ms = 30_000
-            host.runner.lasting = lasting
+        fleet = working_fleet(8, 30_000, lasting)
         fleet.submit("a", pipelines.stage(lasting=lasting, estimate_ms=30_000))
         lost = []
         for _ in range(700):
@@ -564,11 +564,7 @@
 
     def fleet(self, lasting):
         """Returns a fleet on which the task has just been submitted."""
-        fleet = simfleet.Fleet(names=names(8))
-        fleet.run_for(1)
-        for host in fleet.hosts.values():
-            host.runner.work_ms = 10**7
-            host.runner.lasting = lasting
+        fleet = working_fleet(8, 10**7, lasting)
         fleet.submit("a", pipelines.stage(lasting=lasting, estimate_ms=10**7))
         return fleet
 
@@ -1190,10 +1186,7 @@
 
     def test_do_not_fail_a_task_that_an_earlier_leader_started(self):
         """Guards against LOST: it runs, but its agent has not reported yet."""
-        fleet = simfleet.Fleet(names=names(3))
-        fleet.run_for(1)
-        for host in fleet.hosts.values():
-            host.runner.work_ms = 60_000
+        fleet = working_fleet(3, 60_000)
         fleet.submit("a", pipelines.stage(estimate_ms=60_000))
         fleet.run_for(1)
         ((_, name),) = fleet.running()
@@ -1228,8 +1221,7 @@
             host.loses_crashes = True
         fleet.deadly.add("a.0.0.0")
         fleet.submit("a")
-        while not fleet.starts:
-            fleet.step()
+        fleet.run_for(0.2)
         host = fleet.hosts[fleet.starts[0][1]]
         host.partitioned = True
         fleet.run_for(8.4)
