--- a/tests/test_pipelinemonitor.py
+++ b/tests/test_pipelinemonitor.py
@@ -53,6 +53,27 @@
         assert placement.state is fleet.AttemptState.RUNNING
         assert monitored.worker.suspect_until_s == 0.0
 
+    def test_first_list_after_a_time_without_any_shows_no_stall(self):
+        """Guards against stopping work as soon as its machine goes on.
+
+        Worker and agent were suspended together: the list is as before.
+        """
+        monitored = MonitoredWorker()
+        placement = pipelines.place(
+            monitored.worker, pipelines.stage(), progress_percent=20
+        )
+        monitored.report_at(0.5)
+        resumed_s = pipelinemonitor.STALL_S + 2.0
+        monitored.report_at(resumed_s)
+        assert placement.state is fleet.AttemptState.RUNNING
+        assert monitored.worker.suspect_until_s == 0.0
+        assert not placement.task.failed_on
+        for step in range(1, 5):
+            monitored.report_at(
+                resumed_s + step * (pipelinemonitor.STALL_S + 0.1) / 4
+            )
+        assert placement.state is fleet.AttemptState.STOPPING
+
     def test_report_without_lists_shows_no_stall(self):
         monitored = MonitoredWorker()
         placement = pipelines.place(
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -132,6 +132,18 @@
         assert fleet.phase("filler") is COMPLETED
 
 
+class TestPending:
+    def test_pipeline_whose_start_was_not_carried_out_waits(self):
+        """Guards against MIXED: it counts as begun from its first order on."""
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.run_for(1)
+        fleet.submit("a", pipelines.stage())
+        fleet.hosts["w1"].partitioned = True
+        fleet.run_for(10)
+        assert not fleet.starts
+        assert fleet.scheduler.registry.pending() == {"recast": 1}
+
+
 class TestLostWorker:
     def test_its_work_is_retried_only_after_its_leases_lapsed(self):
         fleet = simfleet.Fleet(names=("w1", "w2"))
