--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -18,7 +18,7 @@
 MAX_TASKS = 10_000
 # Most tasks of a pipeline whose crashes are stored, so that they fit in a row.
 MAX_CRASHED_TASKS = 100
-# The same for its unexplained losses.
+# Most unexplained losses of all tasks of a pipeline that are stored.
 MAX_STORED_LOSSES = 100
 
 
