--- /dev/null
+++ b/review/6/run.py
@@ -0,0 +1,80 @@
+"""Tasks that are done run again after the leader was killed.
+
+Each worker has more than 500 ends that nobody has taken note of; it lists 500
+of them at a time. The new leader starts the tasks of the others again.
+"""
+
+import time
+
+import smallsite
+
+ENTRIES = 3
+SIDES = 3
+COUNT = 2400  # 800 a worker.
+WORK_MS = 1800
+PIPELINE = "00000000000000a1"
+PATH = f"/fit/{PIPELINE}"
+STEPS = [{"count": COUNT, "cpu": 30, "memMb": 10, "estimateMs": WORK_MS}]
+START_S = 20.0
+WATCH_S = 14.0
+SHOWN = 10
+
+
+def case(site: smallsite.SmallSite, record: smallsite.Record) -> bool:
+    """Returns whether a task was started after a run of it was done."""
+
+    def events() -> list[dict]:
+        return [site.worker(number, "/events") for number in range(SIDES)]
+
+    def counts(name: str) -> list[int]:
+        return [len(told[name]) for told in events()]
+
+    def sum_up() -> None:
+        noted = [told["lastSeen"] for told in events()]
+        record.write(
+            f"workers: starts {counts('starts')}, ends {counts('ends')},"
+            f" taken note of {noted}"
+        )
+
+    for number in range(SIDES):
+        site.worker(number, "/behaviour", {"work_ms": WORK_MS})
+    status, _ = smallsite.send(
+        site, record, 0, "POST", PATH, {"spec": "text", "steps": STEPS}
+    )
+    if status != 200:
+        raise smallsite.NotRunError("not accepted")
+    smallsite.wait_until(
+        lambda: sum(counts("starts")) >= COUNT, START_S, "all starts"
+    )
+    sum_up()
+    if smallsite.trouble():
+        leader = site.leader()
+        site.kill(f"edge-{leader}")
+        record.write(f"edge-{leader}, which leads, is killed")
+    deadline_s = time.monotonic() + WATCH_S
+    while time.monotonic() < deadline_s:
+        time.sleep(1.0)
+        sum_up()
+    # An end counts if it is taken note of by now.
+    done_s: dict[str, float] = {}
+    for told in events():
+        for number, task, _, how, at_s in told["ends"]:
+            if how == "done" and number <= told["lastSeen"]:
+                done_s[task] = min(at_s, done_s.get(task, at_s))
+    again = [
+        (task, run, worker, at_s - done_s[task])
+        for worker, told in enumerate(events())
+        for task, run, at_s in told["starts"]
+        if task in done_s and at_s > done_s[task]
+    ]
+    record.write(f"{len(again)} starts after a run of the task was done")
+    for task, run, worker, after_s in again[:SHOWN]:
+        record.write(
+            f"worker {worker} has started {task} run {run}, {after_s:.2f} s"
+            " after a run of it was done"
+        )
+    return bool(again)
+
+
+if __name__ == "__main__":
+    smallsite.run(case, __file__, ENTRIES, SIDES)
