--- a/review/6/run.py
+++ b/review/6/run.py
@@ -11,7 +11,8 @@
 ENTRIES = 3
 SIDES = 3
 COUNT = 2400  # 800 a worker.
-WORK_MS = 1800
+WORK_MS = 3000
+KILL_AFTER_S = 2.7  # After the first start: shortly before the first end.
 PIPELINE = "00000000000000a1"
 PATH = f"/fit/{PIPELINE}"
 STEPS = [{"count": COUNT, "cpu": 30, "memMb": 10, "estimateMs": WORK_MS}]
@@ -43,12 +44,15 @@
     )
     if status != 200:
         raise smallsite.NotRunError("not accepted")
+    leader = site.leader()
+    smallsite.wait_until(site.starts, START_S, "a start")
+    first_s = time.monotonic()
     smallsite.wait_until(
         lambda: sum(counts("starts")) >= COUNT, START_S, "all starts"
     )
     sum_up()
+    time.sleep(max(0.0, first_s + KILL_AFTER_S - time.monotonic()))
     if smallsite.trouble():
-        leader = site.leader()
         site.kill(f"edge-{leader}")
         record.write(f"edge-{leader}, which leads, is killed")
     deadline_s = time.monotonic() + WATCH_S
