--- a/review/6/run.py
+++ b/review/6/run.py
@@ -13,6 +13,7 @@
 COUNT = 2400  # 800 a worker.
 WORK_MS = 3000
 KILL_AFTER_S = 2.7  # After the first start: shortly before the first end.
+DARK_S = 3.4  # The site names 3.5 s.
 PIPELINE = "00000000000000a1"
 PATH = f"/fit/{PIPELINE}"
 STEPS = [{"count": COUNT, "cpu": 30, "memMb": 10, "estimateMs": WORK_MS}]
@@ -54,11 +55,17 @@
     time.sleep(max(0.0, first_s + KILL_AFTER_S - time.monotonic()))
     if smallsite.trouble():
         site.kill(f"edge-{leader}")
-        record.write(f"edge-{leader}, which leads, is killed")
-    deadline_s = time.monotonic() + WATCH_S
-    while time.monotonic() < deadline_s:
-        time.sleep(1.0)
+        record.write(f"edge-{leader}, which leads, loses power")
+    killed_s = time.monotonic()
+    is_back = not smallsite.trouble()
+    while time.monotonic() < killed_s + WATCH_S:
+        time.sleep(0.5)
         sum_up()
+        if not is_back and time.monotonic() > killed_s + DARK_S - 0.5:
+            is_back = True
+            time.sleep(max(0.0, killed_s + DARK_S - time.monotonic()))
+            site.start_entry(leader)
+            record.write(f"edge-{leader} is started again")
     # An end counts if it is taken note of by now.
     done_s: dict[str, float] = {}
     for told in events():
--- a/review/harness2/smallsite.py
+++ b/review/harness2/smallsite.py
@@ -138,17 +138,18 @@
 
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
-        self._loop.run_until_complete(
+        server = self._loop.run_until_complete(
             asyncio.start_server(self._serve, PROXY_HOST, self._port)
         )
         self._ready.set()
         self._loop.run_forever()
-        tasks = asyncio.all_tasks(self._loop)
-        for task in tasks:
-            task.cancel()
-        self._loop.run_until_complete(
-            asyncio.gather(*tasks, return_exceptions=True)
-        )
+        server.close()
+        while tasks := asyncio.all_tasks(self._loop):
+            for task in tasks:
+                task.cancel()
+            self._loop.run_until_complete(
+                asyncio.gather(*tasks, return_exceptions=True)
+            )
         self._loop.close()
 
     async def _serve(self, reader, writer) -> None:
