--- a/review/9/run.py
+++ b/review/9/run.py
@@ -11,7 +11,7 @@
 
 ENTRIES = 2
 SIDES = 3
-PIPELINE = "00000000000000d1"
+PIPELINE = "00000000000000dd"
 PATH = f"/fit/{PIPELINE}"
 STEPS = [{"count": 1, "cpu": 500, "memMb": 256, "estimateMs": 500}]
 LATE_S = 5.9  # The users' pages name 1 to 6 s.
