--- a/review/6/run.py
+++ b/review/6/run.py
@@ -66,11 +66,13 @@
             time.sleep(max(0.0, killed_s + DARK_S - time.monotonic()))
             site.start_entry(leader)
             record.write(f"edge-{leader} is started again")
-    # An end counts if it is taken note of by now.
+    # An end counts if it is taken note of by now, unless the lease of its
+    # worker has lapsed since.
     done_s: dict[str, float] = {}
     for told in events():
         for number, task, _, how, at_s in told["ends"]:
-            if how == "done" and number <= told["lastSeen"]:
+            has_lapsed = any(lapse_s >= at_s for lapse_s in told["lapses"])
+            if how == "done" and number <= told["lastSeen"] and not has_lapsed:
                 done_s[task] = min(at_s, done_s.get(task, at_s))
     again = [
         (task, run, worker, at_s - done_s[task])
@@ -78,6 +80,8 @@
         for task, run, at_s in told["starts"]
         if task in done_s and at_s > done_s[task]
     ]
+    lapses = [len(told["lapses"]) for told in events()]
+    record.write(f"moments with a lapsed lease, by worker: {lapses}")
     record.write(f"{len(again)} starts after a run of the task was done")
     for task, run, worker, after_s in again[:SHOWN]:
         record.write(
--- a/review/harness2/smallworker.py
+++ b/review/harness2/smallworker.py
@@ -40,6 +40,8 @@
         self._ends: dict[int, tuple] = {}
         self._started_s: dict[tuple[str, int], float] = {}
         self._ended_s: dict[int, float] = {}
+        # Times at which the lease was found lapsed, whatever ran then.
+        self._lapsed_s: list[float] = []
         self._refused = 0
         self._drains_until_s = 0.0
         self.control = ""
@@ -93,6 +95,7 @@
                             for row in self._ends.values()
                         ],
                         "lastSeen": self._last_seen,
+                        "lapses": self._lapsed_s,
                     },
                 )
             case "/running":
@@ -131,6 +134,8 @@
 
     def _note_events(self) -> None:
         now_s = time.monotonic()
+        if 0 < self.runner._lease_end_ms < self.runner.clock_ms:
+            self._lapsed_s.append(now_s)
         for row in self.runner.started[len(self._started_s) :]:
             self._started_s[row[:2]] = now_s
         for ended in self.runner.ended:
