A new leader reads all ends of a worker before it starts earlier work

Cause: a worker lists at most 500 ends, the oldest ones. The leader took the first list of each worker for all that it knows, so that a task whose end was left out seemed never to have run.

The log now tells when all attempts of earlier terms are known (event 455).

Before the fix, test_pipelinescheduler.py::TestPartialLists failed: with one, two and three leaders, and where the lists outlast a lease. The stand-in of a worker now lists 500 ends at a time, as the platform's do.

The fix: a worker is reconciled by a list that leaves nothing out. While it is being read, its leases are those of this term, and the lease row does not list it as unreported, which would have kept it from further leases.

--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -117,6 +117,9 @@
     PIPELINE_LEADER_LOST = Event(451, logging.WARNING, "no leader known")
     PIPELINES_RECOVERED = Event(452, logging.INFO, "pipelines recovered")
     ROW_IGNORED = Event(453, logging.WARNING, "unreadable row ignored")
+    EARLIER_ATTEMPTS_KNOWN = Event(
+        455, logging.INFO, "attempts of earlier terms are known"
+    )
     STORE_LOST = Event(460, logging.WARNING, "store refuses this process")
     STORE_BACK = Event(461, logging.INFO, "store serves this process again")
     RELOADED = Event(105, logging.INFO, "settings reloaded")
--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -240,8 +240,8 @@
         granted: Whether this leader has granted it a lease.
         registered: Whether its registration as a worker that may have work is
             durable.
-        reconciled: Whether this leader has applied a report that lists its
-            running and ended attempts.
+        reconciled: Whether this leader knows every attempt that runs on it and
+            every end that is not acknowledged.
         placements: Attempts that may be running on it.
         orphans: Attempts that it lists but that belong to no known pipeline.
         used: Resources of the placements that count against its capacity.
--- a/pomelostair/pipelinegrants.py
+++ b/pomelostair/pipelinegrants.py
@@ -80,6 +80,19 @@
             return self._other_lapse_s
         return self._listed_lapse_s.get(key, self._other_lapse_s)
 
+    def lapse_s(
+        self, key: fleet.WorkerKey | None, worker: fleet.Worker | None
+    ) -> float:
+        """Returns when all leases of a worker have lapsed.
+
+        Args:
+            key: Worker id and incarnation, None for unknown ones.
+            worker: The worker, None if it has not reported in this term.
+        """
+        if worker is not None and worker.granted:
+            return worker.lease_granted_s + self._max_lease_s
+        return self.earlier_lapse_s(key)
+
     def may_grant(self, key: fleet.WorkerKey) -> bool:
         """Returns whether a worker may be granted a lease now."""
         return (
@@ -115,20 +128,18 @@
 
         Args:
             workers: Workers that have reported in this term, by key.
-            unreported: Incarnations that have not, and may run earlier work.
+            unreported: Incarnations that may run earlier work. Those with
+                neither a list nor a grant in this term count as silent.
             now: Monotonic seconds.
         """
         listed = {
-            key: (
-                worker.lease_granted_s + self._max_lease_s
-                if worker.granted
-                else self.earlier_lapse_s(key)
-            )
+            key: self.lapse_s(key, worker)
             for key, worker in workers.items()
             if worker.is_silent(now)
         }
         for key in unreported:
-            if key not in workers or not workers[key].granted:
+            worker = workers.get(key)
+            if worker is None or not (worker.granted or worker.last_listed_s):
                 listed[key] = self.earlier_lapse_s(key)
         listed = dict(list(listed.items())[:MAX_LISTED])
         self._pending = frozenset(listed)
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -103,6 +103,9 @@
         # Pipelines whose stored progress may lack placements of lasting tasks;
         # None until all attempts of earlier terms are known.
         self._to_record: set[str] | None = None
+        # Ends applied in this term, and lists that left further ends out.
+        self._applied_ends = 0
+        self._partial_lists = 0
         self._pacer = pacing.Pacer(metrics)
         self._attempts = attempts_module.Attempts(self._pacer, metrics)
         self._registry = pipelineregistry.PipelineRegistry(
@@ -414,10 +417,13 @@
         worker.confirm_orders(state.received, now)
         if not state.fresh or not state.reachable:
             return worker
-        worker.reconciled = True
         worker.last_listed_s = now
         self._apply_ends(worker, state, now)
         self._apply_running(worker, state, now)
+        if state.more_ended:
+            self._partial_lists += 1
+        else:
+            worker.reconciled = True
         self._pacer.observe(worker, now)
         self._apply_results(worker, state, now)
         self._remove_missing(worker, state, now)
@@ -544,6 +550,7 @@
             if number <= worker.applied_end:
                 continue
             worker.applied_end = number
+            self._applied_ends += 1
             self._unacknowledged.add((worker.id, worker.incarnation))
             placement = self._attempts.get((task_id, attempt))
             if placement is not None and placement.worker is not worker:
@@ -889,7 +896,7 @@
 
     def _expire_unreported(self, now: float) -> None:
         """Drops unreported incarnations whose leases have lapsed."""
-        dropped = self._reconciliation.expire(now, self._grants.earlier_lapse_s)
+        dropped = self._reconciliation.expire(now, self._lapse_s)
         for agent, lapsed in dropped:
             if not lapsed:
                 self._registry.replace_malformed(agent)
@@ -903,6 +910,14 @@
                 agents=[agent for agent, _ in dropped],
             )
 
+    def _lapse_s(self, key: fleet.WorkerKey | None) -> float:
+        """Returns when the leases of an incarnation have certainly lapsed.
+
+        Args:
+            key: Worker id and incarnation, None for unknown ones.
+        """
+        return self._grants.lapse_s(key, self._workers.get(key))
+
     def _mark_lapsed(self, keys: set[fleet.WorkerKey]) -> None:
         """Records whose attempts of earlier terms have lapsed.
 
@@ -927,6 +942,12 @@
         if self._to_record is not None:
             return
         self._to_record = set()
+        log.emit(
+            events.Events.EARLIER_ATTEMPTS_KNOWN,
+            epoch=self._epoch,
+            ends=self._applied_ends,
+            partial_lists=self._partial_lists,
+        )
         for item in self._registry.open.values():
             if not item.declaration.lasting:
                 continue
@@ -974,7 +995,7 @@
             return math.inf
         return max(
             (
-                self._grants.earlier_lapse_s(key)
+                self._lapse_s(key)
                 for key in task.earlier_placed_on or ()
                 if self._reconciliation.may_run_work(key)
             ),
--- a/pomelostair_standins/runner.py
+++ b/pomelostair_standins/runner.py
@@ -11,6 +11,8 @@
 STOP_GRACE_MS = 100
 # Time from the start of a deadly task to the crash of its worker.
 CRASH_DELAY_MS = 10
+# Most ends in one list; further ones follow once these are acknowledged.
+MAX_LISTED_ENDS = 500
 
 
 @attrs.define
@@ -81,6 +83,7 @@
         # Ids of the tasks that crash a worker when it starts them.
         self.deadly: set[str] = set()
         self.crashed = False
+        self.max_listed_ends = MAX_LISTED_ENDS
         self.clock_ms = 1.0
         self.runs: dict[str, Run] = {}
         self.ended: list[Ended] = []
@@ -202,8 +205,10 @@
         ]
 
     def ended_rows(self) -> list[tuple[int, str, int, str, str]]:
-        """Returns the unacknowledged ends in the platform's format."""
-        return [attrs.astuple(ended) for ended in self.ended]
+        """Returns the oldest unacknowledged ends in the platform's format."""
+        return [
+            attrs.astuple(ended) for ended in self.ended[: self.max_listed_ends]
+        ]
 
     def _percent(self, run: Run) -> int:
         if run.lasting:
--- a/tests/faultfleet.py
+++ b/tests/faultfleet.py
@@ -518,6 +518,7 @@
                 (n, task, run, pipeline.End(how), saved)
                 for n, task, run, how, saved in worker_runner.ended_rows()
             ),
+            more_ended=len(worker_runner.ended) > worker_runner.max_listed_ends,
             results=results,
             received=host.last_order,
             draining=host.draining,
--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -94,6 +94,7 @@
         self.runner = runner.Runner(earlier.born_ms + 1, earlier.work_ms)
         self.runner.deadly = earlier.deadly
         self.runner.lasting = earlier.lasting
+        self.runner.max_listed_ends = earlier.max_listed_ends
         self.lease_limit_ms = 0.0
         self.acknowledged = self.last_order = 0
         self.early_orders.clear()
@@ -328,6 +329,7 @@
                 (n, task, run, pipeline.End(how), saved)
                 for n, task, run, how, saved in worker_runner.ended_rows()
             ),
+            more_ended=len(worker_runner.ended) > worker_runner.max_listed_ends,
             results=results,
             received=received,
             fresh=not crashed,
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -144,6 +144,81 @@
         assert fleet.scheduler.registry.pending() == {"recast": 1}
 
 
+class TestPartialLists:
+    """Workers list the oldest of many ends; later lists have the others."""
+
+    @staticmethod
+    def fleet_with_unlisted_ends(names, tasks, max_listed_ends):
+        """Returns a fleet with a new leader, and ends in many lists.
+
+        All tasks have ended while nobody led. One more runs on.
+        """
+        fleet = simfleet.Fleet(names=names)
+        for host in fleet.hosts.values():
+            host.runner.max_listed_ends = max_listed_ends
+        fleet.run_for(1)
+        stage = pipelines.stage(tasks, millicores=50, estimate_ms=300)
+        fleet.submit("a", stage)
+        fleet.run_for(0.2)
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 20_000
+        fleet.submit("b", pipelines.stage(estimate_ms=20_000))
+        fleet.run_for(0.2)
+        assert len(started_runs(fleet)) == tasks + 1
+        fleet.start_leader(gap_s=1.0)
+        assert sum(len(h.runner.ended) for h in fleet.hosts.values()) == tasks
+        return fleet
+
+    @pytest.mark.parametrize("leaders", [1, 2, 3])
+    def test_no_task_runs_again_though_its_end_is_listed_later(self, leaders):
+        """Guards against starts of work that is done (review/6, TWICE)."""
+        fleet = self.fleet_with_unlisted_ends(("w1", "w2"), 40, 5)
+        for _ in range(leaders - 1):
+            fleet.run_for(0.2)
+            fleet.start_leader()
+        fleet.run_for(3)
+        assert fleet.phase("a") is COMPLETED
+        assert len(started_runs(fleet)) == 41
+
+    def test_no_task_runs_again_though_the_lists_outlast_a_lease(self):
+        """Guards against taking the leases of a listed worker for lapsed.
+
+        The leader extends them all the while, so that its ends still count.
+        """
+        fleet = self.fleet_with_unlisted_ends(("w1",), 60, 1)
+        fleet.run_for(simfleet.LEASE_S + 1)
+        assert fleet.scheduler.unreported_agents
+        fleet.run_for(6)
+        assert fleet.phase("a") is COMPLETED
+        assert len(started_runs(fleet)) == 61
+        assert not [how for _, _, how in fleet.finished if how == "lapsed"]
+
+    def test_log_tells_when_all_ends_are_known(self, caplog):
+        caplog.set_level("INFO")
+        fleet = self.fleet_with_unlisted_ends(("w1",), 20, 5)
+        caplog.clear()
+        fleet.run_for(3)
+        known = events.Events.EARLIER_ATTEMPTS_KNOWN.value.number
+        rows = [r for r in caplog.records if getattr(r, "event", 0) == known]
+        assert [(r.epoch, r.ends) for r in rows] == [(2, 20)]
+        assert rows[0].partial_lists >= 3
+
+    def test_no_task_runs_again_after_a_restart_of_the_agent(self):
+        """Guards against taking unlisted ends for starts without effect."""
+        fleet = simfleet.Fleet(names=("w1",))
+        fleet.hosts["w1"].runner.max_listed_ends = 2
+        fleet.run_for(1)
+        fleet.submit("a", pipelines.stage(20, millicores=50))
+        fleet.run_for(0.2)
+        fleet.hosts["w1"].partitioned = True
+        fleet.run_for(0.5)
+        fleet.restart_agent("w1")
+        fleet.hosts["w1"].partitioned = False
+        fleet.run_for(3)
+        assert fleet.phase("a") is COMPLETED
+        assert len(started_runs(fleet)) == 20
+
+
 class TestLostWorker:
     def test_its_work_is_retried_only_after_its_leases_lapsed(self):
         fleet = simfleet.Fleet(names=("w1", "w2"))
