An attempt whose end is not listed yet is not stalled

What callers saw: none was reported.

test_pipelinemonitor.py::TestStalls:: test_attempt_whose_end_may_be_unlisted_is_not_stalled failed before. Such lists show no stall now; the first complete one does.

--- a/pomelostair/pipelinemonitor.py
+++ b/pomelostair/pipelinemonitor.py
@@ -137,10 +137,12 @@
     """Returns whether reports show that an attempt makes no progress.
 
     A time without reports shows nothing, as the attempt may have progressed
-    while the agent, the leader or the link between them was slow.
+    while the agent, the leader or the link between them was slow. Nor does a
+    list that leaves ends out, as the attempt may have ended.
     """
     if (
         placement.state is not fleet.AttemptState.RUNNING
+        or placement.worker.state.more_ended
         or not placement.reported
         or placement.pace_percent < pacing.FULL_PERCENT
         or placement.progress_percent >= 100
--- a/tests/test_pipelinemonitor.py
+++ b/tests/test_pipelinemonitor.py
@@ -83,6 +83,23 @@
         monitored.monitor.check(monitored.worker, pipelinemonitor.STALL_S + 0.1)
         assert placement.state is fleet.AttemptState.RUNNING
 
+    def test_attempt_whose_end_may_be_unlisted_is_not_stalled(self):
+        """Guards against distrusting a worker for work that is done.
+
+        It has more ends than one list holds, and the store is slow.
+        """
+        monitored = MonitoredWorker()
+        placement = pipelines.place(
+            monitored.worker, pipelines.stage(), progress_percent=20
+        )
+        monitored.worker.state = pipelines.worker_state(more_ended=True)
+        monitored.report_at(pipelinemonitor.STALL_S + 0.1)
+        assert placement.state is fleet.AttemptState.RUNNING
+        assert monitored.worker.suspect_until_s == 0.0
+        monitored.worker.state = pipelines.worker_state()
+        monitored.report_at(pipelinemonitor.STALL_S + 0.2)
+        assert placement.state is fleet.AttemptState.STOPPING
+
     def test_resumed_attempt_gets_the_full_stall_limit(self):
         """Guards against stopping an attempt for the time it was halted.
 
