A conflict in the store names the check that failed

What callers saw: nothing, as all transactions had one check. Those that the cancelling of unknown ids needs have two.

Cause: the first row of a refusal was taken for the cause, though it lists all rows that were checked; without a row, no key was named.

test_store.py::TestRowsTable::test_conflict_names_the_check_that_failed failed before. Now the rows are compared with the checks.

--- a/pomelostair/platform/store.py
+++ b/pomelostair/platform/store.py
@@ -233,7 +233,9 @@
             msgspec.json.encode(_encode_transaction(transaction)),
         )
         sent_s = self._clock.now()
-        result = await self._send_transaction(request, sent_s)
+        result = await self._send_transaction(
+            request, transaction.checks, sent_s
+        )
         self._count_operation("commit", result)
         return result
 
@@ -242,7 +244,10 @@
         return self._store_clock.bounds()
 
     async def _send_transaction(
-        self, request: http.Request, sent_s: float
+        self,
+        request: http.Request,
+        checks: tuple[store.Check, ...],
+        sent_s: float,
     ) -> outcome.CommitResult:
         timeout_s = self._commit_timeout.seconds
         try:
@@ -264,9 +269,7 @@
         self._record_time(body, sent_s)
         if response.status == 200:
             return outcome.Committed(body.version)
-        if not body.rows:
-            return outcome.Conflict("", 0)
-        return outcome.Conflict(join_key(body.rows[0]), body.rows[0].version)
+        return _failed_check(checks, body.rows)
 
     async def _fetch_rows(
         self,
@@ -377,6 +380,24 @@
     return outcome.Unavailable("status 410")
 
 
+def _failed_check(
+    checks: tuple[store.Check, ...], rows: list[RowBody]
+) -> outcome.Conflict:
+    """Returns the first check that the current rows do not meet.
+
+    Args:
+        checks: Checks of a transaction that was refused.
+        rows: The rows that exist, of those that were checked.
+    """
+    versions = {join_key(row): row.version for row in rows}
+    for check in checks:
+        version = versions.get(check.key, 0)
+        if version != check.version:
+            return outcome.Conflict(check.key, version)
+    # The rows have changed since the checks.
+    return outcome.Conflict("", 0)
+
+
 def _decode(response: http.Response, body_type: type):
     try:
         return codec.decode_json(response.body, body_type)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -94,6 +94,29 @@
 
 
 class TestRowsTable:
+    def test_conflict_names_the_check_that_failed(self):
+        """Guards against taking another row's state for the cause."""
+        harness = StoreHarness()
+        other = "progress/cell/b"
+
+        async def refused(*checks):
+            return await harness.table.commit(store.Transaction(checks))
+
+        async def body():
+            version = (await harness.table.commit(CREATE_ROW)).version
+            held = store.Check(KEY, version)
+            put = store.Put(other, b"two")
+            second = await harness.table.commit(store.Transaction(puts=(put,)))
+            return (
+                second.version,
+                await refused(held, store.Check(other, 0)),
+                await refused(held, store.Check("progress/cell/c", 7)),
+            )
+
+        version, changed, deleted = harness.run(body)
+        assert changed == outcome.Conflict(other, version)
+        assert deleted == outcome.Conflict("progress/cell/c", 0)
+
     def test_page_may_take_longer_than_a_row(self):
         """Guards a recovery over a slow link, which reads many rows at once."""
         harness = StoreHarness()
