What was cancelled is not accepted later

Cause: a cancellation that found no declaration was answered from that read alone. Nothing that was stored stood against the write of the declaration, which the store performed later, or against a repeated submission.

The fix: the row of the cancellation is written first, and then the declaration is read; a declaration is written only if there is no cancellation. So the store decides, whatever the order of the calls. Rows without a declaration are tombstones: no pipelines, at most 2 % of the store's writes, deleted by the leader after the retention of ended pipelines.

--- a/pomelostair/outcome.py
+++ b/pomelostair/outcome.py
@@ -31,6 +31,7 @@
     ANSWER_LOST = "answer-lost"
     DEADLINE = "deadline"
     DUPLICATE = "duplicate"
+    CANCELLED = "cancelled"
     CONFLICT = "conflict"
     STALE_EPOCH = "stale-epoch"
     OVER_CAPACITY = "over-capacity"
--- a/pomelostair/pipelineapi.py
+++ b/pomelostair/pipelineapi.py
@@ -25,6 +25,7 @@
 from pomelostair import queues
 from pomelostair import settings as settings_module
 from pomelostair import store
+from pomelostair import tokenbucket
 
 # Pauses between the attempts of a write that was certainly not applied.
 RETRY_MIN_S = 0.05
@@ -40,6 +41,11 @@
 RETRY_AFTER_S = 1
 # Share of the caller's timeout that is reserved for sending the answer.
 ANSWER_TIME_SHARE = 0.1
+# Share of the store's writes that all entries together may use for tombstones,
+# and the most tombstones that an entry writes at once.
+TOMBSTONE_WRITES_SHARE = 0.02
+MAX_TOMBSTONE_BURST = 20
+_CANCELLATION = b"\x01"  # Value of the row of a cancellation.
 
 
 @attrs.frozen
@@ -68,6 +74,29 @@
 ShowResult = Status | NotFound | outcome.Refused
 
 
+@attrs.frozen
+class _Deadline:
+    """Time limits of a request.
+
+    Attributes:
+        started_s: Clock reading at its start.
+        timeout_s: Time that the caller waits for the answer.
+    """
+
+    started_s: float
+    timeout_s: float
+
+    @property
+    def answer_s(self) -> float:
+        """Clock reading at which the answer must be sent."""
+        return self.started_s + self.timeout_s * (1 - ANSWER_TIME_SHARE)
+
+    @property
+    def refuse_s(self) -> float:
+        """Clock reading after which a write that was not applied is refused."""
+        return self.started_s + self.timeout_s * HOLD_SHARE
+
+
 @kernel.plugin(settings_module.Role.PIPELINE_ENTRY)
 class PipelineApi(kernel.Plugin):
     """Serves the callers of an entry."""
@@ -80,6 +109,7 @@
         self._leader = host.get(pipelineleader.PipelineLeader)
         self._table = self._peers.table
         self._clock = clock_module.BoottimeClock()
+        self._tombstone_bucket = tokenbucket.TokenBucket(MAX_TOMBSTONE_BURST)
 
     @property
     def configured(self) -> bool:
@@ -109,9 +139,9 @@
             pipeline run.
         """
         started_s = self._clock.now()
-        key = pipelinerows.declaration_key(declaration.id)
-        put = store.Put(key, pipeline.encode(declaration))
-        result = await self._insert(put, started_s, timeout_s)
+        result = await self._insert(
+            declaration, _Deadline(started_s, timeout_s)
+        )
         took_s = self._clock.now() - started_s
         self._parts.metrics.record(
             "submission_seconds",
@@ -131,16 +161,44 @@
             stages=len(declaration.stages),
             tasks=sum(stage.count for stage in declaration.stages),
             took_ms=int(took_s * 1000),
-            known=result.version == 0,
+            known=isinstance(result, outcome.Conflict),
         )
-        if result.version:
-            await self._notify_leader(store.Row(key, put.value, result.version))
         return Accepted()
 
+    async def _insert(
+        self, declaration: pipeline.Declaration, deadline: _Deadline
+    ) -> outcome.Committed | outcome.Conflict | outcome.Refused:
+        """Writes a declaration.
+
+        Returns:
+            A conflict if the pipeline was accepted before.
+        """
+        key = pipelinerows.declaration_key(declaration.id)
+        put = store.Put(key, pipeline.encode(declaration))
+        # The first check that fails is named: a pipeline that was accepted and
+        # then cancelled stays accepted.
+        checks = (
+            store.Check(key, 0),
+            store.Check(pipelinerows.cancellation_key(declaration.id), 0),
+        )
+        result = await self._commit(store.Transaction(checks, (put,)), deadline)
+        match result:
+            case outcome.Committed(version=version):
+                await self._notify_leader(store.Row(key, put.value, version))
+            case outcome.Conflict(key=failed) if failed != key:
+                return outcome.Refused(
+                    outcome.Kind.CANCELLED,
+                    "use another id; this one was cancelled before",
+                )
+        return result
+
     async def cancel(
         self, queue: queues.Queue, pipeline_id: str, timeout_s: float
     ) -> CancelResult:
-        """Cancels a pipeline; an accepted cancellation is permanent.
+        """Cancels a pipeline; an answered cancellation is permanent.
+
+        It also holds for an unknown pipeline: a submission whose write is
+        performed later, or that is repeated, is not accepted.
 
         Args:
             queue: Queue of the pipeline.
@@ -148,34 +206,63 @@
             timeout_s: Time that the caller waits for the answer.
         """
         started_s = self._clock.now()
-        declaration = await self._table.read(
-            pipelinerows.declaration_key(pipeline_id)
-        )
-        match declaration:
-            case store.Absent():
-                return NotFound()
-            case outcome.Unavailable(reason=reason):
-                refusal = _store_unavailable(reason)
-                self._record_refusal("cancel", pipeline_id, queue, refusal, 0.0)
-                return refusal
-        key = pipelinerows.cancellation_key(pipeline_id)
-        result = await self._insert(
-            store.Put(key, b"\x01"), started_s, timeout_s
+        result = await self._cancel(
+            pipeline_id, _Deadline(started_s, timeout_s)
         )
+        took_s = self._clock.now() - started_s
         if isinstance(result, outcome.Refused):
-            took_s = self._clock.now() - started_s
             self._record_refusal("cancel", pipeline_id, queue, result, took_s)
             return result
         log.emit(
             events.Events.PIPELINE_CANCELLED,
             pipeline=pipeline_id,
             queue=queue.name,
-            took_ms=int((self._clock.now() - started_s) * 1000),
+            known=isinstance(result, Accepted),
+            took_ms=int(took_s * 1000),
+        )
+        return result
+
+    async def _cancel(
+        self, pipeline_id: str, deadline: _Deadline
+    ) -> CancelResult:
+        declaration_key = pipelinerows.declaration_key(pipeline_id)
+        declaration = await self._table.read(declaration_key)
+        match declaration:
+            case outcome.Unavailable(reason=reason):
+                return _store_unavailable(reason)
+            case store.Absent() if not self._may_write_tombstone():
+                return outcome.Refused(
+                    outcome.Kind.LIMITED,
+                    f"repeat after {RETRY_AFTER_S} s; too many unknown"
+                    " pipelines are being cancelled",
+                )
+        put = store.Put(
+            pipelinerows.cancellation_key(pipeline_id), _CANCELLATION
         )
-        if result.version:
-            await self._notify_leader(store.Row(key, b"\x01", result.version))
+        result = await self._commit(store.Transaction(puts=(put,)), deadline)
+        if isinstance(result, outcome.Refused):
+            return result
+        if isinstance(declaration, store.Absent):
+            # Only now an absent declaration stays absent.
+            declaration = await self._table.read(declaration_key)
+        if isinstance(declaration, store.Absent):
+            return NotFound()
+        await self._notify_leader(store.Row(put.key, put.value, result.version))
         return Accepted()
 
+    def _may_write_tombstone(self) -> bool:
+        """Withdraws a tombstone; returns whether the limit allows it."""
+        return self._tombstone_bucket.withdraw(
+            self._tombstones_per_s, self._clock.now()
+        )
+
+    @property
+    def _tombstones_per_s(self) -> float:
+        """This entry's share of the writes that tombstones may take."""
+        writes_per_s = self._parts.settings.platform.writes_per_s
+        entries = 1 + len(self._peers.peers())
+        return TOMBSTONE_WRITES_SHARE * writes_per_s / entries
+
     async def show(self, pipeline_id: str) -> ShowResult:
         """Returns the status, from the leader or else from the store."""
         phase = await self._ask_leader(pipeline_id)
@@ -196,42 +283,32 @@
             return refusal
         return counts.get(queue.name, 0)
 
-    async def _insert(
-        self, put: store.Put, started_s: float, timeout_s: float
-    ) -> outcome.Committed | outcome.Refused:
-        """Writes a row, unless it exists.
+    async def _commit(
+        self, transaction: store.Transaction, deadline: _Deadline
+    ) -> outcome.Committed | outcome.Conflict | outcome.Refused:
+        """Applies a transaction that is safe to repeat.
 
-        A write whose outcome is unknown is safe to repeat, since it is
-        conditional. It is repeated as long as the caller waits, one that was
-        certainly not applied only for a part of that time.
+        One whose outcome is unknown is repeated as long as the caller waits,
+        one that was certainly not applied only for a part of that time.
 
         Args:
-            put: The row.
-            started_s: Clock reading at the start of the request.
-            timeout_s: Time that the caller waits for the answer.
-
-        Returns:
-            Committed with version 0 if the row already existed.
+            transaction: The transaction; its checks make it idempotent.
+            deadline: Deadline of the request.
         """
-        transaction = store.Transaction((store.Check(put.key, 0),), (put,))
-        deadline_s = started_s + timeout_s * (1 - ANSWER_TIME_SHARE)
-        refuse_s = started_s + timeout_s * HOLD_SHARE
         maybe_written = False
         reason = ""
         pause_s = RETRY_MIN_S
-        while self._clock.now() < deadline_s:
-            result = await self._commit_before(transaction, deadline_s)
+        while self._clock.now() < deadline.answer_s:
+            result = await self._commit_before(transaction, deadline.answer_s)
             match result:
-                case outcome.Committed():
+                case outcome.Committed() | outcome.Conflict():
                     return result
-                case outcome.Conflict():
-                    return outcome.Committed(0)
                 case outcome.Unknown(reason=reason):
                     maybe_written = True
                 case outcome.Unavailable(reason=reason):
                     if (
                         not maybe_written
-                        and self._clock.now() + pause_s > refuse_s
+                        and self._clock.now() + pause_s > deadline.refuse_s
                     ):
                         return _store_unavailable(reason)
             await curio.sleep(UNKNOWN_RETRY_S if maybe_written else pause_s)
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -26,6 +26,7 @@
 from pomelostair import pipelineregistry
 from pomelostair import pipelinerows
 from pomelostair import pipelinescheduler
+from pomelostair import pipelinetombstones
 from pomelostair import ports
 from pomelostair import settings as settings_module
 from pomelostair import store
@@ -93,6 +94,7 @@
             worker_leases_s(self._max_lease_s),
         )
         self._retention_ms = parts.settings.pipelines.retention_s * 1000
+        self._tombstones = self._new_tombstones()
         self._scheduler: pipelinescheduler.PipelineScheduler | None = None
         self._leading = False
         self._stopping = False
@@ -120,6 +122,7 @@
         parts.bus.handle(messages.RowStored, self._on_row_stored)
         parts.metrics.gauge("leading", lambda: self._leading)
         parts.metrics.gauge("pipelines_held", self._count_held)
+        parts.metrics.gauge("tombstones_held", lambda: len(self._tombstones))
 
     @property
     def leading(self) -> bool:
@@ -174,6 +177,9 @@
             await self._round_requested.set()
             await self._commit_requested.set()
 
+    def _new_tombstones(self) -> pipelinetombstones.Tombstones:
+        return pipelinetombstones.Tombstones(self._retention_ms / 1000)
+
     def _count_held(self) -> int:
         return (
             0
@@ -248,6 +254,7 @@
             self._max_lease_s,
         )
         self._scheduler.set_queues(self._peers.queues)
+        self._tombstones = self._new_tombstones()
         self._withheld.clear()
         self._extension_due = False
         async with curio.TaskGroup(wait=any) as group:
@@ -413,14 +420,23 @@
         self,
         row: store.Row,
         stored_progress: dict[str, pipeline.Progress] | None = None,
-    ) -> None:
+    ) -> bool:
+        """Applies a row that an entry has stored.
+
+        Args:
+            row: A declaration or a cancellation.
+            stored_progress: Progress by pipeline id.
+
+        Returns:
+            Whether it concerns a pipeline that is held.
+        """
         try:
             match pipelinerows.decode(row):
                 case pipelinerows.DeclarationRow(
                     declaration=declaration, version=version
                 ):
                     if declaration.id in self._unreadable:
-                        return
+                        return False
                     progress = (stored_progress or {}).get(declaration.id)
                     self._scheduler.registry.add(
                         declaration,
@@ -428,10 +444,19 @@
                         progress or pipeline.Progress(placed={}),
                         self._clock.now(),
                     )
-                case pipelinerows.CancellationRow(id=pipeline_id):
+                case pipelinerows.CancellationRow(
+                    id=pipeline_id, version=version
+                ):
+                    if pipeline_id not in self._scheduler.registry.pipelines:
+                        self._tombstones.record(
+                            pipeline_id, version, self._clock.now()
+                        )
+                        return False
                     self._scheduler.cancel(pipeline_id)
         except (msgspec.MsgspecError, ValueError) as error:
             self._record_ignored_row(row.key, str(error))
+            return False
+        return True
 
     async def _watch_rows(self) -> None:
         """Applies the rows that entries store while this process leads."""
@@ -441,10 +466,9 @@
             )
             match changes:
                 case store.Changes(rows=rows):
-                    for row in rows:
-                        self._apply_to_registry(row)
+                    held = [self._apply_to_registry(row) for row in rows]
                     self._watched_version = changes.version
-                    if rows:
+                    if any(held):
                         await self._round_requested.set()
                         await self._commit_requested.set()
                 case store.HistoryGone():
@@ -711,6 +735,37 @@
                 if not isinstance(result, outcome.Committed):
                     break
                 self._scheduler.forget(pipeline_id)
+            await self._delete_expired_tombstones()
+
+    async def _delete_expired_tombstones(self) -> None:
+        """Deletes expired tombstones, until the store does not answer."""
+        for batch in self._tombstones.expired(self._clock.now()):
+            left = batch
+            while left:
+                done = await self._delete_tombstones(left)
+                if not done:
+                    return
+                for tombstone in done:
+                    self._tombstones.discard(tombstone)
+                left = [t for t in left if t not in done]
+
+    async def _delete_tombstones(
+        self, batch: list[pipelinetombstones.Tombstone]
+    ) -> list[pipelinetombstones.Tombstone]:
+        """Deletes tombstones of one partition.
+
+        Returns:
+            Those that need no further deletion: all, or the first one that was
+            written again or is no tombstone.
+        """
+        result = await self._table.commit(pipelinetombstones.deletion(batch))
+        match result:
+            case outcome.Committed():
+                return batch
+            case outcome.Conflict(key=key):
+                pipeline_id = pipelinerows.pipeline_id_of(key)
+                return [t for t in batch if t.id == pipeline_id]
+        return []
 
     async def _on_report(self, message: messages.AgentReport, envelope) -> None:
         if not self.leading or message.epoch > self._lease.epoch:
--- a/pomelostair/pipelinerows.py
+++ b/pomelostair/pipelinerows.py
@@ -63,9 +63,11 @@
 
     Attributes:
         id: Id of the cancelled pipeline.
+        version: Version of the row.
     """
 
     id: str
+    version: int
 
 
 def partition_prefix(partition: int) -> str:
@@ -73,14 +75,19 @@
     return f"{TABLE}/{partition}/"
 
 
+def partition_of(pipeline_id: str) -> str:
+    """Returns the key prefix of a pipeline's partition."""
+    return partition_prefix(pipeline.partition(pipeline_id, PARTITIONS))
+
+
 def declaration_key(pipeline_id: str) -> str:
     """Returns the key of a pipeline's declaration."""
-    return f"{_prefix_of(pipeline_id)}{_DECLARATIONS}{pipeline_id}"
+    return f"{partition_of(pipeline_id)}{_DECLARATIONS}{pipeline_id}"
 
 
 def cancellation_key(pipeline_id: str) -> str:
     """Returns the key of a pipeline's cancellation."""
-    return f"{_prefix_of(pipeline_id)}{_CANCELLATIONS}{pipeline_id}"
+    return f"{partition_of(pipeline_id)}{_CANCELLATIONS}{pipeline_id}"
 
 
 def progress_key(pipeline_id: str) -> str:
@@ -110,7 +117,7 @@
     _, _, rest = row.key.split("/", 2)
     kind, _, pipeline_id = rest.partition("/")
     if f"{kind}/" == _CANCELLATIONS:
-        return CancellationRow(pipeline_id)
+        return CancellationRow(pipeline_id, row.version)
     declaration = pipeline.decode_declaration(row.value)
     if declaration.id != pipeline_id:
         raise ValueError(f"the row declares {declaration.id!r}")
@@ -197,7 +204,3 @@
         msgspec.MsgspecError: The value is malformed.
     """
     return codec.decode_msgpack(row.value, contention.Learned)
-
-
-def _prefix_of(pipeline_id: str) -> str:
-    return partition_prefix(pipeline.partition(pipeline_id, PARTITIONS))
--- a/pomelostair/platform/front.py
+++ b/pomelostair/platform/front.py
@@ -144,10 +144,13 @@
 
 
 def _refusal_response(refused: outcome.Refused) -> http.Response:
-    """Returns a refusal; for the platform, 503 means that nothing will run."""
+    """Returns a refusal; for the platform, 503 means that nothing will run.
+
+    A cancelled id is refused for good, so its callers are not told to repeat.
+    """
     status = 503 if refused.ran is outcome.Ran.NO else 504
     headers = ()
-    if refused.ran is outcome.Ran.NO:
+    if status == 503 and refused.kind is not outcome.Kind.CANCELLED:
         headers = (("retry-after", str(pipelineapi.RETRY_AFTER_S)),)
     return http.json_response(status, {"error": refused.message}, headers)
 
--- a/pomelostair/platform/settingsfile.py
+++ b/pomelostair/platform/settingsfile.py
@@ -138,7 +138,10 @@
         # interface, but the setting is required.
         balancer=f"{ip}:{first_port + _METRICS_PORT_OFFSET}",
         platform=settings_module.Platform(
-            file.text("platform.address"), STORE_TIMEOUT_MS
+            file.text("platform.address"),
+            STORE_TIMEOUT_MS,
+            file.number("platform.writesPerS", 0)
+            or settings_module.DEFAULT_WRITES_PER_S,
         ),
         metrics=f"{ip}:{first_port + _METRICS_PORT_OFFSET}",
         timing=settings_module.Timing(drain_s=drain_s),
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -15,6 +15,8 @@
 from pomelostair import errors
 
 MAX_NAME_CHARACTERS = 64
+# Of a table that names no limit.
+DEFAULT_WRITES_PER_S = 500.0
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 _T = typing.TypeVar("_T")
@@ -150,10 +152,13 @@
     Attributes:
         address: HTTP address of both.
         timeout_ms: Longest timeout of one operation.
+        writes_per_s: Transactions per second that all processes together may
+            send to the table.
     """
 
     address: str = _endpoint_field()
     timeout_ms: int = _positive_field(2000)
+    writes_per_s: float = _positive_field(DEFAULT_WRITES_PER_S)
 
 
 @attrs.frozen
--- a/tests/platform/test_settingsfile.py
+++ b/tests/platform/test_settingsfile.py
@@ -18,6 +18,7 @@
 bounds.holdMaxMs=4000
 bounds.status_s=120
 platform.address=10.200.1.7:8169
+platform.writesPerS=800
 some.new.key=1
 """
 AGENT_FILE = """
@@ -50,6 +51,7 @@
         assert settings.pipelines.hold_ms == 4000
         assert settings.pipelines.retention_s >= 120
         assert settings.timing.drain_s < 6
+        assert settings.platform.writes_per_s == 800
 
     def test_agent_settings_are_converted(self):
         settings = parse_settings(AGENT_FILE)
@@ -57,6 +59,10 @@
         assert settings.pipelines.workers == "10.1.0.14:8166"
         assert settings.pipelines.seeds == ()
         assert settings.pipelines.hold_ms == settingsfile.MAX_WORKER_LEASE_MS
+        assert (
+            settings.platform.writes_per_s
+            == settings_module.DEFAULT_WRITES_PER_S
+        )
 
     @pytest.mark.parametrize(
         ("before", "after", "key"),
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -5,10 +5,12 @@
 import msgspec
 import pytest
 
+from pomelostair import clock as clock_module
 from pomelostair import contention
 from pomelostair import fleet
 from pomelostair import outcome
 from pomelostair import pipeline
+from pomelostair import pipelineapi
 from pomelostair import pipelineleader
 from pomelostair import pipelinelease
 from pomelostair import pipelinemessages as messages
@@ -243,6 +245,105 @@
         harness.run(body)
 
 
+class TestTombstones:
+    """Rows of cancelled pipelines that were never accepted."""
+
+    def lead(self, *names):
+        """Returns a harness and a new leader, after cancellations of names."""
+        harness = test_pipelineapi.Harness()
+        leader = harness.host.get(pipelineleader.PipelineLeader)
+        leader._clock = clock_module.ManualClock(start=1000.0)
+        leader._scheduler = pipelinescheduler.PipelineScheduler(
+            2, 0, test_pipelineapi.METRICS, lambda: 0.0, 7.9
+        )
+
+        async def body():
+            for name in names:
+                await harness.cancel(name)
+            assert await leader._recover(0.0, pipelinelease.Handover())
+
+        harness.run(body)
+        return harness, leader
+
+    async def expire(self, leader):
+        leader._clock.advance(leader._retention_ms / 1000)
+        await leader._delete_expired_tombstones()
+
+    def test_are_deleted_after_their_retention(self):
+        """Guards against cancellations that fill the store and the leader."""
+        names = [test_pipelineapi.ID, "00000000000000a2"]
+        harness, leader = self.lead(*names)
+
+        async def body():
+            await leader._delete_expired_tombstones()
+            assert len(leader._tombstones) == 2
+            refused = await harness.submit()
+            await self.expire(leader)
+            left = [
+                await harness.table.table.read(
+                    pipelinerows.cancellation_key(name)
+                )
+                for name in names
+            ]
+            return refused, left, await harness.submit()
+
+        refused, left, submitted = harness.run(body)
+        assert refused.kind is outcome.Kind.CANCELLED
+        assert left == [store.Absent()] * 2
+        assert len(leader._tombstones) == 0
+        assert submitted == pipelineapi.Accepted()
+
+    def test_are_no_pipelines(self):
+        harness, leader = self.lead(test_pipelineapi.ID)
+        assert leader._scheduler.registry.pending() == {}
+        assert leader.status(test_pipelineapi.ID) is None
+
+        async def body():
+            stored = (await harness.stored_cancellation()).row
+            return leader._apply_to_registry(stored)
+
+        assert not harness.run(body)
+
+    def test_cancellation_of_an_unreadable_declaration_stays(self):
+        """Another version may read the declaration, and would run it."""
+        harness, leader = self.lead()
+        key = pipelinerows.declaration_key(test_pipelineapi.ID)
+
+        async def body():
+            put = store.Put(key, b"malformed")
+            await harness.table.commit(store.Transaction(puts=(put,)))
+            await harness.cancel()
+            assert await leader._recover(0.0, pipelinelease.Handover())
+            await self.expire(leader)
+            return await harness.stored_cancellation()
+
+        assert isinstance(harness.run(body), store.Found)
+        assert len(leader._tombstones) == 0
+
+    @pytest.mark.parametrize(
+        "fault",
+        [
+            faultystore.Fault.UNAVAILABLE,
+            faultystore.Fault.LOST_ANSWER,
+            faultystore.Fault.LOST_REQUEST,
+        ],
+        ids=lambda fault: fault.name,
+    )
+    def test_deletion_is_repeated_until_it_is_answered(self, fault):
+        harness, leader = self.lead(test_pipelineapi.ID)
+
+        async def body():
+            harness.table.faults = [fault]
+            await self.expire(leader)
+            assert len(leader._tombstones) == 1
+            await harness.end_faults()
+            await leader._delete_expired_tombstones()
+            return await harness.stored_cancellation()
+
+        assert harness.run(body) == store.Absent()
+        assert len(leader._tombstones) == 0
+
+
 class TestHandover:
     """What a leader leaves in the lease row, and what it finds there."""
 
