A deregistration is no proof that its worker has ended

Cause: the agent reported a worker as gone as soon as it read the deregistration, however late. A worker without an answer to it goes on for some seconds.

The fix: a worker that has deregistered gets no lease and no start, and is gone once nothing listens at its address, another incarnation answers or its leases have lapsed.

--- a/pomelostair/errors.py
+++ b/pomelostair/errors.py
@@ -61,6 +61,10 @@
     """A request was certainly not received by the server."""
 
 
+class NoListenerError(NotSentError):
+    """No process listens at the address of the server."""
+
+
 class AnswerLostError(PomelostairError):
     """A request may have been processed, but its response is incomplete."""
 
--- a/pomelostair/httpclient.py
+++ b/pomelostair/httpclient.py
@@ -42,6 +42,7 @@
 
         Raises:
             NotSentError: The request certainly did not reach the server.
+            NoListenerError: The same, since no process listens at its address.
             AnswerLostError: The request may have reached the server, but no
                 complete response arrived.
         """
@@ -55,6 +56,8 @@
             # well, and only a timeout reveals it.
             await self.close()
             raise progress.error("timeout") from error
+        except ConnectionRefusedError as error:
+            raise errors.NoListenerError(str(error)) from error
         except (OSError, h11.ProtocolError) as error:
             raise progress.error(str(error)) from error
 
--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -40,6 +40,8 @@
 NO_LEADER_POLL_S = 0.05
 # Pause after a failed call of a worker.
 RETRY_S = 0.25
+# The same for a worker that has deregistered and is about to end.
+LEAVING_RETRY_S = 0.05
 # Longest time that a call of a worker takes, with a margin. One that took
 # longer shows that this process was suspended meanwhile, as does a pause of its
 # own loop.
@@ -78,6 +80,8 @@
 # Low bits of a fencing token. With up to 22 bits for the epoch above these 31,
 # the token is exact as a JSON number.
 _INCARNATION_BITS = 31
+# Why a call fails once an incarnation of a worker has ended.
+_ENDED_REASONS = ("life", ports.NO_LISTENER)
 
 
 @attrs.define
@@ -134,6 +138,8 @@
         recent_starts: Attempts that it was told to start and that are not known
             to have run for `messages.START_CRASH_S`.
         answered_s: Time of its last answer.
+        deregistered: Whether it has deregistered. If it got no answer to that
+            in time, it goes on for a while, and so do its attempts.
     """
 
     heartbeat: ports.WorkerHeartbeat
@@ -160,6 +166,7 @@
         factory=dict
     )
     answered_s: float = 0.0
+    deregistered: bool = False
 
     @property
     def key(self) -> tuple[str, int]:
@@ -171,6 +178,11 @@
         """Whether it has sent a heartbeat to this process of the agent."""
         return _is_announced(self.heartbeat)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it has announced its end."""
+        return self.heartbeat.draining or self.deregistered
+
     @property
     def last_contact_s(self) -> float:
         """Time of its last answer, or of the last start that it was told."""
@@ -373,7 +385,7 @@
                     other,
                     "another incarnation replaced it",
                     key if same else None,
-                    crashed=not other.heartbeat.draining,
+                    crashed=not other.is_leaving,
                 )
         worker = _Worker(
             heartbeat,
@@ -413,22 +425,28 @@
         if _start_conditions(before) != _start_conditions(heartbeat):
             await self._report((worker,))
 
-    async def remove_worker(
+    async def record_deregistration(
         self, worker_id: str, incarnation: int | None
     ) -> None:
-        """Removes a worker that has deregistered.
+        """Records that a worker has deregistered.
+
+        That it has ended shows later: this process may read the call long after
+        it was sent, while the worker goes on without an answer to it.
 
         Args:
             worker_id: Its id.
-            incarnation: Its incarnation, None to remove any with this id.
+            incarnation: Its incarnation, None for any with this id.
         """
-        for worker in list(self._workers.values()):
-            if worker.heartbeat.worker == worker_id and incarnation in (
-                None,
-                worker.heartbeat.incarnation,
-            ):
-                self._remove(worker, "it deregistered")
-        await self._report(())
+        leaving = tuple(
+            worker
+            for worker in self._workers.values()
+            if worker.heartbeat.worker == worker_id
+            and incarnation in (None, worker.heartbeat.incarnation)
+        )
+        for worker in leaving:
+            worker.deregistered = True
+            await worker.wake.set()
+        await self._report(leaving)
 
     def _is_predecessor(self, key: tuple[str, int]) -> bool:
         return any(
@@ -670,7 +688,7 @@
     async def _start(
         self, worker: _Worker, order: messages.Order, epoch: int
     ) -> tuple[str, str]:
-        if worker.heartbeat.draining:
+        if worker.is_leaving:
             return messages.REFUSED, "draining"
         # The registered capacity may be more than what is left.
         if not worker.announced:
@@ -803,7 +821,9 @@
     async def _hold(self, worker: _Worker) -> None:
         epoch = self._leader.epoch
         end_ms = self._next_lease_end_ms(worker)
-        extended_end_ms = end_ms if end_ms > worker.confirmed_end_ms else None
+        extended_end_ms = None
+        if end_ms > worker.confirmed_end_ms and not worker.deregistered:
+            extended_end_ms = end_ms
         worker.requested_end_ms = max(
             worker.requested_end_ms, extended_end_ms or 0
         )
@@ -827,9 +847,7 @@
                 None,
                 worker.heartbeat.incarnation,
             ):
-                await self._on_unreachable(
-                    worker, "another incarnation answered"
-                )
+                await self._on_unreachable(worker, "life")
             case ports.HoldAnswer():
                 self._apply_listing(worker, result, extended_end_ms)
                 await self._report_listing(worker, results, acknowledged)
@@ -885,6 +903,12 @@
                 )
 
     async def _on_unreachable(self, worker: _Worker, reason: str) -> None:
+        if worker.deregistered and (
+            reason in _ENDED_REASONS or self._lease_has_lapsed(worker)
+        ):
+            self._remove(worker, "it deregistered")
+            await self._report(())
+            return
         if worker.reachable:
             worker.reachable = False
             log.emit(
@@ -897,7 +921,7 @@
         if reason == "fence":
             self._leader_contact_s = 0.0
         await self._report((worker,))
-        await curio.sleep(RETRY_S)
+        await curio.sleep(LEAVING_RETRY_S if worker.deregistered else RETRY_S)
 
     def _lease_has_lapsed(self, worker: _Worker) -> bool:
         """Returns whether a lease was requested and has certainly lapsed.
@@ -1067,8 +1091,8 @@
         rack=heartbeat.rack,
         labels=heartbeat.labels,
         capacity=heartbeat.capacity,
-        draining=heartbeat.draining,
-        remaining_ms=heartbeat.remaining_ms,
+        draining=worker.is_leaving,
+        remaining_ms=0 if worker.deregistered else heartbeat.remaining_ms,
         clock_ms=listing.clock_ms,
         running=listing.running,
         ended=listing.ended,
--- a/pomelostair/platform/control.py
+++ b/pomelostair/platform/control.py
@@ -69,7 +69,7 @@
             incarnation = decoding.decode_deregistration(request.body)
         except errors.MessageError as error:
             return self._refuse(worker, error)
-        await self._agent.remove_worker(worker, incarnation)
+        await self._agent.record_deregistration(worker, incarnation)
         return http.json_response(200, {})
 
     def _refuse(self, worker: str, error: errors.MessageError) -> http.Response:
--- a/pomelostair/platform/minion.py
+++ b/pomelostair/platform/minion.py
@@ -192,6 +192,8 @@
         )
         try:
             return await self._client.request(request, timeout_s)
+        except errors.NoListenerError:
+            return ports.Denied(ports.NO_LISTENER)
         except errors.NotSentError as error:
             return ports.Denied(f"not-sent: {error}")
         except errors.AnswerLostError as error:
--- a/pomelostair/ports.py
+++ b/pomelostair/ports.py
@@ -71,6 +71,10 @@
     """The worker executed the order."""
 
 
+# Reason of a call that was not sent, as no process listens at the address.
+NO_LISTENER = "no-listener"
+
+
 @attrs.frozen
 class Denied:
     """A call was rejected or never sent; it certainly had no effect.
@@ -78,8 +82,9 @@
     Attributes:
         reason: "fence" if the fencing token is too low, "old" if the attempt
             is, "late" if the lease end has passed, "life" if another
-            incarnation answers at the address, "not-sent" with details; else
-            "room", "ticket", "busy", "malformed" or the HTTP status.
+            incarnation answers at the address, `NO_LISTENER`, "not-sent" with
+            details; else "room", "ticket", "busy", "malformed" or the HTTP
+            status.
     """
 
     reason: str
@@ -87,7 +92,7 @@
     @property
     def is_answer(self) -> bool:
         """Whether the call was rejected by an answer, and not just unsent."""
-        return not self.reason.startswith("not-sent")
+        return not self.reason.startswith(("not-sent", NO_LISTENER))
 
 
 @attrs.frozen
