The limit of attempts holds though the queue was missing meanwhile

Cause: the limit of a queue that is not configured was taken for none when an attempt failed, and no start compared the recorded failures with the limit.

Before the fix, test_pipelinescheduler.py::TestAttemptLimit:: test_holds_once_the_queue_is_back failed in its four cases, two of them with a change of the leader.

The fix: before each round of starts, ready tasks with as many failures as their queue allows fail their pipelines. What runs is left alone.

--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -383,6 +383,17 @@
         """Key within the pipeline, "OCCURRENCE.STAGE.INDEX"."""
         return f"{self.occurrence}.{self.stage_number}.{self.index}"
 
+    def has_exhausted(self, max_attempts: int) -> bool:
+        """Returns whether it may not be attempted again.
+
+        Args:
+            max_attempts: Number of failed attempts after which its pipeline
+                fails, 0 for no limit. Lasting tasks have no limit.
+        """
+        return not self.stage.lasting and 0 < max_attempts <= len(
+            self.failed_attempts
+        )
+
     def last_failure_s(self, worker_id: str) -> float:
         """Returns when a start or an attempt last went wrong on a worker.
 
@@ -434,6 +445,7 @@
         self._ready: dict[str, Task] = {}
         self._started = progress.phase is not Phase.QUEUED
         self._stored_progress = progress
+        self._has_failures = bool(progress.failed)
         opened_count = max(1, declaration.occurrences)
         if declaration.timed:
             opened_count = 1 + max(
@@ -483,6 +495,11 @@
         """Tasks that can start, by id."""
         return self._ready
 
+    @property
+    def has_failures(self) -> bool:
+        """Whether an attempt of any task has failed."""
+        return self._has_failures
+
     @property
     def started(self) -> bool:
         """Whether any task has ever been started."""
@@ -617,7 +634,7 @@
             task: The task.
             attempt: Number of the failed attempt.
             max_attempts: Number of failed attempts of one task after which the
-                pipeline fails, 0 for no limit. Lasting tasks have no limit.
+                pipeline fails, 0 for no limit.
             unix_ms: Unix milliseconds.
 
         Returns:
@@ -625,11 +642,12 @@
         """
         if attempt in task.failed_attempts:
             return False
+        self._has_failures = True
         if task.stage.lasting:
             task.failed_attempts = {max({attempt} | task.failed_attempts)}
             return True
         task.failed_attempts.add(attempt)
-        if max_attempts and len(task.failed_attempts) >= max_attempts:
+        if task.has_exhausted(max_attempts):
             task.phase = TaskPhase.FAILED
             self._ready.pop(task.id, None)
             self.end(Phase.FAILED, unix_ms)
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -86,6 +86,7 @@
         self._unix_ms = unix_ms
         self._max_lease_s = max_lease_s
         self._queues = queues.QueueTable()
+        self._attempt_limits: dict[str, int] = {}  # By name of the queue.
         self._workers: dict[fleet.WorkerKey, fleet.Worker] = {}
         # Workers with ends that are applied but not acknowledged yet.
         self._unacknowledged: set[fleet.WorkerKey] = set()
@@ -245,7 +246,11 @@
 
     def set_queues(self, table: queues.QueueTable) -> None:
         """Applies a configuration of the queues."""
-        self._queues = table
+        if table is not self._queues:
+            self._queues = table
+            self._attempt_limits = {
+                queue.name: queue.max_attempts for queue in table.queues
+            }
 
     def expect_agents(
         self,
@@ -345,6 +350,7 @@
         self._registry.open_due(now)
         self._crashes.check()
         self._give_up_deferred()
+        self._fail_exhausted()
         slowed: dict[str, list[fleet.Placement]] = {}
         for worker in self._workers.values():
             for placement in self._monitor.check(worker, now):
@@ -639,8 +645,7 @@
         now: float,
     ) -> None:
         item = task.pipeline
-        queue = self._queues.by_name(item.declaration.queue)
-        limit = queue.max_attempts if queue is not None else 0
+        limit = self._attempt_limits.get(item.declaration.queue, 0)
         self._crashes.apply_end(task, attempt)
         # Lasting tasks occasionally fail on healthy workers, too.
         if not task.stage.lasting or now - ordered_s < EARLY_FAILURE_S:
@@ -652,15 +657,35 @@
         if item.fail(task, attempt, limit, int(self._unix_ms())):
             self._registry.mark_changed(item)
         if item.ended:
-            log.emit(
-                events.Events.PIPELINE_ENDED,
-                pipeline=item.id,
-                phase=item.phase.value,
-                task=task.id,
-                attempts=sorted(task.failed_attempts),
-                limit=limit,
-            )
-            self._close_pipeline(item)
+            self._close_exhausted(task, limit)
+
+    def _fail_exhausted(self) -> None:
+        """Fails the pipelines of ready tasks that may not be attempted again.
+
+        The last attempt of such a task failed while its queue, and so the
+        limit, was not configured, or under a higher limit.
+        """
+        for item in list(self._registry.open.values()):
+            limit = self._attempt_limits.get(item.declaration.queue, 0)
+            if not (item.has_failures and limit):
+                continue
+            for task in item.ready.values():
+                if task.has_exhausted(limit):
+                    item.give_up(task, int(self._unix_ms()))
+                    self._close_exhausted(task, limit)
+                    break
+
+    def _close_exhausted(self, task: pipeline.Task, limit: int) -> None:
+        item = task.pipeline
+        log.emit(
+            events.Events.PIPELINE_ENDED,
+            pipeline=item.id,
+            phase=item.phase.value,
+            task=task.id,
+            attempts=sorted(task.failed_attempts),
+            limit=limit,
+        )
+        self._close_pipeline(item)
 
     def _give_up_all(self, hopeless: list[pipeline.Task]) -> None:
         """Gives up tasks that crash each worker.
--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -1,5 +1,6 @@
 import collections
 
+import attrs
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
@@ -9,6 +10,7 @@
 from pomelostair import fleet as fleet_module
 from pomelostair import pipeline
 from pomelostair import pipelinemessages as messages
+from pomelostair import queues
 from tests import boundaryvalues
 from tests import faultfleet
 from tests import pipelines
@@ -144,6 +146,54 @@
         assert fleet.scheduler.registry.pending() == {"recast": 1}
 
 
+class TestAttemptLimit:
+    """The limit of a queue that is missing while an attempt fails."""
+
+    def fail_without_queue(self, queue):
+        """Returns a fleet in which the last attempt failed without a queue."""
+        fleet = simfleet.Fleet(names=("w1", "w2", "w3"))
+        fleet.run_for(1)
+        for host in fleet.hosts.values():
+            host.runner.failing = True
+        fleet.submit("a", queue=queue.name)
+        while len(started_runs(fleet)) < queue.max_attempts:
+            fleet.step()
+        fleet.scheduler.set_queues(queues.QueueTable(2))
+        fleet.run_for(3)
+        assert fleet.phase("a") is pipeline.Phase.RUNNING
+        return fleet
+
+    @pytest.mark.parametrize("leader_changes", [False, True])
+    @pytest.mark.parametrize(
+        "queue", pipelines.TABLE.queues, ids=lambda q: q.name
+    )
+    def test_holds_once_the_queue_is_back(self, queue, leader_changes):
+        """Guards against attempts beyond the limit (review/5, BUDGET)."""
+        fleet = self.fail_without_queue(queue)
+        if leader_changes:
+            fleet.start_leader()
+        fleet.scheduler.set_queues(attrs.evolve(pipelines.TABLE, version=3))
+        fleet.run_for(3)
+        assert fleet.phase("a") is pipeline.Phase.FAILED
+        assert len(started_runs(fleet)) == queue.max_attempts
+
+    def test_lower_limit_leaves_the_running_attempt_alone(self):
+        """It may be done, and its caller has waited for it."""
+        fleet = simfleet.Fleet(names=("w1",))
+        runner = fleet.hosts["w1"].runner
+        runner.failing = True
+        fleet.run_for(1)
+        fleet.submit("a")
+        while len(started_runs(fleet)) < 2:
+            fleet.step()
+        for run in runner.runs.values():
+            run.fails = False
+        lowered = attrs.evolve(pipelines.QUEUE, max_attempts=1)
+        fleet.scheduler.set_queues(queues.QueueTable(2, (lowered,)))
+        fleet.run_for(3)
+        assert fleet.phase("a") is COMPLETED
+
+
 class TestPartialLists:
     """Workers list the oldest of many ends; later lists have the others."""
 
