A conflict in the store without a cause is repeated

What callers would see: an id refused for good, or shown as accepted, though the row that stood against it was gone.

Cause: a conflict was taken for the row that it does not name. Such an answer means that the rows changed between the checks and the answer.

test_pipelineapi.py::TestSubmit::test_conflict_without_a_cause_is_repeated failed before. The transaction is certainly not applied, so it is repeated like one that the store refused.

--- a/pomelostair/pipelineapi.py
+++ b/pomelostair/pipelineapi.py
@@ -301,6 +301,8 @@
         while self._clock.now() < deadline.answer_s:
             result = await self._commit_before(transaction, deadline.answer_s)
             match result:
+                case outcome.Conflict(key=""):
+                    reason = "the rows changed"
                 case outcome.Committed() | outcome.Conflict():
                     return result
                 case outcome.Unknown(reason=reason):
--- a/tests/test_pipelineapi.py
+++ b/tests/test_pipelineapi.py
@@ -142,6 +142,22 @@
 
         assert harness.run(body) == pipelineapi.Accepted()
 
+    def test_conflict_without_a_cause_is_repeated(self):
+        """The rows have changed between the checks and the answer."""
+        harness = Harness()
+
+        async def conflict(_transaction):
+            del harness.table.commit
+            return outcome.Conflict("", 0)
+
+        async def body():
+            harness.table.commit = conflict
+            return await harness.submit(), await harness.stored()
+
+        submitted, stored = harness.run(body)
+        assert submitted == pipelineapi.Accepted()
+        assert isinstance(stored, store.Found)
+
     def test_unavailable_store_is_reported_before_the_deadline(self):
         harness = Harness()
 
