A repeated cancellation of an accepted pipeline writes nothing again

What callers saw: nothing. Since each repeated cancellation wrote the row again and woke the leader, which commits its lease then.

test_pipelineapi.py::TestCancel::test_repeated_cancellation_writes_nothing failed before. The condition that no cancellation exists is back where the pipeline is known; only tombstones are written again.

--- a/pomelostair/pipelineapi.py
+++ b/pomelostair/pipelineapi.py
@@ -226,7 +226,10 @@
         self, pipeline_id: str, deadline: _Deadline
     ) -> CancelResult:
         declaration_key = pipelinerows.declaration_key(pipeline_id)
+        key = pipelinerows.cancellation_key(pipeline_id)
         declaration = await self._table.read(declaration_key)
+        # A tombstone is written again, so that its retention begins anew.
+        checks = ()
         match declaration:
             case outcome.Unavailable(reason=reason):
                 return _store_unavailable(reason)
@@ -236,18 +239,21 @@
                     f"repeat after {RETRY_AFTER_S} s; too many unknown"
                     " pipelines are being cancelled",
                 )
-        put = store.Put(
-            pipelinerows.cancellation_key(pipeline_id), _CANCELLATION
-        )
-        result = await self._commit(store.Transaction(puts=(put,)), deadline)
-        if isinstance(result, outcome.Refused):
-            return result
+            case store.Found():
+                checks = (store.Check(key, 0),)
+        put = store.Put(key, _CANCELLATION)
+        result = await self._commit(store.Transaction(checks, (put,)), deadline)
+        match result:
+            case outcome.Refused():
+                return result
+            case outcome.Conflict():
+                return Accepted()
         if isinstance(declaration, store.Absent):
             # Only now an absent declaration stays absent.
             declaration = await self._table.read(declaration_key)
         if isinstance(declaration, store.Absent):
             return NotFound()
-        await self._notify_leader(store.Row(put.key, put.value, result.version))
+        await self._notify_leader(store.Row(key, put.value, result.version))
         return Accepted()
 
     def _may_write_tombstone(self) -> bool:
--- a/tests/test_pipelineapi.py
+++ b/tests/test_pipelineapi.py
@@ -222,6 +222,17 @@
 
         assert harness.run(body) == pipelineapi.Accepted()
 
+    def test_repeated_cancellation_writes_nothing(self):
+        harness = Harness()
+
+        async def body():
+            await harness.submit()
+            await harness.cancel()
+            version = harness.table.table.version
+            return await harness.cancel(), harness.table.table.version - version
+
+        assert harness.run(body) == (pipelineapi.Accepted(), 0)
+
     def test_pipeline_accepted_during_its_cancellation_is_cancelled(self):
         """Guards against 410 for what was accepted after the first read."""
         harness = Harness()
