--- a/tests/test_pipelinescheduler.py
+++ b/tests/test_pipelinescheduler.py
@@ -1,4 +1,5 @@
 import collections
+import random
 
 import attrs
 import hypothesis
@@ -243,6 +244,38 @@
         assert len(started_runs(fleet)) == 61
         assert not [how for _, _, how in fleet.finished if how == "lapsed"]
 
+    @pytest.mark.parametrize("seed", range(12))
+    def test_no_task_runs_again_under_random_faults(self, seed):
+        """Leaders change, agents restart and are cut off for a while.
+
+        No lease lapses, so that each end counts.
+        """
+        choices = random.Random(seed)
+        fleet = simfleet.Fleet()
+        for host in fleet.hosts.values():
+            host.runner.max_listed_ends = choices.randint(3, 8)
+            host.runner.work_ms = choices.choice([200, 600, 1500])
+        fleet.run_for(1)
+        tasks = 0
+        for number in range(12):
+            count = choices.randint(5, 40)
+            tasks += 2 * count
+            stage = pipelines.stage(count, millicores=50)
+            fleet.submit(f"p{number}", stage, attrs.evolve(stage, after=(0,)))
+            cut = choices.choice(sorted(fleet.hosts))
+            fleet.hosts[cut].partitioned = choices.random() < 0.5
+            if choices.random() < 0.3:
+                fleet.restart_agent(choices.choice(sorted(fleet.hosts)))
+            if choices.random() < 0.6:
+                fleet.start_leader(gap_s=choices.choice([0.1, 0.5, 1.0]))
+            fleet.run_for(choices.choice([0.2, 0.5, 1.0]))
+            fleet.hosts[cut].partitioned = False
+        fleet.run_for(60)
+        assert all(fleet.phase(name) is COMPLETED for name in fleet.rows)
+        ended = collections.Counter(how for _, _, how in fleet.finished)
+        assert ended["done"] == tasks
+        assert "lapsed" not in ended
+
     def test_log_tells_when_all_ends_are_known(self, caplog):
         caplog.set_level("INFO")
         fleet = self.fleet_with_unlisted_ends(("w1",), 20, 5)
