A test of deregistrations no longer depends on the machine's speed

The time without an answer counts from the last reading of the worker's clock, from which the agent counts the lease, too; the bound is the lease of 2 s instead of 1.5 s.

--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -607,10 +607,10 @@
 
         async def body():
             await self.deregister(harness)
+            worker = harness.agent._workers["w1", 7]
             client.down = True
-            silent_s = harness.agent._clock.now()
             await harness.wait_until(lambda: self.is_gone(harness))
-            assert harness.agent._clock.now() - silent_s > 1.5
+            assert harness.agent._clock.now() - worker.clock_read_s > 1.99
             assert harness.reports[-1].blameless == (("w1", 7),)
 
         harness.run(body)
