--- a/pomelostair/pipelineapi.py
+++ b/pomelostair/pipelineapi.py
@@ -228,7 +228,8 @@
         declaration_key = pipelinerows.declaration_key(pipeline_id)
         key = pipelinerows.cancellation_key(pipeline_id)
         declaration = await self._table.read(declaration_key)
-        # A tombstone is written again, so that its retention begins anew.
+        # Without a check, a tombstone that exists is written again, and its
+        # retention begins anew.
         checks = ()
         match declaration:
             case outcome.Unavailable(reason=reason):
@@ -292,13 +293,13 @@
     async def _commit(
         self, transaction: store.Transaction, deadline: _Deadline
     ) -> outcome.Committed | outcome.Conflict | outcome.Refused:
-        """Applies a transaction that is safe to repeat.
+        """Applies an idempotent transaction.
 
         One whose outcome is unknown is repeated as long as the caller waits,
         one that was certainly not applied only for a part of that time.
 
         Args:
-            transaction: The transaction; its checks make it idempotent.
+            transaction: The transaction.
             deadline: Deadline of the request.
         """
         maybe_written = False
--- a/pomelostair/pipelinetombstones.py
+++ b/pomelostair/pipelinetombstones.py
@@ -90,8 +90,8 @@
 def deletion(batch: list[Tombstone]) -> store.Transaction:
     """Returns a transaction that deletes tombstones of one partition.
 
-    It is refused if one of them was written again, or is no tombstone, since
-    the pipeline was accepted before its cancellation.
+    It is refused if one of them was written again, or if the pipeline was
+    accepted before its cancellation, so that the row is no tombstone.
     """
     checks = []
     for tombstone in batch:
