Reports of agents name the zone of a worker and how long it stays cold

The leader knew neither, so it could not keep work from a zone that is being evacuated, nor count with a worker that is slow after its start. Both fields have defaults, so that reports of older versions are still read. A worker that turns cold or warm is reported at once, like other changes that decide where tasks start.

--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -1052,6 +1052,8 @@
         heartbeat.service,
         heartbeat.rack,
         heartbeat.labels,
+        heartbeat.zone,
+        heartbeat.cold_left_ms > 0,
     )
 
 
@@ -1104,4 +1106,6 @@
         lapsed=lapsed and not worker.reachable,
         announced=worker.announced,
         silent=silent,
+        zone=heartbeat.zone,
+        cold_left_ms=heartbeat.cold_left_ms,
     )
--- a/pomelostair/pipelinemessages.py
+++ b/pomelostair/pipelinemessages.py
@@ -144,6 +144,9 @@
             suspended during its last call, got no answer to it. Without that, a
             lapse does not show whether the worker or its agent was away. None
             in reports of older versions.
+        zone: Its availability zone; empty in reports of older versions.
+        cold_left_ms: How much longer it stays slow after its start, by its
+            latest heartbeat.
     """
 
     worker: str
@@ -165,6 +168,8 @@
     lapsed: bool
     announced: bool = True
     silent: bool | None = None
+    zone: str = ""
+    cold_left_ms: int = 0
 
 
 # Run time from which an attempt is no suspect in the crash of its worker. A
--- a/pomelostair/platform/decoding.py
+++ b/pomelostair/platform/decoding.py
@@ -122,6 +122,7 @@
     zone: codec.Name = ""
     clock_ms: codec.Count = msgspec.field(default=0, name="clockMs")
     remaining_ms: codec.Integer = msgspec.field(default=0, name="remainingMs")
+    cold_left_ms: codec.Integer = msgspec.field(default=0, name="coldLeftMs")
     seq: codec.Count = 0
     born: codec.Count = 0  # Start of the worker, in Unix milliseconds.
 
@@ -271,6 +272,7 @@
         ),
         draining=body.state == "draining",
         remaining_ms=body.remaining_ms,
+        cold_left_ms=max(0, body.cold_left_ms),
         clock_ms=body.clock_ms,
         sequence=body.seq,
     )
--- a/pomelostair/ports.py
+++ b/pomelostair/ports.py
@@ -30,6 +30,7 @@
         remaining_ms: Least time until a draining worker shuts down.
         clock_ms: Reading of its monotonic clock.
         sequence: Number of the heartbeat; increases within an incarnation.
+        cold_left_ms: How much longer the worker stays slow after its start.
     """
 
     worker: str
@@ -44,6 +45,7 @@
     remaining_ms: int
     clock_ms: int
     sequence: int
+    cold_left_ms: int = 0
 
 
 @attrs.frozen
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -129,6 +129,13 @@
         assert heartbeat.incarnation == 17
         assert heartbeat.capacity == resources.Resources(16000, 32768, 0)
         assert not heartbeat.draining
+        assert heartbeat.cold_left_ms == 0
+
+    @pytest.mark.parametrize(("sent", "decoded"), [(700, 700), (-1, 0)])
+    def test_time_until_a_cold_worker_is_warm_is_decoded(self, sent, decoded):
+        body = json.dumps({**HEARTBEAT_BODY, "coldLeftMs": sent}).encode()
+        heartbeat = decoding.decode_heartbeat(body, "i-1")
+        assert heartbeat.cold_left_ms == decoded
 
     @pytest.mark.parametrize(
         "change",
@@ -159,6 +166,7 @@
             {"seq": 2**64},
             {"clockMs": 2**64},
             {"remainingMs": 2**64},
+            {"coldLeftMs": "700"},
             {"capacity": {"cpu": 2**64}},
             {"capacity": {"cpu": -1000, "memMb": 1}},
             {"capacity": {"memMb": -1}},
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -297,6 +297,26 @@
         )
         assert decoded.started_ms == 0
 
+    def test_worker_that_turns_cold_is_reported_at_once(self):
+        harness = Harness()
+
+        def listed():
+            return [
+                (s.zone, s.cold_left_ms)
+                for r in harness.reports
+                for s in r.workers
+            ]
+
+        async def body():
+            await harness.heartbeat()
+            await harness.instruct()
+            await harness.wait_until(lambda: ("patan", 0) in listed())
+            await harness.instruct(report_interval_ms=60_000)
+            await harness.heartbeat(sequence=2, cold_left_ms=900)
+            await harness.wait_until(lambda: ("patan", 900) in listed())
+
+        harness.run(body)
+
 
 class TestOrders:
     def test_repeated_order_is_executed_once(self):
