Tasks wait for a place near their data while that pays

A task that names the rack of its data takes up to three times as long on any other rack, and a gang that prefers a common rack on several ones, but a start took whatever place had room. Now the expected end at a near place, with the ends of what runs there and what is queued ahead, is compared with the end at the far one. The wait is decided anew in each round and stored nowhere; it is bounded by the loss at the far place, and by MAX_IDLE_S for an idle pipeline. The factor is the setting pipelines.remote_factor (bounds.remoteFactor); with 1, placement is unchanged.

--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -120,6 +120,9 @@
     EARLIER_ATTEMPTS_KNOWN = Event(
         455, logging.INFO, "attempts of earlier terms are known"
     )
+    STARTED_FAR_AFTER_WAIT = Event(
+        480, logging.INFO, "task started far from its data after a wait"
+    )
     STORE_LOST = Event(460, logging.WARNING, "store refuses this process")
     STORE_BACK = Event(461, logging.INFO, "store serves this process again")
     RELOADED = Event(105, logging.INFO, "settings reloaded")
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -252,6 +252,7 @@
             self._parts.metrics,
             _unix_ms,
             self._max_lease_s,
+            self._parts.settings.pipelines.remote_factor,
         )
         self._scheduler.set_queues(self._peers.queues)
         self._tombstones = self._new_tombstones()
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -27,9 +27,12 @@
 # unused. With less it would run too slowly to meet its objective, as soon as
 # the services on the worker are busier than on average.
 MIN_FILLER_SHARE = 1.0
-# Factor on the unused processor time of a worker outside the rack of the data.
-# The platform's remoteFactor is 1.5 to 2.
+# Factor on the unused processor time of a worker outside the rack of the data,
+# where the deployment does not state how much longer tasks take there.
 OFF_RACK_FACTOR = 0.5
+# Bonus of a worker at full speed near the data for regular tasks, in proportion
+# to the speed; it exceeds the capacity of any worker, and `SERVING_BONUS`.
+FULL_SPEED_BONUS_MILLICORES = 400_000
 # Bonus of a worker that offers full pace to a filler, in proportion to the
 # offered share. It exceeds the capacity of any worker. Shares of at least
 # SUFFICIENT_PACE_SHARE count the same.
@@ -152,7 +155,10 @@
 
 
 def score(
-    task: pipeline.Task, worker: fleet.Worker, pace_share: float
+    task: pipeline.Task,
+    worker: fleet.Worker,
+    pace_share: float,
+    remote_factor: float = 1.0,
 ) -> float:
     """Returns how well a worker suits a task, in millicores; more is better.
 
@@ -160,21 +166,30 @@
         task: The task.
         worker: A worker on which the task fits.
         pace_share: Share of full pace that a filler could have there.
+        remote_factor: Factor on the run time far from the data.
     """
     stage = task.stage
     value = float(worker.unused_millicores)
+    speed = 1.0
     if stage.rack and stage.rack != worker.state.rack:
-        value *= OFF_RACK_FACTOR
+        if remote_factor > 1:
+            speed /= remote_factor
+        else:
+            value *= OFF_RACK_FACTOR
     if stage.filler:
-        value += FULL_PACE_BONUS_MILLICORES * min(
-            pace_share, SUFFICIENT_PACE_SHARE
+        value += (
+            FULL_PACE_BONUS_MILLICORES
+            * min(pace_share, SUFFICIENT_PACE_SHARE)
+            * speed
         )
         if not worker.serving_millicores:
             value -= NO_SERVING_PENALTY_MILLICORES
     elif stage.latency_target_ms:
         return _serving_score(stage, worker)
-    elif worker.serving_millicores:
-        value += SERVING_BONUS_MILLICORES
+    else:
+        value -= FULL_SPEED_BONUS_MILLICORES * (1 - speed)
+        if worker.serving_millicores:
+            value += SERVING_BONUS_MILLICORES
     return value
 
 
@@ -215,6 +230,7 @@
     now: float,
     required_pace_share: float | None = None,
     min_filler_share: float = MIN_FILLER_SHARE,
+    remote_factor: float = 1.0,
 ) -> fleet.Worker | None:
     """Returns the best worker for a task, None if none has room.
 
@@ -233,6 +249,7 @@
             starts, None for the requirement of the pacer.
         min_filler_share: Share of its requested millicores that must be unused
             for a filler.
+        remote_factor: Factor on the run time far from the data.
     """
     if required_pace_share is None:
         required_pace_share = pacer.required_pace_share(task, now)
@@ -261,7 +278,7 @@
         best, best_score = None, 0.0
         for worker in reserved or group:
             value = _score_if_paced(
-                task, worker, pacer, required_pace_share, now
+                task, worker, pacer, required_pace_share, now, remote_factor
             )
             if value is not None and (best is None or value > best_score):
                 best, best_score = worker, value
@@ -439,6 +456,7 @@
     pacer: pacing.Pacer,
     required_pace_share: float,
     now: float,
+    remote_factor: float = 1.0,
 ) -> float | None:
     """Returns the score of a worker, None if it offers too low a pace."""
     pace_share = 1.0
@@ -446,7 +464,7 @@
         pace_share = pacer.available_pace_share(task, worker, now)
         if pace_share < required_pace_share:
             return None
-    value = score(task, worker, pace_share)
+    value = score(task, worker, pace_share, remote_factor)
     if worker.unproven:
         value -= UNPROVEN_PENALTY_MILLICORES
     if worker.is_silent(now) or not worker.confirms_orders(now):
@@ -470,6 +488,7 @@
         now: Monotonic seconds.
         min_filler_share: Share of its requested millicores that must be unused
             for a filler.
+        remote_factor: Factor on the run time far from the data.
     """
 
     def __init__(
@@ -480,7 +499,9 @@
         required_pace_share: float,
         now: float,
         min_filler_share: float = MIN_FILLER_SHARE,
+        remote_factor: float = 1.0,
     ):
+        self._remote_factor = remote_factor
         self._pacer = pacer
         self._required_pace_share = required_pace_share
         self._min_filler_share = min_filler_share
@@ -545,7 +566,12 @@
         if not meets_constraints(task, worker, self._now):
             return None
         value = _score_if_paced(
-            task, worker, self._pacer, self._required_pace_share, self._now
+            task,
+            worker,
+            self._pacer,
+            self._required_pace_share,
+            self._now,
+            self._remote_factor,
         )
         return None if value is None else (-value, index, worker)
 
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -70,6 +70,7 @@
         metrics: Registry that counts the decisions.
         unix_ms: Returns the current Unix time in milliseconds.
         max_lease_s: Longest time that a lease granted now can last.
+        remote_factor: Factor on the run time far from the data.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         metrics: metrics_module.Metrics,
         unix_ms: Callable[[], float],
         max_lease_s: float,
+        remote_factor: float = 1.0,
     ):
         self._epoch = epoch
         self._lease_version = lease_version
@@ -123,6 +125,7 @@
             self._pacer,
             metrics,
             self._registry.mark_changed,
+            remote_factor,
         )
         self._packer = pipelinepacking.Packer(
             self._attempts, self._pacer, self._starter.advice, metrics
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -19,6 +19,7 @@
 from pomelostair import pipelineadvice
 from pomelostair import pipelinecrashes
 from pomelostair import pipelineidle
+from pomelostair import pipelinelocality
 from pomelostair import pipelinemessages as messages
 from pomelostair import pipelinemonitor
 from pomelostair import pipelineorder
@@ -71,6 +72,7 @@
         pacer: Pacer that predicts the latency of serving tasks.
         metrics: Registry that counts the starts.
         record: Schedules the progress of a pipeline for storage.
+        remote_factor: Factor on the run time far from the data.
     """
 
     def __init__(
@@ -80,8 +82,10 @@
         pacer: pacing.Pacer,
         metrics: metrics_module.Metrics,
         record: Callable[[pipeline.Pipeline], None],
+        remote_factor: float = 1.0,
     ):
         self._epoch = epoch
+        self._remote_factor = remote_factor
         self._record = record
         # Attempts of lasting tasks whose workers are not stored yet, by
         # pipeline.
@@ -150,7 +154,9 @@
         considered = 0
         move_comparisons = 0
         searches = {
-            service: _Search(same_service, self._pacer, now)
+            service: _Search(
+                same_service, self._pacer, now, self._remote_factor
+            )
             for service, same_service in schedulable.items()
         }
         top_priority: dict[str, int] = {}
@@ -168,7 +174,7 @@
             )
 
         ready_count = 0
-        for _, item, queue in ranked:
+        for rank, item, queue in ranked:
             ready_count += len(item.ready)
             if (
                 considered >= MAX_CONSIDERED_TASKS
@@ -176,7 +182,7 @@
             ):
                 break
             considered += self._start_pipeline(
-                item, terms_of(queue), now, may_start
+                item, terms_of(queue), rank.slack_s, now, may_start
             )
             for placement in slowed.get(item.id, ()):
                 if move_comparisons < MAX_MOVE_COMPARISONS:
@@ -205,11 +211,20 @@
         self,
         item: pipeline.Pipeline,
         terms: "_Terms",
+        slack_s: float,
         now: float,
         may_start: Callable[[pipeline.Task], bool],
     ) -> int:
         """Starts the ready tasks of a pipeline for which there is room.
 
+        Args:
+            item: The pipeline.
+            terms: Terms on which its tasks start.
+            slack_s: Time that it can still wait without missing its objective.
+            now: Monotonic seconds.
+            may_start: Returns whether no earlier leader can have started a
+                task.
+
         Returns:
             Number of tasks for which it looked for a worker.
         """
@@ -217,7 +232,8 @@
         search = terms.search
         considered = 0
         search.drop_comparison()
-        stages_without_worker: set[tuple[int, int]] = set()
+        # A task of each stage without room, and how many there are.
+        without_worker: dict[tuple[int, int], list] = {}
         gangs: set[tuple[int, int]] = set()
         permitted: dict[tuple[str, frozenset[str]], list[fleet.Worker]] = {}
         for task in list(item.ready.values()):
@@ -229,8 +245,15 @@
                 task.failed_on or task.suspect or task.reserved_until_s > now
             )
             stage_key = (task.occurrence, task.stage_number)
-            if stage_key in gangs or (
-                unrestricted and stage_key in stages_without_worker
+            may_wait = unrestricted and queue.advice is None
+            if (
+                stage_key in gangs
+                or (unrestricted and _count_further(without_worker, stage_key))
+                or (
+                    may_wait
+                    and search.has_only_far_room(task)
+                    and self._waits_for_near(task, search, slack_s, now)
+                )
             ):
                 continue
             if (
@@ -239,7 +262,7 @@
                 and not (task.stage.gang and task.stage.lasting)
                 and search.is_full_for(task)
             ):
-                stages_without_worker.add(stage_key)
+                without_worker[stage_key] = [task, 1]
                 self._report_unplaceable(task, search)
                 self._keep_rooms([task], search.workers, terms, now)
                 continue
@@ -256,7 +279,13 @@
                 gangs.add(stage_key)
                 if self._may_start_gang(
                     task, may_start
-                ) and not self._start_gang(task, allowed, now):
+                ) and not self._start_gang(
+                    task,
+                    allowed,
+                    now,
+                    search=search if queue.advice is None else None,
+                    slack_s=slack_s,
+                ):
                     members = item.tasks(*stage_key)
                     self._keep_rooms(members, allowed, terms, now)
                 search.drop_comparison()
@@ -264,14 +293,69 @@
             worker = search.choose(task, allowed)
             if worker is None:
                 if unrestricted:
-                    stages_without_worker.add(stage_key)
+                    without_worker[stage_key] = [task, 1]
                 self._report_unplaceable(task, search)
                 self._keep_rooms([task], allowed, terms, now)
                 continue
-            self._start(task, worker, self._next_attempt(task), now)
-            search.record_start(task)
+            self._start_or_wait(task, worker, search, may_wait, slack_s, now)
+        search.claim_all(without_worker.values())
         return considered
 
+    def _start_or_wait(
+        self,
+        task: pipeline.Task,
+        worker: fleet.Worker,
+        search: "_Search",
+        may_wait: bool,
+        slack_s: float,
+        now: float,
+    ) -> None:
+        """Starts a task unless it waits for a place near its data.
+
+        Args:
+            task: The task.
+            worker: The best worker for it now.
+            search: Search for room on the workers of its service.
+            may_wait: Whether it may wait.
+            slack_s: Time that its pipeline can still wait.
+            now: Monotonic seconds.
+        """
+        if (
+            may_wait
+            and worker.state.rack != task.stage.rack
+            and self._waits_for_near(task, search, slack_s, now)
+        ):
+            search.record_far_room(task, worker)
+            return
+        self._start(task, worker, self._next_attempt(task), now)
+        search.record_start(task)
+
+    def _waits_for_near(
+        self,
+        task: pipeline.Task,
+        search: "_Search",
+        slack_s: float,
+        now: float,
+    ) -> bool:
+        """Returns whether a task waits for a place near its data.
+
+        Where an advisor must agree, only it knows the near workers.
+
+        Args:
+            task: A task with room far from its data, or a member of a gang
+                without room on a near rack.
+            search: Search for room on the workers of its service.
+            slack_s: Time that its pipeline can still wait.
+            now: Monotonic seconds.
+        """
+        if not search.locality.prefers_near(task.stage):
+            return False
+        idle = not self._attempts.any_live(task.pipeline, now)
+        if not search.locality.wait_s(task, slack_s, idle):
+            return False
+        task.near_wait_since_s = task.near_wait_since_s or now
+        return True
+
     def _is_due(self, task: pipeline.Task, now: float) -> bool:
         """Returns whether a ready task is to be started in this round."""
         if task.not_before_s > now or self._attempts.has_attempts(task):
@@ -343,6 +427,7 @@
             now,
             required_pace_share=0.0,
             min_filler_share=0.0,
+            remote_factor=self._remote_factor,
         )
         if worker is None:
             return False
@@ -443,6 +528,7 @@
                 worker
                 for worker in workers
                 if worker is not placement.worker
+                and not self._is_farther(placement, worker)
                 and self._advice.permits(task, worker, now)
             ],
             self._pacer,
@@ -454,6 +540,23 @@
         target.reserve(task, now + fleet.RESERVATION_S)
         self._attempts.stop(placement, "it slows serving tasks on its worker")
 
+    def _is_farther(
+        self, placement: fleet.Placement, target: fleet.Worker
+    ) -> bool:
+        """Returns whether an attempt would be slower on a far worker.
+
+        Args:
+            placement: An attempt below full pace.
+            target: A worker that offers it full pace.
+        """
+        rack = placement.task.stage.rack
+        return (
+            bool(rack)
+            and placement.worker.state.rack == rack != target.state.rack
+            and placement.pace_percent * self._remote_factor
+            >= pacing.FULL_PERCENT
+        )
+
     def _report_unplaceable(
         self, task: pipeline.Task, search: "_Search"
     ) -> None:
@@ -499,11 +602,25 @@
         now: float,
         required_pace_share: float | None = None,
         min_filler_share: float = placement_module.MIN_FILLER_SHARE,
+        search: "_Search | None" = None,
+        slack_s: float = 0.0,
     ) -> bool:
         """Starts all members of a gang, or none.
 
         A gang that prefers a common rack is first tried on each rack.
 
+        Args:
+            task: One of its members.
+            workers: Workers on which they may run.
+            now: Monotonic seconds.
+            required_pace_share: Lowest share of full pace at which a filler
+                starts, None for the requirement of the pacer.
+            min_filler_share: Share of its requested millicores that must be
+                unused for a filler.
+            search: Search for room on the workers, None if the gang must not
+                wait for a near rack.
+            slack_s: Time that its pipeline can still wait.
+
         Returns:
             Whether it was started.
         """
@@ -511,9 +628,17 @@
         pipelinecrashes.begin_wait(members, workers, now)
         attempt = max(self._next_attempt(member) for member in members)
         started: list[fleet.Placement] = []
-        for candidates in (
-            _by_rack(workers) if task.stage.same_rack else [workers]
-        ):
+        near, far = self._gang_places(task.stage, workers)
+        may_wait = search is not None and not any(
+            member.failed_on or member.suspect for member in members
+        )
+        for number, candidates in enumerate([*near, *far]):
+            if (
+                number == len(near)
+                and may_wait
+                and self._waits_for_near(members[0], search, slack_s, now)
+            ):
+                return False
             started = self._attach_members(
                 members,
                 candidates,
@@ -524,9 +649,31 @@
             )
             if started:
                 break
+        if not started:
+            if search is not None:
+                search.claim_all([(task, len(members))])
+            return False
         for placement in started:
             self._order_start(placement, now)
-        return bool(started)
+        pipelinelocality.record_start(started, self._metrics, now)
+        return True
+
+    def _gang_places(
+        self, stage: pipeline.Stage, workers: list[fleet.Worker]
+    ) -> tuple[list[list[fleet.Worker]], list[list[fleet.Worker]]]:
+        """Returns the groups of workers on which a gang is tried in turn.
+
+        Returns:
+            Groups where it runs at full speed, and groups where it may not.
+        """
+        if not (stage.same_rack or (stage.rack and self._remote_factor > 1)):
+            return [workers], []
+        racks = _by_rack(workers)
+        if not stage.rack or self._remote_factor <= 1:
+            return list(racks.values()), [workers]
+        near = racks.pop(stage.rack, [])
+        others = list(racks.values()) if stage.same_rack else []
+        return [near], [*others, workers]
 
     def _attach_members(
         self,
@@ -564,6 +711,7 @@
                     now,
                     pace_share,
                     min_filler_share,
+                    self._remote_factor,
                 )
             else:
                 if comparison is None or pace_share != compared_pace_share:
@@ -575,6 +723,7 @@
                         pace_share,
                         now,
                         min_filler_share,
+                        self._remote_factor,
                     )
                 worker = comparison.best(member)
             if worker is None:
@@ -598,7 +747,9 @@
         attempt: int,
         now: float,
     ) -> None:
-        self._order_start(self._attach(task, worker, attempt, now), now)
+        placement = self._attach(task, worker, attempt, now)
+        self._order_start(placement, now)
+        pipelinelocality.record_start([placement], self._metrics, now)
 
     def _attach(
         self,
@@ -787,18 +938,31 @@
 
     Attributes:
         workers: Workers of the service that accept new attempts.
+        locality: Expected room on their racks.
     """
 
     def __init__(
-        self, workers: list[fleet.Worker], pacer: pacing.Pacer, now: float
+        self,
+        workers: list[fleet.Worker],
+        pacer: pacing.Pacer,
+        now: float,
+        remote_factor: float,
     ):
         self.workers = workers
+        self.locality = pipelinelocality.Locality(remote_factor, workers, now)
+        self._remote_factor = remote_factor
         self._pacer = pacer
         self._now = now
         self._full = placement_module.FullDemands()
         self._could_ever_fit: dict[tuple[str, resources.Resources], bool] = {}
         self._never_free = placement_module.FullDemands()
         self._suspect_searches = 0
+        # Racks without room for a demand and kind of tasks.
+        self._full_racks: set[tuple[str, resources.Resources, bool]] = set()
+        # A far worker with room, by demand and kind of the tasks that wait.
+        self._far_rooms: dict[
+            tuple[resources.Resources, bool], fleet.Worker
+        ] = {}
         self._stage_key: tuple | None = None
         self._candidates: placement_module.Candidates | None = None
 
@@ -840,14 +1004,23 @@
         if task.failed_on or task.reserved_until_s > self._now:
             self._candidates = None
             return placement_module.choose(
-                task, allowed, self._pacer, self._now
+                task,
+                allowed,
+                self._pacer,
+                self._now,
+                remote_factor=self._remote_factor,
             )
         required_pace_share = self._pacer.required_pace_share(task, self._now)
         key = (task.occurrence, task.stage_number, required_pace_share)
         if self._candidates is None or key != self._stage_key:
             self._stage_key = key
             self._candidates = placement_module.Candidates(
-                task, allowed, self._pacer, required_pace_share, self._now
+                task,
+                allowed,
+                self._pacer,
+                required_pace_share,
+                self._now,
+                remote_factor=self._remote_factor,
             )
         worker = self._candidates.best(task)
         if worker is None and allowed is self.workers:
@@ -906,11 +1079,68 @@
             return None
         self._suspect_searches += 1
         self._candidates = None
-        worker = placement_module.choose(task, allowed, self._pacer, self._now)
+        worker = placement_module.choose(
+            task,
+            allowed,
+            self._pacer,
+            self._now,
+            remote_factor=self._remote_factor,
+        )
         if worker is None:
             task.not_before_s = self._now + SUSPECT_RETRY_DELAY_S
         return worker
 
+    def record_far_room(
+        self, task: pipeline.Task, worker: fleet.Worker
+    ) -> None:
+        """Records a far worker with room for a task that waits all the same."""
+        self._far_rooms[task.stage.demand, task.stage.filler] = worker
+
+    def has_only_far_room(self, task: pipeline.Task) -> bool:
+        """Returns whether it is known that a task has room at far places only.
+
+        Then it need not be compared with all workers to decide that it waits.
+        """
+        stage = task.stage
+        far = self._far_rooms.get((stage.demand, stage.filler))
+        return (
+            far is not None
+            and not stage.gang
+            and stage.rack not in ("", far.state.rack)
+            and placement_module.fits(task, far, self._now)
+            and placement_module.meets_constraints(task, far, self._now)
+            and self._is_near_full(task)
+        )
+
+    def _is_near_full(self, task: pipeline.Task) -> bool:
+        """Returns whether a task fits on no worker near its data.
+
+        Room only shrinks while attempts are placed.
+        """
+        stage = task.stage
+        key = (stage.rack, stage.demand, stage.filler)
+        if key not in self._full_racks:
+            if any(
+                placement_module.fits(task, near, self._now)
+                for near in self.locality.near(stage)
+            ):
+                return False
+            self._full_racks.add(key)
+        return True
+
+    def claim_all(self, waiting: Iterable[tuple[pipeline.Task, int]]) -> None:
+        """Records that tasks without room are ahead of others.
+
+        Those that fit on no worker take none.
+
+        Args:
+            waiting: A task of each stage, and how many of them wait.
+        """
+        if self.locality.is_of_use:
+            for task, count in waiting:
+                if self.could_ever_fit(task.stage):
+                    self.locality.claim(task, count)
+
     def record_start(self, task: pipeline.Task) -> None:
         """Records that a task was started on the worker chosen for it."""
         if self._candidates is not None:
@@ -925,6 +1155,21 @@
             self._full.add_too_slow(stage, required_pace_share)
 
 
+def _count_further(
+    without_worker: dict[tuple[int, int], list], stage_key: tuple[int, int]
+) -> bool:
+    """Counts one more task of a stage without room.
+
+    Returns:
+        Whether the stage is known to have none.
+    """
+    entry = without_worker.get(stage_key)
+    if entry is None:
+        return False
+    entry[1] += 1
+    return True
+
+
 def _schedulable(
     workers: Iterable[fleet.Worker], now: float
 ) -> dict[str, list[fleet.Worker]]:
@@ -990,10 +1235,9 @@
         task.refused_by.clear()
 
 
-def _by_rack(workers: Iterable[fleet.Worker]) -> list[list[fleet.Worker]]:
-    """Returns the workers of each rack, followed by all workers."""
+def _by_rack(workers: Iterable[fleet.Worker]) -> dict[str, list[fleet.Worker]]:
+    """Returns the workers of each rack."""
     racks: dict[str, list[fleet.Worker]] = {}
-    all_workers = list(workers)
-    for worker in all_workers:
+    for worker in workers:
         racks.setdefault(worker.state.rack, []).append(worker)
-    return [*racks.values(), all_workers]
+    return racks
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -225,6 +225,9 @@
             extend that lease.
         retention_s: Time for which an ended pipeline is retained.
         shutdown_s: Time limit of a graceful shutdown.
+        remote_factor: Factor on the run time of a task far from the rack of its
+            data, and of a gang that prefers a common rack on several ones; 1 if
+            that makes no difference.
     """
 
     callers: str | None = attrs.field(
@@ -245,12 +248,17 @@
     grant_ms: int = _positive_field(7500)
     retention_s: float = _positive_field(180.0)
     shutdown_s: float = _positive_field(5.0)
+    remote_factor: float = _positive_field(1.0)
 
     def __attrs_post_init__(self):
         """Checks constraints between keys."""
         if self.grant_ms < self.hold_ms:
             remedy = f"use at least hold_ms, which is {self.hold_ms}"
             raise errors.SettingsError("grant_ms", self.grant_ms, remedy)
+        if self.remote_factor < 1:
+            raise errors.SettingsError(
+                "remote_factor", self.remote_factor, "use at least 1"
+            )
 
 
 @attrs.frozen
--- a/tests/platform/test_settingsfile.py
+++ b/tests/platform/test_settingsfile.py
@@ -17,6 +17,7 @@
 bounds.graceS=6
 bounds.holdMaxMs=4000
 bounds.status_s=120
+bounds.remoteFactor=1.5
 platform.address=10.200.1.7:8169
 platform.writesPerS=800
 some.new.key=1
@@ -49,6 +50,7 @@
             "tcp://10.2.0.30:7720",
         )
         assert settings.pipelines.hold_ms == 4000
+        assert settings.pipelines.remote_factor == 1.5
         assert settings.pipelines.retention_s >= 120
         assert settings.timing.drain_s < 6
         assert settings.platform.writes_per_s == 800
@@ -58,6 +60,7 @@
         assert settings.role is settings_module.Role.PIPELINE_AGENT
         assert settings.pipelines.workers == "10.1.0.14:8166"
         assert settings.pipelines.seeds == ()
+        assert settings.pipelines.remote_factor == 1
         assert settings.pipelines.hold_ms == settingsfile.MAX_WORKER_LEASE_MS
         assert (
             settings.platform.writes_per_s
--- /dev/null
+++ b/tests/test_pipelinelocality.py
@@ -0,0 +1,235 @@
+"""Waits for places near the data: when they pay, and what ends them."""
+
+import math
+
+import pytest
+
+from pomelostair import attempts
+from pomelostair import fleet
+from pomelostair import metrics
+from pomelostair import pacing
+from pomelostair import pipeline
+from pomelostair import pipelinelocality
+from pomelostair import pipelineplacement
+from pomelostair import pipelinestarts
+from tests import pipelines
+
+METRICS = metrics.Metrics()
+CORES = 4
+LONG_MS = 60_000
+
+
+class Site:
+    """Racks r1 and r2 of two workers each; those of r1 are full.
+
+    Args:
+        remote_factor: Factor on the run time far from the data.
+        left_ms: Time until what fills r1 ends.
+    """
+
+    def __init__(self, remote_factor=3.0, left_ms=1000):
+        pacer = pacing.Pacer(METRICS)
+        self.attempts = attempts.Attempts(pacer, METRICS)
+        self.starter = pipelinestarts.Starter(
+            1, self.attempts, pacer, METRICS, lambda item: None, remote_factor
+        )
+        self.workers = []
+        self.lost = []
+        for name, rack in (("a", "r1"), ("b", "r1"), ("c", "r2"), ("d", "r2")):
+            worker = pipelines.worker(name, cores=CORES)
+            worker.state = pipelines.worker_state(name, cores=CORES, rack=rack)
+            self.workers.append(worker)
+        self.near, self.far = self.workers[:2], self.workers[2:]
+        self.filling = [
+            pipelines.place(
+                worker,
+                pipelines.stage(millicores=1000, estimate_ms=left_ms),
+                now=1.0,
+            )
+            for worker in self.near
+            for _ in range(CORES)
+        ]
+
+    def submit(self, name="p", ready_s=1.0, **fields):
+        """Returns a pipeline; its tasks are ready, with their data in r1."""
+        fields = {"rack": "r1", "estimate_ms": 2000, **fields}
+        return pipeline.Pipeline(
+            pipelines.declare(name, pipelines.stage(**fields)),
+            1,
+            pipeline.Progress(),
+            ready_s,
+        )
+
+    def round(self, *items, now=1.0):
+        """Runs a round; returns the racks of what runs of each pipeline."""
+        for worker in self.workers:
+            if worker not in self.lost:
+                worker.last_report_s = worker.last_listed_s = now
+        self.starter.start_ready(items, self.workers, pipelines.TABLE, {}, now)
+        return [
+            [
+                placement.worker.state.rack
+                for task in item.tasks(0, 0)
+                for placement in self.attempts.of_task(task)
+            ]
+            for item in items
+        ]
+
+
+def choice(**fields):
+    defaults = {
+        "near_s": 2.0,
+        "far_s": 6.0,
+        "room_s": 1.0,
+        "waited_s": 0.0,
+        "ready_for_s": 0.0,
+        "idle": False,
+        "slack_s": 100.0,
+        "far_is_spare": True,
+    }
+    return pipelinelocality.Choice(**{**defaults, **fields})
+
+
+class TestDecision:
+    @pytest.mark.parametrize(
+        ("fields", "waits_s"),
+        [
+            ({}, 4.0),
+            ({"waited_s": 2.0}, 2.0),
+            ({"waited_s": 4.0}, 0.0),
+            ({"room_s": math.inf}, 0.0),
+            ({"room_s": 3.0}, 0.0),
+            ({"room_s": 3.0, "far_is_spare": False}, 4.0),
+            ({"idle": True, "ready_for_s": 0.4}, 1.6),
+            ({"idle": True, "ready_for_s": 1.0}, 0.0),
+            ({"far_s": 2.0}, 0.0),
+            ({"room_s": 2.0, "slack_s": 4.0}, 4.0),
+            ({"room_s": 2.0, "slack_s": 2.9, "far_s": 4.5}, 0.0),
+            ({"near_s": 0.0, "far_s": 0.0}, 0.0),
+        ],
+    )
+    def test_wait_is_bounded_by_the_loss_and_by_idleness(self, fields, waits_s):
+        assert pipelinelocality.wait_s(choice(**fields)) == pytest.approx(
+            waits_s
+        )
+
+
+class TestExpectedEnds:
+    @pytest.mark.parametrize(
+        ("fields", "now", "left_s"),
+        [
+            ({"progress_percent": 75.0}, 2.0, 0.5),
+            ({"progress_percent": 99.0}, 10.0, 7.0),  # Far over its estimate.
+            ({"progress_percent": 500.0}, 2.0, 0.0),
+            ({"progress_percent": -9.0}, 2.0, 2.0),
+            ({"pace_percent": 50}, 2.0, 4.0),
+            ({"pace_percent": 0}, 2.0, math.inf),
+            ({"state": fleet.AttemptState.STOPPING}, 2.0, 0.4),
+        ],
+    )
+    def test_false_percent_and_estimate_do_not_promise_room(
+        self, fields, now, left_s
+    ):
+        placement = pipelines.place(
+            pipelines.worker(),
+            pipelines.stage(estimate_ms=2000),
+            now=1.0,
+            **fields,
+        )
+        assert pipelinelocality.expected_left_s(
+            placement, 3.0, now
+        ) == pytest.approx(left_s)
+
+
+class TestHotRack:
+    def test_factor_decides_whether_a_task_waits(self):
+        assert Site(3.0).round(Site().submit()) == [[]]
+        assert Site(1.5).round(Site().submit()) == [["r2"]]
+        assert Site(1.0).round(Site().submit()) == [["r2"]]
+
+    def test_only_those_wait_for_whom_room_is_expected_in_time(self):
+        # Eight rooms in 1 s and eight more 2 s later; idle ones wait for 2 s.
+        site = Site()
+        items = [site.submit(f"p{n:02}") for n in range(12)]
+        racks = site.round(*items)
+        assert racks == [[]] * 8 + [["r2"]] * 4
+
+    def test_demand_without_any_room_is_ahead_of_others(self):
+        site = Site()
+        for worker in site.far:
+            pipelines.place(worker, pipelines.stage(millicores=3000), now=1.0)
+        ahead = site.submit("a", millicores=2000, count=8)
+        assert site.round(ahead, site.submit("b")) == [[], ["r2"]]
+
+    def test_room_that_becomes_free_is_used_at_once(self):
+        site = Site()
+        item = site.submit()
+        assert site.round(item) == [[]]
+        site.near[0].remove(site.filling[0])
+        assert site.round(item, now=1.3) == [["r1"]]
+
+    def test_idle_pipeline_starts_far_when_estimates_were_wrong(self):
+        site = Site()
+        item = site.submit(estimate_ms=LONG_MS)
+        assert site.round(item) == [[]]
+        assert site.round(item, now=1.0 + pipelineplacement.MAX_IDLE_S) == [
+            ["r2"]
+        ]
+
+    def test_lasting_task_does_not_wait(self):
+        site = Site()
+        item = site.submit(lasting=True, estimate_ms=LONG_MS)
+        assert site.round(item, now=1.4) == [["r2"]]
+
+
+class TestEndOfReason:
+    @pytest.mark.parametrize(
+        ("lose", "racks"),
+        [
+            (lambda site, worker: None, []),
+            (lambda site, worker: site.lost.append(worker), ["r2"]),
+            (
+                lambda site, worker: setattr(worker, "suspect_until_s", 99.0),
+                ["r2"],
+            ),
+            (
+                lambda site, worker: setattr(
+                    worker,
+                    "state",
+                    pipelines.worker_state(worker.id, rack="r1", draining=True),
+                ),
+                ["r2"],
+            ),
+        ],
+        ids=["unchanged", "silent", "suspect", "draining"],
+    )
+    def test_wait_ends_with_the_rack(self, lose, racks):
+        site = Site()
+        for placement in site.filling:
+            placement.progress_percent = 90.0
+        item = site.submit()
+        assert site.round(item) == [[]]
+        for worker in site.near:
+            lose(site, worker)
+        assert site.round(item, now=2.3) == [racks]
+
+
+class TestGangs:
+    def test_gang_waits_for_a_common_rack(self):
+        site = Site()
+        for worker in site.far:
+            pipelines.place(worker, pipelines.stage(millicores=2000), now=1.0)
+        fields = {"count": 5, "gang": True, "same_rack": True}
+        item = site.submit(**fields, rack="")
+        assert site.round(item) == [[]]
+        for placement in site.filling:
+            placement.worker.remove(placement)
+        assert site.round(item, now=1.2) == [["r1"] * 5]
+
+    def test_gang_larger_than_a_rack_does_not_wait(self):
+        site = Site()
+        for placement in site.filling[:4]:
+            placement.worker.remove(placement)
+        fields = {"count": 9, "gang": True, "same_rack": True}
+        (racks,) = site.round(site.submit(**fields, rack=""))
+        assert sorted(set(racks)) == ["r1", "r2"]
