Work avoids workers that prove to be slow, or are cold

Workers may be up to 8 times as slow as others, or slow for some time after their start, but placement and the expected ends of running work took all for equal. The progress of attempts at full pace is now compared with the median of their stage on other workers. Cold workers report how long they stay so. A slow worker is the last choice, but is not left idle if nothing faster has room. A near place that is slower than a far one is not waited for. The setting is pipelines.learn_speeds; the platform's adapter turns it on.

--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -123,6 +123,12 @@
     STARTED_FAR_AFTER_WAIT = Event(
         480, logging.INFO, "task started far from its data after a wait"
     )
+    PIPELINE_WORKER_SLOW = Event(
+        481, logging.WARNING, "worker is slower than others"
+    )
+    PIPELINE_WORKER_NOT_SLOW = Event(
+        482, logging.INFO, "worker is not slower than others any more"
+    )
     STORE_LOST = Event(460, logging.WARNING, "store refuses this process")
     STORE_BACK = Event(461, logging.INFO, "store serves this process again")
     RELOADED = Event(105, logging.INFO, "settings reloaded")
--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -275,6 +275,9 @@
         unproven: Its attempts of suspect tasks, which may crash it, until they
             are seen running for a while.
         address: HTTP address at which it accepts orders, empty if unknown.
+        speed: Its present speed relative to others, 1 at most.
+        cold_until_s: Monotonic time until which it stays slow after its start,
+            0 if it does not; `speed` ends then.
     """
 
     id: str
@@ -312,6 +315,8 @@
     reservations: dict[str, Reservation] = attrs.field(factory=dict)
     unproven: set[AttemptKey] = attrs.field(factory=set)
     address: str = ""
+    speed: float = 1.0
+    cold_until_s: float = 0.0
 
     @property
     def key(self) -> WorkerKey:
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -253,6 +253,7 @@
             _unix_ms,
             self._max_lease_s,
             self._parts.settings.pipelines.remote_factor,
+            self._parts.settings.pipelines.learn_speeds,
         )
         self._scheduler.set_queues(self._peers.queues)
         self._tombstones = self._new_tombstones()
--- a/pomelostair/pipelinelocality.py
+++ b/pomelostair/pipelinelocality.py
@@ -13,6 +13,7 @@
 
 from collections.abc import Iterable
 import math
+import statistics
 
 import attrs
 
@@ -24,6 +25,7 @@
 from pomelostair import pipeline
 from pomelostair import pipelineplacement as placement_module
 from pomelostair import resources
+from pomelostair import workerspeed
 
 # Factor on the expected time until there is room, since it rests on estimates
 # and other work may take the room, while a far place is certain.
@@ -48,6 +50,7 @@
     Attributes:
         near_s: Expected time that the work takes at a near place.
         far_s: The same at the far place.
+        bound_s: Longest wait, in total.
         room_s: Expected time until there is room at a near place; infinity if
             none is expected.
         waited_s: Time for which the task has waited for a near place.
@@ -60,6 +63,7 @@
 
     near_s: float
     far_s: float
+    bound_s: float
     room_s: float
     waited_s: float
     ready_for_s: float
@@ -80,7 +84,7 @@
         choice: What the decision rests on.
     """
     loss_s = choice.far_s - choice.near_s
-    limit_s = loss_s - choice.waited_s
+    limit_s = min(loss_s, choice.bound_s) - choice.waited_s
     if choice.idle:
         limit_s = min(limit_s, placement_module.MAX_IDLE_S - choice.ready_for_s)
     cautious_s = choice.room_s * CAUTION
@@ -117,8 +121,10 @@
         total_s *= remote_factor
     total_s *= pacing.FULL_PERCENT / placement.pace_percent
     left_share = 1 - min(max(placement.progress_percent, 0.0), 100.0) / 100
+    left_s = workerspeed.run_s(placement.worker, total_s * left_share, now)
+    total_s = workerspeed.run_s(placement.worker, total_s, now)
     overdue_s = now - placement.ordered_s - total_s
-    return max(total_s * left_share, overdue_s, 0.0)
+    return max(left_s, overdue_s, 0.0)
 
 
 @attrs.frozen
@@ -206,6 +212,7 @@
     def wait_s(
         self,
         task: pipeline.Task,
+        far: fleet.Worker | None,
         slack_s: float,
         idle: bool,
     ) -> float:
@@ -216,6 +223,7 @@
 
         Args:
             task: A task, or a member of a gang that starts at once.
+            far: The far worker, None for those of a gang.
             slack_s: Time that its pipeline can still wait without missing its
                 objective.
             idle: Whether nothing of its pipeline is running.
@@ -230,9 +238,11 @@
         waited_s = 0.0
         if task.near_wait_since_s:
             waited_s = self._now - task.near_wait_since_s
+        far_s = work_s * self._remote_factor
         choice = Choice(
-            near_s=work_s,
-            far_s=work_s * self._remote_factor,
+            near_s=self._near_s(stage.rack, work_s),
+            far_s=workerspeed.run_s(far, far_s, self._now) if far else far_s,
+            bound_s=far_s - work_s,
             room_s=self._room_s(task, work_s),
             waited_s=waited_s,
             ready_for_s=self._now - task.ready_since_s,
@@ -245,6 +255,15 @@
             self.claim(task, stage.count if stage.gang else 1)
         return limit_s
 
+    def _near_s(self, rack: str, work_s: float) -> float:
+        """Returns the time that work takes on a usual worker of a rack."""
+        workers = self.racks.get(rack, ())
+        if all(worker.speed >= 1 for worker in workers):
+            return work_s
+        return statistics.median(
+            workerspeed.run_s(worker, work_s, self._now) for worker in workers
+        )
+
     def _is_far_spare(self) -> bool:
         if self._far_is_spare is None:
             unused = sum(max(0, w.unused_millicores) for w in self._workers)
@@ -324,6 +343,9 @@
         if (
             worker.is_silent(self._now)
             or worker.unproven
+            or workerspeed.speed_for(stage, worker, self._now)
+            * self._remote_factor
+            <= 1
             or not worker.state.capacity.covers(stage.demand)
             or not placement_module.meets_constraints(task, worker, self._now)
         ):
--- a/pomelostair/pipelinemonitor.py
+++ b/pomelostair/pipelinemonitor.py
@@ -7,6 +7,7 @@
 from pomelostair import metrics as metrics_module
 from pomelostair import pacing
 from pomelostair import pipelinemessages as messages
+from pomelostair import workerspeed
 
 # An attempt without progress for this long counts as stalled.
 STALL_S = 1.5
@@ -69,7 +70,7 @@
             return []
         worker.last_check_s = now
         if worker.state.draining:
-            self._drain(worker)
+            self._drain(worker, now)
         if (
             now - worker.last_report_s > fleet.REPORT_FRESH_S
             or not worker.state.reachable
@@ -101,13 +102,13 @@
                 self._attempts.stop(placement, "it makes no progress")
         return to_move
 
-    def _drain(self, worker: fleet.Worker) -> None:
+    def _drain(self, worker: fleet.Worker, now: float) -> None:
         """Stops the attempts that would not end before a worker leaves."""
         for placement in list(worker.placements.values()):
             stage = placement.task.stage
-            remaining_ms = stage.estimate_ms * (
-                1 - placement.progress_percent / 100
-            )
+            left_s = stage.estimate_ms / 1000
+            left_s *= 1 - placement.progress_percent / 100
+            remaining_ms = workerspeed.run_s(worker, left_s, now) * 1000
             ends_in_time = (
                 not stage.lasting
                 and remaining_ms + DRAIN_MARGIN_MS < worker.state.remaining_ms
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -22,6 +22,7 @@
 from pomelostair import pipeline
 from pomelostair import pipelinecrashes
 from pomelostair import resources
+from pomelostair import workerspeed
 
 # A filler starts only where at least this share of its requested millicores is
 # unused. With less it would run too slowly to meet its objective, as soon as
@@ -159,6 +160,7 @@
     worker: fleet.Worker,
     pace_share: float,
     remote_factor: float = 1.0,
+    speed: float = 1.0,
 ) -> float:
     """Returns how well a worker suits a task, in millicores; more is better.
 
@@ -167,10 +169,10 @@
         worker: A worker on which the task fits.
         pace_share: Share of full pace that a filler could have there.
         remote_factor: Factor on the run time far from the data.
+        speed: Speed of the worker while it runs the task.
     """
     stage = task.stage
     value = float(worker.unused_millicores)
-    speed = 1.0
     if stage.rack and stage.rack != worker.state.rack:
         if remote_factor > 1:
             speed /= remote_factor
@@ -185,7 +187,9 @@
         if not worker.serving_millicores:
             value -= NO_SERVING_PENALTY_MILLICORES
     elif stage.latency_target_ms:
-        return _serving_score(stage, worker)
+        return _serving_score(stage, worker) - FULL_SPEED_BONUS_MILLICORES * (
+            1 - speed
+        )
     else:
         value -= FULL_SPEED_BONUS_MILLICORES * (1 - speed)
         if worker.serving_millicores:
@@ -355,7 +359,9 @@
             continue
         elif stage.estimate_ms:
             left_share = 1 - placement.progress_percent / 100
-            left_s = stage.estimate_ms / 1000 * left_share
+            left_s = workerspeed.run_s(
+                worker, stage.estimate_ms / 1000 * left_share, now
+            )
         else:
             left_s = UNKNOWN_DURATION_S
         ends.append((left_s, placement.key, stage.counted_demand))
@@ -464,7 +470,10 @@
         pace_share = pacer.available_pace_share(task, worker, now)
         if pace_share < required_pace_share:
             return None
-    value = score(task, worker, pace_share, remote_factor)
+    speed = 1.0
+    if worker.speed < 1:
+        speed = workerspeed.speed_for(task.stage, worker, now)
+    value = score(task, worker, pace_share, remote_factor, speed)
     if worker.unproven:
         value -= UNPROVEN_PENALTY_MILLICORES
     if worker.is_silent(now) or not worker.confirms_orders(now):
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -32,6 +32,7 @@
 from pomelostair import pipelinestarts
 from pomelostair import pipelinewaits
 from pomelostair import queues
+from pomelostair import workerspeed
 
 # Pipelines that must fail on a worker, with no success in between, before the
 # worker becomes suspect. One or two pipelines may be faulty themselves.
@@ -71,6 +72,7 @@
         unix_ms: Returns the current Unix time in milliseconds.
         max_lease_s: Longest time that a lease granted now can last.
         remote_factor: Factor on the run time far from the data.
+        learn_speeds: Whether the speeds of the workers are learned.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         unix_ms: Callable[[], float],
         max_lease_s: float,
         remote_factor: float = 1.0,
+        learn_speeds: bool = False,
     ):
         self._epoch = epoch
         self._lease_version = lease_version
@@ -111,6 +114,9 @@
         self._partial_lists = 0
         self._pacer = pacing.Pacer(metrics)
         self._attempts = attempts_module.Attempts(self._pacer, metrics)
+        self._speeds = workerspeed.WorkerSpeeds(
+            metrics, remote_factor, learn_speeds
+        )
         self._registry = pipelineregistry.PipelineRegistry(
             lease_version, unix_ms, self._attempts.has_attempts
         )
@@ -434,6 +440,7 @@
         else:
             worker.reconciled = True
         self._pacer.observe(worker, now)
+        self._speeds.observe(worker, now)
         self._apply_results(worker, state, now)
         self._remove_missing(worker, state, now)
         self._starter.release_reported(worker)
@@ -584,6 +591,8 @@
             ordered_s = 0.0
             if placement is not None:
                 ordered_s = placement.ordered_s
+                if end is pipeline.End.DONE:
+                    self._speeds.record_done(placement, now)
                 self._attempts.detach(placement)
             self._apply_end(
                 task, attempt, end, checkpoint, worker, ordered_s, now
@@ -883,6 +892,7 @@
             self._ended_since_s[key] = now
             self._lapsed.discard(key)
         worker = self._workers.pop(key, None)
+        self._speeds.forget(key)
         self._unacknowledged.discard(key)
         if worker is None:
             return
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -252,7 +252,9 @@
                 or (
                     may_wait
                     and search.has_only_far_room(task)
-                    and self._waits_for_near(task, search, slack_s, now)
+                    and self._waits_for_near(
+                        task, search.far_room(task), search, slack_s, now
+                    )
                 )
             ):
                 continue
@@ -323,7 +325,7 @@
         if (
             may_wait
             and worker.state.rack != task.stage.rack
-            and self._waits_for_near(task, search, slack_s, now)
+            and self._waits_for_near(task, worker, search, slack_s, now)
         ):
             search.record_far_room(task, worker)
             return
@@ -333,6 +335,7 @@
     def _waits_for_near(
         self,
         task: pipeline.Task,
+        far: fleet.Worker | None,
         search: "_Search",
         slack_s: float,
         now: float,
@@ -344,6 +347,7 @@
         Args:
             task: A task with room far from its data, or a member of a gang
                 without room on a near rack.
+            far: The far worker, None for those of a gang.
             search: Search for room on the workers of its service.
             slack_s: Time that its pipeline can still wait.
             now: Monotonic seconds.
@@ -351,7 +355,7 @@
         if not search.locality.prefers_near(task.stage):
             return False
         idle = not self._attempts.any_live(task.pipeline, now)
-        if not search.locality.wait_s(task, slack_s, idle):
+        if not search.locality.wait_s(task, far, slack_s, idle):
             return False
         task.near_wait_since_s = task.near_wait_since_s or now
         return True
@@ -636,7 +640,7 @@
             if (
                 number == len(near)
                 and may_wait
-                and self._waits_for_near(members[0], search, slack_s, now)
+                and self._waits_for_near(members[0], None, search, slack_s, now)
             ):
                 return False
             started = self._attach_members(
@@ -1096,13 +1100,17 @@
         """Records a far worker with room for a task that waits all the same."""
         self._far_rooms[task.stage.demand, task.stage.filler] = worker
 
+    def far_room(self, task: pipeline.Task) -> fleet.Worker | None:
+        """Returns the far worker that was recorded for a task, if any."""
+        return self._far_rooms.get((task.stage.demand, task.stage.filler))
+
     def has_only_far_room(self, task: pipeline.Task) -> bool:
         """Returns whether it is known that a task has room at far places only.
 
         Then it need not be compared with all workers to decide that it waits.
         """
         stage = task.stage
-        far = self._far_rooms.get((stage.demand, stage.filler))
+        far = self.far_room(task)
         return (
             far is not None
             and not stage.gang
--- a/pomelostair/platform/settingsfile.py
+++ b/pomelostair/platform/settingsfile.py
@@ -179,5 +179,6 @@
         grant_ms=hold_ms + GRANT_MARGIN_MS,
         retention_s=retention_s,
         shutdown_s=drain_s,
+        learn_speeds=True,
         remote_factor=max(1.0, file.number("bounds.remoteFactor", 1)),
     )
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -228,6 +228,8 @@
         remote_factor: Factor on the run time of a task far from the rack of its
             data, and of a gang that prefers a common rack on several ones; 1 if
             that makes no difference.
+        learn_speeds: Whether work avoids workers that prove to be slow, or
+            report that they are cold.
     """
 
     callers: str | None = attrs.field(
@@ -249,6 +251,7 @@
     retention_s: float = _positive_field(180.0)
     shutdown_s: float = _positive_field(5.0)
     remote_factor: float = _positive_field(1.0)
+    learn_speeds: bool = False
 
     def __attrs_post_init__(self):
         """Checks constraints between keys."""
--- a/tests/test_pipelinelocality.py
+++ b/tests/test_pipelinelocality.py
@@ -80,6 +80,7 @@
     defaults = {
         "near_s": 2.0,
         "far_s": 6.0,
+        "bound_s": 4.0,
         "room_s": 1.0,
         "waited_s": 0.0,
         "ready_for_s": 0.0,
@@ -97,6 +98,7 @@
             ({}, 4.0),
             ({"waited_s": 2.0}, 2.0),
             ({"waited_s": 4.0}, 0.0),
+            ({"far_s": 60.0}, 4.0),  # The far worker is slow, too.
             ({"room_s": math.inf}, 0.0),
             ({"room_s": 3.0}, 0.0),
             ({"room_s": 3.0, "far_is_spare": False}, 4.0),
@@ -188,6 +190,7 @@
         [
             (lambda site, worker: None, []),
             (lambda site, worker: site.lost.append(worker), ["r2"]),
+            (lambda site, worker: setattr(worker, "speed", 1 / 8), ["r2"]),
             (
                 lambda site, worker: setattr(worker, "suspect_until_s", 99.0),
                 ["r2"],
@@ -201,7 +204,7 @@
                 ["r2"],
             ),
         ],
-        ids=["unchanged", "silent", "suspect", "draining"],
+        ids=["unchanged", "silent", "slow", "suspect", "draining"],
     )
     def test_wait_ends_with_the_rack(self, lose, racks):
         site = Site()
@@ -213,6 +216,14 @@
             lose(site, worker)
         assert site.round(item, now=2.3) == [racks]
 
+    def test_far_place_is_better_than_a_much_slower_near_one(self):
+        site = Site()
+        for worker in site.near:
+            worker.speed = 1 / 8
+        for placement in site.filling:
+            placement.worker.remove(placement)
+        assert site.round(site.submit()) == [["r2"]]
+
 
 class TestGangs:
     def test_gang_waits_for_a_common_rack(self):
--- /dev/null
+++ b/tests/test_workerspeed.py
@@ -0,0 +1,190 @@
+"""Speeds of workers: what teaches them, and what must not."""
+
+import pytest
+
+from pomelostair import metrics
+from pomelostair import pacing
+from pomelostair import pipeline
+from pomelostair import pipelineplacement
+from pomelostair import workerspeed
+from tests import pipelines
+
+METRICS = metrics.Metrics()
+WORKERS = 6
+SLOW = 5
+
+
+class Fleet:
+    """Workers that run a task each of several wide pipelines.
+
+    Args:
+        speeds: Speed of the last worker; the others have 1.
+        estimates_ms: Estimates of the pipelines, whose tasks take 4 s.
+        fields: Further fields of the stages.
+    """
+
+    def __init__(self, speed=1 / 8, estimates_ms=(4000, 4000, 400), **fields):
+        self.now = 10.0
+        self.step = 0
+        self.workers = [
+            pipelines.worker(f"w{n}", cores=16) for n in range(WORKERS)
+        ]
+        self.speed = [1.0] * SLOW + [speed]
+        self.speeds = workerspeed.WorkerSpeeds(METRICS)
+        self.placements = [[] for _ in self.workers]
+        for number, estimate_ms in enumerate(estimates_ms):
+            declared = pipelines.declare(
+                f"p{number}",
+                pipelines.stage(WORKERS, estimate_ms=estimate_ms, **fields),
+            )
+            item = pipeline.Pipeline(declared, 1, pipeline.Progress(), 0.0)
+            for index, worker in enumerate(self.workers):
+                placement = pipelines.place(
+                    worker, declared.stages[0], index, now=self.now
+                )
+                worker.remove(placement)
+                placement.task = item.tasks(0, 0)[index]
+                worker.add(placement)
+                self.placements[index].append(placement)
+
+    @property
+    def learned(self):
+        return [round(worker.speed, 2) for worker in self.workers]
+
+    def run(self, steps=5, percent=lambda index, number, true: true):
+        """Lets 0.5 s pass in each step, and reports all workers.
+
+        Args:
+            steps: Number of steps.
+            percent: Returns what is reported as progress, from the index of
+                the worker, the number of the pipeline and the true progress.
+        """
+        for _ in range(steps):
+            self.step += 1
+            self.now += 0.5
+            for index, worker in enumerate(self.workers):
+                changes = {"clock_ms": int(self.now * 1000)}
+                changes["cold_left_ms"] = worker.state.cold_left_ms
+                worker.state = pipelines.worker_state(
+                    worker.id, cores=16, **changes
+                )
+                for number, placement in enumerate(self.placements[index]):
+                    true = min(100.0, self.step * 10 * self.speed[index])
+                    placement.progress_percent = percent(index, number, true)
+                self.speeds.observe(worker, self.now)
+
+
+class TestLearning:
+    def test_slow_worker_is_found_and_forgotten(self):
+        fleet = Fleet()
+        fleet.run()
+        assert fleet.learned == [1.0] * SLOW + [0.12]
+        assert workerspeed.run_s(
+            fleet.workers[SLOW], 2.0, fleet.now
+        ) == pytest.approx(16.0, rel=0.1)
+        for worker in fleet.workers:
+            worker.placements.clear()
+        fleet.placements = [[] for _ in fleet.workers]
+        fleet.now += workerspeed.FORGET_S
+        fleet.run(1)
+        assert fleet.learned == [1.0] * WORKERS
+
+    def test_done_attempts_count_without_percent(self):
+        fleet = Fleet(estimates_ms=(4000, 4000))
+        fleet.run(1, lambda index, number, true: 0.0)
+        for index, worker in enumerate(fleet.workers):
+            clock_ms = 10_500 + int(1000 / fleet.speed[index])
+            worker.state = pipelines.worker_state(worker.id, clock_ms=clock_ms)
+            for placement in fleet.placements[index]:
+                fleet.speeds.record_done(placement, 11.0)
+            fleet.speeds.observe(worker, 11.0)
+        assert fleet.learned == [1.0] * SLOW + [0.12]
+
+    @pytest.mark.parametrize(
+        "percent",
+        [
+            lambda index, number, true: 0.0,
+            lambda index, number, true: 50.0,
+            lambda index, number, true: -true,
+            lambda index, number, true: true * (50 if index == SLOW else 1),
+            # One pipeline lies about what it does on a worker.
+            lambda index, number, true: (
+                true / 8 if (index, number) == (0, 0) else true
+            ),
+        ],
+        ids=["absent", "constant", "negative", "exaggerated", "one-lies"],
+    )
+    def test_false_percent_slows_no_healthy_worker(self, percent):
+        fleet = Fleet(speed=1.0)
+        fleet.run(8, percent)
+        assert fleet.learned == [1.0] * WORKERS
+
+    def test_far_off_estimates_slow_no_worker(self):
+        fleet = Fleet(speed=1.0, estimates_ms=(100, 40_000, 4000))
+        fleet.run()
+        assert fleet.learned == [1.0] * WORKERS
+
+    @pytest.mark.parametrize("pace", [0, 30])
+    def test_attempts_that_are_paced_down_teach_nothing(self, pace):
+        fleet = Fleet(filler=True)
+        for placement in fleet.placements[SLOW]:
+            placement.pace_percent = pace
+        fleet.run()
+        for placement in fleet.placements[SLOW]:
+            placement.pace_percent = pacing.FULL_PERCENT
+        # The order of full pace is on its way.
+        fleet.run(2)
+        assert fleet.learned == [1.0] * WORKERS
+
+    def test_fillers_that_share_time_teach_nothing(self):
+        fleet = Fleet(filler=True, millicores=8000)
+        fleet.run()
+        assert fleet.learned == [1.0] * WORKERS
+
+    def test_memory_is_bounded(self):
+        speeds = workerspeed.WorkerSpeeds(METRICS)
+        for number in range(workerspeed.MAX_GROUPS + 50):
+            group = speeds._group(("stage", str(number), 0))
+            for worker in range(workerspeed.MAX_GROUP_WORKERS + 5):
+                group.add((str(worker), 1), 1.0)
+        assert len(speeds._groups) == workerspeed.MAX_GROUPS
+        assert len(group.rates) == workerspeed.MAX_GROUP_WORKERS
+
+
+class TestColdWorker:
+    def test_work_ends_at_full_speed_once_it_is_warm(self):
+        worker = pipelines.worker(speed=0.25, cold_until_s=14.0)
+        assert workerspeed.run_s(worker, 0.5, 10.0) == 2.0
+        assert workerspeed.run_s(worker, 3.0, 10.0) == 6.0
+        assert workerspeed.run_s(worker, 3.0, 15.0) == 3.0
+
+    def test_speed_counts_while_it_is_cold_only(self):
+        fleet = Fleet(speed=1 / 4)
+        cold = fleet.workers[SLOW]
+        cold.state = pipelines.worker_state(cold.id, cold_left_ms=9000)
+        fleet.run(1)
+        assert cold.speed == workerspeed.COLD_SPEED
+        fleet.run(4)
+        assert cold.speed == pytest.approx(0.25, rel=0.1)
+        cold.state = pipelines.worker_state(cold.id, cold_left_ms=0)
+        fleet.speeds.observe(cold, fleet.now)
+        assert (cold.speed, cold.cold_until_s) == (1.0, 0.0)
+
+
+class TestPlacement:
+    @pytest.mark.parametrize("filler", [False, True])
+    @pytest.mark.parametrize("image", ["", "im"])
+    def test_warm_worker_is_chosen_and_a_slow_one_is_not_left_idle(
+        self, filler, image
+    ):
+        pacer = pacing.Pacer(METRICS)
+        slow = pipelines.worker("slow", cores=48, speed=0.5)
+        slow.cold_until_s = 9.0
+        fast = pipelines.worker("fast", cores=16)
+        pipelines.place(fast, pipelines.stage(millicores=6000))
+        stage = pipelines.stage(millicores=8000, filler=filler, image=image)
+        task = pipelines.place(pipelines.worker("x"), stage).task
+        choose = pipelineplacement.choose
+        assert choose(task, [slow, fast], pacer, 1.0) is fast
+        pipelines.place(fast, pipelines.stage(millicores=6000))
+        assert choose(task, [slow, fast], pacer, 1.0) is slow
