Estimates of a queue are corrected by the run times of its tasks

The ratio of true to estimated run times is now learned by queue: the median over the recent pipelines of their medians, within 0.25 to 4, of attempts that ran at full pace from the begin. Far places and slow workers are taken out. The setting is pipelines.learn_run_times, off unless the platform's adapter turns it on. A new leader starts without knowledge, which is what was used before.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -74,6 +74,8 @@
             0 if that is unknown.
         is_adopted: Whether an earlier leader ordered it, so that it may have
             run for longer than its worker's lists show.
+        shows_run_time: Whether its run time is that of its task: it has run
+            from the begin, and always at full pace.
     """
 
     task: pipeline.Task
@@ -95,6 +97,7 @@
     awaits_report: bool = False
     listed_since_ms: int = 0
     is_adopted: bool = False
+    shows_run_time: bool = True
 
     @property
     def key(self) -> AttemptKey:
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -254,6 +254,7 @@
             self._max_lease_s,
             self._parts.settings.pipelines.remote_factor,
             self._parts.settings.pipelines.learn_speeds,
+            self._parts.settings.pipelines.learn_run_times,
         )
         self._scheduler.set_queues(self._peers.queues)
         self._tombstones = self._new_tombstones()
--- a/pomelostair/pipelinelocality.py
+++ b/pomelostair/pipelinelocality.py
@@ -25,6 +25,7 @@
 from pomelostair import pipeline
 from pomelostair import pipelineplacement as placement_module
 from pomelostair import resources
+from pomelostair import runtimes
 from pomelostair import workerspeed
 
 # Factor on the expected time until there is room, since it rests on estimates
@@ -97,7 +98,10 @@
 
 
 def expected_left_s(
-    placement: fleet.Placement, remote_factor: float, now: float
+    placement: fleet.Placement,
+    remote_factor: float,
+    now: float,
+    run_times: runtimes.RunTimes = runtimes.UNKNOWN,
 ) -> float:
     """Returns the expected time until an attempt ends, maybe infinity.
 
@@ -108,6 +112,7 @@
         placement: The attempt.
         remote_factor: Factor on the run time far from the data.
         now: Monotonic seconds.
+        run_times: What is known of the run times of the queues.
     """
     stage = placement.task.stage
     if placement.state is fleet.AttemptState.STOPPING:
@@ -116,7 +121,7 @@
         return math.inf
     if not stage.estimate_ms:
         return placement_module.UNKNOWN_DURATION_S
-    total_s = stage.estimate_ms / 1000
+    total_s = run_times.work_s(placement.task)
     if stage.rack and stage.rack != placement.worker.state.rack:
         total_s *= remote_factor
     total_s *= pacing.FULL_PERCENT / placement.pace_percent
@@ -149,11 +154,17 @@
         remote_factor: Factor on the run time far from the data.
         workers: Workers of the service that accept new attempts.
         now: Monotonic seconds.
+        run_times: What is known of the run times of the queues.
     """
 
     def __init__(
-        self, remote_factor: float, workers: list[fleet.Worker], now: float
+        self,
+        remote_factor: float,
+        workers: list[fleet.Worker],
+        now: float,
+        run_times: runtimes.RunTimes = runtimes.UNKNOWN,
     ):
+        self._run_times = run_times
         self._remote_factor = remote_factor
         self._workers = workers
         self._now = now
@@ -232,7 +243,7 @@
             return 0.0
         self._decisions_left -= 1
         stage = task.stage
-        work_s = stage.estimate_ms / 1000
+        work_s = self._run_times.work_s(task)
         if task.checkpoint:
             work_s *= CHECKPOINT_WORK_SHARE
         waited_s = 0.0
@@ -389,7 +400,7 @@
             ends = []
             for placement in worker.placements.values():
                 left_s = expected_left_s(
-                    placement, self._remote_factor, self._now
+                    placement, self._remote_factor, self._now, self._run_times
                 )
                 stage = placement.task.stage
                 if left_s < math.inf:
--- a/pomelostair/pipelinemonitor.py
+++ b/pomelostair/pipelinemonitor.py
@@ -78,6 +78,7 @@
             return []
         for placement, percent in self._pacer.pace_changes(worker, now):
             placement.pace_percent = percent
+            placement.shows_run_time = False
             if percent >= pacing.FULL_PERCENT:
                 placement.slowed_since_s = 0.0
                 placement.last_progress_s = now
--- a/pomelostair/pipelineorder.py
+++ b/pomelostair/pipelineorder.py
@@ -81,8 +81,13 @@
         )
 
 
-def remaining_s(item: pipeline.Pipeline) -> float:
-    """Returns the estimated time of the longest chain of unfinished stages."""
+def remaining_s(item: pipeline.Pipeline, run_time_ratio: float = 1.0) -> float:
+    """Returns the estimated time of the longest chain of unfinished stages.
+
+    Args:
+        item: The pipeline.
+        run_time_ratio: Ratio of true to estimated run times of its queue.
+    """
     ends_s: list[float] = []
     longest_s = 0.0
     for number, stage in enumerate(item.declaration.stages):
@@ -92,7 +97,7 @@
             start_s + (stage.estimate_ms / 1000 if unfinished else 0.0)
         )
         longest_s = max(longest_s, ends_s[-1])
-    return longest_s
+    return longest_s * run_time_ratio
 
 
 def parts_left(item: pipeline.Pipeline) -> int:
@@ -109,6 +114,7 @@
     item: pipeline.Pipeline,
     queue: queues.Queue | None,
     now: float,
+    run_time_ratio: float = 1.0,
 ) -> Rank:
     """Returns the position of a pipeline.
 
@@ -116,6 +122,7 @@
         item: The pipeline.
         queue: Its queue, None if it is no longer configured.
         now: Monotonic seconds.
+        run_time_ratio: Ratio of true to estimated run times of its queue.
     """
     declaration = item.declaration
     if queue is None:
@@ -138,7 +145,7 @@
         queue.stretch * declaration.critical_path_ms() + queue.objective_ms
     ) / 1000
     age_s = item.age_s(now)
-    estimated_s = remaining_s(item)
+    estimated_s = remaining_s(item, run_time_ratio)
     slack_s = objective_s - age_s - estimated_s
     optimistic_s = age_s + estimated_s * OPTIMISTIC_FACTOR
     if age_s + estimated_s * PESSIMISTIC_FACTOR <= objective_s:
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -22,6 +22,7 @@
 from pomelostair import pipeline
 from pomelostair import pipelinecrashes
 from pomelostair import resources
+from pomelostair import runtimes
 from pomelostair import workerspeed
 
 # A filler starts only where at least this share of its requested millicores is
@@ -296,6 +297,7 @@
     workers: Iterable[fleet.Worker],
     now: float,
     may_preempt: Callable[[fleet.Placement], bool] = lambda placement: False,
+    run_times: runtimes.RunTimes = runtimes.UNKNOWN,
 ) -> fleet.Worker | None:
     """Returns the worker that can have room for a task soonest, if any.
 
@@ -307,6 +309,7 @@
         workers: Workers of its service that accept new attempts.
         now: Monotonic seconds.
         may_preempt: Returns whether the task may preempt an attempt.
+        run_times: What is known of the run times of the queues.
     """
     demand = task.stage.demand
     avoided = task.avoided_workers
@@ -329,7 +332,7 @@
     )
     best, best_key = None, None
     for worker in nearest:
-        delay_s = _room_delay_s(task, worker, now, may_preempt)
+        delay_s = _room_delay_s(task, worker, now, may_preempt, run_times)
         key = (worker.is_silent(now), delay_s)
         if delay_s < math.inf and (best is None or key < best_key):
             best, best_key = worker, key
@@ -341,6 +344,7 @@
     worker: fleet.Worker,
     now: float,
     may_preempt: Callable[[fleet.Placement], bool],
+    run_times: runtimes.RunTimes,
 ) -> float:
     """Returns the expected time until a worker has room for a task.
 
@@ -360,7 +364,7 @@
         elif stage.estimate_ms:
             left_share = 1 - placement.progress_percent / 100
             left_s = workerspeed.run_s(
-                worker, stage.estimate_ms / 1000 * left_share, now
+                worker, run_times.work_s(placement.task) * left_share, now
             )
         else:
             left_s = UNKNOWN_DURATION_S
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -32,6 +32,7 @@
 from pomelostair import pipelinestarts
 from pomelostair import pipelinewaits
 from pomelostair import queues
+from pomelostair import runtimes
 from pomelostair import workerspeed
 
 # Pipelines that must fail on a worker, with no success in between, before the
@@ -73,6 +74,7 @@
         max_lease_s: Longest time that a lease granted now can last.
         remote_factor: Factor on the run time far from the data.
         learn_speeds: Whether the speeds of the workers are learned.
+        learn_run_times: Whether the run times of the queues are learned.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         max_lease_s: float,
         remote_factor: float = 1.0,
         learn_speeds: bool = False,
+        learn_run_times: bool = False,
     ):
         self._epoch = epoch
         self._lease_version = lease_version
@@ -117,6 +120,7 @@
         self._speeds = workerspeed.WorkerSpeeds(
             metrics, remote_factor, learn_speeds
         )
+        self._run_times = runtimes.RunTimes(learn_run_times, remote_factor)
         self._registry = pipelineregistry.PipelineRegistry(
             lease_version, unix_ms, self._attempts.has_attempts
         )
@@ -132,6 +136,7 @@
             metrics,
             self._registry.mark_changed,
             remote_factor,
+            self._run_times,
         )
         self._packer = pipelinepacking.Packer(
             self._attempts, self._pacer, self._starter.advice, metrics
@@ -593,6 +598,7 @@
                 ordered_s = placement.ordered_s
                 if end is pipeline.End.DONE:
                     self._speeds.record_done(placement, now)
+                    self._run_times.record_done(placement, now)
                 self._attempts.detach(placement)
             self._apply_end(
                 task, attempt, end, checkpoint, worker, ordered_s, now
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -28,6 +28,7 @@
 from pomelostair import pipelinerooms
 from pomelostair import queues
 from pomelostair import resources
+from pomelostair import runtimes
 
 # Attempt numbers of a task that are set aside for each epoch. A new leader
 # can't know the last number that the previous one used, so it starts above all
@@ -73,6 +74,7 @@
         metrics: Registry that counts the starts.
         record: Schedules the progress of a pipeline for storage.
         remote_factor: Factor on the run time far from the data.
+        run_times: What is known of the run times of the queues.
     """
 
     def __init__(
@@ -83,8 +85,10 @@
         metrics: metrics_module.Metrics,
         record: Callable[[pipeline.Pipeline], None],
         remote_factor: float = 1.0,
+        run_times: runtimes.RunTimes = runtimes.UNKNOWN,
     ):
         self._epoch = epoch
+        self._run_times = run_times
         self._remote_factor = remote_factor
         self._record = record
         # Attempts of lasting tasks whose workers are not stored yet, by
@@ -148,14 +152,20 @@
                 queue = table.by_name(item.declaration.queue)
                 if queue is None or queue.service not in schedulable:
                     continue
-                rank = pipelineorder.rank(item, queue, now)
+                rank = pipelineorder.rank(
+                    item, queue, now, self._run_times.ratio(queue.name)
+                )
                 ranked.append((rank, item, queue))
         ranked.sort(key=lambda row: (row[0].key, row[1].id))
         considered = 0
         move_comparisons = 0
         searches = {
             service: _Search(
-                same_service, self._pacer, now, self._remote_factor
+                same_service,
+                self._pacer,
+                now,
+                self._remote_factor,
+                self._run_times,
             )
             for service, same_service in schedulable.items()
         }
@@ -764,8 +774,10 @@
     ) -> fleet.Placement:
         placement = fleet.Placement(task, attempt, worker, now)
         placement.pace_percent = self._pacer.initial_pace(task, worker, now)
+        placement.shows_run_time = not task.checkpoint
         if placement.pace_percent < pacing.FULL_PERCENT:
             placement.slowed_since_s = now
+            placement.shows_run_time = False
         self._attempts.attach(placement)
         return placement
 
@@ -951,9 +963,13 @@
         pacer: pacing.Pacer,
         now: float,
         remote_factor: float,
+        run_times: runtimes.RunTimes,
     ):
         self.workers = workers
-        self.locality = pipelinelocality.Locality(remote_factor, workers, now)
+        self.locality = pipelinelocality.Locality(
+            remote_factor, workers, now, run_times
+        )
+        self._run_times = run_times
         self._remote_factor = remote_factor
         self._pacer = pacer
         self._now = now
@@ -1049,7 +1065,7 @@
         if not has_reservation and self._never_free.includes(stage, 0.0):
             return None
         worker = placement_module.choose_to_free(
-            task, allowed, self._now, may_preempt
+            task, allowed, self._now, may_preempt, self._run_times
         )
         if worker is None and not (
             has_reservation
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -230,6 +230,8 @@
             that makes no difference.
         learn_speeds: Whether work avoids workers that prove to be slow, or
             report that they are cold.
+        learn_run_times: Whether the estimates of a queue are corrected by the
+            run times of its ended tasks.
     """
 
     callers: str | None = attrs.field(
@@ -252,6 +254,7 @@
     shutdown_s: float = _positive_field(5.0)
     remote_factor: float = _positive_field(1.0)
     learn_speeds: bool = False
+    learn_run_times: bool = False
 
     def __attrs_post_init__(self):
         """Checks constraints between keys."""
