Speeds by image rest on no estimate; a fleet with a hot rack is tested

Rates of attempts of one image were scaled by their estimates, which are off by up to 0.9, so that a healthy worker could seem slow. They are compared as they are, and only a speed below 0.5 counts. Three other workers suffice for a comparison: with four, a slow worker of a simulated fleet of six was never found. A simulated fleet with a hot rack, a slow and a lost worker and wrong estimates checks that no pipeline is idle for 3 s beside room.

--- a/pomelostair/workerspeed.py
+++ b/pomelostair/workerspeed.py
@@ -40,12 +40,14 @@
 # Time after a return to full pace in which the order may not be carried out.
 SETTLE_MS = 800
 # Other workers whose rates are needed for a comparison.
-MIN_WORKERS = 4
+MIN_WORKERS = 3
 # Pipelines of which attempts on a worker were compared before it counts:
-# with attempts of the same stage, and of the same image. The latter vary with
-# the errors of the estimates.
+# with attempts of the same stage, and of the same image. The latter may differ
+# in their work.
 MIN_PIPELINES = 2
 MIN_PIPELINES_BY_IMAGE = 5
+# Speed by image below which a worker counts as slow.
+SLOW_BELOW_BY_IMAGE = 0.5
 # Time for which a comparison counts.
 FORGET_S = 20.0
 # Bounds of what is kept: stages and images, workers of each, comparisons of
@@ -140,7 +142,7 @@
     """Rates of the attempts of one stage or image.
 
     Attributes:
-        rates: Latest rate by worker, in work seconds a second.
+        rates: Latest rate by worker, in percent a millisecond.
         median: Their median.
         median_at_s: Monotonic time at which it was computed.
     """
@@ -204,7 +206,10 @@
             by_pipeline = {name: by_pipeline[name] for name in by_stage}
         elif len(by_pipeline) < MIN_PIPELINES_BY_IMAGE:
             return None
-        return statistics.median(map(statistics.median, by_pipeline.values()))
+        speed = statistics.median(map(statistics.median, by_pipeline.values()))
+        if len(by_stage) < MIN_PIPELINES and speed >= SLOW_BELOW_BY_IMAGE:
+            return None
+        return speed
 
 
 class WorkerSpeeds:
@@ -318,11 +323,11 @@
         task = placement.task
         stage = task.stage
         worker = placement.worker
-        rate = percent_per_ms / 100 * max(1, stage.estimate_ms)
+        rate = percent_per_ms
         if stage.rack and stage.rack != worker.state.rack:
             rate *= self._remote_factor
         keys = [("stage", task.pipeline.id, task.stage_number)]
-        if stage.image and stage.estimate_ms:
+        if stage.image:
             keys.append(("image", stage.image))
         for number, key in enumerate(keys):
             group = self._group(key)
--- a/tests/test_pipelinelocality.py
+++ b/tests/test_pipelinelocality.py
@@ -1,6 +1,7 @@
 """Waits for places near the data: when they pay, and what ends them."""
 
 import math
+import random
 
 import pytest
 
@@ -12,7 +13,9 @@
 from pomelostair import pipelinelocality
 from pomelostair import pipelineplacement
 from pomelostair import pipelinestarts
+from pomelostair import workerspeed
 from tests import pipelines
+from tests import simfleet
 
 METRICS = metrics.Metrics()
 CORES = 4
@@ -244,3 +247,84 @@
         fields = {"count": 9, "gang": True, "same_rack": True}
         (racks,) = site.round(site.submit(**fields, rack=""))
         assert sorted(set(racks)) == ["r1", "r2"]
+
+
+class TwoRacks(simfleet.Fleet):
+    """Six workers in two racks, one of them in r1 is slow."""
+
+    WORK_MS = 1000
+    FACTOR = 3.0
+
+    def __init__(self):
+        names = [f"w{n}" for n in range(6)]
+        super().__init__(
+            names,
+            cores=8,
+            racks={name: "r2" for name in names[3:]},
+            options={
+                "remote_factor": self.FACTOR,
+                "learn_speeds": True,
+                "learn_run_times": True,
+            },
+        )
+        for host in self.hosts.values():
+            host.runner.work_ms = self.WORK_MS
+        self.hosts["w0"].runner.work_ms = 8 * self.WORK_MS
+        self.idle_s = {}
+        self.slowest = 1.0
+
+    def _check_start(self, host, order):
+        super()._check_start(host, order)
+        if self.racks.get(host.name):
+            run = host.runner.runs[order.task]
+            run.left_ms *= self.FACTOR
+            run.total_ms *= self.FACTOR
+
+    def step(self, step_s=0.1):
+        """Runs a step; measures how long pipelines are idle beside room."""
+        super().step(step_s)
+        speeds = [w.speed for w in self.scheduler.workers.values()]
+        self.slowest = min(self.slowest, *speeds)
+        has_room = any(
+            worker.free.millicores >= 2000
+            for worker in self.scheduler.workers.values()
+        )
+        running = {task.partition(".")[0] for task, _ in self.running()}
+        for name in self.rows:
+            idle = has_room and not self.is_over(name) and name not in running
+            self.idle_s[name] = self.idle_s.get(name, 0) + step_s if idle else 0
+            assert self.idle_s[name] < 3.0, name
+
+    def is_over(self, name):
+        return self.phase(name) is pipeline.Phase.COMPLETED
+
+
+class TestFleet:
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_hot_rack_with_wrong_estimates_starves_nobody(self, seed):
+        """Guards against idle pipelines and endless waits under a burst.
+
+        All data are in the rack with the slow worker, which is lost meanwhile.
+        """
+        numbers = random.Random(seed)
+        fleet = TwoRacks()
+        fleet.run_for(1)
+        for number in range(40):
+            estimate_ms = int(TwoRacks.WORK_MS * numbers.uniform(0.1, 1.9))
+            fleet.submit(
+                f"p{number}",
+                pipelines.stage(
+                    numbers.choice([1, 4, 12]),
+                    millicores=2000,
+                    estimate_ms=estimate_ms,
+                    rack="r1",
+                ),
+            )
+            fleet.run_for(numbers.choice([0.1, 0.3]))
+            if number == 30:
+                fleet.hosts["w1"].partitioned = True
+        fleet.run_for(60)
+        assert all(map(fleet.is_over, fleet.rows))
+        assert fleet.slowest < workerspeed.SLOW_BELOW
+        racks = {fleet.racks.get(host, "r1") for _, host in fleet.starts}
+        assert racks == {"r1", "r2"}
