Slow workers of a rack do not hide its others; usual run times change nothing

The time at a near place was the median of the whole rack, so that with half of it slow nobody waited for the other half. Workers slower than a far place are left out now. Ratios of run times between 0.8 and 1.25 count as 1, as they only reordered pipelines.

--- a/pomelostair/pipelinelocality.py
+++ b/pomelostair/pipelinelocality.py
@@ -267,13 +267,18 @@
         return limit_s
 
     def _near_s(self, rack: str, work_s: float) -> float:
-        """Returns the time that work takes on a usual worker of a rack."""
+        """Returns the time that work takes on a usual worker of a rack.
+
+        Workers that are slower than a far place are not waited for.
+        """
         workers = self.racks.get(rack, ())
         if all(worker.speed >= 1 for worker in workers):
             return work_s
-        return statistics.median(
+        times = [
             workerspeed.run_s(worker, work_s, self._now) for worker in workers
-        )
+        ]
+        far_s = work_s * self._remote_factor
+        return statistics.median([t for t in times if t < far_s] or times)
 
     def _is_far_spare(self) -> bool:
         if self._far_is_spare is None:
--- a/pomelostair/runtimes.py
+++ b/pomelostair/runtimes.py
@@ -22,6 +22,9 @@
 # Bounds of a ratio. Estimates on the platform are off by up to 0.9.
 MIN_RATIO = 0.25
 MAX_RATIO = 4.0
+# Ratios between these count as 1. They are within the noise of single run times
+# and delays, and would only change the order of the pipelines.
+USUAL_RATIOS = (0.8, 1.25)
 # Time from the decision to start until the attempt runs, and from its end until
 # the leader learns of it, in calm.
 DELAY_S = 0.15
@@ -90,9 +93,11 @@
         if len(by_pipeline) > MAX_PIPELINES:
             by_pipeline.popitem(last=False)
         if len(by_pipeline) >= MIN_PIPELINES:
-            self._ratios[queue] = statistics.median(
+            ratio = statistics.median(
                 map(statistics.median, by_pipeline.values())
             )
+            lowest, highest = USUAL_RATIOS
+            self._ratios[queue] = 1.0 if lowest <= ratio <= highest else ratio
 
 
 # Knows nothing: all estimates are taken as they are.
--- a/tests/test_pipelinelocality.py
+++ b/tests/test_pipelinelocality.py
@@ -227,6 +227,11 @@
             placement.worker.remove(placement)
         assert site.round(site.submit()) == [["r2"]]
 
+    def test_slow_workers_of_a_rack_do_not_hide_its_others(self):
+        site = Site()
+        site.near[0].speed = 1 / 8
+        assert site.round(site.submit()) == [[]]
+
 
 class TestGangs:
     def test_gang_waits_for_a_common_rack(self):
@@ -271,7 +276,6 @@
             host.runner.work_ms = self.WORK_MS
         self.hosts["w0"].runner.work_ms = 8 * self.WORK_MS
         self.idle_s = {}
-        self.slowest = 1.0
 
     def _check_start(self, host, order):
         super()._check_start(host, order)
@@ -283,8 +287,6 @@
     def step(self, step_s=0.1):
         """Runs a step; measures how long pipelines are idle beside room."""
         super().step(step_s)
-        speeds = [w.speed for w in self.scheduler.workers.values()]
-        self.slowest = min(self.slowest, *speeds)
         has_room = any(
             worker.free.millicores >= 2000
             for worker in self.scheduler.workers.values()
@@ -325,6 +327,20 @@
                 fleet.hosts["w1"].partitioned = True
         fleet.run_for(60)
         assert all(map(fleet.is_over, fleet.rows))
-        assert fleet.slowest < workerspeed.SLOW_BELOW
         racks = {fleet.racks.get(host, "r1") for _, host in fleet.starts}
         assert racks == {"r1", "r2"}
+
+    def test_reports_teach_speeds_and_run_times(self):
+        fleet = TwoRacks()
+        fleet.run_for(1)
+        for number in range(6):
+            fleet.submit(
+                f"p{number}",
+                pipelines.stage(12, millicores=2000, estimate_ms=400),
+            )
+            fleet.run_for(0.5)
+        fleet.run_for(2)
+        speeds = {w.id: w.speed for w in fleet.scheduler.workers.values()}
+        assert speeds.pop("w0") < workerspeed.SLOW_BELOW
+        assert set(speeds.values()) == {1.0}
+        assert fleet.scheduler._run_times.ratio("recast") > 2
--- a/tests/test_runtimes.py
+++ b/tests/test_runtimes.py
@@ -40,7 +40,8 @@
 
 class TestRatio:
     @pytest.mark.parametrize(
-        ("run_s", "ratio"), [(3.8, 1.9), (1.0, 0.5), (0.0, 0.25), (99.0, 4.0)]
+        ("run_s", "ratio"),
+        [(3.8, 1.9), (1.0, 0.5), (0.0, 0.25), (99.0, 4.0), (2.4, 1.0)],
     )
     def test_estimates_far_off_are_corrected_within_bounds(self, run_s, ratio):
         assert learned(run_s).ratio("recast") == pytest.approx(ratio)
