No task starts in a zone that an operator evacuates

The leader knew nothing of the rows op/evacuate/ZONE, so a zone went on getting work until its machines were turned off. While the store does not answer, the last known zones stay in force, and a new leader that has never read the rows does not lead. Workers in these zones accept no attempts, which also holds for kept rooms, moves, the packer and the search for idle pipelines.

Enabled by pipelines.evacuate_ms (the platform's bounds.evacuateMs). The key of such a row has an empty partition and a slash in its name, which the key format could not express; it is TABLE//NAME now, and all other keys are as before.

--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -120,6 +120,17 @@
     EARLIER_ATTEMPTS_KNOWN = Event(
         455, logging.INFO, "attempts of earlier terms are known"
     )
+    EVACUATION_BEGUN = Event(470, logging.WARNING, "zone is being evacuated")
+    EVACUATION_ENDED = Event(471, logging.INFO, "zone gets work again")
+    EVACUATED_ZONE_UNKNOWN = Event(
+        472, logging.WARNING, "evacuated zone has no known worker"
+    )
+    EVACUATION_BLOCKS_SERVICE = Event(
+        473, logging.WARNING, "service has no worker outside evacuated zones"
+    )
+    EVACUATIONS_UNREAD = Event(
+        474, logging.WARNING, "rows of evacuations can't be read"
+    )
     STORE_LOST = Event(460, logging.WARNING, "store refuses this process")
     STORE_BACK = Event(461, logging.INFO, "store serves this process again")
     RELOADED = Event(105, logging.INFO, "settings reloaded")
--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -275,6 +275,8 @@
         unproven: Its attempts of suspect tasks, which may crash it, until they
             are seen running for a while.
         address: HTTP address at which it accepts orders, empty if unknown.
+        evacuated: Whether its zone is being evacuated, so that it gets no
+            attempts.
     """
 
     id: str
@@ -312,6 +314,7 @@
     reservations: dict[str, Reservation] = attrs.field(factory=dict)
     unproven: set[AttemptKey] = attrs.field(factory=set)
     address: str = ""
+    evacuated: bool = False
 
     @property
     def key(self) -> WorkerKey:
@@ -464,6 +467,7 @@
             and self.is_heard(now)
             and self.state.announced
             and not self.state.draining
+            and not self.evacuated
             and not self.orphans
         )
 
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -14,6 +14,7 @@
 
 from pomelostair import clock as clock_module
 from pomelostair import entrypeers
+from pomelostair import evacuationwatch
 from pomelostair import events
 from pomelostair import fleet
 from pomelostair import kernel
@@ -116,6 +117,7 @@
         # further renewal is stored.
         self._extension_due = False
         advisor = parts.settings.pipelines.advisor
+        self._evacuations: evacuationwatch.EvacuationWatch | None = None
         self._advisor = parts.port.advisor(advisor) if advisor else None
         parts.bus.handle(messages.AgentReport, self._on_report)
         parts.bus.handle(messages.StatusQuery, self._on_status)
@@ -123,6 +125,7 @@
         parts.metrics.gauge("leading", lambda: self._leading)
         parts.metrics.gauge("pipelines_held", self._count_held)
         parts.metrics.gauge("tombstones_held", lambda: len(self._tombstones))
+        self._register_evacuation_gauges()
 
     @property
     def leading(self) -> bool:
@@ -142,6 +145,7 @@
             finally:
                 self._leading = False
                 self._scheduler = None
+                self._evacuations = None
                 log.emit(
                     events.Events.LEASE_LOST,
                     epoch=self._lease.epoch,
@@ -180,6 +184,29 @@
     def _new_tombstones(self) -> pipelinetombstones.Tombstones:
         return pipelinetombstones.Tombstones(self._retention_ms / 1000)
 
+    def _register_evacuation_gauges(self) -> None:
+        """Registers the gauges of evacuations; all are 0 where nobody leads."""
+        for name, count in {
+            "zones_evacuated": lambda held: len(held.zones),
+            "zones_evacuated_unknown": lambda held: len(held.unknown_zones),
+            "workers_evacuated": lambda held: held.evacuated_workers,
+            "services_evacuated": lambda held: len(held.blocked_services),
+        }.items():
+            self._parts.metrics.gauge(
+                name,
+                lambda count=count: (
+                    0
+                    if self._scheduler is None
+                    else count(self._scheduler.evacuation)
+                ),
+            )
+        self._parts.metrics.gauge(
+            "evacuations_age_seconds",
+            lambda: (
+                0.0 if self._evacuations is None else self._evacuations.age_s
+            ),
+        )
+
     def _count_held(self) -> int:
         return (
             0
@@ -254,6 +281,7 @@
             self._max_lease_s,
         )
         self._scheduler.set_queues(self._peers.queues)
+        self._evacuations = self._new_evacuation_watch()
         self._tombstones = self._new_tombstones()
         self._withheld.clear()
         self._extension_due = False
@@ -263,8 +291,27 @@
             await group.spawn(self._schedule)
             await group.spawn(self._delete_expired_at_intervals)
             await group.spawn(self._request_tickets)
+            if self._evacuations is not None:
+                await group.spawn(self._evacuations.run)
         _ = group.result
 
+    def _new_evacuation_watch(self) -> evacuationwatch.EvacuationWatch | None:
+        evacuate_ms = self._parts.settings.pipelines.evacuate_ms
+        if not evacuate_ms:
+            return None
+        return evacuationwatch.EvacuationWatch(
+            self._table,
+            self._parts.port,
+            evacuate_ms,
+            self._parts.metrics,
+            self._clock,
+            self._set_evacuated_zones,
+        )
+
+    async def _set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        self._scheduler.set_evacuated_zones(zones, self._clock.now())
+        await self._round_requested.set()
+
     @property
     def _leader_info(self) -> messages.LeaderInfo:
         return messages.LeaderInfo(
@@ -279,6 +326,8 @@
         started_s = self._clock.now()
         while not await self._recover(started_s, handover):
             await curio.sleep(RETRY_S)
+        if self._evacuations is not None:
+            await self._evacuations.wait_until_known()
         self._leading = True
         self._peers.update_leader(self._leader_info)
         await self._peers.announce()
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -14,6 +14,7 @@
 
 from pomelostair import attempts as attempts_module
 from pomelostair import contention
+from pomelostair import evacuation
 from pomelostair import events
 from pomelostair import fleet
 from pomelostair import log
@@ -133,6 +134,7 @@
         self._wait_monitor = pipelinewaits.WaitMonitor(
             self._workers, self._attempts, self._pacer, metrics
         )
+        self._evacuation = evacuation.Evacuation(metrics)
 
     @property
     def registry(self) -> pipelineregistry.PipelineRegistry:
@@ -154,6 +156,11 @@
         """Grants of leases to the workers."""
         return self._grants
 
+    @property
+    def evacuation(self) -> evacuation.Evacuation:
+        """Zones that are being evacuated."""
+        return self._evacuation
+
     def next_silent(self, now: float) -> dict[fleet.WorkerKey, float]:
         """Returns the silent workers, see `pipelinegrants.Grants`."""
         return self._grants.next_silent(
@@ -252,6 +259,20 @@
                 queue.name: queue.max_attempts for queue in table.queues
             }
 
+    def set_evacuated_zones(self, zones: Iterable[str], now: float) -> None:
+        """Applies the operator's rows at once, not only in the next round.
+
+        Stored starts of lasting tasks would otherwise be ordered meanwhile.
+        """
+        if self._evacuation.set_zones(zones, now):
+            for worker in self._workers.values():
+                self._mark_evacuated(worker)
+
+    def _mark_evacuated(self, worker: fleet.Worker) -> None:
+        covered = self._evacuation.covers(worker.state.zone)
+        if covered is not worker.evacuated:
+            worker.evacuated = covered
+
     def expect_agents(
         self,
         agents: dict[str, fleet.Registration],
@@ -347,6 +368,7 @@
     def run_round(self, now: float) -> None:
         """Decides which attempts to start, stop and pace now."""
         self._expire_workers(now)
+        self._evacuation.check(self._workers.values(), now)
         self._registry.open_due(now)
         self._crashes.check()
         self._give_up_deferred()
@@ -418,6 +440,7 @@
             and worker.agent_incarnation != agent_incarnation
         )
         worker.agent_incarnation = agent_incarnation
+        self._mark_evacuated(worker)
         if restarted:
             self._apply_agent_restart(worker, state)
         worker.confirm_orders(state.received, now)
--- a/pomelostair/platform/port.py
+++ b/pomelostair/platform/port.py
@@ -6,6 +6,8 @@
 from pomelostair.platform import decoding
 from pomelostair.platform import minion
 
+_EVACUATIONS_PREFIX = "op//evacuate/"
+
 
 class PlatformPort(ports.Port):
     """The users' platform."""
@@ -24,6 +26,20 @@
         """Decodes a queue configuration."""
         return decoding.decode_configuration(document)
 
+    @property
+    def evacuations_table(self) -> str:
+        """Table that holds the operator's evacuations."""
+        return "op"
+
+    @property
+    def evacuations_prefix(self) -> str:
+        """Prefix of the keys: rows `evacuate/ZONE` in the empty partition."""
+        return _EVACUATIONS_PREFIX
+
+    def decode_evacuated_zone(self, key: str) -> str:
+        """Returns the zone that a row names, empty for none."""
+        return key.removeprefix(_EVACUATIONS_PREFIX)
+
     def worker_client(
         self, heartbeat: ports.WorkerHeartbeat
     ) -> ports.WorkerClient:
--- a/pomelostair/platform/settingsfile.py
+++ b/pomelostair/platform/settingsfile.py
@@ -179,4 +179,5 @@
         grant_ms=hold_ms + GRANT_MARGIN_MS,
         retention_s=retention_s,
         shutdown_s=drain_s,
+        evacuate_ms=int(file.number("bounds.evacuateMs", 0)),
     )
--- a/pomelostair/platform/store.py
+++ b/pomelostair/platform/store.py
@@ -3,7 +3,8 @@
 The key `TABLE/PART/NAME` refers to the row `NAME` in the partition `PART` of
 the platform's table `TABLE`; the platform limits the write rate of each
 partition. The part is empty in a key of two segments; part and name are empty
-in a key of one segment.
+in a key of one segment. A name with a slash in the empty partition follows two
+slashes: `TABLE//NAME`.
 """
 
 import base64
@@ -108,7 +109,7 @@
     """Returns the key of a row."""
     if not (row.part or row.key):
         return row.table
-    part_prefix = f"{row.part}/" if row.part else ""
+    part_prefix = f"{row.part}/" if row.part or "/" in row.key else ""
     return f"{row.table}/{part_prefix}{row.key}"
 
 
--- a/pomelostair/ports.py
+++ b/pomelostair/ports.py
@@ -193,6 +193,20 @@
             MessageError: The document is not a valid configuration.
         """
 
+    @property
+    @abc.abstractmethod
+    def evacuations_table(self) -> str:
+        """Table of the store that holds the operator's evacuations."""
+
+    @property
+    @abc.abstractmethod
+    def evacuations_prefix(self) -> str:
+        """Prefix of the keys of the rows that name zones to be evacuated."""
+
+    @abc.abstractmethod
+    def decode_evacuated_zone(self, key: str) -> str:
+        """Returns the zone that a row names by its key, empty for none."""
+
     @abc.abstractmethod
     def worker_client(self, heartbeat: WorkerHeartbeat) -> WorkerClient:
         """Returns a client for the incarnation that sent a heartbeat."""
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -225,6 +225,8 @@
             extend that lease.
         retention_s: Time for which an ended pipeline is retained.
         shutdown_s: Time limit of a graceful shutdown.
+        evacuate_ms: Time in which the evacuation of an availability zone must
+            take effect; 0 if the operator's rows are not to be read.
     """
 
     callers: str | None = attrs.field(
@@ -245,6 +247,7 @@
     grant_ms: int = _positive_field(7500)
     retention_s: float = _positive_field(180.0)
     shutdown_s: float = _positive_field(5.0)
+    evacuate_ms: int = attrs.field(default=0, validator=attrs.validators.ge(0))
 
     def __attrs_post_init__(self):
         """Checks constraints between keys."""
--- a/pomelostair_standins/platform.py
+++ b/pomelostair_standins/platform.py
@@ -89,9 +89,9 @@
         rows = [
             row
             for row in page.rows
-            if row.key[len(prefix) :] >= start_key
-            and (end_key is None or row.key[len(prefix) :] < end_key)
-            and _part(row.key) == query.get("part", "")
+            if _part(row.key) == query.get("part", "")
+            and _key_fields(row.key)["key"] >= start_key
+            and (end_key is None or _key_fields(row.key)["key"] < end_key)
         ]
         return self._rows_response(200, rows[:limit], len(rows) > limit)
 
@@ -111,8 +111,11 @@
 
     async def _write_as_operator(self, request: http.Request) -> http.Response:
         body = msgspec.json.decode(request.body)
-        put = store.Put(body["key"], body["value"].encode())
-        await self.table.commit(store.Transaction(puts=(put,)))
+        transaction = store.Transaction(deletes=(body["key"],))
+        if body["value"] is not None:
+            put = store.Put(body["key"], body["value"].encode())
+            transaction = store.Transaction(puts=(put,))
+        await self.table.commit(transaction)
         return self._rows_response(200, [])
 
     async def _object(self, request: http.Request, path: str) -> http.Response:
@@ -156,7 +159,7 @@
 
 def _key(entry: dict) -> str:
     part = entry.get("part", "")
-    part_prefix = f"{part}/" if part else ""
+    part_prefix = f"{part}/" if part or "/" in entry["key"] else ""
     return f"{entry['table']}/{part_prefix}{entry['key']}"
 
 
@@ -167,7 +170,7 @@
 def _key_fields(key: str) -> dict[str, str]:
     table, _, rest = key.partition("/")
     part = _part(key)
-    name = rest[len(part) + 1 :] if part else rest
+    name = rest[len(part) + 1 :] if "/" in rest else rest
     return {"table": table, "part": part, "key": name}
 
 
--- a/pomelostair_standins/platformsite.py
+++ b/pomelostair_standins/platformsite.py
@@ -62,9 +62,22 @@
         folder: Directory for settings and logs.
         entries: Number of entries.
         sides: Number of agents, each with a worker.
+        zones: Zone of each worker, "patan" where none is given.
+        bounds: Bounds of the platform that the settings files state.
     """
 
-    def __init__(self, folder: pathlib.Path, entries: int = 2, sides: int = 2):
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        entries: int = 2,
+        sides: int = 2,
+        zones: tuple[str, ...] = (),
+        **bounds: int,
+    ):
+        self._zones = zones
+        self._bounds = "".join(
+            f"bounds.{name}={value}\n" for name, value in bounds.items()
+        )
         self._folder = folder
         self._processes: dict[str, subprocess.Popen] = {}
         self.entries = [
@@ -128,6 +141,8 @@
             f"{ip}:{self._ports[2]}",
             "--name",
             f"i-{number}",
+            "--zone",
+            self._zones[number] if number < len(self._zones) else "patan",
         )
 
     def signal(self, name: str, number: signal.Signals) -> None:
@@ -184,6 +199,12 @@
         body = {"key": "op/config", "value": json.dumps(document)}
         return self.call(self.store, "POST", "/operator", body)[0] == 200
 
+    def evacuate(self, zone: str, revoked: bool = False) -> bool:
+        """Writes or removes an operator's row; returns whether it succeeded."""
+        key = f"op//evacuate/{zone}"
+        body = {"key": key, "value": None if revoked else "1"}
+        return self.call(self.store, "POST", "/operator", body)[0] == 200
+
     def is_ready(self, entry: str) -> bool:
         """Returns whether the readiness check of an entry succeeds."""
         address = f"{entry}:{self._ports[1]}"
@@ -221,7 +242,7 @@
             f"portRange={self._port_range[0]},{self._port_range[1]}\n"
             f"seeds={seeds}\n"
             f"app={ip}:{app}\nbounds.graceS=4\n"
-            f"platform.address={self.store}\n"
+            f"platform.address={self.store}\n{self._bounds}"
         )
         self._start_process(
             name, "pomelostair.platform", POMELOSTAIR_CONFIG=str(path)
--- a/pomelostair_standins/runnerhttp.py
+++ b/pomelostair_standins/runnerhttp.py
@@ -29,14 +29,18 @@
         name: Id of the worker.
         address: IP:PORT that the worker announces.
         target: Name of the service that it belongs to.
+        zone: Its availability zone.
     """
 
-    def __init__(self, name: str, address: str, target: str):
+    def __init__(
+        self, name: str, address: str, target: str, zone: str = "patan"
+    ):
         super().__init__()
         self.runner = runner_module.Runner(int(time.time() * 1000))
         self._name = name
         self._address = address
         self._service_name = target
+        self._zone = zone
         self._sequence = 0
         self.state = "ready"
 
@@ -65,7 +69,7 @@
         body = {
             "service": self._service_name,
             "address": self._address,
-            "zone": "patan",
+            "zone": self._zone,
             "version": "v1",
             "slots": 8,
             "state": self.state,
@@ -155,8 +159,11 @@
     parser.add_argument("--control", required=True, help="agent's IP:PORT")
     parser.add_argument("--name", required=True)
     parser.add_argument("--service", default="clapper-desk")
+    parser.add_argument("--zone", default="patan")
     options = parser.parse_args()
-    served = RunnerService(options.name, options.listen, options.service)
+    served = RunnerService(
+        options.name, options.listen, options.service, options.zone
+    )
     curio.run(_serve, served, options.listen, options.control)
 
 
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -46,6 +46,17 @@
     )
 
 
+def find_leaders(site):
+    """Returns for each entry whether it has led."""
+    return [
+        any(
+            line["event_name"] == "PIPELINES_RECOVERED"
+            for line in site.lines(f"edge-{number}")
+        )
+        for number in range(len(site.entries))
+    ]
+
+
 class TestCallers:
     def test_resubmitted_pipeline_runs_once_and_completes(self, site):
         one, other = site.entries
@@ -112,14 +123,7 @@
         for name in pipeline_ids:
             assert site.submit(site.entries[0], name, STEPS) == 200
         wait_until(lambda: len(started_attempts(site)) >= 6)
-        leader = next(
-            number
-            for number in range(len(site.entries))
-            if any(
-                line["event_name"] == "PIPELINES_RECOVERED"
-                for line in site.lines(f"edge-{number}")
-            )
-        )
+        leader = find_leaders(site).index(True)
         site.kill(f"edge-{leader}")
         for name in pipeline_ids:
             wait_until_completed(site, name)
@@ -189,6 +193,45 @@
         wait_until_completed(site, name)
 
 
+class TestEvacuation:
+    def test_no_start_in_the_zone_until_the_row_is_removed(self, tmp_path):
+        """The leader is lost just after the row is written."""
+        site = platformsite.PlatformSite(
+            tmp_path, zones=("patan", "kirtipur"), evacuateMs=5000
+        )
+
+        def run_and_count(name):
+            before = len(site.worker(0, "/history"))
+            elsewhere = len(site.worker(1, "/history"))
+            assert site.submit(site.entries[other], name, STEPS) == 200
+            wait_until_completed(site, name)
+            return (
+                len(site.worker(0, "/history")) - before,
+                len(site.worker(1, "/history")) - elsewhere,
+            )
+
+        try:
+            site.start()
+            wait_until(lambda: any(find_leaders(site)))
+            leader = find_leaders(site).index(True)
+            other = 1 - leader
+            assert run_and_count("00000000000000a1")[0]
+            assert site.evacuate("patan")
+            site.kill(f"edge-{leader}")
+            wait_until(
+                lambda: any(
+                    line["event_name"] == "EVACUATION_BEGUN"
+                    for line in site.lines(f"edge-{other}")
+                )
+            )
+            assert run_and_count("00000000000000a2") == (0, 5)
+            assert site.evacuate("patan", revoked=True)
+            names = (f"000000000000b{n:03d}" for n in range(100))
+            wait_until(lambda: run_and_count(next(names))[0])
+        finally:
+            site.stop()
+
+
 class TestMetrics:
     def test_entries_and_agents_serve_metrics(self, site):
         assert site.submit(site.entries[0], "00000000000000f1", STEPS) == 200
--- a/tests/platform/test_settingsfile.py
+++ b/tests/platform/test_settingsfile.py
@@ -52,6 +52,11 @@
         assert settings.pipelines.retention_s >= 120
         assert settings.timing.drain_s < 6
         assert settings.platform.writes_per_s == 800
+        assert settings.pipelines.evacuate_ms == 0
+
+    def test_bound_of_an_evacuation_is_converted(self):
+        settings = parse_settings(ENTRY_FILE + "bounds.evacuateMs=5000\n")
+        assert settings.pipelines.evacuate_ms == 5000
 
     def test_agent_settings_are_converted(self):
         settings = parse_settings(AGENT_FILE)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -56,7 +56,10 @@
     def test_keys_are_split_and_joined_again(self):
         assert platform_store.split_key("a/b/c/d") == ("a", "b", "c/d")
         assert platform_store.split_key("op/config") == ("op", "", "config")
-        for key in ("a/b/c/d", "op/config", "configuration"):
+        evacuation = ("op", "", "evacuate/patan")
+        assert platform_store.split_key("op//evacuate/patan") == evacuation
+        keys = ("a/b/c/d", "op/config", "configuration", "op//evacuate/patan")
+        for key in keys:
             table, part, name = platform_store.split_key(key)
             row = platform_store.RowBody(table, part, name)
             assert platform_store.join_key(row) == key
@@ -198,6 +201,29 @@
         keys = [row.key for row in (*first.rows, *rest.rows)]
         assert keys == [f"t/p/job/{n:02d}" for n in range(5)]
 
+    def test_rows_with_a_slash_in_the_empty_partition(self):
+        """The operator's evacuations; guards against reading another part."""
+        harness = StoreHarness()
+        prefix = "op//evacuate/"
+        names = [f"{prefix}{zone}" for zone in ("a", "b", "c")]
+        other = store.Put("op/config", b"1")
+        puts = (other, *(store.Put(name, b"1") for name in names))
+        deletes = (names[1],)
+
+        async def body():
+            operator = harness.standin.table
+            await operator.commit(store.Transaction(puts=puts))
+            first = await harness.table.scan(prefix, "", 2)
+            rest = await harness.table.scan(prefix, first.rows[-1].key)
+            await operator.commit(store.Transaction(deletes=deletes))
+            changes = await harness.table.watch("op", first.version, 1.0)
+            return first, rest, changes
+
+        first, rest, changes = harness.run(body)
+        assert first.more
+        assert [row.key for row in (*first.rows, *rest.rows)] == names
+        assert changes.deleted == deletes
+
     def test_watch_reports_writes_and_deletions(self):
         harness = StoreHarness()
 
--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -52,6 +52,7 @@
         ended: Worker id and incarnation of each earlier incarnation.
         crashed_s: Time of the crash of the worker, None while it is up.
         crashes: Crashes that the agent reports.
+        zone: Its availability zone.
         loses_crashes: Whether the agent ends with its worker, and so reports no
             crash.
         cores: Cores that the worker has now.
@@ -77,6 +78,7 @@
     crashed_s: float | None = None
     crashes: list = attrs.field(factory=list)
     loses_crashes: bool = False
+    zone: str = ""
 
     def __attrs_post_init__(self):
         self.worker = self.worker or self.name
@@ -136,6 +138,7 @@
         self.finished = []
         self.placements_recorded = False
         self.silent = {}
+        self.evacuated = ()
         # End of all leases that leaders so far granted, as stored.
         self.leases_end_s = self.now
         self.start_leader()
@@ -159,6 +162,7 @@
             LEASE_S,
         )
         self.scheduler.set_queues(pipelines.TABLE)
+        self.scheduler.set_evacuated_zones(self.evacuated, self.now)
         self.scheduler.expect_agents(
             self.agents,
             min(self.now + LEASE_S, self.leases_end_s),
@@ -185,6 +189,11 @@
             declared, self.version, pipeline.Progress(placed={}), self.now
         )
 
+    def evacuate(self, *zones):
+        """Replaces the operator's rows; the leader learns of it at once."""
+        self.evacuated = zones
+        self.scheduler.set_evacuated_zones(zones, self.now)
+
     def cancel(self, name):
         """Cancels a pipeline."""
         self.cancelled.add(name)
@@ -333,6 +342,7 @@
             results=results,
             received=received,
             fresh=not crashed,
+            zone=host.zone,
             reachable=not crashed,
             lapsed=lapsed,
             silent=lapsed,
--- /dev/null
+++ b/tests/test_evacuation.py
@@ -0,0 +1,119 @@
+import logging
+
+import pytest
+
+from pomelostair import evacuation
+from pomelostair import events
+from tests import pipelines
+from tests import simfleet
+
+
+def make_fleet(**zones):
+    """Returns a fleet; `zones` are the zones of its workers by name."""
+    fleet = simfleet.Fleet(tuple(zones))
+    for name, zone in zones.items():
+        fleet.hosts[name].zone = zone
+    fleet.run_for(1)
+    return fleet
+
+
+def logged(caplog, event):
+    """Returns the number of log lines of an event."""
+    return sum(r.getMessage() == event.value.text for r in caplog.records)
+
+
+def submit_short(fleet, seconds):
+    """Submits tasks for more workers than there are, for some time."""
+    for step in range(round(seconds / 0.1)):
+        name = f"short-{round(fleet.now * 10)}-{step}"
+        fleet.submit(name, pipelines.stage(4, 2000))
+        fleet.step()
+
+
+class TestStarts:
+    """Short tasks that would fill every worker."""
+
+    def test_none_in_an_evacuated_zone(self):
+        """The zone went on getting work until its machines were turned off."""
+        fleet = make_fleet(w1="a", w2="a", w3="b")
+        submit_short(fleet, 1)
+        before = fleet.running()
+        assert {host for _, host in before} == {"w1", "w2", "w3"}
+        fleet.evacuate("a")
+        fleet.starts.clear()
+        submit_short(fleet, 3)
+        assert fleet.starts
+        assert {host for _, host in fleet.starts} == {"w3"}
+        done = {task for task, _, how in fleet.finished if how == "done"}
+        assert {task for task, _ in before} <= done
+
+    def test_next_leader_starts_none_there(self):
+        fleet = make_fleet(w1="a", w2="b")
+        fleet.evacuate("a")
+        fleet.start_leader(gap_s=2.0)
+        fleet.starts.clear()
+        submit_short(fleet, 12)
+        assert {host for _, host in fleet.starts} == {"w2"}
+
+    def test_zone_gets_work_at_once_when_the_row_is_removed(self):
+        """Guards against workers that stay idle after an evacuation."""
+        fleet = make_fleet(w1="a", w2="b")
+        fleet.evacuate("a")
+        submit_short(fleet, 1)
+        fleet.evacuate()
+        fleet.starts.clear()
+        fleet.step()
+        assert "w1" in {host for _, host in fleet.starts}
+
+    @pytest.mark.parametrize("zones", [("a", "b"), ("b", "a", "c")])
+    def test_rows_for_all_zones_are_honoured(self, zones, caplog):
+        """Work waits, and the operator sees why."""
+        caplog.set_level(logging.INFO)
+        fleet = make_fleet(w1="a", w2="b")
+        fleet.evacuate(*zones)
+        submit_short(fleet, 4)
+        held = fleet.scheduler.evacuation
+        assert not fleet.starts
+        assert held.blocked_services == {"clapper-desk"}
+        assert held.evacuated_workers == 2
+        blocked = events.Events.EVACUATION_BLOCKS_SERVICE
+        assert logged(caplog, blocked) == 1
+        fleet.evacuate("a")
+        fleet.step()
+        assert fleet.starts
+        assert not held.blocked_services
+
+    def test_unknown_zone_has_no_effect_and_is_logged_once(self, caplog):
+        fleet = make_fleet(w1="a", w2="b")
+        fleet.evacuate("c")
+        submit_short(fleet, evacuation.UNKNOWN_ZONE_S + 2)
+        held = fleet.scheduler.evacuation
+        assert {host for _, host in fleet.starts} == {"w1", "w2"}
+        assert held.unknown_zones == {"c"}
+        assert logged(caplog, events.Events.EVACUATED_ZONE_UNKNOWN) == 1
+        fleet.hosts["w1"].zone = "c"
+        submit_short(fleet, 0.5)
+        assert not held.unknown_zones
+        assert fleet.scheduler.workers["w1", 1].evacuated
+
+    def test_worker_without_a_zone_is_never_evacuated(self):
+        """Agents of an older version name none."""
+        fleet = make_fleet(w1="", w2="a")
+        fleet.evacuate("a")
+        submit_short(fleet, 1)
+        assert {host for _, host in fleet.starts} == {"w1"}
+
+    def test_no_room_is_kept_there(self):
+        """A task that needs a whole worker waits for one; all are in use."""
+        fleet = make_fleet(w1="a", w2="b")
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 3000.0
+        fleet.submit("short", pipelines.stage(8, 2000))
+        fleet.run_for(0.5)
+        fleet.submit("large", pipelines.stage(2, 8000, lasting=True))
+        fleet.run_for(2.5)
+        kept = fleet.scheduler.workers["w1", 1]
+        assert kept.reservations
+        fleet.evacuate("a")
+        fleet.step()
+        assert not kept.reservations
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -90,6 +90,8 @@
 
     queues_table = "op"
     queues_key = "op/config"
+    evacuations_table = "op"
+    evacuations_prefix = "op//evacuate/"
 
     def __init__(self):
         self.client = FakeWorkerClient()
@@ -97,6 +99,9 @@
     def decode_queues(self, document):
         return queues.QueueTable()
 
+    def decode_evacuated_zone(self, key):
+        return key.removeprefix(self.evacuations_prefix)
+
     def worker_client(self, heartbeat):
         return self.client
 
--- a/tests/test_pipelineapi.py
+++ b/tests/test_pipelineapi.py
@@ -26,8 +26,8 @@
 class Harness:
     """An entry without a leader, over a store with injected faults."""
 
-    def __init__(self):
-        self.table = faultystore.FaultyTable()
+    def __init__(self, table=None, port=None, evacuate_ms=0):
+        self.table = table or faultystore.FaultyTable()
         parts = kernel.Parts(
             settings=settings.Settings(
                 role=settings.Role.PIPELINE_ENTRY,
@@ -36,7 +36,7 @@
                 bus="127.0.0.1:1",
                 balancer="127.0.0.1:1",
                 platform=settings.Platform("127.0.0.1:1"),
-                pipelines=settings.Pipelines(),
+                pipelines=settings.Pipelines(evacuate_ms=evacuate_ms),
             ),
             clock=clock_module.MonotonicClock(),
             bus=bus_module.MemoryBus(
@@ -46,6 +46,7 @@
             objects=store.MemoryObjects(),
             metrics=METRICS,
             random=random.Random(1),
+            port=port,
         )
         self.host = parts_module.Host(parts)
         self.peers = self.host.get(entrypeers.EntryPeers)
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -17,7 +17,9 @@
 from pomelostair import pipelinerows
 from pomelostair import pipelinescheduler
 from pomelostair import store
+from pomelostair.platform import port as platform_port
 from tests import faultystore
+from tests import leaders
 from tests import nested
 from tests import pipelines
 from tests import test_pipelineapi
@@ -575,3 +577,78 @@
             assert leader._scheduler.placements_recorded is recorded
 
         harness.run(body)
+
+
+class ScanRecordingTable(faultystore.FaultyTable):
+    """A table that may not answer scans of the operator's rows.
+
+    Attributes:
+        operator_down: Whether such scans fail.
+        prefixes: Prefixes that were scanned.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.operator_down = False
+        self.prefixes = set()
+
+    async def scan(self, prefix, after="", limit=500):
+        self.prefixes.add(prefix)
+        if self.operator_down and prefix.startswith("op/"):
+            return outcome.Unavailable("down")
+        return await super().scan(prefix, after, limit)
+
+    async def watch(self, table, after, wait_s):
+        return await self.table.watch(table, after, wait_s)
+
+
+class TestEvacuations:
+    """The operator's rows at a takeover."""
+
+    def lead(self, monkeypatch, table, evacuate_ms, body):
+        """Runs a leader; returns the evacuated zones of each round."""
+        zones = []
+        harness = test_pipelineapi.Harness(
+            table, platform_port.PlatformPort(), evacuate_ms
+        )
+        leader = harness.host.get(pipelineleader.PipelineLeader)
+        monkeypatch.setattr(
+            pipelinescheduler.PipelineScheduler,
+            "run_round",
+            lambda scheduler, now: zones.append(scheduler.evacuation.zones),
+        )
+
+        async def main():
+            put = store.Put("op//evacuate/patan", b"1")
+            await table.table.commit(store.Transaction(puts=(put,)))
+            task = await curio.spawn(leader.run, daemon=True)
+            await body(leader)
+            assert await leaders.eventually(lambda: zones)
+            await task.cancel()
+
+        harness.run(main)
+        return zones
+
+    def test_are_read_before_the_first_round(self, monkeypatch):
+        """The leader that knew them is lost just after the row is written."""
+        table = ScanRecordingTable()
+        table.operator_down = True
+
+        async def body(leader):
+            await leaders.eventually(lambda: "op//evacuate/" in table.prefixes)
+            await curio.sleep(2 * pipelineleader.ROUND_INTERVAL_S)
+            assert not leader.leading
+            table.operator_down = False
+
+        zones = self.lead(monkeypatch, table, 5000, body)
+        assert set(zones) == {frozenset({"patan"})}
+
+    def test_are_not_read_without_the_setting(self, monkeypatch):
+        table = ScanRecordingTable()
+
+        async def body(leader):
+            assert await leaders.eventually(lambda: leader.leading)
+
+        zones = self.lead(monkeypatch, table, 0, body)
+        assert set(zones) == {frozenset()}
+        assert "op//evacuate/" not in table.prefixes
