Starts in an evacuated zone that are not known to run are withdrawn

A start that was ordered just before the row was written could still be carried out, and was sent again to an agent that had been cut off. Starts that wait for their record or for a report of their worker are dropped, and their tasks start elsewhere at once. Any other one that no list shows as running is stopped, which fences it off, and a stop takes the place of its start order if that is sent again. Attempts that run go on.

Without the change, the tests with an agent that is cut off and back, and with starts that wait for their record, see starts in the zone.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -571,6 +571,23 @@
             messages.Order(self.last_order_number, messages.STOP, task, attempt)
         )
 
+    def withdraw_start(self, placement: Placement) -> None:
+        """Replaces the unconfirmed start order of an attempt by a stop.
+
+        If the order is sent again, it takes no effect. Its number remains,
+        since the agent waits for the orders that are missing; one that has it
+        already ignores the stop.
+        """
+        self.unconfirmed_orders = [
+            messages.Order(
+                order.number, messages.STOP, order.task, order.attempt
+            )
+            if (order.kind, order.task, order.attempt)
+            == (messages.START, *placement.key)
+            else order
+            for order in self.unconfirmed_orders
+        ]
+
     def _adjust_usage(self, stage: pipeline.Stage, sign: int) -> None:
         demand = stage.demand
         millicores = demand.millicores
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -272,6 +272,8 @@
         covered = self._evacuation.covers(worker.state.zone)
         if covered is not worker.evacuated:
             worker.evacuated = covered
+            if covered:
+                self._starter.withdraw_from_evacuated([worker])
 
     def expect_agents(
         self,
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -677,13 +677,46 @@
         Args:
             now: Monotonic seconds.
         """
+        self._withdraw_unsent(lambda placement: _fell_silent(placement, now))
+
+    def withdraw_from_evacuated(self, workers: Iterable[fleet.Worker]) -> None:
+        """Withdraws the starts that are not known to run on evacuated workers.
+
+        Those that may have been sent are stopped, which fences them off however
+        late they are carried out. Their tasks start elsewhere once the stop is
+        confirmed, or the leases of the worker have lapsed.
+
+        Args:
+            workers: Workers, some of them in zones that are being evacuated.
+        """
+        self._withdraw_unsent(lambda placement: placement.worker.evacuated)
+        for worker in workers:
+            for placement in list(worker.placements.values()):
+                if (
+                    worker.evacuated
+                    and placement.state is fleet.AttemptState.ORDERED
+                ):
+                    self._metrics.count("evacuation_withdrawals")
+                    worker.withdraw_start(placement)
+                    self._attempts.stop(
+                        placement, "its zone is being evacuated"
+                    )
+
+    def _withdraw_unsent(
+        self, is_withdrawn: Callable[[fleet.Placement], bool]
+    ) -> None:
+        """Withdraws starts that were not sent yet.
+
+        Args:
+            is_withdrawn: Returns whether a start is to be withdrawn.
+        """
         withdrawn = []
         for starts in (self._withheld_starts, self._recorded_starts):
             for key, placements in list(starts.items()):
                 left = []
                 for placement in filter(self._is_wanted, placements):
-                    fell_silent = _fell_silent(placement, now)
-                    (withdrawn if fell_silent else left).append(placement)
+                    withdraws = is_withdrawn(placement)
+                    (withdrawn if withdraws else left).append(placement)
                 if left:
                     starts[key] = left
                 else:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -4,6 +4,7 @@
 
 from pomelostair import evacuation
 from pomelostair import events
+from pomelostair import pipelinescheduler
 from tests import pipelines
 from tests import simfleet
 
@@ -117,3 +118,71 @@
         fleet.evacuate("a")
         fleet.step()
         assert not kept.reservations
+
+
+class TestWithdrawal:
+    """Starts that were ordered before the row was written."""
+
+    @pytest.mark.parametrize("lasting", [False, True])
+    def test_start_that_may_still_come_is_fenced_off(self, lasting):
+        """The agent is cut off while it holds an order, and then back.
+
+        The task waited for the worker until its leases lapsed, and the order
+        was sent again when the agent came back.
+        """
+        fleet = make_fleet(w1="a", w2="b")
+        one, other = fleet.hosts.values()
+        one.runner.lasting = other.runner.lasting = lasting
+        fleet.resize_worker("w2", 0)
+        fleet.run_for(simfleet.BEAT_S + 0.1)
+        one.partitioned = True
+        fleet.submit("a", pipelines.stage(lasting=lasting))
+        fleet.run_for(0.5)
+        worker = fleet.scheduler.workers[one.key]
+        assert worker.placements
+        fleet.evacuate("a")
+        fleet.resize_worker("w2", 8)
+        fleet.run_for(simfleet.BEAT_S + 0.1)
+        one.partitioned = False
+        fleet.run_for(pipelinescheduler.RESEND_AFTER_S)
+        assert not worker.placements
+        assert [name for _, name in fleet.starts] == ["w2"]
+
+    @pytest.mark.parametrize("gang", [False, True])
+    def test_start_that_waits_for_its_record_is_dropped(self, gang):
+        """It was sent once it was stored and its worker had reported."""
+        fleet = make_fleet(w1="a", w2="b")
+        for host in fleet.hosts.values():
+            host.runner.lasting = True
+        stage = pipelines.stage(2, 8000, lasting=True, gang=gang)
+        fleet.submit("a", stage)
+        workers = fleet.scheduler.workers.values()
+        while not any(worker.placements for worker in workers):
+            fleet.step()
+        assert not fleet.starts
+        fleet.evacuate("a")
+        fleet.run_for(3)
+        expected = set() if gang else {"w2"}
+        assert {name for _, name in fleet.running()} == expected
+        assert not {name for _, name in fleet.starts} - {"w2"}
+
+    def test_running_attempt_is_left_alone(self):
+        fleet = make_fleet(w1="a")
+        fleet.hosts["w1"].runner.work_ms = 3000.0
+        fleet.submit("a", pipelines.stage(2, 2000))
+        fleet.run_for(0.5)
+        fleet.evacuate("a")
+        fleet.run_for(4)
+        assert [how for _, _, how in fleet.finished] == ["done", "done"]
+
+    def test_order_that_is_carried_out_late_is_fenced_off(self):
+        """The worker would start it seconds after its agent gave it up."""
+        fleet = make_fleet(w1="a", w2="b")
+        fleet.hosts["w1"].delays_starts = True
+        fleet.hosts["w2"].delays_starts = True
+        fleet.submit("a", pipelines.stage(4, 4000))
+        fleet.step()
+        fleet.evacuate("a", "b")
+        fleet.run_for(6)
+        assert not fleet.running()
+        assert not fleet.finished
