Lasting tasks move out of evacuated zones into room that exists

They never finish, so a zone kept them for as long as its machines were on. Each 0.25 s, tasks in such zones for which a worker elsewhere has room are stopped, and the room is reserved for them until they start there. No more tasks of a stage are unavailable at a time than its skippable says; of a stage without that limit, one moves at a time. A gang moves with all its members, or stays. Without room they stay, and nothing is preempted for them. A pass makes some 500 comparisons of a task with a worker, so that a round stays short.

Lasting tasks that wait as no worker outside the zones accepts work are reported with the reason "evacuated".

--- a/pomelostair/evacuation.py
+++ b/pomelostair/evacuation.py
@@ -1,19 +1,46 @@
-"""Evacuation of availability zones: which workers get no starts.
+"""Evacuation of availability zones: who gets no starts, and what moves out.
 
 An operator names the zones in rows of the store. The workers of these zones
 finish what they run, and get no further attempts until the rows are removed.
+Lasting tasks, which never finish, move to other zones where there is room.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 
+import attrs
+
+from pomelostair import attempts as attempts_module
 from pomelostair import events
 from pomelostair import fleet
 from pomelostair import log
 from pomelostair import metrics as metrics_module
+from pomelostair import pacing
+from pomelostair import pipeline
+from pomelostair import pipelineplacement as placement_module
 
+# Interval at which all workers are looked at for the reports below.
+CHECK_INTERVAL_S = 0.25
 # Time for which a zone may be without a known worker before it is reported as
 # unknown. Agents report to a new leader within about a second.
 UNKNOWN_ZONE_S = 5.0
+# Time for which a service may have no usable worker outside such zones before
+# that is reported.
+BLOCKED_S = 2.0
+# Interval at which lasting tasks are moved. A move takes about 1 s.
+PASS_INTERVAL_S = 0.25
+# Most comparisons of a task with a worker in one pass, about 5 ms of processor
+# time, and most tasks that it looks at. The next pass goes on with the others.
+MAX_COMPARISONS = 500
+MAX_EXAMINED_TASKS = 200
+# Workers that one pass compares with a task, so that a large fleet is searched
+# in several passes.
+WINDOW_WORKERS = 250
+# How long room is reserved for a task that moves. A stop takes 0.4 s, its end
+# must be reported, and the members of a gang start after the last end.
+RESERVATION_S = 2.4
+# Percent that a lasting task reports when it is at work.
+AT_WORK_PERCENT = 100
 
 
 class Evacuation:
@@ -28,8 +55,11 @@
         # Monotonic time of the first check of each zone, by name.
         self._zones: dict[str, float] = {}
         self._unknown: set[str] = set()
+        # Monotonic time since which a service has no usable worker, by name.
+        self._blocked_since_s: dict[str, float] = {}
         self._blocked_services: set[str] = set()
         self._evacuated_workers = 0
+        self._next_check_s = 0.0
 
     @property
     def zones(self) -> frozenset[str]:
@@ -48,7 +78,7 @@
 
     @property
     def blocked_services(self) -> frozenset[str]:
-        """Services with all workers in these zones at the latest check."""
+        """Services without a usable worker outside these zones for a while."""
         return frozenset(self._blocked_services)
 
     def covers(self, zone: str) -> bool:
@@ -78,6 +108,7 @@
             log.emit(
                 events.Events.EVACUATION_ENDED, zone=zone, zones=sorted(named)
             )
+        self._next_check_s = now
         return bool(begun or ended)
 
     def check(self, workers: Iterable[fleet.Worker], now: float) -> None:
@@ -89,12 +120,14 @@
             workers: All workers.
             now: Monotonic seconds.
         """
-        if not (self._zones or self._blocked_services):
-            self._evacuated_workers = 0
+        if now < self._next_check_s:
+            return
+        self._next_check_s = now + CHECK_INTERVAL_S
+        self._evacuated_workers = 0
+        if not (self._zones or self._blocked_since_s):
             return
         known_zones = set()
         blocked, usable = set(), set()
-        self._evacuated_workers = 0
         for worker in workers:
             known_zones.add(worker.state.zone)
             service = worker.state.service
@@ -104,7 +137,18 @@
             elif worker.accepts_attempts(now):
                 usable.add(service)
         self._report_unknown(known_zones, now)
-        blocked -= usable
+        self._blocked_since_s = {
+            service: self._blocked_since_s.get(service, now)
+            for service in sorted(blocked - usable)
+        }
+        self._report_blocked(now)
+
+    def _report_blocked(self, now: float) -> None:
+        blocked = {
+            service
+            for service, since_s in self._blocked_since_s.items()
+            if now - since_s >= BLOCKED_S
+        }
         for service in sorted(blocked - self._blocked_services):
             log.emit(
                 events.Events.EVACUATION_BLOCKS_SERVICE,
@@ -123,3 +167,191 @@
             ):
                 self._unknown.add(zone)
                 log.emit(events.Events.EVACUATED_ZONE_UNKNOWN, zone=zone)
+
+
+class Mover:
+    """Moves lasting tasks out of evacuated zones, during one term of a leader.
+
+    Only into room that exists, and only as many tasks of a stage at a time as
+    its `skippable` allows; of a stage without that limit, one.
+
+    Args:
+        attempts: Attempts that may be running.
+        pacer: Predicts the pace of fillers.
+        metrics: Registry that counts the moves.
+    """
+
+    def __init__(
+        self,
+        attempts: attempts_module.Attempts,
+        pacer: pacing.Pacer,
+        metrics: metrics_module.Metrics,
+    ):
+        self._attempts = attempts
+        self._pacer = pacer
+        self._metrics = metrics
+        self._next_pass_s = 0.0
+        self._staying_tasks = 0
+        # Moved tasks that are not known to be at work again.
+        self._moving: set[pipeline.Task] = set()
+        # Where the next pass goes on among the tasks and the workers.
+        self._next_task = 0
+        self._next_worker = 0
+
+    @property
+    def staying_tasks(self) -> int:
+        """Lasting tasks that were at work in the zones at the last pass."""
+        return self._staying_tasks
+
+    def move(
+        self,
+        workers: Iterable[fleet.Worker],
+        permitted: Callable[
+            [pipeline.Task, list[fleet.Worker]], list[fleet.Worker]
+        ],
+        now: float,
+    ) -> None:
+        """Stops tasks for which there is room in other zones.
+
+        The room is reserved until they start there.
+
+        Args:
+            workers: All workers.
+            permitted: Returns those of several workers on which a task may run.
+            now: Monotonic seconds.
+        """
+        if now < self._next_pass_s:
+            return
+        self._next_pass_s = now + PASS_INTERVAL_S
+        self._moving = {
+            task
+            for task in self._moving
+            if not (task.pipeline.ended or self._is_at_work(task, now))
+        }
+        placements: list[fleet.Placement] = []
+        targets: dict[str, list[fleet.Worker]] = {}
+        for worker in workers:
+            if worker.evacuated:
+                placements += filter(_is_lasting, worker.placements.values())
+            elif _is_target(worker, now):
+                targets.setdefault(worker.state.service, []).append(worker)
+        self._staying_tasks = len(placements)
+        if not placements:
+            return
+        first = self._next_task % len(placements)
+        examined = (placements[first:] + placements[:first])[
+            :MAX_EXAMINED_TASKS
+        ]
+        budget = _Budget(MAX_COMPARISONS)
+        for placement in examined:
+            if budget.left <= 0:
+                break
+            self._next_task += 1
+            same_service = targets.get(placement.worker.state.service, [])
+            if same_service and self._may_move(placement, now):
+                self._move(placement, same_service, permitted, budget, now)
+
+    def _may_move(self, placement: fleet.Placement, now: float) -> bool:
+        """Returns whether a task, or its gang, may be unavailable now."""
+        if not _is_movable(placement, now):
+            return False
+        task = placement.task
+        skippable = task.stage.skippable
+        members = task.pipeline.tasks(task.occurrence, task.stage_number)
+        if task.stage.gang:
+            return not skippable or len(members) <= skippable
+        unavailable = [
+            sibling
+            for sibling in members
+            if sibling is not task and not self._is_at_work(sibling, now)
+        ]
+        if skippable:
+            return len(unavailable) < skippable
+        return not any(sibling in self._moving for sibling in unavailable)
+
+    def _move(
+        self,
+        placement: fleet.Placement,
+        targets: list[fleet.Worker],
+        permitted: Callable[
+            [pipeline.Task, list[fleet.Worker]], list[fleet.Worker]
+        ],
+        budget: "_Budget",
+        now: float,
+    ) -> None:
+        """Moves a task, or all members of its gang, if there is room."""
+        task = placement.task
+        moving = [placement]
+        if task.stage.gang:
+            members = task.pipeline.tasks(task.occurrence, task.stage_number)
+            moving = [p for m in members for p in self._attempts.of_task(m)]
+            if len(moving) != len(members) or not all(
+                _is_movable(p, now) for p in moving
+            ):
+                return
+        reserved: list[tuple[fleet.Worker, pipeline.Task]] = []
+        # Members in other zones start again where they are.
+        for p in sorted(moving, key=lambda p: p.worker.evacuated):
+            target: fleet.Worker | None = p.worker
+            if p.worker.evacuated:
+                window = self._window(targets)
+                budget.left -= len(window)
+                target = placement_module.choose(
+                    p.task, permitted(p.task, window), self._pacer, now
+                )
+            if target is None:
+                for worker, reserving in reserved:
+                    worker.cancel_reservation(reserving)
+                return
+            target.reserve(p.task, now + RESERVATION_S)
+            reserved.append((target, p.task))
+        for p in moving:
+            self._moving.add(p.task)
+            self._attempts.stop(p, "its zone is being evacuated")
+        self._metrics.count("evacuation_moves", len(moving))
+
+    def _window(self, targets: list[fleet.Worker]) -> list[fleet.Worker]:
+        """Returns the workers that a task is compared with in this pass."""
+        if len(targets) <= WINDOW_WORKERS:
+            return targets
+        first = self._next_worker % len(targets)
+        self._next_worker = first + WINDOW_WORKERS
+        return (targets + targets)[first : first + WINDOW_WORKERS]
+
+    def _is_at_work(self, task: pipeline.Task, now: float) -> bool:
+        return any(
+            p.state is fleet.AttemptState.RUNNING
+            and p.progress_percent >= AT_WORK_PERCENT
+            and p.worker.is_heard(now)
+            and not p.worker.is_silent(now)
+            for p in self._attempts.of_task(task)
+        )
+
+
+@attrs.define
+class _Budget:
+    """Comparisons that are left in a pass."""
+
+    left: int
+
+
+def _is_lasting(placement: fleet.Placement) -> bool:
+    return placement.task.stage.lasting
+
+
+def _is_movable(placement: fleet.Placement, now: float) -> bool:
+    """Returns whether an attempt is known to run, and its worker answers."""
+    return (
+        placement.state is fleet.AttemptState.RUNNING
+        and placement.reported
+        and placement.worker.is_heard(now)
+        and not placement.task.suspect
+    )
+
+
+def _is_target(worker: fleet.Worker, now: float) -> bool:
+    return (
+        worker.is_schedulable(now)
+        and not worker.is_silent(now)
+        and worker.confirms_orders(now)
+    )
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -187,17 +187,18 @@
     def _register_evacuation_gauges(self) -> None:
         """Registers the gauges of evacuations; all are 0 where nobody leads."""
         for name, count in {
-            "zones_evacuated": lambda held: len(held.zones),
-            "zones_evacuated_unknown": lambda held: len(held.unknown_zones),
-            "workers_evacuated": lambda held: held.evacuated_workers,
-            "services_evacuated": lambda held: len(held.blocked_services),
+            "zones_evacuated": lambda s: len(s.evacuation.zones),
+            "zones_evacuated_unknown": (
+                lambda s: len(s.evacuation.unknown_zones)
+            ),
+            "workers_evacuated": lambda s: s.evacuation.evacuated_workers,
+            "lasting_tasks_evacuated": lambda s: s.evacuated_lasting_tasks,
+            "services_evacuated": lambda s: len(s.evacuation.blocked_services),
         }.items():
             self._parts.metrics.gauge(
                 name,
                 lambda count=count: (
-                    0
-                    if self._scheduler is None
-                    else count(self._scheduler.evacuation)
+                    0 if self._scheduler is None else count(self._scheduler)
                 ),
             )
         self._parts.metrics.gauge(
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -135,6 +135,7 @@
             self._workers, self._attempts, self._pacer, metrics
         )
         self._evacuation = evacuation.Evacuation(metrics)
+        self._mover = evacuation.Mover(self._attempts, self._pacer, metrics)
 
     @property
     def registry(self) -> pipelineregistry.PipelineRegistry:
@@ -161,6 +162,11 @@
         """Zones that are being evacuated."""
         return self._evacuation
 
+    @property
+    def evacuated_lasting_tasks(self) -> int:
+        """Lasting tasks in these zones, 0 if there are none."""
+        return self._mover.staying_tasks if self._evacuation.zones else 0
+
     def next_silent(self, now: float) -> dict[fleet.WorkerKey, float]:
         """Returns the silent workers, see `pipelinegrants.Grants`."""
         return self._grants.next_silent(
@@ -380,6 +386,14 @@
             for placement in self._monitor.check(worker, now):
                 name = placement.task.pipeline.id
                 slowed.setdefault(name, []).append(placement)
+        if self._evacuation.zones:
+            self._mover.move(
+                self._workers.values(),
+                lambda task, workers: self._starter.permitted_workers(
+                    task, workers, self._queues, now
+                ),
+                now,
+            )
         self._packer.pack(self._workers.values(), now)
         self._starter.withdraw_from_silent(now)
         if self._reconciliation.is_complete:
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -392,6 +392,30 @@
                 self._metrics.count("attempts_preempted")
                 self._attempts.stop(victim, "a more urgent task needs its room")
 
+    def permitted_workers(
+        self,
+        task: pipeline.Task,
+        workers: list[fleet.Worker],
+        table: queues.QueueTable,
+        now: float,
+    ) -> list[fleet.Worker]:
+        """Returns the workers on which a running task may start again.
+
+        Where an advisor must agree, missing tickets are requested.
+
+        Args:
+            task: The task.
+            workers: Workers that accept new attempts.
+            table: Current configuration of the queues.
+            now: Monotonic seconds.
+        """
+        queue = table.by_name(task.pipeline.declaration.queue)
+        if queue is None:
+            return []
+        if queue.advice is None:
+            return workers
+        return self._workers_with_ticket(task, queue.advice, workers, now)
+
     def _workers_with_ticket(
         self,
         task: pipeline.Task,
--- a/pomelostair/pipelinewaits.py
+++ b/pomelostair/pipelinewaits.py
@@ -28,6 +28,7 @@
         EARLIER_LEADER: An earlier leader may have started it.
         NO_QUEUE: Its queue is not configured.
         NO_WORKER: No worker of its service accepts attempts.
+        EVACUATED: The same, and some are in zones that are being evacuated.
         NO_ROOM: No worker has room for it.
         CONSTRAINTS: No worker with room has its label, or its spread limit is
             reached on them.
@@ -42,6 +43,7 @@
     EARLIER_LEADER = "earlier-leader"
     NO_QUEUE = "no-queue"
     NO_WORKER = "no-worker"
+    EVACUATED = "evacuated"
     NO_ROOM = "no-room"
     CONSTRAINTS = "constraints"
     UNPROVEN = "unproven"
@@ -210,6 +212,11 @@
         reason = reason_for(task, workers, self._pacer, now)
         if reason is Reason.DELAY and queue.advice is not None:
             return Reason.TICKET
+        if reason is Reason.NO_WORKER and any(
+            worker.evacuated and worker.state.service == queue.service
+            for worker in self._workers.values()
+        ):
+            return Reason.EVACUATED
         return reason
 
     def _most_free_millicores(self) -> int:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -72,6 +72,7 @@
         caplog.set_level(logging.INFO)
         fleet = make_fleet(w1="a", w2="b")
         fleet.evacuate(*zones)
+        fleet.submit("lasting", pipelines.stage(lasting=True))
         submit_short(fleet, 4)
         held = fleet.scheduler.evacuation
         assert not fleet.starts
@@ -79,6 +80,8 @@
         assert held.evacuated_workers == 2
         blocked = events.Events.EVACUATION_BLOCKS_SERVICE
         assert logged(caplog, blocked) == 1
+        waits = [r for r in caplog.records if hasattr(r, "waited_ms")]
+        assert {record.reason for record in waits} == {"evacuated"}
         fleet.evacuate("a")
         fleet.step()
         assert fleet.starts
@@ -186,3 +189,144 @@
         fleet.run_for(6)
         assert not fleet.running()
         assert not fleet.finished
+
+
+def lasting_fleet(**zones):
+    """Returns a fleet whose workers run lasting tasks."""
+    fleet = make_fleet(**zones)
+    for host in fleet.hosts.values():
+        host.runner.lasting = True
+    return fleet
+
+
+def hosts_of(fleet, name="a"):
+    """Returns the workers that run the tasks of a pipeline, sorted."""
+    return sorted(
+        host for task, host in fleet.running() if task.startswith(f"{name}.")
+    )
+
+
+class TestMover:
+    """Lasting tasks in a zone that is being evacuated."""
+
+    def start(self, zones, *stages, blocked=()):
+        """Returns a fleet that runs them; some workers have no room then."""
+        fleet = lasting_fleet(**zones)
+        for name in blocked:
+            fleet.resize_worker(name, 0)
+        fleet.run_for(simfleet.BEAT_S + 0.1)
+        for number, stage in enumerate(stages):
+            fleet.submit(chr(ord("a") + number), stage)
+        fleet.run_for(3)
+        for name in blocked:
+            fleet.resize_worker(name, fleet.cores)
+        fleet.run_for(simfleet.BEAT_S + 0.1)
+        return fleet
+
+    @pytest.mark.parametrize("skippable", [0, 1, 2])
+    def test_moves_no_more_at_once_than_its_stage_allows(self, skippable):
+        stage = pipelines.stage(4, 2000, lasting=True, skippable=skippable)
+        zones = {"w1": "a", "w2": "a", "w3": "b"}
+        fleet = self.start(zones, stage, blocked=["w3"])
+        assert set(hosts_of(fleet)) <= {"w1", "w2"}
+        fleet.evacuate("a")
+        fewest = 4
+        for _ in range(100):
+            fleet.step()
+            fewest = min(fewest, len(fleet.running()))
+        assert hosts_of(fleet) == ["w3"] * 4
+        assert fewest == 4 - max(skippable, 1)
+        assert fleet.scheduler.evacuated_lasting_tasks == 0
+
+    def test_stays_while_there_is_no_room(self):
+        """Tasks that can't start elsewhere would be gone for long."""
+        stage = pipelines.stage(3, 8000, lasting=True, skippable=1)
+        fleet = self.start({"w1": "a", "w2": "a", "w3": "b"}, stage)
+        fleet.evacuate("a")
+        fleet.run_for(5)
+        assert hosts_of(fleet) == ["w1", "w2", "w3"]
+        assert not fleet.finished
+        assert fleet.scheduler.evacuated_lasting_tasks == 2
+
+    def test_preempts_nothing(self):
+        """Short work elsewhere ends by itself; then there is room."""
+        stage = pipelines.stage(1, 8000, lasting=True)
+        fleet = self.start({"w1": "a", "w2": "b"}, stage, blocked=["w2"])
+        fleet.hosts["w2"].runner.lasting = False
+        fleet.hosts["w2"].runner.work_ms = 4000.0
+        fleet.submit("short", pipelines.stage(4, 2000))
+        fleet.run_for(1)
+        assert len(hosts_of(fleet, "short")) == 4
+        fleet.hosts["w2"].runner.lasting = True
+        fleet.evacuate("a")
+        fleet.run_for(2)
+        assert hosts_of(fleet) == ["w1"]
+        fleet.run_for(4)
+        assert hosts_of(fleet) == ["w2"]
+        ends = [how for task, _, how in fleet.finished if task[0] == "s"]
+        assert ends == ["done"] * 4
+
+    @pytest.mark.parametrize(
+        ("skippable", "room", "moves"),
+        [(0, 2, True), (2, 2, True), (1, 2, False), (0, 1, False)],
+        ids=["unlimited", "allowed", "too many", "room for a part"],
+    )
+    def test_gang_moves_whole_or_not_at_all(self, skippable, room, moves):
+        stage = pipelines.stage(
+            2, 8000, lasting=True, gang=True, skippable=skippable
+        )
+        zones = {
+            "w1": "a",
+            "w2": "a",
+            "w3": "b",
+            "w4": "b" if room > 1 else "a",
+        }
+        fleet = self.start(zones, stage, blocked=["w3", "w4"])
+        assert hosts_of(fleet) == ["w1", "w2"]
+        fleet.evacuate("a")
+        fleet.run_for(4)
+        assert hosts_of(fleet) == (["w3", "w4"] if moves else ["w1", "w2"])
+        assert bool(fleet.finished) == moves
+
+    def test_member_of_a_gang_in_another_zone_stays_where_it_is(self):
+        stage = pipelines.stage(2, 8000, lasting=True, gang=True)
+        zones = {"w1": "a", "w2": "b", "w3": "b"}
+        fleet = self.start(zones, stage, blocked=["w3"])
+        fleet.evacuate("a")
+        fleet.run_for(4)
+        assert hosts_of(fleet) == ["w2", "w3"]
+
+    def test_nothing_moves_once_the_row_is_removed(self):
+        stage = pipelines.stage(4, 2000, lasting=True, skippable=1)
+        fleet = self.start({"w1": "a", "w2": "b"}, stage, blocked=["w2"])
+        fleet.evacuate("a")
+        while not fleet.finished:
+            fleet.step()
+        moved = len(fleet.finished)
+        fleet.evacuate()
+        fleet.run_for(4)
+        assert 0 < len(fleet.finished) <= moved + 1 < 4
+        assert len(hosts_of(fleet)) == 4
+
+    def test_next_leader_goes_on(self):
+        stage = pipelines.stage(4, 2000, lasting=True, skippable=1)
+        fleet = self.start({"w1": "a", "w2": "b"}, stage, blocked=["w2"])
+        fleet.evacuate("a")
+        while not fleet.finished:
+            fleet.step()
+        fleet.start_leader(gap_s=2.0)
+        fleet.run_for(20)
+        assert hosts_of(fleet) == ["w2"] * 4
+
+    def test_pass_compares_few_workers_with_many_tasks(self, monkeypatch):
+        """A zone of 23 workers with 8 tasks each, and no room elsewhere.
+
+        A round of a leader of 70 workers takes a few milliseconds.
+        """
+        names = {f"w{n}": "ab"[n % 2] for n in range(70)}
+        stage = pipelines.stage(560, 1000, lasting=True, skippable=100)
+        fleet = self.start(names, stage)
+        fleet.evacuate("a")
+        compared = pipelines.record_comparisons(monkeypatch)
+        fleet.step()
+        assert 0 < len(compared) <= evacuation.MAX_COMPARISONS + 35
