Fillers wait for a place where they run fast

On a full fleet most pairs of images disturb each other, and a filler that waited accepted any pace after 16 s.

A filler now needs 0.7 of its full pace to start for as long as it waits, up to 60 s. Gangs, which need room on many workers at once, keep the decaying requirement, and an idle pipeline still starts one task at any pace.

The test of the decay now covers gangs; another one shows that a single filler keeps its requirement until it is dropped.

--- a/pomelostair/pacing.py
+++ b/pomelostair/pacing.py
@@ -44,14 +44,19 @@
 MOVE_BELOW_PERCENT = 60
 MOVE_AFTER_S = 1.0
 MOVE_TARGET_PERCENT = 80
-# Share of full pace that a worker must offer to a filler for it to start. While
-# the task waits, the requirement decays from PACE_SHARE_DECAY_DELAY_S on, and
-# MAX_START_DELAY_S later it is dropped, so that no task starves.
+# Share of full pace that a worker must offer to a filler for it to start. Lower
+# shares fill a busy fleet with slow fillers, which keep others from the workers
+# where those would run at full pace. So that no task starves, the requirement
+# is dropped after MAX_START_DELAY_S.
 START_PACE_SHARE = 0.7
+MAX_START_DELAY_S = 60.0
+# The members of a gang need room on many workers at the same time. While they
+# wait, their requirement decays from PACE_SHARE_DECAY_DELAY_S on, and
+# MAX_GANG_START_DELAY_S later it is dropped.
 PACE_SHARE_DECAY_DELAY_S = 1.0
 PACE_SHARE_DECAY_PER_S = 0.1
 MIN_START_PACE_SHARE = 0.35
-MAX_START_DELAY_S = 15.0
+MAX_GANG_START_DELAY_S = 15.0
 # Load below which a filler image counts as idle, as a share of the worker's
 # cores.
 IDLE_LOAD_SHARE = 0.005
@@ -174,11 +179,14 @@
         Returns:
             Share from 0 to 1.
         """
-        waited_s = now - task.ready_since_s - PACE_SHARE_DECAY_DELAY_S
-        if waited_s > MAX_START_DELAY_S:
+        waited_s = now - task.ready_since_s
+        if not task.stage.gang:
+            return START_PACE_SHARE if waited_s <= MAX_START_DELAY_S else 0.0
+        decay_s = max(0.0, waited_s - PACE_SHARE_DECAY_DELAY_S)
+        if decay_s > MAX_GANG_START_DELAY_S:
             return 0.0
         return max(
-            START_PACE_SHARE - max(0.0, waited_s) * PACE_SHARE_DECAY_PER_S,
+            START_PACE_SHARE - decay_s * PACE_SHARE_DECAY_PER_S,
             MIN_START_PACE_SHARE,
         )
 
--- a/pomelostair/pipelineidle.py
+++ b/pomelostair/pipelineidle.py
@@ -14,7 +14,6 @@
 
 from pomelostair import attempts as attempts_module
 from pomelostair import fleet
-from pomelostair import pacing
 from pomelostair import pipeline
 from pomelostair import pipelineorder
 from pomelostair import pipelineplacement as placement_module
@@ -24,7 +23,7 @@
 # start such fillers, and only after MAX_BUSY_IDLE_S: each of them slows fillers
 # that could still be in time.
 BUSY_SHARE = 0.5
-MAX_BUSY_IDLE_S = pacing.MAX_START_DELAY_S
+MAX_BUSY_IDLE_S = 15.0
 # Time by which the search for a worker begins earlier where each needs a ticket
 # first.
 TICKET_LEAD_S = 1.0
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -146,18 +146,28 @@
             pressures.append(contention.pressure("service", "noisy", 0.9))
         assert pressures[0] == pressures[1] > 0
 
-    def test_required_pace_share_decays_to_zero_while_task_waits(self):
+    def required_pace_shares(self, stage, times_s):
         pacer = pacing.Pacer(METRICS)
-        task = pipelines.place(pipelines.worker("w2"), NOISY).task
+        task = pipelines.place(pipelines.worker("w2"), stage).task
         task.ready_since_s = 0.0
-        pace_shares = [
-            pacer.required_pace_share(task, now)
-            for now in (0.5, 3.0, 6.0, 20.0)
-        ]
+        return [pacer.required_pace_share(task, now) for now in times_s]
+
+    def test_required_pace_share_of_a_gang_decays_to_zero(self):
+        gang = pipelines.stage(2, filler=True, gang=True)
+        pace_shares = self.required_pace_shares(gang, (0.5, 3.0, 6.0, 20.0))
         assert pace_shares == sorted(pace_shares, reverse=True)
         assert pace_shares[0] == pacing.START_PACE_SHARE
         assert pace_shares[-1] == 0.0
 
+    def test_waiting_filler_does_not_settle_for_a_low_pace(self):
+        """Slow fillers would fill the workers on which others run fast."""
+        assert self.required_pace_shares(NOISY, (0.5, 6.0, 20.0, 61.0)) == [
+            pacing.START_PACE_SHARE,
+            pacing.START_PACE_SHARE,
+            pacing.START_PACE_SHARE,
+            0.0,
+        ]
+
     def test_only_slowed_running_non_gang_attempts_move(self):
         simulation = ColocationSimulation(QUIET)
         filler = simulation.fillers[0]
