--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -278,6 +278,8 @@
         unproven: Its attempts of suspect tasks, which may crash it, until they
             are seen running for a while.
         address: HTTP address at which it accepts orders, empty if unknown.
+        evacuated: Whether its zone is being evacuated, so that it gets no
+            attempts.
         speed: Its present speed relative to others, 1 at most.
         cold_until_s: Monotonic time until which it stays slow after its start,
             0 if it does not; `speed` ends then.
@@ -318,6 +320,7 @@
     reservations: dict[str, Reservation] = attrs.field(factory=dict)
     unproven: set[AttemptKey] = attrs.field(factory=set)
     address: str = ""
+    evacuated: bool = False
     speed: float = 1.0
     cold_until_s: float = 0.0
 
@@ -472,6 +475,7 @@
             and self.is_heard(now)
             and self.state.announced
             and not self.state.draining
+            and not self.evacuated
             and not self.orphans
         )
 
@@ -575,6 +579,23 @@
             messages.Order(self.last_order_number, messages.STOP, task, attempt)
         )
 
+    def withdraw_start(self, placement: Placement) -> None:
+        """Replaces the unconfirmed start order of an attempt by a stop.
+
+        If the order is sent again, it takes no effect. Its number remains,
+        since the agent waits for the orders that are missing; one that has it
+        already ignores the stop.
+        """
+        self.unconfirmed_orders = [
+            messages.Order(
+                order.number, messages.STOP, order.task, order.attempt
+            )
+            if (order.kind, order.task, order.attempt)
+            == (messages.START, *placement.key)
+            else order
+            for order in self.unconfirmed_orders
+        ]
+
     def _adjust_usage(self, stage: pipeline.Stage, sign: int) -> None:
         demand = stage.demand
         millicores = demand.millicores
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -14,6 +14,7 @@
 
 from pomelostair import attempts as attempts_module
 from pomelostair import contention
+from pomelostair import evacuation
 from pomelostair import events
 from pomelostair import fleet
 from pomelostair import log
@@ -147,6 +148,8 @@
         self._wait_monitor = pipelinewaits.WaitMonitor(
             self._workers, self._attempts, self._pacer, metrics
         )
+        self._evacuation = evacuation.Evacuation(metrics)
+        self._mover = evacuation.Mover(self._attempts, self._pacer, metrics)
 
     @property
     def registry(self) -> pipelineregistry.PipelineRegistry:
@@ -168,6 +171,16 @@
         """Grants of leases to the workers."""
         return self._grants
 
+    @property
+    def evacuation(self) -> evacuation.Evacuation:
+        """Zones that are being evacuated."""
+        return self._evacuation
+
+    @property
+    def evacuated_lasting_tasks(self) -> int:
+        """Lasting tasks in these zones, 0 if there are none."""
+        return self._mover.staying_tasks if self._evacuation.zones else 0
+
     def next_silent(self, now: float) -> dict[fleet.WorkerKey, float]:
         """Returns the silent workers, see `pipelinegrants.Grants`."""
         return self._grants.next_silent(
@@ -266,6 +279,22 @@
                 queue.name: queue.max_attempts for queue in table.queues
             }
 
+    def set_evacuated_zones(self, zones: Iterable[str], now: float) -> None:
+        """Applies the operator's rows at once, not only in the next round.
+
+        Stored starts of lasting tasks would otherwise be ordered meanwhile.
+        """
+        if self._evacuation.set_zones(zones, now):
+            for worker in self._workers.values():
+                self._mark_evacuated(worker)
+
+    def _mark_evacuated(self, worker: fleet.Worker) -> None:
+        covered = self._evacuation.covers(worker.state.zone)
+        if covered is not worker.evacuated:
+            worker.evacuated = covered
+            if covered:
+                self._starter.withdraw_from_evacuated([worker])
+
     def expect_agents(
         self,
         agents: dict[str, fleet.Registration],
@@ -361,6 +390,7 @@
     def run_round(self, now: float) -> None:
         """Decides which attempts to start, stop and pace now."""
         self._expire_workers(now)
+        self._evacuation.check(self._workers.values(), now)
         self._registry.open_due(now)
         self._crashes.check()
         self._give_up_deferred()
@@ -370,6 +400,14 @@
             for placement in self._monitor.check(worker, now):
                 name = placement.task.pipeline.id
                 slowed.setdefault(name, []).append(placement)
+        if self._evacuation.zones:
+            self._mover.move(
+                self._workers.values(),
+                lambda task, workers: self._starter.permitted_workers(
+                    task, workers, self._queues, now
+                ),
+                now,
+            )
         self._packer.pack(self._workers.values(), now)
         self._starter.withdraw_from_silent(now)
         if self._reconciliation.is_complete:
@@ -432,6 +470,7 @@
             and worker.agent_incarnation != agent_incarnation
         )
         worker.agent_incarnation = agent_incarnation
+        self._mark_evacuated(worker)
         if restarted:
             self._apply_agent_restart(worker, state)
         worker.confirm_orders(state.received, now)
--- a/pomelostair/platform/settingsfile.py
+++ b/pomelostair/platform/settingsfile.py
@@ -179,6 +179,7 @@
         grant_ms=hold_ms + GRANT_MARGIN_MS,
         retention_s=retention_s,
         shutdown_s=drain_s,
+        evacuate_ms=int(file.number("bounds.evacuateMs", 0)),
         learn_speeds=True,
         learn_run_times=True,
         remote_factor=max(1.0, file.number("bounds.remoteFactor", 1)),
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -225,6 +225,8 @@
             extend that lease.
         retention_s: Time for which an ended pipeline is retained.
         shutdown_s: Time limit of a graceful shutdown.
+        evacuate_ms: Time in which the evacuation of an availability zone must
+            take effect; 0 if the operator's rows are not to be read.
         remote_factor: Factor on the run time of a task far from the rack of its
             data, and of a gang that prefers a common rack on several ones; 1 if
             that makes no difference.
@@ -252,6 +254,7 @@
     grant_ms: int = _positive_field(7500)
     retention_s: float = _positive_field(180.0)
     shutdown_s: float = _positive_field(5.0)
+    evacuate_ms: int = attrs.field(default=0, validator=attrs.validators.ge(0))
     remote_factor: float = _positive_field(1.0)
     learn_speeds: bool = False
     learn_run_times: bool = False
--- /dev/null
+++ b/tests/test_evacuation.py
@@ -0,0 +1,295 @@
+import pytest
+
+from pomelostair import evacuation
+from pomelostair import events
+from pomelostair import fleet as fleet_module
+from pomelostair import pipelinescheduler
+from tests import pipelines
+from tests import simfleet
+
+
+def make_fleet(lasting=False, **zones):
+    """Returns a fleet; `zones` are the zones of its workers by name."""
+    fleet = simfleet.Fleet(tuple(zones))
+    for name, zone in zones.items():
+        fleet.hosts[name].zone = zone
+        fleet.hosts[name].runner.lasting = lasting
+    fleet.run_for(1)
+    return fleet
+
+
+def logged(caplog, event):
+    """Returns the number of log lines of an event."""
+    return sum(r.getMessage() == event.value.text for r in caplog.records)
+
+
+def submit_short(fleet, seconds):
+    """Submits tasks for more workers than there are, for some time."""
+    for step in range(round(seconds / 0.1)):
+        name = f"short-{round(fleet.now * 10)}-{step}"
+        fleet.submit(name, pipelines.stage(4, 2000))
+        fleet.step()
+
+
+def hosts_of(fleet, name="a"):
+    """Returns the workers that run the tasks of a pipeline, sorted."""
+    return sorted(
+        host for task, host in fleet.running() if task.startswith(f"{name}.")
+    )
+
+
+def starting_hosts(fleet):
+    """Returns the workers that have started tasks since the last call."""
+    hosts = {host for _, host in fleet.starts}
+    fleet.starts.clear()
+    return hosts
+
+
+class TestStarts:
+    """Short tasks that would fill every worker."""
+
+    @pytest.mark.parametrize("takeover", [False, True])
+    def test_none_in_an_evacuated_zone_until_the_row_is_removed(self, takeover):
+        """The zone went on getting work until its machines were turned off.
+
+        Agents of an older version name no zone; theirs is never evacuated.
+        """
+        fleet = make_fleet(w1="a", w2="a", w3="")
+        submit_short(fleet, 1)
+        before = fleet.running()
+        assert starting_hosts(fleet) == {"w1", "w2", "w3"}
+        fleet.evacuate("a")
+        if takeover:
+            fleet.start_leader(gap_s=2.0)
+        submit_short(fleet, 12)
+        assert starting_hosts(fleet) == {"w3"}
+        done = {task for task, _, how in fleet.finished if how == "done"}
+        assert {task for task, _ in before} <= done
+        fleet.evacuate()
+        fleet.step()
+        assert starting_hosts(fleet) >= {"w1", "w2"}
+
+    @pytest.mark.parametrize("zones", [("a", "b"), ("b", "a", "c")])
+    def test_rows_for_all_zones_are_honoured(self, zones, caplog):
+        """Work waits, and the operator sees why."""
+        fleet = make_fleet(w1="a", w2="b")
+        fleet.evacuate(*zones)
+        fleet.submit("lasting", pipelines.stage(lasting=True))
+        submit_short(fleet, 4)
+        held = fleet.scheduler.evacuation
+        assert not fleet.starts
+        assert held.blocked_services == {"clapper-desk"}
+        assert held.evacuated_workers == 2
+        assert logged(caplog, events.Events.EVACUATION_BLOCKS_SERVICE) == 1
+        waits = [r for r in caplog.records if hasattr(r, "waited_ms")]
+        assert {record.reason for record in waits} == {"evacuated"}
+        fleet.evacuate("a")
+        fleet.step()
+        assert starting_hosts(fleet) == {"w2"}
+        assert not held.blocked_services
+
+    def test_unknown_zone_has_no_effect_and_is_logged_once(self, caplog):
+        fleet = make_fleet(w1="a", w2="b")
+        fleet.evacuate("c")
+        submit_short(fleet, evacuation.UNKNOWN_ZONE_S + 2)
+        held = fleet.scheduler.evacuation
+        assert starting_hosts(fleet) == {"w1", "w2"}
+        assert held.unknown_zones == {"c"}
+        assert logged(caplog, events.Events.EVACUATED_ZONE_UNKNOWN) == 1
+        fleet.hosts["w1"].zone = "c"
+        submit_short(fleet, 0.5)
+        assert not held.unknown_zones
+        assert fleet.scheduler.workers["w1", 1].evacuated
+
+    def test_no_room_is_kept_there(self):
+        """A task that needs a whole worker waits for one; all are in use."""
+        fleet = make_fleet(w1="a", w2="b")
+        for host in fleet.hosts.values():
+            host.runner.work_ms = 3000.0
+        fleet.submit("short", pipelines.stage(8, 2000))
+        fleet.run_for(0.5)
+        fleet.submit("large", pipelines.stage(2, 8000, lasting=True))
+        fleet.run_for(2.5)
+        kept = fleet.scheduler.workers["w1", 1]
+        assert kept.reservations
+        fleet.evacuate("a")
+        fleet.step()
+        assert not kept.reservations
+
+
+class TestWithdrawal:
+    """Starts that were ordered before the row was written."""
+
+    @pytest.mark.parametrize("lasting", [False, True])
+    def test_start_that_may_still_come_is_fenced_off(self, lasting):
+        """The agent is cut off while it holds an order, and then back.
+
+        The task waited for the worker until its leases lapsed, and the order
+        was sent again when the agent came back.
+        """
+        fleet = make_fleet(lasting, w1="a", w2="b")
+        one = fleet.hosts["w1"]
+        fleet.resize_worker("w2", 0)
+        fleet.run_for(simfleet.BEAT_S + 0.1)
+        one.partitioned = True
+        fleet.submit("a", pipelines.stage(lasting=lasting))
+        fleet.run_for(0.5)
+        worker = fleet.scheduler.workers[one.key]
+        assert worker.placements
+        fleet.evacuate("a")
+        fleet.resize_worker("w2", 8)
+        fleet.run_for(simfleet.BEAT_S + 0.1)
+        one.partitioned = False
+        fleet.run_for(pipelinescheduler.RESEND_AFTER_S)
+        assert not worker.placements
+        assert [name for _, name in fleet.starts] == ["w2"]
+
+    @pytest.mark.parametrize("gang", [False, True])
+    def test_start_that_waits_for_its_record_is_dropped(self, gang):
+        """It was sent once it was stored and its worker had reported."""
+        fleet = make_fleet(True, w1="a", w2="b")
+        stage = pipelines.stage(2, 8000, lasting=True, gang=gang)
+        fleet.submit("a", stage)
+        workers = fleet.scheduler.workers.values()
+        while not any(worker.placements for worker in workers):
+            fleet.step()
+        assert not fleet.starts
+        fleet.evacuate("a")
+        assert not fleet.scheduler.workers["w1", 1].placements
+        fleet.run_for(3)
+        assert hosts_of(fleet) == ([] if gang else ["w2"])
+        assert starting_hosts(fleet) <= {"w2"}
+
+    def test_order_that_is_carried_out_late_is_fenced_off(self):
+        """The worker would start it seconds after its agent gave it up."""
+        fleet = make_fleet(w1="a")
+        fleet.hosts["w1"].delays_starts = True
+        fleet.submit("a", pipelines.stage(4, 2000))
+        fleet.step()
+        fleet.evacuate("a")
+        fleet.run_for(6)
+        assert not fleet.running()
+        assert not fleet.finished
+
+
+class TestMover:
+    """Lasting tasks in a zone that is being evacuated."""
+
+    def start(self, stage, blocked=(), **zones):
+        """Returns a fleet that runs them; some workers have no room then."""
+        fleet = make_fleet(True, **zones)
+        for name in blocked:
+            fleet.resize_worker(name, 0)
+        fleet.run_for(simfleet.BEAT_S + 0.1)
+        fleet.submit("a", stage)
+        fleet.run_for(3)
+        for name in blocked:
+            fleet.resize_worker(name, fleet.cores)
+        fleet.run_for(simfleet.BEAT_S + 0.1)
+        return fleet
+
+    @pytest.mark.parametrize("skippable", [0, 1, 2])
+    def test_moves_no_more_at_once_than_its_stage_allows(self, skippable):
+        stage = pipelines.stage(4, 2000, lasting=True, skippable=skippable)
+        fleet = self.start(stage, ["w3"], w1="a", w2="a", w3="b")
+        assert set(hosts_of(fleet)) <= {"w1", "w2"}
+        fleet.evacuate("a")
+        fewest = 4
+        for _ in range(100):
+            fleet.step()
+            fewest = min(fewest, len(fleet.running()))
+        assert hosts_of(fleet) == ["w3"] * 4
+        assert fewest == 4 - max(skippable, 1)
+        assert fleet.scheduler.evacuated_lasting_tasks == 0
+
+    def test_stays_without_room_and_preempts_nothing(self):
+        """Short work elsewhere ends by itself; then there is room."""
+        stage = pipelines.stage(2, 8000, lasting=True)
+        fleet = self.start(stage, ["w3"], w1="a", w2="a", w3="b")
+        fleet.hosts["w3"].runner.lasting = False
+        fleet.hosts["w3"].runner.work_ms = 4000.0
+        fleet.submit("short", pipelines.stage(4, 2000))
+        fleet.run_for(1)
+        assert hosts_of(fleet, "short") == ["w3"] * 4
+        fleet.hosts["w3"].runner.lasting = True
+        fleet.evacuate("a")
+        fleet.run_for(2)
+        assert hosts_of(fleet) == ["w1", "w2"]
+        assert fleet.scheduler.evacuated_lasting_tasks == 2
+        fleet.run_for(6)
+        assert "w3" in hosts_of(fleet)
+        assert fleet.scheduler.evacuated_lasting_tasks == 1
+        ends = [how for task, _, how in fleet.finished if task[0] == "s"]
+        assert ends == ["done"] * 4
+        assert len(fleet.finished) == 5
+
+    @pytest.mark.parametrize(
+        ("skippable", "zones", "hosts"),
+        [
+            (0, "aabb", ["w3", "w4"]),
+            (2, "aabb", ["w3", "w4"]),
+            (1, "aabb", ["w1", "w2"]),
+            (0, "aaba", ["w1", "w2"]),
+            (0, "abba", ["w2", "w3"]),
+        ],
+        ids=[
+            "unlimited",
+            "allowed",
+            "too-many",
+            "half-the-room",
+            "half-inside",
+        ],
+    )
+    def test_gang_moves_whole_or_not_at_all(self, skippable, zones, hosts):
+        stage = pipelines.stage(
+            2, 8000, lasting=True, gang=True, skippable=skippable
+        )
+        names = {f"w{n}": zone for n, zone in enumerate(zones, 1)}
+        fleet = self.start(stage, ["w3", "w4"], **names)
+        assert hosts_of(fleet) == ["w1", "w2"]
+        fleet.evacuate("a")
+        fleet.run_for(4)
+        assert hosts_of(fleet) == hosts
+        assert bool(fleet.finished) == (hosts != ["w1", "w2"])
+
+    def test_stays_on_a_worker_that_may_not_answer(self):
+        """The stop would come late, and the reserved room be gone by then."""
+        stage = pipelines.stage(1, 2000, lasting=True)
+        fleet = self.start(stage, ["w2"], w1="a", w2="b")
+        fleet.hosts["w1"].partitioned = True
+        fleet.run_for(fleet_module.REPORT_FRESH_S + 0.2)
+        fleet.evacuate("a")
+        fleet.run_for(1)
+        assert not fleet.scheduler.workers["w2", 1].reservations
+        fleet.hosts["w1"].partitioned = False
+        fleet.run_for(2)
+        assert hosts_of(fleet) == ["w2"]
+
+    @pytest.mark.parametrize("revoked", [False, True])
+    def test_next_leader_goes_on_unless_the_row_is_removed(self, revoked):
+        stage = pipelines.stage(4, 2000, lasting=True, skippable=1)
+        fleet = self.start(stage, ["w2"], w1="a", w2="b")
+        fleet.evacuate("a")
+        while not fleet.finished:
+            fleet.step()
+        moved = len(fleet.finished)
+        fleet.evacuate(*(() if revoked else ("a",)))
+        fleet.start_leader(gap_s=2.0)
+        fleet.run_for(20)
+        if revoked:
+            assert len(hosts_of(fleet)) == 4
+            assert len(fleet.finished) <= moved + 1 < 4
+        else:
+            assert hosts_of(fleet) == ["w2"] * 4
+
+    def test_pass_compares_few_workers_with_many_tasks(self, monkeypatch):
+        """A zone of 35 workers with 8 tasks each, and no room elsewhere.
+
+        A round of a leader of 70 workers takes a few milliseconds.
+        """
+        stage = pipelines.stage(560, 1000, lasting=True, skippable=100)
+        fleet = self.start(stage, **{f"w{n}": "ab"[n % 2] for n in range(70)})
+        fleet.evacuate("a")
+        compared = pipelines.record_comparisons(monkeypatch)
+        fleet.step()
+        assert 0 < len(compared) <= evacuation.MAX_COMPARISONS + 35
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -17,7 +17,9 @@
 from pomelostair import pipelinerows
 from pomelostair import pipelinescheduler
 from pomelostair import store
+from pomelostair.platform import port as platform_port
 from tests import faultystore
+from tests import leaders
 from tests import nested
 from tests import pipelines
 from tests import test_pipelineapi
@@ -575,3 +577,59 @@
             assert leader._scheduler.placements_recorded is recorded
 
         harness.run(body)
+
+
+class OperatorRowsTable(faultystore.FaultyTable):
+    """A table whose rows of operators can't be read while `operator_down`."""
+
+    operator_down = True
+    operator_scans = 0
+
+    async def scan(self, prefix, after="", limit=500):
+        if prefix.startswith("op/"):
+            self.operator_scans += 1
+            if self.operator_down:
+                return outcome.Unavailable("down")
+        return await super().scan(prefix, after, limit)
+
+    async def watch(self, table, after, wait_s):
+        return await self.table.watch(table, after, wait_s)
+
+
+class TestEvacuations:
+    @pytest.mark.parametrize("evacuate_ms", [0, 5000])
+    def test_rows_are_read_before_the_first_round(
+        self, monkeypatch, evacuate_ms
+    ):
+        """The leader that knew them is lost just after the row is written.
+
+        They are not read without the setting.
+        """
+        table = OperatorRowsTable()
+        harness = test_pipelineapi.Harness(
+            table, platform_port.PlatformPort(), evacuate_ms
+        )
+        leader = harness.host.get(pipelineleader.PipelineLeader)
+        zones = []
+        monkeypatch.setattr(
+            pipelinescheduler.PipelineScheduler,
+            "run_round",
+            lambda scheduler, now: zones.append(scheduler.evacuation.zones),
+        )
+
+        async def body():
+            put = store.Put("op//evacuate/patan", b"1")
+            await table.table.commit(store.Transaction(puts=(put,)))
+            task = await curio.spawn(leader.run, daemon=True)
+            if evacuate_ms:
+                await leaders.eventually(lambda: table.operator_scans)
+                await curio.sleep(2 * pipelineleader.ROUND_INTERVAL_S)
+                assert not leader.leading
+                table.operator_down = False
+            assert await leaders.eventually(lambda: zones)
+            await task.cancel()
+
+        harness.run(body)
+        expected = {"patan"} if evacuate_ms else set()
+        assert set(zones) == {frozenset(expected)}
+        assert bool(table.operator_scans) == bool(evacuate_ms)
