Speeds and run times are not learned on the platform; cold workers count alone

A cold worker counts with a fixed speed while it is cold, whether or not speeds are learned, where cold_workers is set; the adapter sets it where bounds.coldOverrun is given.

--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -283,6 +283,7 @@
             self._parts.settings.pipelines.remote_factor,
             self._parts.settings.pipelines.learn_speeds,
             self._parts.settings.pipelines.learn_run_times,
+            self._parts.settings.pipelines.cold_workers,
         )
         self._scheduler.set_queues(self._peers.queues)
         self._evacuations = self._new_evacuation_watch()
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -76,6 +76,7 @@
         remote_factor: Factor on the run time far from the data.
         learn_speeds: Whether the speeds of the workers are learned.
         learn_run_times: Whether the run times of the queues are learned.
+        cold_workers: Whether cold workers count as slow.
     """
 
     def __init__(
@@ -88,6 +89,7 @@
         remote_factor: float = 1.0,
         learn_speeds: bool = False,
         learn_run_times: bool = False,
+        cold_workers: bool = False,
     ):
         self._epoch = epoch
         self._lease_version = lease_version
@@ -119,7 +121,7 @@
         self._pacer = pacing.Pacer(metrics)
         self._attempts = attempts_module.Attempts(self._pacer, metrics)
         self._speeds = workerspeed.WorkerSpeeds(
-            metrics, remote_factor, learn_speeds
+            metrics, remote_factor, learn_speeds, cold_workers
         )
         self._run_times = runtimes.RunTimes(learn_run_times, remote_factor)
         self._registry = pipelineregistry.PipelineRegistry(
--- a/pomelostair/platform/settingsfile.py
+++ b/pomelostair/platform/settingsfile.py
@@ -180,7 +180,6 @@
         retention_s=retention_s,
         shutdown_s=drain_s,
         evacuate_ms=int(file.number("bounds.evacuateMs", 0)),
-        learn_speeds=True,
-        learn_run_times=True,
         remote_factor=max(1.0, file.number("bounds.remoteFactor", 1)),
+        cold_workers="bounds.coldOverrun" in file.values,
     )
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -230,8 +230,8 @@
         remote_factor: Factor on the run time of a task far from the rack of its
             data, and of a gang that prefers a common rack on several ones; 1 if
             that makes no difference.
-        learn_speeds: Whether work avoids workers that prove to be slow, or
-            report that they are cold.
+        cold_workers: Whether work avoids workers that report to be cold.
+        learn_speeds: Whether work avoids workers that prove to be slow.
         learn_run_times: Whether the estimates of a queue are corrected by the
             run times of its ended tasks.
     """
@@ -256,6 +256,7 @@
     shutdown_s: float = _positive_field(5.0)
     evacuate_ms: int = attrs.field(default=0, validator=attrs.validators.ge(0))
     remote_factor: float = _positive_field(1.0)
+    cold_workers: bool = False
     learn_speeds: bool = False
     learn_run_times: bool = False
 
--- a/pomelostair/workerspeed.py
+++ b/pomelostair/workerspeed.py
@@ -29,7 +29,7 @@
 FAST_FROM = 0.85
 # Lowest speed. Slow workers of the platform are up to 8 times as slow.
 MIN_SPEED = 1 / 16
-# Speed of a cold worker while nothing was learned of any.
+# Speed of a cold worker. It is not learned: a worker is cold for seconds only.
 COLD_SPEED = 0.5
 # Shortest time and progress from which a rate is computed: progress is reported
 # in whole percents.
@@ -174,7 +174,6 @@
     Attributes:
         spans: What is measured now, by attempt.
         samples: Latest comparisons, by attempt, oldest first.
-        cold: Whether the worker was cold meanwhile.
         slow: Whether it was logged as slow.
         next_look_s: Monotonic time of the next look at its attempts.
         speed_valid_s: Monotonic time until which its speed is valid.
@@ -182,7 +181,6 @@
 
     spans: dict[fleet.AttemptKey, _Span] = attrs.field(factory=dict)
     samples: dict[fleet.AttemptKey, _Sample] = attrs.field(factory=dict)
-    cold: bool = False
     slow: bool = False
     next_look_s: float = 0.0
     speed_valid_s: float = 0.0
@@ -218,7 +216,9 @@
     Args:
         metrics: Registry that counts slow workers.
         remote_factor: Factor on the run time far from the data.
-        enabled: Whether anything is learned; otherwise all speeds are 1.
+        enabled: Whether anything is learned; otherwise all speeds are 1, but
+            for those of cold workers.
+        cold_workers: Whether cold workers count as slow.
     """
 
     def __init__(
@@ -226,16 +226,15 @@
         metrics: metrics_module.Metrics,
         remote_factor: float = 1.0,
         enabled: bool = True,
+        cold_workers: bool = False,
     ):
         self._metrics = metrics
         self._enabled = enabled
+        self._cold_workers = cold_workers
         self._remote_factor = remote_factor
         self._learned: dict[fleet.WorkerKey, _Learned] = {}
         self._groups: collections.OrderedDict[tuple, _Group]
         self._groups = collections.OrderedDict()
-        self._cold_speeds: collections.deque[float] = collections.deque(
-            maxlen=MAX_SAMPLES
-        )
 
     def forget(self, key: fleet.WorkerKey) -> None:
         """Drops what was learned of a worker."""
@@ -248,16 +247,20 @@
             worker: The worker, with the progress of its attempts.
             now: Monotonic seconds.
         """
+        cold_ms = worker.state.cold_left_ms
+        if cold_ms:
+            # Its rates are low for a known time, and would pull medians down.
+            self.forget(worker.key)
+            worker.speed, worker.cold_until_s = 1.0, 0.0
+            if self._cold_workers:
+                worker.speed = COLD_SPEED
+                worker.cold_until_s = now + cold_ms / 1000
+            return
+        if worker.cold_until_s:
+            worker.speed, worker.cold_until_s = 1.0, 0.0
         if not self._enabled:
             return
         learned = self._learned.setdefault(worker.key, _Learned())
-        cold_ms = worker.state.cold_left_ms
-        if bool(cold_ms) != learned.cold:
-            learned.cold = bool(cold_ms)
-            learned.spans.clear()
-            learned.samples.clear()
-            learned.next_look_s = learned.speed_valid_s = 0.0
-        worker.cold_until_s = now + cold_ms / 1000 if cold_ms else 0.0
         if now >= learned.next_look_s:
             learned.next_look_s = now + OBSERVE_INTERVAL_S
             for key in learned.spans.keys() - worker.placements.keys():
@@ -332,9 +335,7 @@
         for number, key in enumerate(keys):
             group = self._group(key)
             reference = group.reference(worker.key, now)
-            # Cold workers would pull the median down, for a known time.
-            if not learned.cold:
-                group.add(worker.key, rate)
+            group.add(worker.key, rate)
             if not reference:
                 continue
             ratio = min(max(rate / reference, MIN_SPEED), 1.0)
@@ -361,15 +362,6 @@
         self, worker: fleet.Worker, learned: _Learned, now: float
     ) -> None:
         speed = learned.speed(now) if learned.samples else None
-        if learned.cold:
-            if speed is None:
-                speed = COLD_SPEED
-                if self._cold_speeds:
-                    speed = statistics.median(self._cold_speeds)
-            else:
-                self._cold_speeds.append(speed)
-            worker.speed = speed
-            return
         threshold = FAST_FROM if learned.slow else SLOW_BELOW
         slow = speed is not None and speed < threshold
         worker.speed = speed if slow else 1.0
--- a/tests/platform/test_settingsfile.py
+++ b/tests/platform/test_settingsfile.py
@@ -56,6 +56,15 @@
         assert settings.platform.writes_per_s == 800
         assert settings.pipelines.evacuate_ms == 0
 
+    def test_what_is_not_shown_to_help_is_off(self):
+        pipelines = parse_settings(ENTRY_FILE).pipelines
+        assert not (pipelines.learn_speeds or pipelines.learn_run_times)
+        assert not pipelines.cold_workers
+
+    def test_bound_of_cold_workers_makes_them_count(self):
+        settings = parse_settings(ENTRY_FILE + "bounds.coldOverrun=1.2\n")
+        assert settings.pipelines.cold_workers
+
     def test_bound_of_an_evacuation_is_converted(self):
         settings = parse_settings(ENTRY_FILE + "bounds.evacuateMs=5000\n")
         assert settings.pipelines.evacuate_ms == 5000
