Waits for near places end where no room can be expected, and cost less

Found by a review: - An attempt without an estimate, or whose stop hangs, promised room in 10 s or 0.4 s for ever. It is expected to last as long again. - A gang waited for room on which it had just not been placed. - The expected end of an attempt at 100 % was taken for room that is there. - Time without room at any place counted as a wait.

Each has a test that failed before.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -63,6 +63,8 @@
             if it does not.
         last_progress_s: Monotonic time of the latest change of
             `progress_percent`.
+        stopping_since_s: Monotonic time of the first expectation of its end
+            after its stop was ordered, 0 if there was none.
         fenced_off: Whether the worker has confirmed that it has stopped the
             attempt or will not start it.
         stop_reason: Why it is being stopped.
@@ -90,6 +92,7 @@
     pace_percent: int = 100
     slowed_since_s: float = 0.0
     last_progress_s: float = 0.0
+    stopping_since_s: float = 0.0
     fenced_off: bool = False
     stop_reason: str = ""
     ticket: str = ""
--- a/pomelostair/pipeline.py
+++ b/pomelostair/pipeline.py
@@ -297,6 +297,8 @@
             reserved for it.
         near_wait_since_s: Monotonic time since which it waits for a place near
             its data though there was room elsewhere, 0 if it does not.
+        near_wait_kept_until_s: Monotonic time until which that wait needs no
+            new decision.
         placed_on: Id and incarnation of each worker on which an attempt of
             this term may be running.
         earlier_placed_on: The same of attempts of earlier terms, for a lasting
@@ -328,6 +330,7 @@
     not_before_s: float = 0.0
     reserved_until_s: float = 0.0
     near_wait_since_s: float = 0.0
+    near_wait_kept_until_s: float = 0.0
     placed_on: set[tuple[str, int]] = attrs.field(factory=set)
     earlier_placed_on: frozenset[tuple[str, int]] | None = None
     crashes: list[Crash] = attrs.field(factory=list)
--- a/pomelostair/pipelinelocality.py
+++ b/pomelostair/pipelinelocality.py
@@ -39,6 +39,15 @@
 CHECKPOINT_WORK_SHARE = 0.5
 # Most tasks for whose room on one worker the ends are followed.
 MAX_ROOMS_PER_WORKER = 64
+# Least expected time until an attempt ends, for the report of its end. It tells
+# the room of one that is at 100 % from room that is there already.
+MIN_LEFT_S = 0.05
+# Most workers that one round searches for room that will become free. Further
+# tasks start as if nothing were expected.
+MAX_SEARCHED_WORKERS = 1_200
+# Time for which a decision to wait is kept. Rounds come with each report, and
+# what they rest on changes more slowly.
+KEEP_DECISION_S = 0.25
 # Most waits that one round decides on; further tasks have many ahead of them,
 # and start far.
 MAX_DECISIONS = 1200
@@ -106,7 +115,8 @@
     """Returns the expected time until an attempt ends, maybe infinity.
 
     An attempt that has run for longer than estimated is expected to run on for
-    as long as it is overdue, whatever progress it reports.
+    as long as it is overdue, whatever progress it reports. One without an
+    estimate, or that is stopping, is expected to last as long again.
 
     Args:
         placement: The attempt.
@@ -116,11 +126,14 @@
     """
     stage = placement.task.stage
     if placement.state is fleet.AttemptState.STOPPING:
-        return placement_module.STOP_S
+        since_s = placement.stopping_since_s or now
+        return max(placement_module.STOP_S, now - since_s)
     if stage.lasting or placement.pace_percent <= 0:
         return math.inf
     if not stage.estimate_ms:
-        return placement_module.UNKNOWN_DURATION_S
+        return max(
+            placement_module.UNKNOWN_DURATION_S, now - placement.ordered_s
+        )
     total_s = run_times.work_s(placement.task)
     if stage.rack and stage.rack != placement.worker.state.rack:
         total_s *= remote_factor
@@ -174,6 +187,7 @@
         # those that wait for any.
         self._claimed: dict[str, tuple[int, int]] = {}
         self._decisions_left = MAX_DECISIONS
+        self._searches_left = MAX_SEARCHED_WORKERS
         self._by_rack: dict[str, list[fleet.Worker]] | None = None
         self._far_is_spare: bool | None = None
 
@@ -308,6 +322,9 @@
         needed = task.stage.count if task.stage.gang else 1
         if len(times) < needed:
             return math.inf
+        if task.stage.gang and not times[needed - 1]:
+            # There is room already, but the gang did not fit there just now.
+            return math.inf
         index = needed - 1 + self._count_ahead(task.stage, rack)
         # Once each room was used, it is free again after the tasks ahead.
         turns, index = divmod(index, len(times))
@@ -345,6 +362,9 @@
         )
         times = self._rooms.get(key)
         if times is None:
+            if self._searches_left <= 0:
+                return []
+            self._searches_left -= len(self.racks.get(rack, ()))
             times = []
             for worker in self.racks.get(rack, ()):
                 times += self._worker_room_times(task, worker)
@@ -404,6 +424,10 @@
         if ends is None:
             ends = []
             for placement in worker.placements.values():
+                if placement.state is fleet.AttemptState.STOPPING:
+                    placement.stopping_since_s = (
+                        placement.stopping_since_s or self._now
+                    )
                 left_s = expected_left_s(
                     placement, self._remote_factor, self._now, self._run_times
                 )
@@ -411,7 +435,7 @@
                 if left_s < math.inf:
                     ends.append(
                         _End(
-                            left_s,
+                            max(left_s, MIN_LEFT_S),
                             stage.counted_demand,
                             stage.demand.millicores,
                         )
@@ -421,6 +445,16 @@
         return ends
 
 
+def keeps_waiting(task: pipeline.Task, now: float) -> bool:
+    """Returns whether a task waits without a new decision."""
+    return now < task.near_wait_kept_until_s
+
+
+def end_wait(task: pipeline.Task) -> None:
+    """Ends the wait of a task that starts, or has no choice any more."""
+    task.near_wait_since_s = task.near_wait_kept_until_s = 0.0
+
+
 def record_start(
     started: list[fleet.Placement],
     metrics: metrics_module.Metrics,
@@ -435,7 +469,8 @@
     """
     placement = started[0]
     task = placement.task
-    since_s, task.near_wait_since_s = task.near_wait_since_s, 0.0
+    since_s = task.near_wait_since_s
+    end_wait(task)
     wanted = task.stage.rack
     common = task.stage.gang and task.stage.same_rack
     if not (wanted or common):
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -175,7 +175,7 @@
     stage = task.stage
     value = float(worker.unused_millicores)
     if stage.rack and stage.rack != worker.state.rack:
-        if remote_factor > 1:
+        if remote_factor > 1 and not stage.lasting:
             speed /= remote_factor
         else:
             value *= OFF_RACK_FACTOR
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -256,12 +256,14 @@
             )
             stage_key = (task.occurrence, task.stage_number)
             may_wait = unrestricted and queue.advice is None
-            if (
-                stage_key in gangs
-                or (unrestricted and _count_further(without_worker, stage_key))
-                or (
-                    may_wait
-                    and search.has_only_far_room(task)
+            if unrestricted and _count_further(without_worker, stage_key):
+                pipelinelocality.end_wait(task)
+                continue
+            if stage_key in gangs or (
+                may_wait
+                and (
+                    search.keeps_waiting(task)
+                    or search.has_only_far_room(task)
                     and self._waits_for_near(
                         task, search.far_room(task), search, slack_s, now
                     )
@@ -275,6 +277,7 @@
                 and search.is_full_for(task)
             ):
                 without_worker[stage_key] = [task, 1]
+                pipelinelocality.end_wait(task)
                 self._report_unplaceable(task, search)
                 self._keep_rooms([task], search.workers, terms, now)
                 continue
@@ -306,6 +309,7 @@
             if worker is None:
                 if unrestricted:
                     without_worker[stage_key] = [task, 1]
+                pipelinelocality.end_wait(task)
                 self._report_unplaceable(task, search)
                 self._keep_rooms([task], allowed, terms, now)
                 continue
@@ -365,9 +369,13 @@
         if not search.locality.prefers_near(task.stage):
             return False
         idle = not self._attempts.any_live(task.pipeline, now)
-        if not search.locality.wait_s(task, far, slack_s, idle):
+        limit_s = search.locality.wait_s(task, far, slack_s, idle)
+        if not limit_s:
             return False
         task.near_wait_since_s = task.near_wait_since_s or now
+        task.near_wait_kept_until_s = now + min(
+            limit_s, pipelinelocality.KEEP_DECISION_S
+        )
         return True
 
     def _is_due(self, task: pipeline.Task, now: float) -> bool:
@@ -674,8 +682,9 @@
             if (
                 number == len(near)
                 and may_wait
-                and self._waits_for_near(members[0], None, search, slack_s, now)
+                and pipelinelocality.keeps_waiting(members[0], now)
             ):
+                search.locality.claim(members[0], len(members))
                 return False
             started = self._attach_members(
                 members,
@@ -686,8 +695,18 @@
                 min_filler_share,
             )
             if started:
+                if number < len(near) or not may_wait:
+                    break
+                # What is expected on the racks must not include the gang.
+                for placement in started:
+                    self._attempts.detach(placement)
+                if self._waits_for_near(members[0], None, search, slack_s, now):
+                    return False
+                for placement in started:
+                    self._attempts.attach(placement)
                 break
         if not started:
+            pipelinelocality.end_wait(members[0])
             if search is not None:
                 search.claim_all([(task, len(members))])
             return False
@@ -704,10 +723,12 @@
         Returns:
             Groups where it runs at full speed, and groups where it may not.
         """
-        if not (stage.same_rack or (stage.rack and self._remote_factor > 1)):
+        # A lasting gang has no run time that could grow.
+        is_far_slower = self._remote_factor > 1 and not stage.lasting
+        if not (stage.same_rack or (stage.rack and is_far_slower)):
             return [workers], []
         racks = _by_rack(workers)
-        if not stage.rack or self._remote_factor <= 1:
+        if not stage.rack or not is_far_slower:
             return list(racks.values()), [workers]
         near = racks.pop(stage.rack, [])
         others = list(racks.values()) if stage.same_rack else []
@@ -1193,6 +1214,20 @@
             and self._is_near_full(task)
         )
 
+    def keeps_waiting(self, task: pipeline.Task) -> bool:
+        """Returns whether a task goes on waiting without a new decision.
+
+        A task that does is ahead of those that are asked about later.
+        """
+        if (
+            task.stage.gang
+            or not pipelinelocality.keeps_waiting(task, self._now)
+            or not self._is_near_full(task)
+        ):
+            return False
+        self.locality.claim(task)
+        return True
+
     def _is_near_full(self, task: pipeline.Task) -> bool:
         """Returns whether a task fits on no worker near its data.
 
--- a/tests/test_pipelinelocality.py
+++ b/tests/test_pipelinelocality.py
@@ -32,6 +32,7 @@
 
     def __init__(self, remote_factor=3.0, left_ms=1000):
         pacer = pacing.Pacer(METRICS)
+        self.pacer = pacer
         self.attempts = attempts.Attempts(pacer, METRICS)
         self.starter = pipelinestarts.Starter(
             1, self.attempts, pacer, METRICS, lambda item: None, remote_factor
@@ -130,6 +131,14 @@
             ({"pace_percent": 50}, 2.0, 4.0),
             ({"pace_percent": 0}, 2.0, math.inf),
             ({"state": fleet.AttemptState.STOPPING}, 2.0, 0.4),
+            (
+                {
+                    "state": fleet.AttemptState.STOPPING,
+                    "stopping_since_s": 1.5,
+                },
+                31.5,
+                30.0,
+            ),
         ],
     )
     def test_false_percent_and_estimate_do_not_promise_room(
@@ -145,6 +154,17 @@
             placement, 3.0, now
         ) == pytest.approx(left_s)
 
+    @pytest.mark.parametrize(("now", "left_s"), [(2.0, 10.0), (91.0, 90.0)])
+    def test_attempt_without_estimate_promises_room_ever_later(
+        self, now, left_s
+    ):
+        placement = pipelines.place(
+            pipelines.worker(), pipelines.stage(estimate_ms=0), now=1.0
+        )
+        assert pipelinelocality.expected_left_s(
+            placement, 3.0, now
+        ) == pytest.approx(left_s)
+
 
 class TestHotRack:
     def test_factor_decides_whether_a_task_waits(self):
@@ -181,12 +201,133 @@
             ["r2"]
         ]
 
+    @pytest.mark.parametrize("stopping", [False, True])
+    def test_endless_attempts_do_not_hold_a_task_back(self, stopping):
+        """Guards against a wait for its whole bound of 120 s.
+
+        What fills the rack has no estimate, or its stop hangs.
+        """
+        site = Site(left_ms=0)
+        if stopping:
+            for placement in site.filling:
+                placement.state = fleet.AttemptState.STOPPING
+        item = site.submit(estimate_ms=LONG_MS, count=2)
+        started_s = None
+        first = item.tasks(0, 0)[0]
+        site.attempts.attach(fleet.Placement(first, 1, site.far[0], 1.0))
+        for step in range(1000):
+            now = 1.0 + step / 10
+            for placement in site.attempts.of_task(first):
+                placement.state = fleet.AttemptState.RUNNING
+                placement.reported = True
+            if any(map(len, site.round(item, now=now)[0][1:])):
+                started_s = now
+                break
+        assert started_s is not None
+        assert 10.0 < started_s < 82.0
+
+    def test_end_expected_now_is_no_room_already(self):
+        site = Site()
+        for placement in site.filling:
+            placement.progress_percent = 100.0
+        assert site.round(site.submit()) == [[]]
+
+    def test_time_without_any_room_does_not_count_as_a_wait(self):
+        """Guards against a bound that is spent before there is a choice."""
+        site = Site()
+        item = site.submit(count=2)
+        running = item.tasks(0, 0)[0]
+        site.attempts.attach(
+            fleet.Placement(
+                running,
+                1,
+                pipelines.worker("x", last_report_s=99.0, last_listed_s=99.0),
+                1.0,
+                reported=True,
+                state=fleet.AttemptState.RUNNING,
+            )
+        )
+        assert site.round(item) == [["r1"]]
+        full = [
+            pipelines.place(worker, pipelines.stage(millicores=4000), now=1.1)
+            for worker in site.far
+        ]
+        for placement in site.filling:
+            placement.ordered_s = 8.8
+        assert site.round(item, now=2.0) == [["r1"]]
+        for placement in full:
+            placement.worker.remove(placement)
+        # Room in r1 is expected 1 s from now; the bound is 4 s.
+        assert site.round(item, now=9.0) == [["r1"]]
+
+    def test_serving_score_of_a_task_with_a_rack_is_kept(self):
+        """Guards against a factor that outweighs the packing of services.
+
+        A lasting task has no run time that could grow.
+        """
+        site = Site()
+        item = site.submit(
+            lasting=True, estimate_ms=0, latency_target_ms=50, image="a"
+        )
+        task = item.tasks(0, 0)[0]
+        scores = [
+            [
+                pipelineplacement.score(task, worker, 1.0, factor)
+                for worker in site.workers
+            ]
+            for factor in (1.0, 3.0)
+        ]
+        assert scores[0] == scores[1]
+
     def test_lasting_task_does_not_wait(self):
         site = Site()
         item = site.submit(lasting=True, estimate_ms=LONG_MS)
         assert site.round(item, now=1.4) == [["r2"]]
 
 
+def record_searches(monkeypatch):
+    """Returns a list that grows by one with each worker that is searched."""
+    searched = []
+    search = pipelinelocality.Locality._worker_room_times
+    monkeypatch.setattr(
+        pipelinelocality.Locality,
+        "_worker_room_times",
+        lambda *arguments: searched.append(1) or search(*arguments),
+    )
+    return searched
+
+
+class TestCost:
+    def test_decision_is_kept_for_a_while(self, monkeypatch):
+        """Guards against a comparison with all workers in each round."""
+        site = Site()
+        items = [site.submit(f"p{n}", millicores=500 + n) for n in range(4)]
+        assert site.round(*items) == [[]] * 4
+        searched = record_searches(monkeypatch)
+        compared = pipelines.record_comparisons(monkeypatch)
+        assert site.round(*items, now=1.1) == [[]] * 4
+        assert not searched
+        assert len(compared) == len(items) * len(site.near)
+        now = 1.01 + pipelinelocality.KEEP_DECISION_S
+        assert site.round(*items, now=now) == [[]] * 4
+        assert searched
+
+    def test_kept_decisions_are_ahead_of_later_ones(self):
+        site = Site()
+        items = [site.submit(f"p{n:02}") for n in range(8)]
+        assert site.round(*items) == [[]] * 8
+        later = site.submit("q", ready_s=1.1)
+        assert site.round(*items, later, now=1.1)[-1] == ["r2"]
+
+    def test_searches_of_a_round_are_bounded(self, monkeypatch):
+        site = Site()
+        monkeypatch.setattr(pipelinelocality, "MAX_SEARCHED_WORKERS", 5)
+        searched = record_searches(monkeypatch)
+        items = [site.submit(f"p{n}", millicores=500 + n) for n in range(6)]
+        assert site.round(*items) == [[]] * 3 + [["r2"]] * 3
+        assert len(searched) == 6
+
+
 class TestEndOfReason:
     @pytest.mark.parametrize(
         ("lose", "racks"),
@@ -245,6 +386,61 @@
             placement.worker.remove(placement)
         assert site.round(item, now=1.2) == [["r1"] * 5]
 
+    def test_rack_on_which_a_gang_just_failed_promises_nothing(self):
+        """Guards against a wait for room that the gang can't use."""
+        site = Site()
+        for placement in site.filling:
+            placement.worker.remove(placement)
+        for worker in site.near:
+            # Fillers' pace would be too low there.
+            pipelines.place(
+                worker,
+                pipelines.stage(
+                    millicores=1000, lasting=True, latency_target_ms=1
+                ),
+                now=1.0,
+                load=1.0,
+            )
+        site.pacer.available_pace_share = lambda task, worker, now: (
+            0.0 if worker in site.near else 1.0
+        )
+        site.pacer.required_pace_share = lambda task, now: 0.5
+        for worker in site.far:
+            pipelines.place(worker, pipelines.stage(millicores=1500), now=1.0)
+        item = site.submit(
+            rack="r1",
+            count=4,
+            gang=True,
+            same_rack=True,
+            filler=True,
+            estimate_ms=LONG_MS,
+        )
+        assert site.round(item) == [["r2"] * 4]
+
+    def test_gang_without_far_room_does_not_begin_to_wait(self):
+        site = Site()
+        for worker in site.far:
+            pipelines.place(worker, pipelines.stage(millicores=3000), now=1.0)
+        item = site.submit(rack="", count=5, gang=True, same_rack=True)
+        assert site.round(item) == [[]]
+        assert not any(task.near_wait_since_s for task in item.tasks(0, 0))
+
+    def test_gang_stops_to_wait(self):
+        """Guards against a gang that waits beside room for an overdue rack."""
+        site = Site()
+        for worker in site.far:
+            pipelines.place(worker, pipelines.stage(millicores=1000), now=1.0)
+        fields = {"count": 6, "gang": True, "same_rack": True}
+        site.far.append(pipelines.worker("e", cores=2))
+        site.far[-1].state = pipelines.worker_state("e", cores=2, rack="r3")
+        site.workers.append(site.far[-1])
+        for worker in site.far[:1]:
+            pipelines.place(worker, pipelines.stage(millicores=2000), now=1.0)
+        item = site.submit(**fields, rack="")
+        assert site.round(item) == [[]]
+        (racks,) = site.round(item, now=1.0 + pipelineplacement.MAX_IDLE_S)
+        assert sorted(racks) == ["r2"] * 4 + ["r3"] * 2
+
     def test_gang_larger_than_a_rack_does_not_wait(self):
         site = Site()
         for placement in site.filling[:4]:
