Speeds and run times rest on more, and on what is comparable

Found by a review. One of two pipelines decided the speed of a worker; it takes three, and most of them. Near and far places are compared among themselves instead of by the configured factor. The step of a resumed task to its checkpoint is no progress. A group of which more than a third is slow teaches nothing. Run times skip short estimates and ends whose delay outweighs the run, and use the speed that was expected at the start.

--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -78,6 +78,8 @@
             run for longer than its worker's lists show.
         shows_run_time: Whether its run time is that of its task: it has run
             from the begin, and always at full pace.
+        expected_speed: Mean speed of the worker that was expected for it at its
+            start.
     """
 
     task: pipeline.Task
@@ -101,6 +103,7 @@
     listed_since_ms: int = 0
     is_adopted: bool = False
     shows_run_time: bool = True
+    expected_speed: float = 1.0
 
     @property
     def key(self) -> AttemptKey:
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -121,7 +121,7 @@
         self._pacer = pacing.Pacer(metrics)
         self._attempts = attempts_module.Attempts(self._pacer, metrics)
         self._speeds = workerspeed.WorkerSpeeds(
-            metrics, remote_factor, learn_speeds, cold_workers
+            metrics, learn_speeds, cold_workers
         )
         self._run_times = runtimes.RunTimes(learn_run_times, remote_factor)
         self._registry = pipelineregistry.PipelineRegistry(
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -29,6 +29,7 @@
 from pomelostair import queues
 from pomelostair import resources
 from pomelostair import runtimes
+from pomelostair import workerspeed
 
 # Attempt numbers of a task that are set aside for each epoch. A new leader
 # can't know the last number that the previous one used, so it starts above all
@@ -820,6 +821,9 @@
         placement = fleet.Placement(task, attempt, worker, now)
         placement.pace_percent = self._pacer.initial_pace(task, worker, now)
         placement.shows_run_time = not task.checkpoint
+        placement.expected_speed = workerspeed.speed_for(
+            task.stage, worker, now
+        )
         if placement.pace_percent < pacing.FULL_PERCENT:
             placement.slowed_since_s = now
             placement.shows_run_time = False
--- a/pomelostair/runtimes.py
+++ b/pomelostair/runtimes.py
@@ -11,7 +11,6 @@
 
 from pomelostair import fleet
 from pomelostair import pipeline
-from pomelostair import workerspeed
 
 # Pipelines of a queue that are remembered, and that must be known.
 MAX_PIPELINES = 24
@@ -28,6 +27,8 @@
 # Time from the decision to start until the attempt runs, and from its end until
 # the leader learns of it, in calm.
 DELAY_S = 0.15
+# Shortest estimate that is compared. The delays outweigh shorter runs.
+MIN_ESTIMATE_MS = 1000
 
 
 class RunTimes:
@@ -71,13 +72,16 @@
         task = placement.task
         stage = task.stage
         worker = placement.worker
-        run_s = max(
-            placement.known_run_ms / 1000, now - placement.ordered_s - DELAY_S
-        )
+        known_s = placement.known_run_ms / 1000
+        elapsed_s = now - placement.ordered_s
+        if elapsed_s - known_s > known_s:
+            # Orders or reports were late, so that the run time is not known.
+            return
+        run_s = max(known_s, elapsed_s - DELAY_S)
         estimated_s = stage.estimate_ms / 1000
         if stage.rack and stage.rack != worker.state.rack:
             estimated_s *= self._remote_factor
-        estimated_s /= workerspeed.speed_for(stage, worker, placement.ordered_s)
+        estimated_s /= placement.expected_speed
         ratio = min(max(run_s / estimated_s, MIN_RATIO), MAX_RATIO)
         self._add(task.pipeline.declaration.queue, task.pipeline.id, ratio)
 
@@ -115,7 +119,7 @@
         placement.shows_run_time
         and not placement.is_adopted
         and not stage.lasting
-        and stage.estimate_ms > 0
+        and stage.estimate_ms >= MIN_ESTIMATE_MS
         and not (stage.gang and stage.same_rack)
         and not (stage.filler and placement.worker.unused_millicores < 0)
     )
--- a/pomelostair/workerspeed.py
+++ b/pomelostair/workerspeed.py
@@ -44,8 +44,11 @@
 # Pipelines of which attempts on a worker were compared before it counts:
 # with attempts of the same stage, and of the same image. The latter may differ
 # in their work.
-MIN_PIPELINES = 2
+MIN_PIPELINES = 3
 MIN_PIPELINES_BY_IMAGE = 5
+# Largest share of the workers of a stage or image that may be slow. With more,
+# the work of the attempts differs rather than the workers.
+MAX_SLOW_SHARE = 1 / 3
 # Speed by image below which a worker counts as slow.
 SLOW_BELOW_BY_IMAGE = 0.5
 # Time for which a comparison counts.
@@ -113,11 +116,14 @@
         clock_ms: The worker's clock then.
         latest_percent: Latest progress. Less progress begins a new span, as the
             attempt has gone back to a checkpoint, or reports falsely.
+        is_resuming: Whether the attempt may not have reached its checkpoint, so
+            that its next progress begins a new span.
     """
 
     percent: float
     clock_ms: float
     latest_percent: float = -1.0
+    is_resuming: bool = False
 
 
 @attrs.frozen
@@ -127,29 +133,31 @@
     Attributes:
         ratio: The speed.
         pipeline: Id of the pipeline.
-        by_stage: Whether it was compared with attempts of the same stage.
+        group: Key of the group with which it was compared.
         at_s: Monotonic time of the comparison.
     """
 
     ratio: float
     pipeline: str
-    by_stage: bool
+    group: tuple
     at_s: float
 
 
 @attrs.define
 class _Group:
-    """Rates of the attempts of one stage or image.
+    """Rates of the attempts of one stage or image, near or far from the data.
 
     Attributes:
         rates: Latest rate by worker, in percent a millisecond.
-        median: Their median.
+        median: Their median, 0 if too many of them are low.
         median_at_s: Monotonic time at which it was computed.
+        is_mixed: Whether too many of the rates are low.
     """
 
     rates: dict[fleet.WorkerKey, float] = attrs.field(factory=dict)
     median: float = 0.0
     median_at_s: float = -MEDIAN_VALID_S
+    is_mixed: bool = False
 
     def add(self, key: fleet.WorkerKey, rate: float) -> None:
         self.rates.pop(key, None)
@@ -158,12 +166,21 @@
             del self.rates[next(iter(self.rates))]
 
     def reference(self, key: fleet.WorkerKey, now: float) -> float:
-        """Returns the median, 0 with too few rates of other workers."""
+        """Returns the median, 0 if it shows no worker to be slow.
+
+        There are too few rates of other workers, or too many low ones.
+        """
         if len(self.rates) - (key in self.rates) < MIN_WORKERS:
             return 0.0
         if now - self.median_at_s >= MEDIAN_VALID_S:
             self.median = statistics.median(self.rates.values())
             self.median_at_s = now
+            slow = [
+                r for r in self.rates.values() if r < SLOW_BELOW * self.median
+            ]
+            self.is_mixed = len(slow) > MAX_SLOW_SHARE * len(self.rates)
+            if self.is_mixed:
+                self.median = 0.0
         return self.median
 
 
@@ -188,6 +205,8 @@
     def speed(self, now: float) -> float | None:
         """Returns the median over the pipelines, None if too little is known.
 
+        It is the upper one, so that most of the pipelines show a low speed.
+
         Args:
             now: Monotonic seconds.
         """
@@ -198,13 +217,15 @@
                 del self.samples[key]
                 continue
             by_pipeline.setdefault(sample.pipeline, []).append(sample.ratio)
-            if sample.by_stage:
+            if sample.group[0] == "stage":
                 by_stage.add(sample.pipeline)
         if len(by_stage) >= MIN_PIPELINES:
             by_pipeline = {name: by_pipeline[name] for name in by_stage}
         elif len(by_pipeline) < MIN_PIPELINES_BY_IMAGE:
             return None
-        speed = statistics.median(map(statistics.median, by_pipeline.values()))
+        speed = statistics.median_high(
+            map(statistics.median, by_pipeline.values())
+        )
         if len(by_stage) < MIN_PIPELINES and speed >= SLOW_BELOW_BY_IMAGE:
             return None
         return speed
@@ -215,7 +236,6 @@
 
     Args:
         metrics: Registry that counts slow workers.
-        remote_factor: Factor on the run time far from the data.
         enabled: Whether anything is learned; otherwise all speeds are 1, but
             for those of cold workers.
         cold_workers: Whether cold workers count as slow.
@@ -224,14 +244,12 @@
     def __init__(
         self,
         metrics: metrics_module.Metrics,
-        remote_factor: float = 1.0,
         enabled: bool = True,
         cold_workers: bool = False,
     ):
         self._metrics = metrics
         self._enabled = enabled
         self._cold_workers = cold_workers
-        self._remote_factor = remote_factor
         self._learned: dict[fleet.WorkerKey, _Learned] = {}
         self._groups: collections.OrderedDict[tuple, _Group]
         self._groups = collections.OrderedDict()
@@ -301,6 +319,12 @@
             return
         span = learned.spans.get(key)
         if span is None or percent < max(span.percent, span.latest_percent):
+            is_resuming = span is None and bool(placement.task.checkpoint)
+            learned.spans[key] = _Span(
+                percent, clock_ms, is_resuming=is_resuming
+            )
+            return
+        if span.is_resuming and percent > span.percent:
             learned.spans[key] = _Span(percent, clock_ms)
             return
         span.latest_percent = percent
@@ -327,27 +351,39 @@
         stage = task.stage
         worker = placement.worker
         rate = percent_per_ms
-        if stage.rack and stage.rack != worker.state.rack:
-            rate *= self._remote_factor
-        keys = [("stage", task.pipeline.id, task.stage_number)]
+        is_near = stage.rack == worker.state.rack if stage.rack else None
+        keys = [("stage", task.pipeline.id, task.stage_number, is_near)]
         if stage.image:
-            keys.append(("image", stage.image))
-        for number, key in enumerate(keys):
+            keys.append(("image", stage.image, is_near))
+        for key in keys:
             group = self._group(key)
             reference = group.reference(worker.key, now)
             group.add(worker.key, rate)
             if not reference:
+                if group.is_mixed and group.median_at_s == now:
+                    self._drop_samples(key, group)
                 continue
             ratio = min(max(rate / reference, MIN_SPEED), 1.0)
             learned.samples.pop(placement.key, None)
             learned.samples[placement.key] = _Sample(
-                ratio, task.pipeline.id, number == 0, now
+                ratio, task.pipeline.id, key, now
             )
             learned.speed_valid_s = 0.0
             if len(learned.samples) > MAX_SAMPLES:
                 del learned.samples[next(iter(learned.samples))]
             return
 
+    def _drop_samples(self, key: tuple, group: _Group) -> None:
+        """Drops what a group taught before it proved to be mixed."""
+        for worker_key in group.rates:
+            learned = self._learned.get(worker_key)
+            if learned is None:
+                continue
+            for attempt, sample in list(learned.samples.items()):
+                if sample.group == key:
+                    del learned.samples[attempt]
+                    learned.speed_valid_s = 0.0
+
     def _group(self, key: tuple) -> _Group:
         group = self._groups.get(key)
         if group is None:
