Expected room counts the spread limit and the run time on slow workers

What runs on a worker counts for the spread limit, and tasks share a search in a rack with slow workers only if their estimates are equal. Tests: the bound of a wait beside running work, also of a gang, through rounds; an evacuated rack.

--- a/pomelostair/pipelinelocality.py
+++ b/pomelostair/pipelinelocality.py
@@ -183,6 +183,7 @@
         self._now = now
         self._ends: dict[fleet.WorkerKey, list[_End]] = {}
         self._rooms: dict[tuple, list[float]] = {}
+        self._uneven: dict[str, bool] = {}
         # Millicores and memory of the tasks ahead that wait for a rack, and of
         # those that wait for any.
         self._claimed: dict[str, tuple[int, int]] = {}
@@ -294,6 +295,17 @@
         far_s = work_s * self._remote_factor
         return statistics.median([t for t in times if t < far_s] or times)
 
+    def _is_uneven(self, rack: str) -> bool:
+        """Returns whether a rack has slow workers.
+
+        Then the run time of a task decides on which of them it may wait.
+        """
+        if rack not in self._uneven:
+            self._uneven[rack] = any(
+                worker.speed < 1 for worker in self.racks.get(rack, ())
+            )
+        return self._uneven[rack]
+
     def _is_far_spare(self) -> bool:
         if self._far_is_spare is None:
             unused = sum(max(0, w.unused_millicores) for w in self._workers)
@@ -359,6 +371,7 @@
             stage.label,
             stage.gang,
             task.pipeline.id if stage.most_per_worker else "",
+            stage.estimate_ms if self._is_uneven(rack) else 0,
         )
         times = self._rooms.get(key)
         if times is None:
@@ -387,7 +400,11 @@
         ):
             return ()
         demand = stage.demand
-        most = stage.most_per_worker or MAX_ROOMS_PER_WORKER
+        most = MAX_ROOMS_PER_WORKER
+        if stage.most_per_worker:
+            most = stage.most_per_worker - placement_module.sibling_count(
+                task, worker, self._now
+            )
         free = worker.free_for(task, self._now)
         millicores = free.millicores
         if stage.filler:
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -137,13 +137,17 @@
     stage = task.stage
     if not has_label(stage, worker):
         return False
-    if stage.most_per_worker:
-        tasks = [p.task for p in worker.placements.values()]
-        tasks += worker.reserved_for_others(task, now)
-        sibling_count = sum(task.shares_stage(other) for other in tasks)
-        if sibling_count >= stage.most_per_worker:
-            return False
-    return True
+    return (
+        not stage.most_per_worker
+        or sibling_count(task, worker, now) < stage.most_per_worker
+    )
+
+
+def sibling_count(task: pipeline.Task, worker: fleet.Worker, now: float) -> int:
+    """Returns how many other tasks of a task's stage have room on a worker."""
+    tasks = [p.task for p in worker.placements.values()]
+    tasks += worker.reserved_for_others(task, now)
+    return sum(task.shares_stage(other) for other in tasks)
 
 
 def could_ever_fit(
--- a/tests/test_pipelinelocality.py
+++ b/tests/test_pipelinelocality.py
@@ -297,6 +297,84 @@
     return searched
 
 
+class TestBound:
+    @pytest.mark.parametrize(
+        "fields", [{"count": 2}, {"count": 6, "gang": True, "same_rack": True}]
+    )
+    def test_wait_beside_running_work_ends_with_the_loss(self, fields):
+        """Guards against room that is promised for ever.
+
+        The attempts that fill the rack are always about to end. The pipeline
+        is not idle, so that only the loss at a far place bounds the wait.
+        """
+        site = Site()
+        e = pipelines.worker("e", cores=CORES)
+        e.state = pipelines.worker_state("e", cores=CORES, rack="r3")
+        site.workers.append(e)
+        for worker in (*site.far, e):
+            pipelines.place(worker, pipelines.stage(millicores=1500), now=1.0)
+        item = site.submit(
+            **fields, rack="" if "gang" in fields else "r1", estimate_ms=2000
+        )
+        other = fleet.Placement(
+            item.tasks(0, 0)[0],
+            9,
+            pipelines.worker("x", last_report_s=99.0, last_listed_s=99.0),
+            1.0,
+            reported=True,
+            state=fleet.AttemptState.RUNNING,
+        )
+        if "gang" in fields:
+            site.attempts.any_live = lambda item, now: True
+        else:
+            site.attempts.attach(other)
+        waited = []
+        for step in range(60):
+            now = 1.0 + step / 10
+            for placement in site.filling:
+                placement.ordered_s = now
+                placement.progress_percent = 90.0
+            (racks,) = site.round(item, now=now)
+            waited.append(len(racks) == (0 if "gang" in fields else 1))
+        # The work takes 2 s, and three times as long at a far place.
+        # The wait ends when less is left of that than the room would take.
+        assert waited == sorted(waited, reverse=True)
+        assert 38 <= sum(waited) <= 41
+
+
+class TestExpectedRoom:
+    def test_spread_limit_counts_what_runs(self):
+        """Guards against a wait for room beyond the spread limit."""
+        site = Site()
+        fields = {"most_per_worker": 2, "rack": "r1", "estimate_ms": 2000}
+        item = site.submit(count=6, **fields)
+        for worker, task in zip(site.near, item.tasks(0, 0), strict=False):
+            placement = fleet.Placement(task, 1, worker, 1.0)
+            placement.pace_percent = 0
+            site.attempts.attach(placement)
+        locality = pipelinelocality.Locality(3.0, site.workers, 1.0)
+        for worker in site.workers:
+            worker.last_report_s = worker.last_listed_s = 1.0
+        times = locality._room_times(item.tasks(0, 0)[-1], "r1")
+        assert len(times) == len(site.near)
+
+    def test_room_depends_on_the_estimate_where_workers_are_cold(self):
+        """Guards against a short task that waits for a slow worker."""
+        site = Site()
+        for worker in site.near:
+            worker.speed, worker.cold_until_s = 0.25, 2.0
+        locality = pipelinelocality.Locality(3.0, site.workers, 1.0)
+        counts = [
+            len(
+                locality._room_times(
+                    site.submit(estimate_ms=estimate_ms).tasks(0, 0)[0], "r1"
+                )
+            )
+            for estimate_ms in (LONG_MS, 100)
+        ]
+        assert counts == [2 * CORES, 0]
+
+
 class TestCost:
     def test_decision_is_kept_for_a_while(self, monkeypatch):
         """Guards against a comparison with all workers in each round."""
@@ -347,8 +425,9 @@
                 ),
                 ["r2"],
             ),
+            (lambda site, worker: setattr(worker, "evacuated", True), ["r2"]),
         ],
-        ids=["unchanged", "silent", "slow", "suspect", "draining"],
+        ids=["unchanged", "silent", "slow", "suspect", "draining", "evacuated"],
     )
     def test_wait_ends_with_the_rack(self, lose, racks):
         site = Site()
