--- a/tests/test_workerspeed.py
+++ b/tests/test_workerspeed.py
@@ -5,6 +5,7 @@
 from pomelostair import metrics
 from pomelostair import pacing
 from pomelostair import pipeline
+from pomelostair import pipelinelocality
 from pomelostair import pipelineplacement
 from pomelostair import workerspeed
 from tests import pipelines
@@ -265,3 +266,22 @@
         assert choose(task, [slow, fast], pacer, 1.0) is fast
         pipelines.place(fast, pipelines.stage(millicores=6000))
         assert choose(task, [slow, fast], pacer, 1.0) is slow
+
+    @pytest.mark.parametrize("cold_workers", [False, True])
+    def test_warm_one_of_two_equals_is_chosen_without_learning(
+        self, cold_workers
+    ):
+        """Guards against a preference that needs learned speeds."""
+        pacer = pacing.Pacer(METRICS)
+        speeds = workerspeed.WorkerSpeeds(METRICS, False, cold_workers)
+        cold, warm = pipelines.worker("a"), pipelines.worker("b")
+        cold.state = pipelines.worker_state("a", cold_left_ms=9000)
+        for worker in (cold, warm):
+            speeds.observe(worker, 1.0)
+        task = pipelines.place(pipelines.worker("x"), pipelines.stage()).task
+        chosen = pipelineplacement.choose(task, [cold, warm], pacer, 1.0)
+        assert chosen is (warm if cold_workers else cold)
+        running = pipelines.place(cold, pipelines.stage(), now=1.0)
+        assert pipelinelocality.expected_left_s(running, 3.0, 1.0) == (
+            2.0 if cold_workers else 1.0
+        )
