Tests of memory and descriptors under clients outside the limits

A small crowd of clients holds bodies, heads, answers and bus messages open at an entry or agent whose settings state 80 MiB and 400 descriptors. The tests check the process, both bounds and one request afterwards.

--- a/pomelostair_standins/platformsite.py
+++ b/pomelostair_standins/platformsite.py
@@ -62,10 +62,18 @@
         folder: Directory for settings and logs.
         entries: Number of entries.
         sides: Number of agents, each with a worker.
+        settings: Further keys of the settings file of entries and agents.
     """
 
-    def __init__(self, folder: pathlib.Path, entries: int = 2, sides: int = 2):
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        entries: int = 2,
+        sides: int = 2,
+        settings: dict[str, str] | None = None,
+    ):
         self._folder = folder
+        self._settings = settings or {}
         self._processes: dict[str, subprocess.Popen] = {}
         self.entries = [
             f"127.0.0.{FIRST_ENTRY_OCTET + n}" for n in range(entries)
@@ -84,6 +92,21 @@
         """Port of the metrics endpoint of entries and agents."""
         return self._port_range[1]
 
+    @property
+    def readiness(self) -> int:
+        """Port of the readiness checks of entries."""
+        return self._ports[1]
+
+    @property
+    def control(self) -> int:
+        """Port at which agents serve workers."""
+        return self._ports[2]
+
+    @property
+    def bus(self) -> int:
+        """Port of the bus of entries and agents."""
+        return self._port_range[0]
+
     @property
     def store(self) -> str:
         """IP:PORT of the store."""
@@ -134,6 +157,10 @@
         """Sends a signal to a process of the site."""
         self._processes[name].send_signal(number)
 
+    def pid(self, name: str) -> int:
+        """Returns the process id of a process of the site."""
+        return self._processes[name].pid
+
     def kill(self, name: str) -> None:
         """Kills a process and waits for its end."""
         process = self._processes.pop(name)
@@ -222,6 +249,7 @@
             f"seeds={seeds}\n"
             f"app={ip}:{app}\nbounds.graceS=4\n"
             f"platform.address={self.store}\n"
+            + "".join(f"{k}={v}\n" for k, v in self._settings.items())
         )
         self._start_process(
             name, "pomelostair.platform", POMELOSTAIR_CONFIG=str(path)
