--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -29,6 +29,11 @@
 FLUSH_TIMEOUT_S = 1.0
 SLOW_HANDLER_S = 0.05
 MAX_WAITING_REPLIES = 1024
+MAX_WAITING_POSTS = 1024
+# Pipelines: the largest messages are relayed pages, commits (up to 0.6 MB) and
+# orders, and both are cut to a quarter of this. Equal in all processes, since a
+# peer closes the connection over a larger one.
+MAX_PIPELINE_MESSAGE_BYTES = 2 * 1024 * 1024
 RECEIVE_BURST_MESSAGES = 64
 _SCHEME = "tcp://"
 SEND_BUFFER_MESSAGES = 128
@@ -78,6 +83,20 @@
     """Liveness probe; the peer answers with the same message."""
 
 
+@attrs.frozen
+class Limits:
+    """Limits of a bus.
+
+    Attributes:
+        max_message_bytes: Largest message that is sent or received.
+        max_connections: Most connections from peers, and most to peers; None
+            for no limit.
+    """
+
+    max_message_bytes: int = wire.MAX_MESSAGE_BYTES
+    max_connections: int | None = None
+
+
 class Bus(abc.ABC):
     """Sends and receives messages, and matches answers to pending calls.
 
@@ -98,6 +117,7 @@
         self._pending_calls: dict[str, curio.Queue] = {}
         self._call_count = 0
         self._waiting_replies = 0
+        self._waiting_posts = 0
         self._sent_bytes = 0
         self._received_bytes = 0
 
@@ -147,8 +167,19 @@
         Messages to one peer may overtake each other then.
         """
         data = self._encode_message(message, correlation="", answer=False)
-        if await self._try_transmit(address, data) is None:
-            await curio.spawn(self._transmit, address, data, daemon=True)
+        if await self._try_transmit(address, data) is not None:
+            return
+        if self._waiting_posts >= MAX_WAITING_POSTS:
+            self._count_not_sent("too-many-waiting")
+            return
+        self._waiting_posts += 1
+        await curio.spawn(self._post_later, address, data, daemon=True)
+
+    async def _post_later(self, address: str, data: bytes) -> None:
+        try:
+            await self._transmit(address, data)
+        finally:
+            self._waiting_posts -= 1
 
     async def probe(self, address: str, timeout_s: float) -> bool:
         """Probes a peer and closes its connection if no answer arrives.
@@ -332,6 +363,7 @@
         metrics: Counts dropped and unsent messages.
         listen: URL to listen on, `address` by default. Connections to peers
             use its IP address as their source.
+        limits: Limits of messages and connections.
     """
 
     def __init__(
@@ -340,18 +372,48 @@
         address: str,
         metrics: metrics_module.Metrics,
         listen: str | None = None,
+        limits: Limits | None = None,
     ):
         super().__init__(name, address, metrics)
+        self._limits = limits or Limits()
         listen = listen or address
         self._source_ip = listen.removeprefix(_SCHEME).rpartition(":")[0]
         self._inbox = pynng.Pull0(
-            listen=listen,
             recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
-            recv_max_size=wire.MAX_MESSAGE_BYTES,
+            recv_max_size=self._limits.max_message_bytes,
         )
+        self._inbox.add_pre_pipe_connect_cb(self._close_excess_pipe)
+        self._inbox.listen(listen)
         self._inbox_fd = self._inbox.recv_fd
+        # Counted in threads of nng, reported by the loop.
+        self._excess_pipes = 0
+        self._excess_peers = 0
         self._peers: dict[str, _Peer] = {}
 
+    def _close_excess_pipe(self, pipe: pynng.Pipe) -> None:
+        """Closes a new connection over the limit; runs in a thread of nng."""
+        limit = self._limits.max_connections
+        if limit is not None and len(self._inbox.pipes) > limit:
+            self._excess_pipes += 1
+            pipe.close()
+
+    def _report_limits(self) -> None:
+        """Counts and logs the limits that were reached since the last call."""
+        counts = {"peers": self._excess_pipes, "addresses": self._excess_peers}
+        self._excess_pipes -= counts["peers"]
+        self._excess_peers = 0
+        for limit, count in counts.items():
+            if count:
+                self._metrics.count(
+                    "limits_reached", count, place="bus", limit=limit
+                )
+                log.emit(
+                    events.Events.LIMIT_REACHED,
+                    place="bus",
+                    limit=limit,
+                    count=count,
+                )
+
     async def run(self) -> None:
         """Receives and probes the active connections until cancelled."""
         probe_task = await curio.spawn(self._probe_active_peers, daemon=True)
@@ -363,6 +425,7 @@
     async def _probe_active_peers(self) -> None:
         while True:
             await curio.sleep(PROBE_INTERVAL_S)
+            self._report_limits()
             cutoff_s = _now() - PROBE_INTERVAL_S
             for address, peer in list(self._peers.items()):
                 # Only other sends make a connection active: if probes
@@ -453,7 +516,7 @@
     def _get_or_create_peer(
         self, address: str, data: bytes
     ) -> "_Peer | NotSent":
-        if len(data) > wire.MAX_MESSAGE_BYTES:
+        if len(data) > self._limits.max_message_bytes:
             return NotSent("too-large")
         peer = self._peers.get(address)
         if peer is not None:
@@ -461,12 +524,37 @@
         if not address.startswith(_SCHEME):
             return NotSent("bad-address")
         self._close_idle_peers()
+        if not self._make_room_for_peer():
+            return NotSent("too-many-peers")
         try:
             peer = self._peers[address] = _Peer(address, self._source_ip)
         except (pynng.NNGException, ValueError):
             return NotSent("bad-address")
         return peer
 
+    def _make_room_for_peer(self) -> bool:
+        """Closes the connection that is unused for longest at the limit.
+
+        Peers name the address of their answers themselves, so made-up ones must
+        not take all descriptors.
+        """
+        limit = self._limits.max_connections
+        if limit is None or len(self._peers) < limit:
+            return True
+        self._excess_peers += 1
+        closable = [a for a, p in self._peers.items() if not p.has_waiting_send]
+        if not closable:
+            return False
+        oldest = min(
+            closable,
+            key=lambda a: (
+                not self._peers[a].unreachable,
+                self._peers[a].last_send_s,
+            ),
+        )
+        self._peers.pop(oldest).close()
+        return True
+
     def _close_idle_peers(self) -> None:
         cutoff_s = _now() - PEER_IDLE_TIMEOUT_S
         idle_addresses = [
--- a/pomelostair/compose.py
+++ b/pomelostair/compose.py
@@ -10,6 +10,7 @@
 from pomelostair import errors
 from pomelostair import httpclient
 from pomelostair import kernel
+from pomelostair import memorybudget
 from pomelostair import metrics as metrics_module
 from pomelostair import settings as settings_module
 from pomelostair.platform import port as platform_port
@@ -66,7 +67,10 @@
     for name in PLUGIN_MODULES[settings.role]:
         importlib.import_module(f"pomelostair.{name}")
     metrics = metrics_module.Metrics()
-    parts = _shared_parts(settings, metrics, _listen(settings, metrics))
+    bounds = memorybudget.derive(settings.memory_mb, settings.max_fds)
+    message_bus = _listen(settings, metrics, bounds)
+    parts = _shared_parts(settings, metrics, message_bus, bounds)
+    metrics.gauge("callers_memory_bytes", lambda: bounds.callers.reserved_bytes)
     metrics.gauge("bus_sent_bytes", lambda: parts.bus.sent_bytes)
     metrics.gauge("bus_received_bytes", lambda: parts.bus.received_bytes)
     try:
@@ -85,6 +89,7 @@
     settings: settings_module.Settings,
     metrics: metrics_module.Metrics,
     message_bus: bus.Bus,
+    bounds: memorybudget.Bounds,
 ) -> kernel.Parts:
     """Returns the settings and services that all plug-ins share."""
     address = settings.platform.address
@@ -102,12 +107,20 @@
         metrics=metrics,
         random=random.Random(),
         port=platform_port.PlatformPort(),
+        bounds=bounds,
     )
 
 
 def _listen(
-    settings: settings_module.Settings, metrics: metrics_module.Metrics
+    settings: settings_module.Settings,
+    metrics: metrics_module.Metrics,
+    bounds: memorybudget.Bounds,
 ) -> bus.NngBus:
+    limits = bus.Limits()
+    if settings.pipelines is not None:
+        limits = bus.Limits(
+            bus.MAX_PIPELINE_MESSAGE_BYTES, bounds.max_bus_connections
+        )
     try:
         public_address = settings.bus_public or settings.bus
         return bus.NngBus(
@@ -115,6 +128,7 @@
             f"tcp://{public_address}",
             metrics,
             f"tcp://{settings.bus}",
+            limits,
         )
     except pynng.NNGException as error:
         text = f"set bus to a free address of this host: {error}"
--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -38,6 +38,7 @@
     HANDLER_CRASHED = Event(111, logging.ERROR, "message handler crashed")
     MESSAGE_DROPPED = Event(120, logging.WARNING, "message dropped")
     HTTP_FAILED = Event(130, logging.ERROR, "HTTP handler failed")
+    LIMIT_REACHED = Event(131, logging.WARNING, "limit for callers reached")
     PEER_JOINED = Event(140, logging.INFO, "process joined")
     TARGET_UP = Event(200, logging.INFO, "target announced itself")
     TARGET_SILENT = Event(201, logging.WARNING, "target is silent")
--- a/pomelostair/exporter.py
+++ b/pomelostair/exporter.py
@@ -4,11 +4,13 @@
 from pomelostair import http
 from pomelostair import httpserver
 from pomelostair import kernel
+from pomelostair import memorybudget
 from pomelostair import responses
 from pomelostair import settings as settings_module
 
 MAX_CONNECTIONS = 16
 MAX_BODY_BYTES = 1024
+MAX_HEADERS_BYTES = 8 * 1024
 
 
 @kernel.plugin(
@@ -31,8 +33,14 @@
                 responses.error_response,
                 http.Limits(
                     max_connections=MAX_CONNECTIONS,
+                    max_rejecting_connections=MAX_CONNECTIONS,
                     max_body_bytes=MAX_BODY_BYTES,
+                    max_headers_bytes=MAX_HEADERS_BYTES,
+                    receive_bytes=MAX_HEADERS_BYTES,
                 ),
+                parts.bounds.callers,
+                memorybudget.LimitLog(parts.metrics),
+                "metrics",
             )
 
     @property
--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -26,6 +26,9 @@
 # on the platform.
 SERVING_USE_SHARE = 0.45
 
+# Characters of the payloads and checkpoints in one message, so that it stays
+# below the limit of the bus; further orders follow with the next message.
+MAX_ORDERS_CHARACTERS = 400_000
 # Largest exponent of the delay between repetitions of unconfirmed orders.
 MAX_RESEND_DOUBLINGS = 2
 
@@ -533,10 +536,13 @@
             else:
                 self.resends = min(self.resends + 1, MAX_RESEND_DOUBLINGS)
             self.orders_confirmed_s = now
-        self.last_sent_order_number = self.last_order_number
-        return tuple(
-            o for o in self.unconfirmed_orders if o.number >= first_number
+        orders = _fitting(
+            [o for o in self.unconfirmed_orders if o.number >= first_number]
         )
+        self.last_sent_order_number = self.last_order_number
+        if orders and orders[-1] is not self.unconfirmed_orders[-1]:
+            self.last_sent_order_number = orders[-1].number
+        return orders
 
     def confirm_orders(self, number: int, now: float) -> None:
         """Drops the orders up to a number, which the agent has received."""
@@ -580,3 +586,13 @@
             self.used.memory_mb + sign * demand.memory_mb,
             self.used.accelerators + sign * demand.accelerators,
         )
+
+
+def _fitting(orders: list[messages.Order]) -> tuple[messages.Order, ...]:
+    """Returns the first orders that fit into one message, at least one."""
+    size = 0
+    for number, order in enumerate(orders):
+        size += len(order.payload) + len(order.checkpoint)
+        if number and size > MAX_ORDERS_CHARACTERS:
+            return tuple(orders[:number])
+    return tuple(orders)
--- a/pomelostair/http.py
+++ b/pomelostair/http.py
@@ -5,6 +5,10 @@
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_HEADERS_BYTES = 32 * 1024
+# Python objects of tiny headers take a hundred times their bytes.
+MAX_HEADERS = 256
+RECEIVE_BYTES = 64 * 1024
+MAX_REJECTING_CONNECTIONS = 64
 HEADERS_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 30.0
 IDLE_TIMEOUT_S = 60.0
@@ -75,7 +79,12 @@
     Attributes:
         max_connections: Maximum number of open connections; further ones are
             rejected with status 503.
+        max_rejecting_connections: Maximum number of further connections that
+            are open until they have read that status; beyond, connections
+            are closed at once.
         max_body_bytes: Maximum size of a request body.
+        max_headers_bytes: Maximum size of a request head.
+        receive_bytes: Most bytes that are read from a connection at once.
         idle_timeout_s: Timeout for the first byte of a request.
         headers_timeout_s: Timeout from the first byte of a request to the end
             of its headers.
@@ -89,7 +98,10 @@
     """
 
     max_connections: int = 2048
+    max_rejecting_connections: int = MAX_REJECTING_CONNECTIONS
     max_body_bytes: int = MAX_BODY_BYTES
+    max_headers_bytes: int = MAX_HEADERS_BYTES
+    receive_bytes: int = RECEIVE_BYTES
     idle_timeout_s: float = IDLE_TIMEOUT_S
     headers_timeout_s: float = HEADERS_TIMEOUT_S
     body_timeout_s: float = BODY_TIMEOUT_S
--- a/pomelostair/httpserver.py
+++ b/pomelostair/httpserver.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import socket
+import time
 
+import attrs
 import curio
 import h11
 
@@ -11,12 +14,27 @@
 from pomelostair import events
 from pomelostair import http
 from pomelostair import log
+from pomelostair import memorybudget
 
-_RECEIVE_BYTES = 64 * 1024
 _BACKLOG = 1024
-_MAX_REJECTING_CONNECTIONS = 64
 _ACCEPT_RETRY_S = 0.05
 _DRAIN_POLL_S = 0.01
+# Task, socket and parser of a connection without a request.
+CONNECTION_BYTES = 8 * 1024
+# A body is held twice while it is joined, and again while it is decoded, which
+# one request does at a time.
+BODY_FACTOR = 2
+# A body without an announced length is reserved in steps of this size.
+BODY_STEP_BYTES = 16 * 1024
+# Responses up to this size are covered by the reservation of the connection.
+SMALL_RESPONSE_BYTES = 4 * 1024
+RETRY_AFTER_S = 1
+# A connection that has waited for its caller for this long makes room for a new
+# one. Requests within the limits arrive within milliseconds.
+EVICTABLE_S = 1.0
+# Pause after a search that found none, as it looks at every connection.
+_EVICTION_PAUSE_S = 0.05
+_REMEDY_MEMORY = "repeat later; the memory for requests is in use"
 
 Handler = Callable[[http.Request], Awaitable[http.Response | http.NoResponse]]
 ErrorHandler = Callable[[errors.HttpError], http.Response]
@@ -32,6 +50,10 @@
         error_handler: Returns the response to a malformed or rejected request
             and after an exception of the handler.
         limits: Limits for callers; the defaults of `http.Limits` if None.
+        budget: Memory that all connections may hold; that of a default process
+            if None.
+        limit_log: Records the limits that are reached, if given.
+        name: Name of the server in these records.
     """
 
     def __init__(
@@ -41,6 +63,9 @@
         handler: Handler,
         error_handler: ErrorHandler,
         limits: http.Limits | None = None,
+        budget: memorybudget.MemoryBudget | None = None,
+        limit_log: memorybudget.LimitLog | None = None,
+        name: str = "http",
     ):
         self._socket = curio.tcp_server_socket(
             host, port, backlog=_BACKLOG, reuse_address=True
@@ -48,8 +73,12 @@
         self._handler = handler
         self._error_handler = error_handler
         self._limits = limits or http.Limits()
+        self._budget = budget or memorybudget.default().callers
+        self._limit_log = limit_log
+        self._name = name
         self._connections: dict[_Connection, curio.Task] = {}
         self._rejecting_connections = 0
+        self._eviction_s = 0.0
         self._acceptor: curio.Task | None = None
         self._stopped = curio.Event()
 
@@ -121,32 +150,73 @@
                 await curio.sleep(_DRAIN_POLL_S)
 
     async def _accept_or_reject(self, client) -> None:
-        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with contextlib.suppress(OSError):
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = _Connection(
-            client, self._handler, self._error_handler, self._limits
+            client,
+            self._handler,
+            self._error_handler,
+            self._limits,
+            self._budget,
+            self._record_limit,
         )
-        if len(self._connections) < self._limits.max_connections:
+        limit = self._reserve_connection(connection)
+        if limit and await self._evict_longest_waiting():
+            self._record_limit(limit)
+            limit = self._reserve_connection(connection)
+        if not limit:
             task = await curio.spawn(self._serve, connection, daemon=True)
             self._connections[connection] = task
-        elif self._rejecting_connections < _MAX_REJECTING_CONNECTIONS:
+            return
+        self._record_limit(limit)
+        if self._rejecting_connections < self._limits.max_rejecting_connections:
             self._rejecting_connections += 1
-            await curio.spawn(self._reject, connection, daemon=True)
+            await curio.spawn(self._reject, connection, limit, daemon=True)
         else:
             await client.close()
 
+    def _reserve_connection(self, connection: "_Connection") -> str:
+        """Returns the limit that forbids a new connection, empty if none."""
+        if len(self._connections) >= self._limits.max_connections:
+            return "connections"
+        return "" if connection.reserve_idle() else "memory"
+
+    async def _evict_longest_waiting(self) -> bool:
+        """Closes the connection that waits longest; returns whether one does.
+
+        Without that, callers that send nothing would keep all others out for
+        the whole timeout. A request that is complete is never evicted.
+        """
+        now = time.monotonic()
+        if now < self._eviction_s:
+            return False
+        waiting = [c for c in self._connections if c.waiting_since_s]
+        oldest = min(waiting, key=lambda c: c.waiting_since_s, default=None)
+        if oldest is None or now - oldest.waiting_since_s < EVICTABLE_S:
+            self._eviction_s = now + _EVICTION_PAUSE_S
+            return False
+        task = self._connections.pop(oldest)
+        oldest.release()
+        await task.cancel(blocking=False)
+        return True
+
+    def _record_limit(self, limit: str) -> None:
+        if self._limit_log is not None:
+            self._limit_log.record(self._name, limit)
+
     async def _serve(self, connection: "_Connection") -> None:
         try:
             await connection.run()
         finally:
+            connection.release()
             self._connections.pop(connection, None)
 
-    async def _reject(self, connection: "_Connection") -> None:
+    async def _reject(self, connection: "_Connection", limit: str) -> None:
+        remedy = "repeat later; too many open connections"
+        if limit == "memory":
+            remedy = _REMEDY_MEMORY
         try:
-            await connection.reject(
-                errors.HttpError(
-                    503, "limited", "repeat later; too many open connections"
-                )
-            )
+            await connection.reject(errors.HttpError(503, "limited", remedy))
         finally:
             self._rejecting_connections -= 1
 
@@ -160,6 +230,8 @@
         handler: Handler,
         error_handler: ErrorHandler,
         limits: http.Limits,
+        budget: memorybudget.MemoryBudget,
+        record_limit: Callable[[str], None],
     ):
         self._client = client
         self._handler = handler
@@ -167,9 +239,12 @@
         self._limits = limits
         self._close_after_response = False
         self._idle = True
-        self._body_bytes = 0
+        self._waiting_since_s = time.monotonic()
+        self._record_limit = record_limit
+        self._reservation = memorybudget.Reservation(budget)
+        self._body = bytearray()
         self._protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=http.MAX_HEADERS_BYTES
+            h11.SERVER, max_incomplete_event_size=limits.max_headers_bytes
         )
 
     @property
@@ -177,16 +252,48 @@
         """Whether no request is being read or answered."""
         return self._idle
 
+    @property
+    def waiting_since_s(self) -> float:
+        """Monotonic time since when the caller is waited for, 0 if it is not.
+
+        It is waited for until its request is complete, and again after the
+        response or rejection.
+        """
+        return self._waiting_since_s
+
     def close_after_response(self) -> None:
         """Closes the connection after the current or next response."""
         self._close_after_response = True
 
+    @property
+    def _request_bytes(self) -> int:
+        """Memory of a connection with a request, without the body."""
+        return (
+            CONNECTION_BYTES
+            + self._limits.max_headers_bytes
+            + self._limits.receive_bytes
+        )
+
+    def reserve_idle(self) -> bool:
+        """Reserves memory without a request; returns whether there is any."""
+        return self._reservation.resize(CONNECTION_BYTES)
+
+    def release(self) -> None:
+        """Releases all memory."""
+        self._body = bytearray()
+        self._reservation.resize(0)
+
     async def run(self) -> None:
         """Serves requests until the connection ends."""
         try:
             while await self._serve_one() and not self._close_after_response:
                 self._idle = True
+                self._waiting_since_s = time.monotonic()
                 self._protocol.start_next_cycle()
+                pipelined = bool(self._protocol.trailing_data[0])
+                self._reservation.resize(
+                    self._request_bytes if pipelined else CONNECTION_BYTES
+                )
         except OSError:
             pass
         except h11.LocalProtocolError:
@@ -207,16 +314,28 @@
         try:
             request = await self._read_request()
         except errors.HttpError as error:
+            self._drop_request()
             await self._send_error(error)
             return False
         except h11.RemoteProtocolError as error:
-            await self._send_error(_malformed_request(error))
+            self._drop_request()
+            await self._send_error(self._malformed_request(error))
             return False
         if request is None:
             return False
+        self._waiting_since_s = 0.0
+        self._release_unused(request)
         response = await self._answer(request)
         if isinstance(response, http.NoResponse):
             return False
+        if not self._reserve_response(response):
+            self._record_limit("response")
+            if request.method in ("GET", "HEAD"):
+                response = _with_retry_after(
+                    self._error_handler(
+                        errors.HttpError(503, "limited", _REMEDY_MEMORY)
+                    )
+                )
         await self._write_response(response, head=request.method == "HEAD")
         return self._protocol.our_state is h11.DONE and (
             self._protocol.their_state is h11.DONE
@@ -243,12 +362,16 @@
         if not isinstance(head, h11.Request):
             return None
         self._idle = False
-        self._body_bytes = 0
+        self._body = bytearray()
+        if len(head.headers) > http.MAX_HEADERS:
+            self._record_limit("headers")
+            remedy = f"send at most {http.MAX_HEADERS} headers"
+            raise errors.HttpError(431, "bad-request", remedy)
         headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in head.headers
         )
-        self._check_content_length(headers)
+        self._reserve_announced(headers)
         if self._protocol.they_are_waiting_for_100_continue:
             proceed = h11.InformationalResponse(status_code=100, headers=[])
             await self._send(self._protocol.send(proceed))
@@ -284,23 +407,23 @@
             raise errors.HttpError(408, "bad-request", remedy) from error
 
     async def _read_whole_body(self) -> bytes:
-        parts: list[bytes] = []
-        if self._append_received_body(parts):
-            return b"".join(parts)
         try:
-            return await curio.timeout_after(
-                self._limits.body_timeout_s, self._read_body, parts
-            )
+            if not self._append_received_body():
+                await curio.timeout_after(
+                    self._limits.body_timeout_s, self._read_body
+                )
         except curio.TaskTimeout as error:
             remedy = f"send the body within {self._limits.body_timeout_s} s"
             raise errors.HttpError(408, "bad-request", remedy) from error
+        body = bytes(self._body)
+        self._body = bytearray()
+        return body
 
-    async def _read_body(self, parts: list[bytes]) -> bytes:
-        while not self._append_received_body(parts):
+    async def _read_body(self) -> None:
+        while not self._append_received_body():
             await self._receive()
-        return b"".join(parts)
 
-    def _append_received_body(self, parts: list[bytes]) -> bool:
+    def _append_received_body(self) -> bool:
         """Appends the received part; returns whether the body is complete."""
         while True:
             event = self._protocol.next_event()
@@ -310,17 +433,71 @@
                 return True
             if not isinstance(event, h11.Data):
                 raise OSError("connection closed within the request body")
-            self._body_bytes += len(event.data)
-            if self._body_bytes > self._limits.max_body_bytes:
+            size = len(self._body) + len(event.data)
+            if size > self._limits.max_body_bytes:
                 raise self._body_too_large()
-            parts.append(bytes(event.data))
+            # Rounded up, so that small chunks need no reservation each.
+            steps = -(-size // BODY_STEP_BYTES)
+            self._reserve_body(
+                min(steps * BODY_STEP_BYTES, self._limits.max_body_bytes)
+            )
+            self._body += event.data
 
-    def _check_content_length(self, headers: http.Headers) -> None:
-        length = dict(headers).get("content-length", "0")
-        if int(length) > self._limits.max_body_bytes:
+    def _reserve_announced(self, headers: http.Headers) -> None:
+        """Reserves the announced length before the body is read."""
+        length = int(dict(headers).get("content-length", "0"))
+        if length > self._limits.max_body_bytes:
             raise self._body_too_large()
+        self._reserve_body(length)
+
+    def _reserve_body(self, size: int) -> None:
+        needed = self._request_bytes + size * BODY_FACTOR
+        if needed <= self._reservation.size:
+            return
+        if not self._reservation.resize(needed):
+            self._record_limit("memory")
+            raise errors.HttpError(503, "limited", _REMEDY_MEMORY)
+
+    def _reserve_response(self, response: http.Response) -> bool:
+        """Reserves memory for a response that the caller may not read."""
+        size = len(response.body)
+        needed = self._reservation.size + size * BODY_FACTOR
+        return size <= SMALL_RESPONSE_BYTES or self._reservation.resize(needed)
+
+    def _release_unused(self, request: http.Request) -> None:
+        """Releases what a request that is complete does not take."""
+        head_bytes = len(request.target) + sum(
+            len(name) + len(value) for name, value in request.headers
+        )
+        needed = (
+            CONNECTION_BYTES
+            + head_bytes * BODY_FACTOR
+            + len(request.body) * BODY_FACTOR
+            + len(self._protocol.trailing_data[0])
+        )
+        self._reservation.resize(min(needed, self._reservation.size))
+
+    def _drop_request(self) -> None:
+        """Releases what a rejected request holds; the rest is discarded."""
+        self._body = bytearray()
+        self._reservation.resize(
+            min(self._reservation.size, self._request_bytes)
+        )
+
+    def _malformed_request(
+        self, error: h11.RemoteProtocolError
+    ) -> errors.HttpError:
+        status = error.error_status_hint
+        if status == 431:
+            self._record_limit("headers")
+            limit = self._limits.max_headers_bytes
+            remedy = f"keep the headers under {limit} bytes"
+            return errors.HttpError(status, "bad-request", remedy)
+        remedy = f"send well-formed HTTP/1.1: {error}"
+        return errors.HttpError(status, "bad-request", remedy)
 
     def _body_too_large(self) -> errors.HttpError:
+        self._record_limit("body")
         remedy = f"keep the body under {self._limits.max_body_bytes} bytes"
         return errors.HttpError(413, "bad-request", remedy)
 
@@ -332,15 +509,20 @@
             await self._receive()
 
     async def _receive(self) -> None:
-        data = await self._client.recv(_RECEIVE_BYTES)
+        data = await self._client.recv(self._limits.receive_bytes)
         if data:
             self._idle = False
+            if self._reservation.size < self._request_bytes:
+                self._reserve_body(0)
         self._protocol.receive_data(data)
 
     async def _send_error(self, error: errors.HttpError) -> None:
         if self._protocol.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._close_after_response = True
-            await self._write_response(self._error_handler(error), head=False)
+            response = self._error_handler(error)
+            if error.status == 503:
+                response = _with_retry_after(response)
+            await self._write_response(response, head=False)
             await self._discard_remaining_input()
 
     async def _discard_remaining_input(self) -> None:
@@ -351,7 +533,7 @@
         """
         await self._client.shutdown(socket.SHUT_WR)
         async with curio.ignore_after(self._limits.linger_timeout_s):
-            while await self._client.recv(_RECEIVE_BYTES):
+            while await self._client.recv(self._limits.receive_bytes):
                 pass
 
     async def _write_response(
@@ -392,10 +574,6 @@
         return 0
 
 
-def _malformed_request(error: h11.RemoteProtocolError) -> errors.HttpError:
-    status = error.error_status_hint
-    if status == 431:
-        remedy = f"keep the headers under {http.MAX_HEADERS_BYTES} bytes"
-        return errors.HttpError(status, "bad-request", remedy)
-    remedy = f"send well-formed HTTP/1.1: {error}"
-    return errors.HttpError(status, "bad-request", remedy)
+def _with_retry_after(response: http.Response) -> http.Response:
+    header = ("retry-after", str(RETRY_AFTER_S))
+    return attrs.evolve(response, headers=(*response.headers, header))
--- a/pomelostair/ingress.py
+++ b/pomelostair/ingress.py
@@ -15,6 +15,7 @@
 from pomelostair import kernel
 from pomelostair import log
 from pomelostair import membership
+from pomelostair import memorybudget
 from pomelostair import messages
 from pomelostair import responses
 from pomelostair import settings as settings_module
@@ -37,7 +38,14 @@
         self._draining = False
         address, _, port = parts.settings.http.rpartition(":")
         self._server = httpserver.Server(
-            address, int(port), self._handle_request, responses.error_response
+            address,
+            int(port),
+            self._handle_request,
+            responses.error_response,
+            None,
+            parts.bounds.callers,
+            memorybudget.LimitLog(parts.metrics),
+            "callers",
         )
         self._address = f"{address}:{self._server.port}"
         self._own_entry = messages.EntryAddress(
--- a/pomelostair/kernel.py
+++ b/pomelostair/kernel.py
@@ -18,6 +18,7 @@
 from pomelostair import errors
 from pomelostair import events
 from pomelostair import log
+from pomelostair import memorybudget
 from pomelostair import metrics as metrics_module
 from pomelostair import ports
 from pomelostair import settings as settings_module
@@ -44,6 +45,7 @@
     metrics: metrics_module.Metrics
     random: random.Random
     port: ports.Port | None = None
+    bounds: memorybudget.Bounds = attrs.field(factory=memorybudget.default)
 
 
 class Plugin:
--- a/pomelostair/log.py
+++ b/pomelostair/log.py
@@ -23,6 +23,9 @@
 MAX_WARNING_LINES_PER_S = 400
 # Buffered for a reader that is slow for a short time.
 MAX_BUFFERED_LINES = 2000
+MAX_BUFFERED_BYTES = 2 * 1024 * 1024
+# Texts of callers and peers are cut to this length.
+MAX_FIELD_CHARACTERS = 2000
 
 
 class NonBlockingHandler(logging.Handler):
@@ -38,6 +41,7 @@
         self._poll = select.poll()
         self._poll.register(descriptor, select.POLLOUT)
         self._buffered: collections.deque[bytes] = collections.deque()
+        self._buffered_bytes = 0
         self._budget_second = 0
         self._lines_in_second: dict[int, int] = {}
         self._dropped: dict[str, int] = {}
@@ -57,13 +61,20 @@
         if not self._within_budget(record):
             return
         line = self.format(record).encode("utf-8", "replace") + b"\n"
-        if len(self._buffered) >= MAX_BUFFERED_LINES:
+        if (
+            len(self._buffered) >= MAX_BUFFERED_LINES
+            or self._buffered_bytes + len(line) > MAX_BUFFERED_BYTES
+        ):
             self._count_dropped("reader-slow")
             self._flush_buffered()
             return
-        self._buffered.append(line)
+        self._append(line)
         self._flush_buffered()
 
+    def _append(self, line: bytes) -> None:
+        self._buffered.append(line)
+        self._buffered_bytes += len(line)
+
     def _within_budget(self, record: logging.LogRecord) -> bool:
         second = int(time.monotonic())
         if second != self._budget_second:
@@ -95,7 +106,7 @@
         record.event_name = event.name
         record.dropped = self._dropped
         self._dropped = {}
-        self._buffered.append(self.format(record).encode() + b"\n")
+        self._append(self.format(record).encode() + b"\n")
 
     def _flush_buffered(self) -> None:
         while self._buffered and self._poll.poll(0):
@@ -106,7 +117,9 @@
                 written = os.write(self._descriptor, line[: select.PIPE_BUF])
             except OSError:
                 self._buffered.clear()
+                self._buffered_bytes = 0
                 return
+            self._buffered_bytes -= min(written, len(line))
             if written >= len(line):
                 self._buffered.popleft()
             else:
@@ -142,6 +155,9 @@
     logger = logging.getLogger("pomelostair")
     if not logger.isEnabledFor(event.value.level):
         return
+    for name, value in fields.items():
+        if isinstance(value, str) and len(value) > MAX_FIELD_CHARACTERS:
+            fields[name] = value[:MAX_FIELD_CHARACTERS] + "..."
     fields["event"] = event.value.number
     fields["event_name"] = event.name
     logger.log(
--- a/pomelostair/metrics.py
+++ b/pomelostair/metrics.py
@@ -24,6 +24,12 @@
     10.0,
 )
 
+# Label values come from fixed sets or configuration; one that a peer's or a
+# caller's text would make is cut, and too many count together.
+MAX_LABEL_CHARACTERS = 100
+MAX_SERIES = 1000
+_OTHER = "other"
+
 
 class Metrics:
     """Metrics of one process; instruments are created on first use."""
@@ -46,6 +52,7 @@
         self._meter = self._provider.get_meter("pomelostair")
         self._counters: dict[str, dict[tuple, int]] = {}
         self._histograms: dict[str, otel.Histogram] = {}
+        self._histogram_keys: dict[str, set[tuple]] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Adds `amount` to the counter `name` under `labels`."""
@@ -55,7 +62,7 @@
             self._meter.create_observable_counter(
                 f"pomelostair_{name}", callbacks=[_counter_callback(counter)]
             )
-        key = tuple(sorted(labels.items()))
+        key = _bounded(tuple(sorted(labels.items())), counter)
         counter[key] = counter.get(key, 0) + amount
 
     def record(self, name: str, value: float, **labels: str) -> None:
@@ -64,7 +71,10 @@
         if histogram is None:
             histogram = self._meter.create_histogram(f"pomelostair_{name}")
             self._histograms[name] = histogram
-        histogram.record(value, labels)
+        seen = self._histogram_keys.setdefault(name, set())
+        key = _bounded(tuple(sorted(labels.items())), seen)
+        seen.add(key)
+        histogram.record(value, dict(key))
 
     def gauge(self, name: str, read_value: Callable[[], float]) -> None:
         """Registers the gauge `name`; `read_value` is called at each export."""
@@ -78,6 +88,17 @@
         return prometheus_client.generate_latest(self._registry)
 
 
+def _bounded(key: tuple, known: dict | set) -> tuple:
+    """Returns the labels, cut and of a bounded number of combinations."""
+    if key in known:
+        return key
+    if any(len(value) > MAX_LABEL_CHARACTERS for _, value in key):
+        key = tuple((n, v[:MAX_LABEL_CHARACTERS]) for n, v in key)
+    if key in known or len(known) < MAX_SERIES:
+        return key
+    return tuple((name, _OTHER) for name, _ in key)
+
+
 def _counter_callback(counter: dict[tuple, int]):
     """Returns an OpenTelemetry callback that reports a counter's values."""
 
--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -28,6 +28,10 @@
 from pomelostair import settings as settings_module
 from pomelostair import store
 
+# Incarnations of workers that are held at the same time; a host has few, and
+# ids are free to make up.
+MAX_WORKERS = 64
+MAX_GONE = 1000  # Ended incarnations that are still reported.
 # Longest wait of a `hold` call. A new leader has to wait for it.
 MAX_HOLD_WAIT_MS = 400
 # Polls, at `LISTING_POLL_S`, for the listing that shows an unanswered start.
@@ -387,6 +391,16 @@
                     key if same else None,
                     crashed=not other.is_leaving,
                 )
+        if len(self._workers) >= MAX_WORKERS or (
+            len(self._gone_since_s) >= MAX_GONE
+        ):
+            self._parts.metrics.count("notices_ignored", reason="too-many")
+            log.emit(
+                events.Events.HEARTBEAT_IGNORED,
+                worker=heartbeat.worker,
+                reason="the host has too many workers or incarnations",
+            )
+            return
         worker = _Worker(
             heartbeat,
             self._port.worker_client(heartbeat),
--- a/pomelostair/platform/control.py
+++ b/pomelostair/platform/control.py
@@ -6,6 +6,7 @@
 from pomelostair import httpserver
 from pomelostair import kernel
 from pomelostair import log
+from pomelostair import memorybudget
 from pomelostair import pipelineagent
 from pomelostair import responses
 from pomelostair import settings as settings_module
@@ -13,7 +14,12 @@
 
 _HEARTBEAT_PATH = "/Instances.Heartbeat/"
 _DEREGISTER_PATH = "/Instances.Deregister/"
-MAX_BODY_BYTES = 4 * 1024 * 1024  # The platform's limit for a heartbeat.
+# A heartbeat with 64 labels of usual length is a tenth of this.
+MAX_BODY_BYTES = 64 * 1024
+MAX_HEADERS_BYTES = 8 * 1024
+RECEIVE_BYTES = 16 * 1024
+MAX_CONNECTIONS = 64
+MAX_REJECTING_CONNECTIONS = 16
 
 
 @kernel.plugin(settings_module.Role.PIPELINE_AGENT)
@@ -31,7 +37,16 @@
             int(port),
             self._answer,
             responses.error_response,
-            http.Limits(max_connections=64, max_body_bytes=MAX_BODY_BYTES),
+            http.Limits(
+                max_connections=MAX_CONNECTIONS,
+                max_rejecting_connections=MAX_REJECTING_CONNECTIONS,
+                max_body_bytes=MAX_BODY_BYTES,
+                max_headers_bytes=MAX_HEADERS_BYTES,
+                receive_bytes=RECEIVE_BYTES,
+            ),
+            parts.bounds.callers,
+            memorybudget.LimitLog(parts.metrics),
+            "control",
         )
 
     async def run(self) -> None:
--- a/pomelostair/platform/decoding.py
+++ b/pomelostair/platform/decoding.py
@@ -19,7 +19,7 @@
 MAX_LABELS = 64  # Of a worker.
 
 
-class StepBody(msgspec.Struct):
+class StepBody(msgspec.Struct, omit_defaults=True):
     """A stage of a submission, which the platform calls a step.
 
     Absent fields are 0, false or empty; an absent `count` is 1. Negative
@@ -49,7 +49,7 @@
     skippable: codec.Count = 0
 
 
-class SubmissionBody(msgspec.Struct):
+class SubmissionBody(msgspec.Struct, omit_defaults=True):
     """A submission."""
 
     spec: str = ""  # Payload that is passed to every task.
@@ -139,6 +139,9 @@
 # Larger bodies are rejected: with all fields of 64 stages named, the row of a
 # submission has to fit into the store's 64 KiB.
 MAX_SUBMISSION_BYTES = 24_000
+# JSON may take six bytes for each byte of a text; with a spec of 4,000 bytes
+# escaped like this, a submission may be larger, but not its row.
+MAX_ESCAPED_SUBMISSION_BYTES = 48_000
 
 
 def decode_submission(
@@ -149,7 +152,7 @@
     Raises:
         MessageError: It is malformed; the message names the remedy.
     """
-    if len(data) > MAX_SUBMISSION_BYTES:
+    if len(data) > MAX_ESCAPED_SUBMISSION_BYTES:
         raise errors.MessageError(f"send at most {MAX_SUBMISSION_BYTES} bytes")
     try:
         body = codec.decode_json(data, SubmissionBody)
@@ -157,6 +160,10 @@
         raise errors.MessageError(
             f"send a JSON object with spec and steps: {error}"
         ) from error
+    if len(data) > MAX_SUBMISSION_BYTES and (
+        _unescaped_size(body) > MAX_SUBMISSION_BYTES
+    ):
+        raise errors.MessageError(f"send at most {MAX_SUBMISSION_BYTES} bytes")
     if not body.steps or len(body.steps) > pipeline.MAX_STAGES:
         raise errors.MessageError(f"send 1 to {pipeline.MAX_STAGES} steps")
     # Occurrences without a due time start at once.
@@ -181,6 +188,12 @@
     )
 
 
+def _unescaped_size(body: SubmissionBody) -> int:
+    """Returns the size of a submission whose spec is not escaped."""
+    rest = msgspec.structs.replace(body, spec="")
+    return len(body.spec.encode()) + len(msgspec.json.encode(rest))
+
+
 def _to_stage(step: StepBody) -> pipeline.Stage:
     return pipeline.Stage(
         count=max(1, step.count),
--- a/pomelostair/platform/front.py
+++ b/pomelostair/platform/front.py
@@ -8,6 +8,7 @@
 from pomelostair import http
 from pomelostair import httpserver
 from pomelostair import kernel
+from pomelostair import memorybudget
 from pomelostair import outcome
 from pomelostair import pipelineapi
 from pomelostair import queues
@@ -19,7 +20,12 @@
 # The load balancer checks the readiness once a second and removes a node after
 # two failed checks; until then it opens new connections.
 BALANCER_REMOVAL_S = 2.5
-MAX_BODY_BYTES = 1024 * 1024
+MAX_HEADERS_BYTES = 8 * 1024
+RECEIVE_BYTES = 16 * 1024
+MAX_REJECTING_CONNECTIONS = 16
+# The balancer checks once a second; idle connections must not keep it out.
+READINESS_IDLE_S = 5.0
+READINESS_BODY_BYTES = 1024
 _ID_PATTERN = re.compile(r"[0-9a-f]{16}")
 
 
@@ -33,12 +39,33 @@
         super().__init__(parts, host)
         self._api = host.get(pipelineapi.PipelineApi)
         self._draining = False
-        limits = http.Limits(max_body_bytes=MAX_BODY_BYTES)
+        bounds = parts.bounds
+        limit_log = memorybudget.LimitLog(parts.metrics)
         self._caller_server = _create_server(
-            parts.settings.pipelines.callers, self._answer_caller, limits
+            parts.settings.pipelines.callers,
+            self._answer_caller,
+            _limits(
+                max_connections=bounds.max_callers,
+                max_body_bytes=decoding.MAX_ESCAPED_SUBMISSION_BYTES,
+            ),
+            bounds.callers,
+            limit_log,
+            "callers",
         )
         self._readiness_server = _create_server(
-            parts.settings.pipelines.readiness, self._answer_readiness, limits
+            parts.settings.pipelines.readiness,
+            self._answer_readiness,
+            _limits(
+                max_connections=bounds.max_readiness_connections,
+                max_body_bytes=READINESS_BODY_BYTES,
+                idle_timeout_s=READINESS_IDLE_S,
+                headers_timeout_s=READINESS_IDLE_S,
+                body_timeout_s=READINESS_IDLE_S,
+                write_timeout_s=READINESS_IDLE_S,
+            ),
+            bounds.readiness,
+            limit_log,
+            "readiness",
         )
 
     async def run(self) -> None:
@@ -121,12 +148,33 @@
         return http.json_response(200, {"pending": count})
 
 
+def _limits(**limits) -> http.Limits:
+    return http.Limits(
+        max_rejecting_connections=MAX_REJECTING_CONNECTIONS,
+        max_headers_bytes=MAX_HEADERS_BYTES,
+        receive_bytes=RECEIVE_BYTES,
+        **limits,
+    )
+
+
 def _create_server(
-    address: str, handler: httpserver.Handler, limits: http.Limits
+    address: str,
+    handler: httpserver.Handler,
+    limits: http.Limits,
+    budget: memorybudget.MemoryBudget,
+    limit_log: memorybudget.LimitLog,
+    name: str,
 ) -> httpserver.Server:
     host, _, port = address.rpartition(":")
     return httpserver.Server(
-        host, int(port), handler, responses.error_response, limits
+        host,
+        int(port),
+        handler,
+        responses.error_response,
+        limits,
+        budget,
+        limit_log,
+        name,
     )
 
 
--- a/pomelostair/platform/settingsfile.py
+++ b/pomelostair/platform/settingsfile.py
@@ -3,6 +3,7 @@
 import attrs
 
 from pomelostair import errors
+from pomelostair import memorybudget
 from pomelostair import settings as settings_module
 
 # Offsets in the port range that the platform reserves for the product.
@@ -146,6 +147,10 @@
         metrics=f"{ip}:{first_port + _METRICS_PORT_OFFSET}",
         timing=settings_module.Timing(drain_s=drain_s),
         pipelines=_to_pipelines(file, role, seeds, first_port, drain_s),
+        memory_mb=file.number("limits.memoryMb", 0)
+        or memorybudget.DEFAULT_MEMORY_MB,
+        max_fds=int(file.number("limits.maxFds", 0))
+        or memorybudget.DEFAULT_MAX_FDS,
     )
 
 
--- a/pomelostair/relaytable.py
+++ b/pomelostair/relaytable.py
@@ -20,6 +20,10 @@
 
 RELAY_TIMEOUT_S = 1.5  # Longer than one transaction of a slow store.
 MAX_PEERS = 2  # Further peers are likely refused for the same reason.
+# Rows of an answer; a scan goes on after them, a watch begins anew.
+MAX_RELAYED_BYTES = bus_module.MAX_PIPELINE_MESSAGE_BYTES // 4
+MAX_RELAYED_AT_ONCE = 64  # Operations that an entry performs for peers.
+_ROW_OVERHEAD_BYTES = 64
 MAX_RELAYED_WATCH_S = 0.5  # A relayed watch occupies the peer's connection.
 
 
@@ -149,10 +153,19 @@
 
     def __init__(self, direct_table: circuitbreaker.CircuitBreakerTable):
         self._direct_table = direct_table
+        self._performing = 0
 
     async def answer(self, message: object) -> messages.RelayedResult:
         """Returns the store's answer to a relayed operation, and its time."""
-        result = await self._perform(message)
+        if self._performing >= MAX_RELAYED_AT_ONCE:
+            return messages.RelayedResult(
+                unavailable="the peer relays too many operations"
+            )
+        self._performing += 1
+        try:
+            result = await self._perform(message)
+        finally:
+            self._performing -= 1
         return attrs.evolve(result, time=self._direct_table.time())
 
     async def _perform(self, message: object) -> messages.RelayedResult:
@@ -164,6 +177,7 @@
                     await self._direct_table.scan(prefix, after, limit)
                 )
             case messages.RelayedWatch(table=table, after=after, wait_s=wait):
+                wait = min(wait, MAX_RELAYED_WATCH_S)
                 return _result_of_watch(
                     await self._direct_table.watch(table, after, wait)
                 )
@@ -186,12 +200,26 @@
 def _result_of_scan(result: store.ScanResult) -> messages.RelayedResult:
     match result:
         case store.Page(rows=rows, more=more, version=version):
-            return messages.RelayedResult(rows, more=more, version=version)
+            fitting = _fitting(rows)
+            more = more or len(fitting) < len(rows)
+            return messages.RelayedResult(fitting, more=more, version=version)
     return messages.RelayedResult(unavailable=result.reason)
 
 
+def _fitting(rows: tuple[store.Row, ...]) -> tuple[store.Row, ...]:
+    """Returns the first rows that fit into a message, at least one."""
+    size = 0
+    for number, row in enumerate(rows):
+        size += len(row.key) + len(row.value) + _ROW_OVERHEAD_BYTES
+        if number and size > MAX_RELAYED_BYTES:
+            return rows[:number]
+    return rows
+
+
 def _result_of_watch(result: store.WatchResult) -> messages.RelayedResult:
     match result:
+        case store.Changes(rows=rows) if len(_fitting(rows)) < len(rows):
+            return messages.RelayedResult(gone=True)
         case store.Changes(rows=rows, deleted=deleted, version=version):
             return messages.RelayedResult(rows, deleted, version=version)
         case store.HistoryGone():
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -13,6 +13,7 @@
 from pomelostair import codec
 from pomelostair import endpoints
 from pomelostair import errors
+from pomelostair import memorybudget
 
 MAX_NAME_CHARACTERS = 64
 # Of a table that names no limit.
@@ -276,6 +277,9 @@
         timing: Intervals, leases and time limits.
         log_level: Lowest level that is logged.
         pipelines: Settings of the roles that run pipelines.
+        memory_mb: Memory that the process may take, in megabytes; what it
+            holds for callers is a share of it.
+        max_fds: Number of descriptors that the process may open.
     """
 
     role: Role
@@ -296,6 +300,8 @@
     timing: Timing = attrs.field(factory=Timing)
     log_level: str = attrs.field(default="INFO", validator=_check_log_level)
     pipelines: Pipelines | None = None
+    memory_mb: float = _positive_field(float(memorybudget.DEFAULT_MEMORY_MB))
+    max_fds: int = _positive_field(memorybudget.DEFAULT_MAX_FDS)
 
     def __attrs_post_init__(self):
         """Checks constraints between keys."""
--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -4,6 +4,7 @@
 import pytest
 
 from pomelostair import http
+from pomelostair import pipelineagent
 from pomelostair.platform import control
 from pomelostair.platform import minion
 from tests import nested
@@ -100,6 +101,21 @@
 
         harness.run(body)
 
+    def test_made_up_workers_are_bounded(self):
+        """Ids are free to make up, and each takes tasks and connections."""
+        harness = Harness()
+
+        async def body():
+            assert await harness.beat() == 200
+            for n in range(pipelineagent.MAX_WORKERS + 20):
+                await harness.beat(f"x{n}", address=f"127.0.0.1:{n + 1000}")
+            await harness.instruct()
+            report = await harness.next_reports()
+            assert len(report.lives) == pipelineagent.MAX_WORKERS
+            assert ("w1", 7) in report.lives
+
+        harness.run(body)
+
 
 class TestDeregistration:
     @pytest.mark.parametrize(
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -119,6 +119,23 @@
         row = pipeline.encode(decode(**body))
         assert len(row) <= 48_000
 
+    def test_escaped_spec_counts_unescaped(self):
+        """A spec of 4,000 bytes takes 24,000 if each one is escaped."""
+        steps = ',"steps":[{"cpu":500}]}'
+        escaped = '{"spec":"' + "\\u0078" * 4000 + '"' + steps
+        assert decode_text(escaped).payload == "x" * 4000
+        largest = '{"spec":"' + "\\u0078" * 7900 + '"' + steps
+        assert len(decode_text(largest).payload) == 7900
+        for spec in ("x" * 24_000, "\\n" * 23_980):
+            with pytest.raises(errors.MessageError, match="24000 bytes"):
+                decode_text('{"spec":"' + spec + '"' + steps)
+
+
+def decode_text(text):
+    return decoding.decode_submission(
+        text.encode(), "00000000000000a1", "fit", 1
+    )
+
 
 class TestHeartbeat:
     def test_last_label_becomes_rack(self):
--- a/tests/platform/test_settingsfile.py
+++ b/tests/platform/test_settingsfile.py
@@ -53,6 +53,14 @@
         assert settings.timing.drain_s < 6
         assert settings.platform.writes_per_s == 800
 
+    def test_limits_of_the_machine_are_read(self):
+        settings = parse_settings(
+            ENTRY_FILE + "limits.memoryMb=552\nlimits.maxFds=8192\n"
+        )
+        assert (settings.memory_mb, settings.max_fds) == (552, 8192)
+        default = parse_settings(ENTRY_FILE)
+        assert (default.memory_mb, default.max_fds) == (200, 4096)
+
     def test_agent_settings_are_converted(self):
         settings = parse_settings(AGENT_FILE)
         assert settings.role is settings_module.Role.PIPELINE_AGENT
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -267,6 +267,41 @@
         assert sent == bus.NotSent("too-large")
         assert isinstance(answered, bus.Answered)
 
+    def test_connections_over_the_limit_are_closed(self):
+        """Guards against descriptors taken by made-up peers."""
+        metrics = CountingMetrics()
+        address = f"tcp://{site.free_address()}"
+        receiver = bus.NngBus(
+            "r", address, metrics, limits=bus.Limits(10_000, 3)
+        )
+        host, _, port = address.removeprefix("tcp://").rpartition(":")
+        greeting = b"\x00SP\x00\x00\x50\x00\x00"
+
+        async def body():
+            clients = [
+                socket.create_connection((host, int(port))) for _ in range(9)
+            ]
+            for client in clients:
+                client.sendall(greeting)
+            await wait_until(lambda: receiver._excess_pipes == 6)
+            await wait_until(lambda: len(receiver._inbox.pipes) == 3)
+            receiver._report_limits()
+            for number in range(9):
+                await receiver._try_transmit(
+                    f"tcp://127.0.0.1:{number + 1}", b""
+                )
+            assert len(receiver._peers) == 3
+            receiver._report_limits()
+            for client in clients:
+                client.close()
+
+        try:
+            curio.run(curio.timeout_after, WAIT_S, body)
+        finally:
+            receiver.close()
+        assert metrics.counts["limits_reached", "bus", "peers"] == 6
+        assert metrics.counts["limits_reached", "bus", "addresses"] == 6
+
     def test_flushed_message_arrives_after_close(self):
         pair = Pair("nng")
         big = messages.Served(200, (), b"z" * 10_000_000)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -48,6 +48,21 @@
         assert numbers(worker.orders_to_send(13.0, RESEND_S)) == [2, 3]
         assert worker.confirmed_order == 1
 
+    def test_large_orders_are_sent_in_several_messages(self):
+        """A peer closes the connection over a message above its limit."""
+        worker = pipelines.worker()
+        for number in range(50):
+            worker.unconfirmed_orders.append(
+                messages.Order(number + 1, "start", "a", 1, "x" * 20_000)
+            )
+        worker.last_order_number = 50
+        worker.orders_confirmed_s = 10.0
+        batches = [worker.orders_to_send(10.0, RESEND_S) for _ in range(4)]
+        assert sum(map(numbers, batches), []) == list(range(1, 51))
+        for batch in batches:
+            size = sum(len(order.payload) for order in batch)
+            assert size <= fleet.MAX_ORDERS_CHARACTERS
+
     def test_busy_worker_that_confirms_gets_nothing_twice(self):
         """A burst: new orders for a worker all the time, reports late.
 
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -8,6 +8,7 @@
 from pomelostair import errors
 from pomelostair import http
 from pomelostair import httpserver
+from pomelostair import memorybudget
 from pomelostair import responses
 
 REQUEST = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n"
@@ -19,6 +20,8 @@
         raise ValueError("crash")
     if request.target == "/slow":
         await curio.sleep(0.3)
+    if request.target == "/large":
+        return http.Response(200, (), b"x" * 100_000)
     if request.target == "/lost":
         return http.NoResponse()
     return http.Response(200, (), request.method.encode() + request.body)
@@ -33,13 +36,15 @@
 
 
 class ServerHarness:
-    def __init__(self, **limits):
+    def __init__(self, budget=None, **limits):
+        self.budget = budget
         self.server = httpserver.Server(
             "127.0.0.1",
             0,
             handle_request,
             responses.error_response,
             http.Limits(**limits),
+            budget,
         )
 
     async def connect(self):
@@ -209,6 +214,128 @@
         harness.run(body)
 
 
+class TestMemory:
+    """Callers that hold as much as the budget of their server allows."""
+
+    BODY = 10_000
+    HEAD = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 10000\r\n\r\n"
+    CHUNKED = (
+        b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+
+    def harness(self, requests, **limits):
+        """Returns a server with memory for some requests with a body."""
+        fields = {
+            "max_headers_bytes": 1000,
+            "receive_bytes": 1000,
+            "max_body_bytes": self.BODY,
+            "linger_timeout_s": 0.1,
+            **limits,
+        }
+        request_bytes = httpserver.CONNECTION_BYTES + 2000
+        budget = memorybudget.MemoryBudget(
+            requests * (request_bytes + self.BODY * httpserver.BODY_FACTOR)
+            + request_bytes
+        )
+        return ServerHarness(budget, **fields)
+
+    @pytest.mark.parametrize(
+        "start", [HEAD + b"x", CHUNKED + b"1388\r\n" + b"x" * 5000]
+    )
+    def test_body_is_rejected_before_it_is_read(self, start):
+        harness = self.harness(1)
+
+        async def body():
+            async with await harness.connect() as holder:
+                await holder.sendall(start)
+                while harness.budget.reserved_bytes < 20_000:
+                    await curio.sleep(0.01)
+                rejected = await harness.exchange(self.HEAD)
+                await holder.sendall(b"")
+            while harness.server.open_connections:
+                await curio.sleep(0.01)
+            assert harness.budget.reserved_bytes == 0
+            head = self.HEAD.replace(
+                b"host: a", b"host: a\r\nconnection: close"
+            )
+            return rejected, await harness.exchange(head + b"y" * self.BODY)
+
+        rejected, served = harness.run(body)
+        assert status_of(rejected) == 503
+        assert b"retry-after: 1" in rejected.lower()
+        assert b"connection: close" in rejected.lower()
+        assert b"pomelostair-ran: no" in rejected.lower()
+        assert served.endswith(b"y" * self.BODY)
+
+    def test_body_that_is_being_read_continues(self):
+        harness = self.harness(1)
+
+        async def body():
+            async with await harness.connect() as holder:
+                await holder.sendall(self.HEAD + b"x")
+                while harness.budget.reserved_bytes < 20_000:
+                    await curio.sleep(0.01)
+                await harness.exchange(self.HEAD)
+                await holder.sendall(b"x" * (self.BODY - 1))
+                return await holder.recv(65536)
+
+        assert status_of(harness.run(body)) == 200
+
+    def test_unread_response_is_replaced_if_it_does_not_fit(self):
+        harness = self.harness(0)
+        answer = harness.run(
+            lambda: harness.exchange(
+                b"GET /large HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+            )
+        )
+        assert status_of(answer) == 503
+
+    def test_many_tiny_headers_are_rejected(self):
+        answer = exchange_once(
+            b"GET / HTTP/1.1\r\nhost: a\r\n" + b"a:\r\n" * 300 + b"\r\n",
+            linger_timeout_s=0.1,
+        )
+        assert status_of(answer) == 431
+
+    @pytest.mark.parametrize("start", [b"", b"GET / HT", HEAD + b"x"])
+    def test_waiting_connection_makes_room(self, start, monkeypatch):
+        """Callers that send nothing more must not keep all others out."""
+        monkeypatch.setattr(httpserver, "EVICTABLE_S", 0.0)
+        harness = self.harness(9, max_connections=1)
+
+        async def body():
+            async with await harness.connect() as holder:
+                await holder.sendall(start)
+                while not harness.server.open_connections:
+                    await curio.sleep(0.01)
+                answer = await harness.exchange(
+                    b"GET /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+                )
+                while harness.server.open_connections:
+                    await curio.sleep(0.01)
+                return answer, await receive_all(holder)
+
+        answer, of_holder = harness.run(body)
+        assert status_of(answer) == 200
+        assert of_holder == b""
+        assert harness.budget.reserved_bytes == 0
+
+    def test_request_in_work_is_not_evicted(self, monkeypatch):
+        monkeypatch.setattr(httpserver, "EVICTABLE_S", 0.0)
+        harness = self.harness(9, max_connections=1)
+
+        async def body():
+            async with await harness.connect() as holder:
+                await holder.sendall(b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n")
+                await curio.sleep(0.1)
+                rejected = await harness.exchange(REQUEST)
+                return rejected, await holder.recv(65536)
+
+        rejected, answer = harness.run(body)
+        assert status_of(rejected) == 503
+        assert status_of(answer) == 200
+
+
 class TestDrain:
     def test_open_request_is_answered(self):
         harness = ServerHarness()
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -13,7 +13,11 @@
         try:
             log.configure("entry-1", "WARNING")
             log.emit(events.Events.STARTED, role="entry")
-            log.emit(events.Events.MESSAGE_DROPPED, reason="malformed")
+            log.emit(
+                events.Events.MESSAGE_DROPPED,
+                reason="malformed",
+                detail="z" * 9000,
+            )
         finally:
             root.handlers[:] = handlers
             root.setLevel(level)
@@ -26,6 +30,7 @@
         assert line["event_name"] == "MESSAGE_DROPPED"
         assert line["process"] == "entry-1"
         assert line["reason"] == "malformed"
+        assert line["detail"] == "z" * log.MAX_FIELD_CHARACTERS + "..."
 
 
 class TestNonBlockingHandler:
@@ -68,6 +73,20 @@
 
         self.run_with_handler(emit)
 
+    def test_long_lines_of_a_stalled_reader_are_bounded(self):
+        """Guards against 2,000 lines with a caller's 32 KiB each."""
+
+        def emit(logger, _reader, handler):
+            for number in range(300):
+                logger.info(
+                    "x" * 32_000, extra={"event": number, "dropped": ""}
+                )
+            held = sum(map(len, handler.buffered))
+            assert held <= log.MAX_BUFFERED_BYTES
+            assert handler.dropped["reader-slow"] > 0
+
+        self.run_with_handler(emit)
+
     def test_lines_over_the_event_limit_are_counted(self):
         def emit(logger, reader, handler):
             for _ in range(log.MAX_LINES_PER_S * 3):
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -25,3 +25,14 @@
         first.count("retries", reason="draining")
         assert b"retries" in first.exposition()
         assert b"retries" not in second.exposition()
+
+    def test_labels_of_made_up_texts_are_bounded(self):
+        """Guards against a series for each text that a peer sends."""
+        registry = metrics.Metrics()
+        for number in range(metrics.MAX_SERIES + 50):
+            registry.count("starts_refused", reason=f"{number}" + "x" * 500)
+            registry.record("call_seconds", 0.1, outcome=str(number))
+        text = registry.exposition().decode()
+        assert "x" * (metrics.MAX_LABEL_CHARACTERS + 1) not in text
+        assert 'starts_refused_total{reason="other"} 50.0' in text
+        assert 'call_seconds_count{outcome="other"} 50.0' in text
--- a/tests/test_relaytable.py
+++ b/tests/test_relaytable.py
@@ -191,3 +191,58 @@
 
     async def unavailable_watch(self, *_arguments):
         return outcome.Unavailable("down")
+
+
+class TestLargeAnswers:
+    """Rows of 64 KiB, which together exceed the largest message."""
+
+    COUNT = 40
+
+    def test_scan_is_cut_and_goes_on(self):
+        harness = Harness()
+        harness.own_table.down = True
+
+        async def body(table):
+            puts = tuple(
+                store.Put(f"{KEY}{n:02}", b"x" * 65_000)
+                for n in range(self.COUNT)
+            )
+            await harness.shared_table.commit(store.Transaction((), puts))
+            keys, after, sizes = [], "", []
+            while True:
+                page = await table.scan("pipelines/1/", after)
+                sizes.append(sum(len(row.value) for row in page.rows))
+                keys += [row.key for row in page.rows]
+                if not page.more:
+                    return keys, sizes
+                after = keys[-1]
+
+        keys, sizes = harness.run(body)
+        assert len(keys) == self.COUNT
+        assert max(sizes) <= relaytable.MAX_RELAYED_BYTES
+
+    def test_too_many_at_once_are_refused(self):
+        gate = curio.Event()
+
+        class SlowTable:
+            async def read(self, _key):
+                await gate.wait()
+                return store.Absent()
+
+            def time(self):
+                return None
+
+        async def body():
+            relay = relaytable.Relay(SlowTable())
+            tasks = [
+                await curio.spawn(relay.answer, messages.RelayedRead(KEY))
+                for _ in range(relaytable.MAX_RELAYED_AT_ONCE)
+            ]
+            await curio.sleep(0)
+            refused = await relay.answer(messages.RelayedRead(KEY))
+            await gate.set()
+            return refused, [await task.join() for task in tasks]
+
+        refused, answers = curio.run(body)
+        assert refused.unavailable
+        assert not any(answer.unavailable for answer in answers)
