HTTP: idle callers make room, tiny chunks are rejected, docs of memory

Cause: with the budget used up, callers that send nothing kept all others out for their whole timeouts, and metrics were not served. A body of 40,000 chunks of one byte takes seconds to parse: 400 of them blocked an entry for 40 s.

Change: a connection that has waited for its caller for 1 s (idle, in its head, or rejected) is closed in favour of a new request; bodies that are being read go on. Bodies of tiny chunks get 400. Metrics have a budget of their own.

--- a/pomelostair/exporter.py
+++ b/pomelostair/exporter.py
@@ -38,7 +38,7 @@
                     max_headers_bytes=MAX_HEADERS_BYTES,
                     receive_bytes=MAX_HEADERS_BYTES,
                 ),
-                parts.bounds.callers,
+                parts.bounds.metrics,
                 memorybudget.LimitLog(parts.metrics),
                 "metrics",
             )
--- a/pomelostair/httpserver.py
+++ b/pomelostair/httpserver.py
@@ -20,12 +20,16 @@
 _ACCEPT_RETRY_S = 0.05
 _DRAIN_POLL_S = 0.01
 # Task, socket and parser of a connection without a request.
-CONNECTION_BYTES = 8 * 1024
+CONNECTION_BYTES = 16 * 1024
 # A body is held twice while it is joined, and again while it is decoded, which
 # one request does at a time.
 BODY_FACTOR = 2
 # A body without an announced length is reserved in steps of this size.
 BODY_STEP_BYTES = 16 * 1024
+# Parsing a chunk takes the same time whatever its size, so a body of tiny ones
+# would occupy the process for seconds. Some first ones may be small.
+MIN_MEAN_CHUNK_BYTES = 64
+MAX_SMALL_CHUNKS = 64
 # Responses up to this size are covered by the reservation of the connection.
 SMALL_RESPONSE_BYTES = 4 * 1024
 RETRY_AFTER_S = 1
@@ -159,10 +163,10 @@
             self._limits,
             self._budget,
             self._record_limit,
+            self._evict_longest_waiting,
         )
         limit = self._reserve_connection(connection)
         if limit and await self._evict_longest_waiting():
-            self._record_limit(limit)
             limit = self._reserve_connection(connection)
         if not limit:
             task = await curio.spawn(self._serve, connection, daemon=True)
@@ -185,7 +189,8 @@
         """Closes the connection that waits longest; returns whether one does.
 
         Without that, callers that send nothing would keep all others out for
-        the whole timeout. A request that is complete is never evicted.
+        the whole timeout. Once the head of a request has been read, its
+        connection stays until it is answered or rejected.
         """
         now = time.monotonic()
         if now < self._eviction_s:
@@ -197,6 +202,7 @@
             return False
         task = self._connections.pop(oldest)
         oldest.release()
+        self._record_limit("waiting")
         await task.cancel(blocking=False)
         return True
 
@@ -232,6 +238,7 @@
         limits: http.Limits,
         budget: memorybudget.MemoryBudget,
         record_limit: Callable[[str], None],
+        evict: Callable[[], Awaitable[bool]],
     ):
         self._client = client
         self._handler = handler
@@ -241,8 +248,10 @@
         self._idle = True
         self._waiting_since_s = time.monotonic()
         self._record_limit = record_limit
+        self._evict = evict
         self._reservation = memorybudget.Reservation(budget)
         self._body = bytearray()
+        self._chunks = 0
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_headers_bytes
         )
@@ -256,8 +265,8 @@
     def waiting_since_s(self) -> float:
         """Monotonic time since when the caller is waited for, 0 if it is not.
 
-        It is waited for until its request is complete, and again after the
-        response or rejection.
+        It is waited for until the head of its request has been read, and again
+        after the response or rejection.
         """
         return self._waiting_since_s
 
@@ -315,6 +324,7 @@
             request = await self._read_request()
         except errors.HttpError as error:
             self._drop_request()
+            self._waiting_since_s = time.monotonic()
             await self._send_error(error)
             return False
         except h11.RemoteProtocolError as error:
@@ -323,7 +333,6 @@
             return False
         if request is None:
             return False
-        self._waiting_since_s = 0.0
         self._release_unused(request)
         response = await self._answer(request)
         if isinstance(response, http.NoResponse):
@@ -362,7 +371,9 @@
         if not isinstance(head, h11.Request):
             return None
         self._idle = False
+        self._waiting_since_s = 0.0
         self._body = bytearray()
+        self._chunks = 0
         if len(head.headers) > http.MAX_HEADERS:
             self._record_limit("headers")
             remedy = f"send at most {http.MAX_HEADERS} headers"
@@ -371,7 +382,7 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in head.headers
         )
-        self._reserve_announced(headers)
+        await self._reserve_announced(headers)
         if self._protocol.they_are_waiting_for_100_continue:
             proceed = h11.InformationalResponse(status_code=100, headers=[])
             await self._send(self._protocol.send(proceed))
@@ -408,7 +419,7 @@
 
     async def _read_whole_body(self) -> bytes:
         try:
-            if not self._append_received_body():
+            if not await self._append_received_body():
                 await curio.timeout_after(
                     self._limits.body_timeout_s, self._read_body
                 )
@@ -420,10 +431,10 @@
         return body
 
     async def _read_body(self) -> None:
-        while not self._append_received_body():
+        while not await self._append_received_body():
             await self._receive()
 
-    def _append_received_body(self) -> bool:
+    async def _append_received_body(self) -> bool:
         """Appends the received part; returns whether the body is complete."""
         while True:
             event = self._protocol.next_event()
@@ -436,27 +447,37 @@
             size = len(self._body) + len(event.data)
             if size > self._limits.max_body_bytes:
                 raise self._body_too_large()
+            self._chunks += event.chunk_start
+            if self._chunks > MAX_SMALL_CHUNKS + size // MIN_MEAN_CHUNK_BYTES:
+                self._record_limit("chunks")
+                remedy = f"send chunks of {MIN_MEAN_CHUNK_BYTES} bytes or more"
+                raise errors.HttpError(400, "bad-request", remedy)
             # Rounded up, so that small chunks need no reservation each.
             steps = -(-size // BODY_STEP_BYTES)
-            self._reserve_body(
+            await self._reserve_body(
                 min(steps * BODY_STEP_BYTES, self._limits.max_body_bytes)
             )
             self._body += event.data
 
-    def _reserve_announced(self, headers: http.Headers) -> None:
+    async def _reserve_announced(self, headers: http.Headers) -> None:
         """Reserves the announced length before the body is read."""
         length = int(dict(headers).get("content-length", "0"))
         if length > self._limits.max_body_bytes:
             raise self._body_too_large()
-        self._reserve_body(length)
+        await self._reserve_body(length)
 
-    def _reserve_body(self, size: int) -> None:
+    async def _reserve_body(self, size: int) -> None:
+        """Reserves memory for a request with a body of the given size."""
         needed = self._request_bytes + size * BODY_FACTOR
         if needed <= self._reservation.size:
             return
-        if not self._reservation.resize(needed):
-            self._record_limit("memory")
-            raise errors.HttpError(503, "limited", _REMEDY_MEMORY)
+        # This connection must not be evicted for itself.
+        waiting_since_s, self._waiting_since_s = self._waiting_since_s, 0.0
+        while not self._reservation.resize(needed):
+            if not await self._evict():
+                self._record_limit("memory")
+                raise errors.HttpError(503, "limited", _REMEDY_MEMORY)
+        self._waiting_since_s = waiting_since_s
 
     def _reserve_response(self, response: http.Response) -> bool:
         """Reserves memory for a response that the caller may not read."""
@@ -513,7 +534,7 @@
         if data:
             self._idle = False
             if self._reservation.size < self._request_bytes:
-                self._reserve_body(0)
+                await self._reserve_body(0)
         self._protocol.receive_data(data)
 
     async def _send_error(self, error: errors.HttpError) -> None:
--- a/pomelostair/memorybudget.py
+++ b/pomelostair/memorybudget.py
@@ -21,8 +21,8 @@
 # Share of the machine's memory for callers. An idle process takes about 45 MB,
 # so this leaves half of the smallest machine for the product's own state.
 CALLERS_SHARE = 0.25
-# Taken out of that share for the readiness checks.
-READINESS_BYTES = 2 * _MIB
+# Taken out of that share for readiness checks, and again for metrics.
+OPERATIONS_BYTES = 2 * _MIB
 # Descriptors for files and the parts of the runtime.
 RESERVED_FDS = 200
 MAX_CALLERS = 2048
@@ -142,9 +142,10 @@
     """Bounds of a process.
 
     Attributes:
-        callers: Budget of all connections except readiness checks.
+        callers: Budget of the connections of callers and workers.
         readiness: Budget of the readiness checks, so that callers can't take
             an entry out of service.
+        metrics: Budget of the metrics server, so that they stay visible.
         max_callers: Connections of callers.
         max_readiness_connections: Connections of readiness checks.
         max_bus_connections: Connections that peers make to the bus; as many
@@ -153,6 +154,7 @@
 
     callers: MemoryBudget
     readiness: MemoryBudget
+    metrics: MemoryBudget
     max_callers: int
     max_readiness_connections: int
     max_bus_connections: int
@@ -170,11 +172,12 @@
         max_fds: Descriptors that it may have open.
     """
     callers_bytes = int(memory_mb * _MIB * CALLERS_SHARE)
-    readiness_bytes = min(READINESS_BYTES, callers_bytes // 8)
+    operations_bytes = min(OPERATIONS_BYTES, callers_bytes // 8)
     usable_fds = max(0, max_fds - RESERVED_FDS)
     return Bounds(
-        callers=MemoryBudget(callers_bytes - readiness_bytes),
-        readiness=MemoryBudget(readiness_bytes),
+        callers=MemoryBudget(callers_bytes - 2 * operations_bytes),
+        readiness=MemoryBudget(operations_bytes),
+        metrics=MemoryBudget(operations_bytes),
         max_callers=_clamp(usable_fds * 3 // 8, MAX_CALLERS),
         max_readiness_connections=_clamp(
             usable_fds // 16, MAX_READINESS_CONNECTIONS
--- a/pomelostair/platform/control.py
+++ b/pomelostair/platform/control.py
@@ -18,6 +18,7 @@
 MAX_BODY_BYTES = 64 * 1024
 MAX_HEADERS_BYTES = 8 * 1024
 RECEIVE_BYTES = 16 * 1024
+REQUEST_TIMEOUT_S = 5.0
 MAX_CONNECTIONS = 64
 MAX_REJECTING_CONNECTIONS = 16
 
@@ -43,6 +44,8 @@
                 max_body_bytes=MAX_BODY_BYTES,
                 max_headers_bytes=MAX_HEADERS_BYTES,
                 receive_bytes=RECEIVE_BYTES,
+                headers_timeout_s=REQUEST_TIMEOUT_S,
+                body_timeout_s=REQUEST_TIMEOUT_S,
             ),
             parts.bounds.callers,
             memorybudget.LimitLog(parts.metrics),
--- a/pomelostair/platform/front.py
+++ b/pomelostair/platform/front.py
@@ -23,6 +23,8 @@
 MAX_HEADERS_BYTES = 8 * 1024
 RECEIVE_BYTES = 16 * 1024
 MAX_REJECTING_CONNECTIONS = 16
+# Callers wait for 3 s at most, and a head or body takes milliseconds.
+REQUEST_TIMEOUT_S = 5.0
 # The balancer checks once a second; idle connections must not keep it out.
 READINESS_IDLE_S = 5.0
 READINESS_BODY_BYTES = 1024
@@ -59,8 +61,6 @@
                 max_connections=bounds.max_readiness_connections,
                 max_body_bytes=READINESS_BODY_BYTES,
                 idle_timeout_s=READINESS_IDLE_S,
-                headers_timeout_s=READINESS_IDLE_S,
-                body_timeout_s=READINESS_IDLE_S,
                 write_timeout_s=READINESS_IDLE_S,
             ),
             bounds.readiness,
@@ -153,6 +153,8 @@
         max_rejecting_connections=MAX_REJECTING_CONNECTIONS,
         max_headers_bytes=MAX_HEADERS_BYTES,
         receive_bytes=RECEIVE_BYTES,
+        headers_timeout_s=REQUEST_TIMEOUT_S,
+        body_timeout_s=REQUEST_TIMEOUT_S,
         **limits,
     )
 
