Bus: connections that have ended do not count against the limit

Cause: pynng's events of one connection may overtake each other, and it then lists a connection that has ended for good. After 16,000 connections that were reset, 14 stayed listed; enough of them would have kept all peers out.

Change: the loop counts listed connections that the library no longer knows, and the limit leaves them out. The test fails without that.

--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -387,16 +387,29 @@
         self._inbox_fd = self._inbox.recv_fd
         # Counted in threads of nng, reported by the loop.
         self._excess_pipes = 0
+        self._removed_pipes = 0
         self._excess_peers = 0
         self._peers: dict[str, _Peer] = {}
 
     def _close_excess_pipe(self, pipe: pynng.Pipe) -> None:
         """Closes a new connection over the limit; runs in a thread of nng."""
         limit = self._limits.max_connections
-        if limit is not None and len(self._inbox.pipes) > limit:
+        count = len(self._inbox.pipes) - self._removed_pipes
+        if limit is not None and count > limit:
             self._excess_pipes += 1
             pipe.close()
 
+    def _count_removed_pipes(self) -> None:
+        """Counts the connections that pynng lists but that have ended.
+
+        Its events of one connection may overtake each other, and a connection
+        that is added after its removal stays listed for good.
+        """
+        limit = self._limits.max_connections
+        pipes = self._inbox.pipes
+        if limit is not None and len(pipes) > limit // 2:
+            self._removed_pipes = sum(map(_is_removed, pipes))
+
     def _report_limits(self) -> None:
         """Counts and logs the limits that were reached since the last call."""
         counts = {"peers": self._excess_pipes, "addresses": self._excess_peers}
@@ -425,6 +438,7 @@
     async def _probe_active_peers(self) -> None:
         while True:
             await curio.sleep(PROBE_INTERVAL_S)
+            self._count_removed_pipes()
             self._report_limits()
             cutoff_s = _now() - PROBE_INTERVAL_S
             for address, peer in list(self._peers.items()):
@@ -564,6 +578,13 @@
             self._peers.pop(address).close()
 
 
+def _is_removed(pipe: pynng.Pipe) -> bool:
+    try:
+        return pipe.protocol is None
+    except pynng.NNGException:
+        return True
+
+
 class _Peer:
     """The connection to one peer.
 
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -302,6 +302,39 @@
         assert metrics.counts["limits_reached", "bus", "peers"] == 6
         assert metrics.counts["limits_reached", "bus", "addresses"] == 6
 
+    def test_listed_connections_that_have_ended_do_not_count(self):
+        """A flood of resets left some listed, which kept all peers out."""
+        address = f"tcp://{site.free_address()}"
+        receiver = bus.NngBus(
+            "r", address, CountingMetrics(), limits=bus.Limits(10_000, 1)
+        )
+        host, _, port = address.removeprefix("tcp://").rpartition(":")
+
+        def connect():
+            client = socket.create_connection((host, int(port)))
+            client.sendall(b"\x00SP\x00\x00\x50\x00\x00")
+            return client
+
+        async def body():
+            pipes = receiver._inbox._pipes
+            client = connect()
+            await wait_until(lambda: len(pipes) == 1)
+            [(number, ended)] = pipes.items()
+            client.close()
+            await wait_until(lambda: not pipes)
+            pipes[number] = ended
+            receiver._count_removed_pipes()
+            with connect():
+                await wait_until(lambda: len(pipes) == 2)
+                await curio.sleep(0.1)
+                assert len(pipes) == 2
+
+        try:
+            curio.run(curio.timeout_after, WAIT_S, body)
+        finally:
+            receiver.close()
+        assert receiver._excess_pipes == 0
+
     def test_flushed_message_arrives_after_close(self):
         pair = Pair("nng")
         big = messages.Served(200, (), b"z" * 10_000_000)
