HTTP: a large response is replaced only where a GET has no effect

Cause: a response that did not fit into the memory budget became a 503 with "ran: no" for every GET, also for one that an entry had passed to a minion.

Change: only listeners of pipeline roles replace it; others send it and count the limit. Tests of relayed watches that do not fit and of posts that wait.

--- a/pomelostair/exporter.py
+++ b/pomelostair/exporter.py
@@ -37,6 +37,7 @@
                     max_body_bytes=MAX_BODY_BYTES,
                     max_headers_bytes=MAX_HEADERS_BYTES,
                     receive_bytes=MAX_HEADERS_BYTES,
+                    gets_have_no_effect=True,
                 ),
                 parts.bounds.metrics,
                 memorybudget.LimitLog(parts.metrics),
--- a/pomelostair/http.py
+++ b/pomelostair/http.py
@@ -85,6 +85,8 @@
         max_body_bytes: Maximum size of a request body.
         max_headers_bytes: Maximum size of a request head.
         receive_bytes: Most bytes that are read from a connection at once.
+        gets_have_no_effect: Whether a response to GET that does not fit into
+            the memory may become a 503, which says that nothing has run.
         idle_timeout_s: Timeout for the first byte of a request.
         headers_timeout_s: Timeout from the first byte of a request to the end
             of its headers.
@@ -102,6 +104,7 @@
     max_body_bytes: int = MAX_BODY_BYTES
     max_headers_bytes: int = MAX_HEADERS_BYTES
     receive_bytes: int = RECEIVE_BYTES
+    gets_have_no_effect: bool = False
     idle_timeout_s: float = IDLE_TIMEOUT_S
     headers_timeout_s: float = HEADERS_TIMEOUT_S
     body_timeout_s: float = BODY_TIMEOUT_S
--- a/pomelostair/httpserver.py
+++ b/pomelostair/httpserver.py
@@ -339,7 +339,9 @@
             return False
         if not self._reserve_response(response):
             self._record_limit("response")
-            if request.method in ("GET", "HEAD"):
+            if self._limits.gets_have_no_effect and (
+                request.method in ("GET", "HEAD")
+            ):
                 response = _with_retry_after(
                     self._error_handler(
                         errors.HttpError(503, "limited", _REMEDY_MEMORY)
--- a/pomelostair/platform/control.py
+++ b/pomelostair/platform/control.py
@@ -44,6 +44,7 @@
                 max_body_bytes=MAX_BODY_BYTES,
                 max_headers_bytes=MAX_HEADERS_BYTES,
                 receive_bytes=RECEIVE_BYTES,
+                gets_have_no_effect=True,
                 headers_timeout_s=REQUEST_TIMEOUT_S,
                 body_timeout_s=REQUEST_TIMEOUT_S,
             ),
--- a/pomelostair/platform/front.py
+++ b/pomelostair/platform/front.py
@@ -153,6 +153,7 @@
         max_rejecting_connections=MAX_REJECTING_CONNECTIONS,
         max_headers_bytes=MAX_HEADERS_BYTES,
         receive_bytes=RECEIVE_BYTES,
+        gets_have_no_effect=True,
         headers_timeout_s=REQUEST_TIMEOUT_S,
         body_timeout_s=REQUEST_TIMEOUT_S,
         **limits,
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -187,6 +187,21 @@
 
         assert isinstance(pair.run(body), bus.Answered)
 
+    def test_posts_that_wait_are_bounded(self, monkeypatch):
+        """Each holds its message until the connection is given up."""
+        monkeypatch.setattr(bus, "MAX_WAITING_POSTS", 2)
+        pair = Pair("nng")
+        dead = f"tcp://{site.free_address()}"
+
+        async def body():
+            for n in range(5):
+                await pair.a.post(dead, messages.Nudge(n))
+            await wait_until(lambda: not pair.a._waiting_posts)
+
+        pair.run(body)
+        counts = pair.metrics["a"].counts
+        assert counts["messages_not_sent", "too-many-waiting"] == 3
+
     def test_sends_to_a_dead_peer_block_only_once(self):
         pair = Pair("nng")
         dead_address = f"tcp://{site.free_address()}"
--- a/tests/test_relaytable.py
+++ b/tests/test_relaytable.py
@@ -221,6 +221,27 @@
         assert len(keys) == self.COUNT
         assert max(sizes) <= relaytable.MAX_RELAYED_BYTES
 
+    def test_watch_that_does_not_fit_makes_the_watcher_scan(self):
+        """Dropping some of the changes would lose them for good."""
+        rows = tuple(
+            store.Row(f"{KEY}{n}", b"x" * 65_000, n + 1)
+            for n in range(self.COUNT)
+        )
+
+        class Table:
+            async def watch(self, _table, _after, _wait_s):
+                return store.Changes(rows, (), self.COUNT)
+
+            def time(self):
+                return None
+
+        Table.COUNT = self.COUNT
+        relay = relaytable.Relay(Table())
+        message = messages.RelayedWatch("pipelines", 0, 60.0)
+        result = curio.run(relay.answer, message)
+        assert result.gone
+        assert not result.rows
+
     def test_too_many_at_once_are_refused(self):
         gate = curio.Event()
 
