Bus: connections to the port are no longer limited in number

Closing a pipe in the pre-connect callback of pynng ended processes with SIGSEGV or an abort, and closed the newest peer, which may be the leader. The callback and what served it are removed. Connections to peers stay limited, by a third of the free descriptors, so that a leader of 1,000 agents with 4,100 descriptors closes none.

--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -89,12 +89,13 @@
 
     Attributes:
         max_message_bytes: Largest message that is sent or received.
-        max_connections: Most connections from peers, and most to peers; None
-            for no limit.
+        max_peers: Most connections to peers; None for no limit. Those from
+            peers are not limited: closing them in a callback of pynng ended
+            processes.
     """
 
     max_message_bytes: int = wire.MAX_MESSAGE_BYTES
-    max_connections: int | None = None
+    max_peers: int | None = None
 
 
 class Bus(abc.ABC):
@@ -382,50 +383,25 @@
             recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
             recv_max_size=self._limits.max_message_bytes,
         )
-        self._inbox.add_pre_pipe_connect_cb(self._close_excess_pipe)
         self._inbox.listen(listen)
         self._inbox_fd = self._inbox.recv_fd
-        # Counted in threads of nng, reported by the loop.
-        self._excess_pipes = 0
-        self._removed_pipes = 0
         self._excess_peers = 0
         self._peers: dict[str, _Peer] = {}
 
-    def _close_excess_pipe(self, pipe: pynng.Pipe) -> None:
-        """Closes a new connection over the limit; runs in a thread of nng."""
-        limit = self._limits.max_connections
-        count = len(self._inbox.pipes) - self._removed_pipes
-        if limit is not None and count > limit:
-            self._excess_pipes += 1
-            pipe.close()
-
-    def _count_removed_pipes(self) -> None:
-        """Counts the connections that pynng lists but that have ended.
-
-        Its events of one connection may overtake each other, and a connection
-        that is added after its removal stays listed for good.
-        """
-        limit = self._limits.max_connections
-        pipes = self._inbox.pipes
-        if limit is not None and len(pipes) > limit // 2:
-            self._removed_pipes = sum(map(_is_removed, pipes))
-
     def _report_limits(self) -> None:
-        """Counts and logs the limits that were reached since the last call."""
-        counts = {"peers": self._excess_pipes, "addresses": self._excess_peers}
-        self._excess_pipes -= counts["peers"]
-        self._excess_peers = 0
-        for limit, count in counts.items():
-            if count:
-                self._metrics.count(
-                    "limits_reached", count, place="bus", limit=limit
-                )
-                log.emit(
-                    events.Events.LIMIT_REACHED,
-                    place="bus",
-                    limit=limit,
-                    count=count,
-                )
+        """Counts and logs the limit if it was reached since the last call."""
+        count, self._excess_peers = self._excess_peers, 0
+        if not count:
+            return
+        self._metrics.count(
+            "limits_reached", count, place="bus", limit="addresses"
+        )
+        log.emit(
+            events.Events.LIMIT_REACHED,
+            place="bus",
+            limit="addresses",
+            count=count,
+        )
 
     async def run(self) -> None:
         """Receives and probes the active connections until cancelled."""
@@ -438,7 +414,6 @@
     async def _probe_active_peers(self) -> None:
         while True:
             await curio.sleep(PROBE_INTERVAL_S)
-            self._count_removed_pipes()
             self._report_limits()
             cutoff_s = _now() - PROBE_INTERVAL_S
             for address, peer in list(self._peers.items()):
@@ -552,7 +527,7 @@
         Peers name the address of their answers themselves, so made-up ones must
         not take all descriptors.
         """
-        limit = self._limits.max_connections
+        limit = self._limits.max_peers
         if limit is None or len(self._peers) < limit:
             return True
         self._excess_peers += 1
@@ -578,13 +553,6 @@
             self._peers.pop(address).close()
 
 
-def _is_removed(pipe: pynng.Pipe) -> bool:
-    try:
-        return pipe.protocol is None
-    except pynng.NNGException:
-        return True
-
-
 class _Peer:
     """The connection to one peer.
 
--- a/pomelostair/compose.py
+++ b/pomelostair/compose.py
@@ -118,9 +118,7 @@
 ) -> bus.NngBus:
     limits = bus.Limits()
     if settings.pipelines is not None:
-        limits = bus.Limits(
-            bus.MAX_PIPELINE_MESSAGE_BYTES, bounds.max_bus_connections
-        )
+        limits = bus.Limits(bus.MAX_PIPELINE_MESSAGE_BYTES, bounds.max_peers)
     try:
         public_address = settings.bus_public or settings.bus
         return bus.NngBus(
--- a/pomelostair/memorybudget.py
+++ b/pomelostair/memorybudget.py
@@ -25,6 +25,8 @@
 OPERATIONS_BYTES = 2 * _MIB
 # Descriptors for files and the parts of the runtime.
 RESERVED_FDS = 200
+# Of a connection to a peer: its socket, and those that tell when it is writable.
+FDS_PER_PEER = 3
 MAX_CALLERS = 2048
 MAX_READINESS_CONNECTIONS = 64
 MIN_CONNECTIONS = 16
@@ -148,8 +150,7 @@
         metrics: Budget of the metrics server, so that they stay visible.
         max_callers: Connections of callers.
         max_readiness_connections: Connections of readiness checks.
-        max_bus_connections: Connections that peers make to the bus; as many
-            are made to peers.
+        max_peers: Connections to peers over the bus.
     """
 
     callers: MemoryBudget
@@ -157,15 +158,15 @@
     metrics: MemoryBudget
     max_callers: int
     max_readiness_connections: int
-    max_bus_connections: int
+    max_peers: int
 
 
 def derive(memory_mb: float, max_fds: int) -> Bounds:
     """Returns the bounds of a process.
 
-    Of the descriptors that are not reserved, three eighths are for callers, a
-    sixteenth for readiness checks, and half for as many connections from peers
-    as to peers, which take one and three descriptors each.
+    Of the descriptors that are not reserved, three eighths are for callers and
+    a sixteenth for readiness checks. Connections to peers may use all of them:
+    a lower limit would cut off agents of a large site.
 
     Args:
         memory_mb: Memory of its machine.
@@ -182,7 +183,7 @@
         max_readiness_connections=_clamp(
             usable_fds // 16, MAX_READINESS_CONNECTIONS
         ),
-        max_bus_connections=_clamp(usable_fds // 8, usable_fds),
+        max_peers=_clamp(usable_fds // FDS_PER_PEER, usable_fds),
     )
 
 
