HTTP: a request that has arrived is not evicted, nor runs after an eviction

A connection whose request arrived in the loop turn of the eviction was cancelled while its handler ran, and the caller read an empty close. One with unread data is now skipped, and data received after an eviction are not parsed. A malformed request waits from its rejection on, and connections that linger after a rejection are evicted last, since closing them may discard the response.

--- a/pomelostair/httpserver.py
+++ b/pomelostair/httpserver.py
@@ -38,6 +38,7 @@
 EVICTABLE_S = 1.0
 # Pause after a search that found none, as it looks at every connection.
 _EVICTION_PAUSE_S = 0.05
+_PEEK = socket.MSG_PEEK | socket.MSG_DONTWAIT
 _REMEDY_MEMORY = "repeat later; the memory for requests is in use"
 
 Handler = Callable[[http.Request], Awaitable[http.Response | http.NoResponse]]
@@ -190,17 +191,23 @@
 
         Without that, callers that send nothing would keep all others out for
         the whole timeout. Once the head of a request has been read, its
-        connection stays until it is answered or rejected.
+        connection stays until it is answered or rejected. One that lingers
+        after a rejection goes last, as closing it may discard the response.
         """
         now = time.monotonic()
         if now < self._eviction_s:
             return False
-        waiting = [c for c in self._connections if c.waiting_since_s]
-        oldest = min(waiting, key=lambda c: c.waiting_since_s, default=None)
-        if oldest is None or now - oldest.waiting_since_s < EVICTABLE_S:
+        latest_s = now - EVICTABLE_S
+        waiting = sorted(
+            (c for c in self._connections if 0 < c.waiting_since_s <= latest_s),
+            key=lambda c: (c.lingering, c.waiting_since_s),
+        )
+        oldest = next((c for c in waiting if not c.has_request_data()), None)
+        if oldest is None:
             self._eviction_s = now + _EVICTION_PAUSE_S
             return False
         task = self._connections.pop(oldest)
+        oldest.mark_evicted()
         oldest.release()
         self._record_limit("waiting")
         await task.cancel(blocking=False)
@@ -247,6 +254,8 @@
         self._close_after_response = False
         self._idle = True
         self._waiting_since_s = time.monotonic()
+        self._lingering = False
+        self._evicted = False
         self._record_limit = record_limit
         self._evict = evict
         self._reservation = memorybudget.Reservation(budget)
@@ -270,6 +279,27 @@
         """
         return self._waiting_since_s
 
+    @property
+    def lingering(self) -> bool:
+        """Whether the rest of a rejected request is being discarded."""
+        return self._lingering
+
+    def has_request_data(self) -> bool:
+        """Returns whether data of a request have arrived and are not read."""
+        if self._lingering:
+            return False
+        try:
+            return bool(self._client._socket.recv(1, _PEEK))
+        except OSError:
+            return False
+
+    def mark_evicted(self) -> None:
+        """Ignores all data from now on, so that no further request runs.
+
+        Its task may receive data before it is cancelled at its next wait.
+        """
+        self._evicted = True
+
     def close_after_response(self) -> None:
         """Closes the connection after the current or next response."""
         self._close_after_response = True
@@ -329,6 +359,7 @@
             return False
         except h11.RemoteProtocolError as error:
             self._drop_request()
+            self._waiting_since_s = time.monotonic()
             await self._send_error(self._malformed_request(error))
             return False
         if request is None:
@@ -533,6 +564,8 @@
 
     async def _receive(self) -> None:
         data = await self._client.recv(self._limits.receive_bytes)
+        if self._evicted:
+            raise OSError("connection was closed in favour of a new one")
         if data:
             self._idle = False
             if self._reservation.size < self._request_bytes:
@@ -554,6 +587,7 @@
         Closing at once would reset the connection, and the caller would not
         receive the response.
         """
+        self._lingering = True
         await self._client.shutdown(socket.SHUT_WR)
         async with curio.ignore_after(self._limits.linger_timeout_s):
             while await self._client.recv(self._limits.receive_bytes):
--- a/pomelostair/memorybudget.py
+++ b/pomelostair/memorybudget.py
@@ -25,7 +25,7 @@
 OPERATIONS_BYTES = 2 * _MIB
 # Descriptors for files and the parts of the runtime.
 RESERVED_FDS = 200
-# Of a connection to a peer: its socket, and those that tell when it is writable.
+# A connection to a peer: its socket, and what tells when it is writable.
 FDS_PER_PEER = 3
 MAX_CALLERS = 2048
 MAX_READINESS_CONNECTIONS = 64
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,4 +1,5 @@
 import contextlib
+import socket
 
 import curio
 from hypothesis import given
@@ -341,6 +342,92 @@
         assert of_holder[:12] == received
         assert harness.budget.reserved_bytes == 0
 
+    def test_request_that_has_arrived_is_not_evicted(self, monkeypatch):
+        """Its handler started and was cancelled, so its outcome was unknown."""
+        monkeypatch.setattr(httpserver, "EVICTABLE_S", 0.0)
+        harness = self.harness(9, max_connections=1)
+
+        async def body():
+            async with await harness.connect() as holder:
+                await holder.sendall(REQUEST)
+                assert status_of(await holder.recv(65536)) == 200
+                # Both arrive before the server's tasks run again.
+                address = "127.0.0.1", harness.server.port
+                with socket.create_connection(address):
+                    holder._socket.send(
+                        b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n"
+                    )
+                    return await holder.recv(65536)
+
+        assert status_of(harness.run(body)) == 200
+
+    def test_data_of_an_evicted_connection_is_not_parsed(self, monkeypatch):
+        """Guards against a request that runs after its connection was closed.
+
+        The data arrive after the check, and the cancellation is delivered only
+        when the task waits next.
+        """
+        handled = []
+
+        async def handle(request):
+            handled.append(request)
+            return http.Response(200, (), b"")
+
+        monkeypatch.setattr(httpserver, "EVICTABLE_S", 0.0)
+        harness = self.harness(9)
+        harness.server._handler = handle
+
+        async def body():
+            async with await harness.connect() as holder:
+                while not harness.server.open_connections:
+                    await curio.sleep(0.01)
+                [connection] = harness.server._connections
+                connection.mark_evicted()
+                await holder.sendall(REQUEST)
+                return await receive_all(holder)
+
+        assert harness.run(body) == b""
+        assert not handled
+
+    def test_malformed_request_waits_from_its_rejection(self):
+        """Guards against an eviction that discards the rejection at once."""
+        harness = self.harness(9, linger_timeout_s=9.0)
+
+        async def body():
+            async with await harness.connect() as holder:
+                while not harness.server.open_connections:
+                    await curio.sleep(0.01)
+                [connection] = harness.server._connections
+                connection._waiting_since_s = 1.0
+                await holder.sendall(b"nonsense\r\n\r\n")
+                assert status_of(await holder.recv(65536)) == 400
+                return connection.waiting_since_s
+
+        assert harness.run(body) > 1.0
+
+    def test_rejected_connection_is_evicted_last(self, monkeypatch):
+        """Closing it may discard the response that it was sent."""
+        monkeypatch.setattr(httpserver, "EVICTABLE_S", 0.0)
+        harness = self.harness(9, max_connections=2, linger_timeout_s=9.0)
+
+        async def body():
+            rejected = await harness.connect()
+            await rejected.sendall(self.HEAD.replace(b"10000", b"20000"))
+            assert status_of(await rejected.recv(65536)) == 413
+            idle = await harness.connect()
+            while harness.server.open_connections < 2:
+                await curio.sleep(0.01)
+            await harness.exchange(
+                b"GET /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+            )
+            assert await receive_all(idle) == b""
+            [connection] = harness.server._connections
+            await rejected.close()
+            await idle.close()
+            return connection.lingering
+
+        assert harness.run(body)
+
     def test_waiting_connections_make_room_for_a_body(self, monkeypatch):
         monkeypatch.setattr(httpserver, "EVICTABLE_S", 0.0)
         harness = self.harness(1)
