Reports of agents are split by size

A report of 64 workers with 500 ends each takes over 4 MB, which is not sent at all above 2 MiB, so that the leader would hear nothing from that host again. The workers are now spread over several reports. The ends of a single worker that do not fit are cut from the highest number on, and the state says so with `more_ended`, as the scheduler then takes no attempt for missing.

--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -32,6 +32,12 @@
 # ids are free to make up.
 MAX_WORKERS = 64
 MAX_GONE = 1000  # Ended incarnations that are still reported.
+# Workers' states in one report; further ones follow in the next. The rest of a
+# report, mostly ids of ended incarnations, stays below the same size.
+MAX_REPORT_BYTES = bus_module.MAX_PIPELINE_MESSAGE_BYTES // 4
+# Numbers, end and framing of a row, and the other fields of a state.
+_ROW_OVERHEAD_BYTES = 64
+_STATE_OVERHEAD_BYTES = 512
 # Longest wait of a `hold` call. A new leader has to wait for it.
 MAX_HOLD_WAIT_MS = 400
 # Polls, at `LISTING_POLL_S`, for the listing that shows an unanswered start.
@@ -964,7 +970,7 @@
         fresh: bool = False,
         results: tuple[messages.OrderResult, ...] = (),
     ) -> None:
-        """Sends a report to the leader.
+        """Sends a report to the leader, in parts if it is large.
 
         Args:
             workers: Workers whose states are included.
@@ -981,6 +987,23 @@
         for key, since_s in list(self._blameless_since_s.items()):
             if now_s - since_s > BLAMELESS_REPORT_S:
                 del self._blameless_since_s[key]
+        states = [
+            _worker_state(
+                worker,
+                fresh,
+                results,
+                self._lease_has_lapsed(worker),
+                self._is_silent(worker),
+            )
+            for worker in workers
+            if worker.listing is not None
+        ]
+        for part in _split_states(states):
+            await self._post_report(part, now_s)
+
+    async def _post_report(
+        self, states: tuple[messages.WorkerState, ...], now_s: float
+    ) -> None:
         self._sequence += 1
         self._last_report_s = now_s
         self._report_sent_s[self._sequence] = now_s
@@ -991,17 +1014,7 @@
             self._sequence,
             now_s - self._started_s > self._complete_after_s,
             tuple(w.key for w in self._workers.values() if w.confirmed),
-            tuple(
-                _worker_state(
-                    worker,
-                    fresh,
-                    results,
-                    self._lease_has_lapsed(worker),
-                    self._is_silent(worker),
-                )
-                for worker in workers
-                if worker.listing is not None
-            ),
+            states,
             tuple(self._gone_since_s),
             {
                 w.heartbeat.worker: w.heartbeat.address
@@ -1123,3 +1136,56 @@
         zone=heartbeat.zone,
         cold_left_ms=heartbeat.cold_left_ms,
     )
+
+
+def _split_states(
+    states: list[messages.WorkerState],
+) -> list[tuple[messages.WorkerState, ...]]:
+    """Returns the states in parts that fit into one report each, at least one.
+
+    A state that exceeds a report by itself loses its last ends, which are
+    listed again once the leader has acknowledged the first ones.
+    """
+    parts = [[]]
+    part_size = 0
+    for state in states:
+        fitting, size = _cut_ends(state)
+        if parts[-1] and part_size + size > MAX_REPORT_BYTES:
+            parts.append([])
+            part_size = 0
+        parts[-1].append(fitting)
+        part_size += size
+    return [tuple(part) for part in parts]
+
+
+def _cut_ends(
+    state: messages.WorkerState,
+) -> tuple[messages.WorkerState, int]:
+    """Returns a state with the ends that fit, and its largest size."""
+    size = _STATE_OVERHEAD_BYTES + _row_bytes(
+        (state.worker, state.service, state.rack, state.zone, *state.labels)
+    )
+    size += sum(map(_row_bytes, state.running))
+    size += sum(_row_bytes((r.outcome, r.reason)) for r in state.results)
+    sizes = list(map(_row_bytes, state.ended))
+    if size + sum(sizes) <= MAX_REPORT_BYTES:
+        return state, size + sum(sizes)
+    # In the order of their numbers, as an acknowledgement covers all before it.
+    kept = []
+    for row in sorted(state.ended, key=lambda row: row[0]):
+        row_bytes = _row_bytes(row)
+        if kept and size + row_bytes > MAX_REPORT_BYTES:
+            break
+        size += row_bytes
+        kept.append(row)
+    cut = len(kept) < len(state.ended)
+    state = attrs.evolve(
+        state, ended=tuple(kept), more_ended=state.more_ended or cut
+    )
+    return state, size
+
+
+def _row_bytes(row: tuple) -> int:
+    return _ROW_OVERHEAD_BYTES + sum(
+        len(text.encode()) for text in row if isinstance(text, str)
+    )
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -318,6 +318,88 @@
         harness.run(body)
 
 
+class TestLargeReports:
+    """Reports that exceed the largest message are not sent at all."""
+
+    @staticmethod
+    def ends(count):
+        return tuple(
+            (n, f"{n:016x}.0.0.{n}", 1, pipeline.End.DONE, "c" * 100)
+            for n in range(1, count + 1)
+        )
+
+    @staticmethod
+    def encoded_size(report):
+        return len(wire.encode_sparse(report))
+
+    async def reports_of(self, harness, workers, ends):
+        agent = harness.agent
+        agent._accept_leader(LEADER)
+        for n in range(workers):
+            await harness.heartbeat(worker=f"w{n}", address=f"127.0.0.1:{n}")
+        for worker in agent._workers.values():
+            worker.listing = ports.HoldAnswer(1, 7, (), ends, False)
+        harness.reports.clear()
+        before = agent._sequence
+        await agent._report(tuple(agent._workers.values()), fresh=True)
+        last = agent._sequence
+        await harness.wait_until(
+            lambda: any(r.sequence >= last for r in harness.reports)
+        )
+        return [r for r in harness.reports if before < r.sequence <= last]
+
+    def test_workers_of_a_large_report_are_split(self):
+        """The leader heard nothing from a host of 64 workers with 500 ends."""
+        harness = Harness()
+
+        async def body():
+            ends = self.ends(500)
+            reports = await self.reports_of(harness, 64, ends)
+            states = [state for r in reports for state in r.workers]
+            assert [s.worker for s in states] == [f"w{n}" for n in range(64)]
+            assert all(s.ended == ends for s in states)
+            assert not any(s.more_ended for s in states)
+            assert max(map(self.encoded_size, reports)) <= (
+                bus_module.MAX_PIPELINE_MESSAGE_BYTES // 2
+            )
+            assert len({r.lives for r in reports}) == 1
+
+        harness.run(body)
+
+    def test_ends_of_a_large_worker_are_cut_and_said_to_be(self):
+        """Ends that are left out must not count as missing attempts.
+
+        The lowest numbers stay, since an acknowledgement covers all before it.
+        """
+        harness = Harness()
+
+        async def body():
+            ends = self.ends(20_000)
+            [report] = await self.reports_of(harness, 1, ends[::-1])
+            [state] = report.workers
+            assert state.more_ended
+            assert 0 < len(state.ended) < len(ends)
+            assert state.ended == ends[: len(state.ended)]
+            assert self.encoded_size(report) <= (
+                bus_module.MAX_PIPELINE_MESSAGE_BYTES // 2
+            )
+
+        harness.run(body)
+
+    def test_estimate_is_no_less_than_the_encoded_size(self):
+        """Guards against a report of texts that take several bytes each."""
+        harness = Harness()
+
+        async def body():
+            ends = tuple((*row[:4], "é" * 300) for row in self.ends(9_000))
+            [report] = await self.reports_of(harness, 1, ends)
+            assert self.encoded_size(report) <= (
+                pipelineagent.MAX_REPORT_BYTES + 10_000
+            )
+
+        harness.run(body)
+
+
 class TestOrders:
     def test_repeated_order_is_executed_once(self):
         harness = Harness()
