Relay: the leader's lease and watches have slots of their own

Operations of callers that are relayed for a peer could fill all 64 slots, so that the commit that renews the leader's lease, and watches, were refused.

--- a/pomelostair/relaytable.py
+++ b/pomelostair/relaytable.py
@@ -6,6 +6,7 @@
 store has never served can lead.
 """
 
+import collections
 from collections.abc import Callable
 
 import attrs
@@ -14,6 +15,7 @@
 from pomelostair import circuitbreaker
 from pomelostair import clock as clock_module
 from pomelostair import outcome
+from pomelostair import pipelinelease
 from pomelostair import pipelinemessages as messages
 from pomelostair import store
 from pomelostair import storeclock
@@ -22,7 +24,12 @@
 MAX_PEERS = 2  # Further peers are likely refused for the same reason.
 # Rows of an answer; a scan goes on after them, a watch begins anew.
 MAX_RELAYED_BYTES = bus_module.MAX_PIPELINE_MESSAGE_BYTES // 4
-MAX_RELAYED_AT_ONCE = 64  # Operations that an entry performs for peers.
+# Operations that an entry performs for peers at once. Those on the lease row of
+# the leader, and watches, have slots of their own, as the leader would lose its
+# lease while operations of callers fill the others.
+MAX_RELAYED_AT_ONCE = 64
+MAX_RELAYED_WATCHES = 64
+MAX_RELAYED_ON_LEASE = 16
 _ROW_OVERHEAD_BYTES = 64
 MAX_RELAYED_WATCH_S = 0.5  # A relayed watch occupies the peer's connection.
 
@@ -153,19 +160,20 @@
 
     def __init__(self, direct_table: circuitbreaker.CircuitBreakerTable):
         self._direct_table = direct_table
-        self._performing = 0
+        self._performing = collections.Counter()
 
     async def answer(self, message: object) -> messages.RelayedResult:
         """Returns the store's answer to a relayed operation, and its time."""
-        if self._performing >= MAX_RELAYED_AT_ONCE:
+        kind, limit = _kind_and_limit(message)
+        if self._performing[kind] >= limit:
             return messages.RelayedResult(
                 unavailable="the peer relays too many operations"
             )
-        self._performing += 1
+        self._performing[kind] += 1
         try:
             result = await self._perform(message)
         finally:
-            self._performing -= 1
+            self._performing[kind] -= 1
         return attrs.evolve(result, time=self._direct_table.time())
 
     async def _perform(self, message: object) -> messages.RelayedResult:
@@ -188,6 +196,20 @@
         raise TypeError(f"not a relayed operation: {message!r}")
 
 
+def _kind_and_limit(message: object) -> tuple[str, int]:
+    """Returns the kind of an operation, and how many run at once."""
+    match message:
+        case messages.RelayedWatch():
+            return "watch", MAX_RELAYED_WATCHES
+        case messages.RelayedRead(key=pipelinelease.KEY):
+            return "lease", MAX_RELAYED_ON_LEASE
+        case messages.RelayedCommit(transaction=transaction) if any(
+            put.key == pipelinelease.KEY for put in transaction.puts
+        ):
+            return "lease", MAX_RELAYED_ON_LEASE
+    return "other", MAX_RELAYED_AT_ONCE
+
+
 def _result_of_read(result: store.ReadResult) -> messages.RelayedResult:
     match result:
         case store.Found(row=row):
--- a/tests/test_relaytable.py
+++ b/tests/test_relaytable.py
@@ -5,6 +5,7 @@
 from pomelostair import clock as clock_module
 from pomelostair import metrics
 from pomelostair import outcome
+from pomelostair import pipelinelease
 from pomelostair import pipelinemessages as messages
 from pomelostair import relaytable
 from pomelostair import store
@@ -267,3 +268,80 @@
         refused, answers = curio.run(body)
         assert refused.unavailable
         assert not any(answer.unavailable for answer in answers)
+
+    def test_operations_of_callers_leave_room_for_the_leader(self):
+        """Guards against a lease that lapses under a flood of callers."""
+        gate = curio.Event()
+        lease = store.Transaction(
+            (store.Check(pipelinelease.KEY, 0),),
+            (store.Put(pipelinelease.KEY, b"1"),),
+        )
+
+        class SlowTable:
+            async def read(self, _key):
+                await gate.wait()
+                return store.Absent()
+
+            async def commit(self, transaction):
+                if transaction is not lease:
+                    await gate.wait()
+                return outcome.Committed(1)
+
+            async def watch(self, _table, _after, _wait_s):
+                return store.Changes((), (), 1)
+
+            def time(self):
+                return None
+
+        async def body():
+            relay = relaytable.Relay(SlowTable())
+            of_callers = (
+                messages.RelayedRead(KEY),
+                messages.RelayedCommit(TRANSACTION),
+            )
+            for number in range(relaytable.MAX_RELAYED_AT_ONCE + 8):
+                message = of_callers[number % 2]
+                await curio.spawn(relay.answer, message, daemon=True)
+            await curio.sleep(0)
+            return (
+                await relay.answer(of_callers[0]),
+                await relay.answer(of_callers[1]),
+                await relay.answer(messages.RelayedCommit(lease)),
+                await relay.answer(messages.RelayedWatch("pipelines", 0, 0.1)),
+            )
+
+        read, commit, of_leader, watch = curio.run(body)
+        assert read.unavailable
+        assert commit.unavailable
+        assert of_leader.committed
+        assert not watch.unavailable
+
+    def test_watches_leave_room_for_the_lease(self):
+        """Guards against a lease that lapses under watches of many peers."""
+        lease = store.Transaction((), (store.Put(pipelinelease.KEY, b"1"),))
+        gate = curio.Event()
+
+        class SlowTable:
+            async def commit(self, _transaction):
+                return outcome.Committed(1)
+
+            async def watch(self, _table, _after, _wait_s):
+                await gate.wait()
+
+            def time(self):
+                return None
+
+        async def body():
+            relay = relaytable.Relay(SlowTable())
+            watch = messages.RelayedWatch("pipelines", 0, 0.1)
+            for _ in range(relaytable.MAX_RELAYED_WATCHES + 1):
+                await curio.spawn(relay.answer, watch, daemon=True)
+            await curio.sleep(0)
+            return (
+                await relay.answer(watch),
+                await relay.answer(messages.RelayedCommit(lease)),
+            )
+
+        watch, of_leader = curio.run(body)
+        assert watch.unavailable
+        assert of_leader.committed
