HTTP: bodies of tiny chunks are accepted, and parsed in turns

Encoders that stream send chunks of 5 to 10 bytes and got 400 after 64 of them. A body up to 48,000 bytes may now consist of chunks of any size. After 64 chunks other connections are served, and of all such bodies one goes on at a time.

--- a/pomelostair/httpserver.py
+++ b/pomelostair/httpserver.py
@@ -26,10 +26,14 @@
 BODY_FACTOR = 2
 # A body without an announced length is reserved in steps of this size.
 BODY_STEP_BYTES = 16 * 1024
-# Parsing a chunk takes the same time whatever its size, so a body of tiny ones
-# would occupy the process for seconds. Some first ones may be small.
+# Parsing a chunk takes the same time whatever its size. Encoders that stream
+# send tiny ones, so a body up to MAX_SMALL_CHUNKS bytes may consist of any. One
+# of 16 MiB in single bytes would take two minutes of processor time.
 MIN_MEAN_CHUNK_BYTES = 64
-MAX_SMALL_CHUNKS = 64
+MAX_SMALL_CHUNKS = 48_000
+# Chunks of a body after which others are served. Of all bodies that need more
+# turns, one goes on at a time.
+CHUNKS_PER_TURN = 64
 # Responses up to this size are covered by the reservation of the connection.
 SMALL_RESPONSE_BYTES = 4 * 1024
 RETRY_AFTER_S = 1
@@ -84,6 +88,7 @@
         self._connections: dict[_Connection, curio.Task] = {}
         self._rejecting_connections = 0
         self._eviction_s = 0.0
+        self._parsing = curio.Lock()
         self._acceptor: curio.Task | None = None
         self._stopped = curio.Event()
 
@@ -165,6 +170,7 @@
             self._budget,
             self._record_limit,
             self._evict_longest_waiting,
+            self._parsing,
         )
         limit = self._reserve_connection(connection)
         if limit and await self._evict_longest_waiting():
@@ -246,6 +252,7 @@
         budget: memorybudget.MemoryBudget,
         record_limit: Callable[[str], None],
         evict: Callable[[], Awaitable[bool]],
+        parsing: curio.Lock,
     ):
         self._client = client
         self._handler = handler
@@ -258,6 +265,8 @@
         self._evicted = False
         self._record_limit = record_limit
         self._evict = evict
+        self._parsing = parsing
+        self._more_received = False
         self._reservation = memorybudget.Reservation(budget)
         self._body = bytearray()
         self._chunks = 0
@@ -464,11 +473,22 @@
         return body
 
     async def _read_body(self) -> None:
-        while not await self._append_received_body():
-            await self._receive()
+        complete = False
+        while not complete:
+            if self._more_received:
+                async with self._parsing:
+                    await curio.sleep(0)
+            else:
+                await self._receive()
+            complete = await self._append_received_body()
 
     async def _append_received_body(self) -> bool:
-        """Appends the received part; returns whether the body is complete."""
+        """Appends the received part, up to the chunks of one turn.
+
+        Returns:
+            Whether the body is complete.
+        """
+        self._more_received = False
         while True:
             event = self._protocol.next_event()
             if event is h11.NEED_DATA:
@@ -491,6 +511,9 @@
                 min(steps * BODY_STEP_BYTES, self._limits.max_body_bytes)
             )
             self._body += event.data
+            if event.chunk_start and self._chunks % CHUNKS_PER_TURN == 0:
+                self._more_received = True
+                return False
 
     async def _reserve_announced(self, headers: http.Headers) -> None:
         """Reserves the announced length before the body is read."""
