Relay: a watch holds the largest commit of a leader

Rows of a relayed watch were limited to 512 KiB with 64 bytes for each row, less than a commit of 500,000 bytes in small rows, so that watchers fell back to a full scan in ordinary load. The limit is 1 MiB, and deleted keys count.

--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -30,9 +30,9 @@
 SLOW_HANDLER_S = 0.05
 MAX_WAITING_REPLIES = 1024
 MAX_WAITING_POSTS = 1024
-# Pipelines: the largest messages are relayed pages, commits (up to 0.6 MB) and
-# orders, and both are cut to a quarter of this. Equal in all processes, since a
-# peer closes the connection over a larger one.
+# Pipelines: the largest messages are relayed pages, cut to half of this,
+# commits (up to 0.6 MB), and orders and reports, cut to a quarter. Equal in all
+# processes, since a peer closes the connection over a larger one.
 MAX_PIPELINE_MESSAGE_BYTES = 2 * 1024 * 1024
 RECEIVE_BURST_MESSAGES = 64
 _SCHEME = "tcp://"
--- a/pomelostair/relaytable.py
+++ b/pomelostair/relaytable.py
@@ -23,7 +23,8 @@
 RELAY_TIMEOUT_S = 1.5  # Longer than one transaction of a slow store.
 MAX_PEERS = 2  # Further peers are likely refused for the same reason.
 # Rows of an answer; a scan goes on after them, a watch begins anew.
-MAX_RELAYED_BYTES = bus_module.MAX_PIPELINE_MESSAGE_BYTES // 4
+# A commit of the leader, up to 0.6 MB, has to fit.
+MAX_RELAYED_BYTES = bus_module.MAX_PIPELINE_MESSAGE_BYTES // 2
 # Operations that an entry performs for peers at once. Those on the lease row of
 # the leader, and watches, have slots of their own, as the leader would lose its
 # lease while operations of callers fill the others.
@@ -240,9 +241,13 @@
 
 def _result_of_watch(result: store.WatchResult) -> messages.RelayedResult:
     match result:
-        case store.Changes(rows=rows) if len(_fitting(rows)) < len(rows):
-            return messages.RelayedResult(gone=True)
         case store.Changes(rows=rows, deleted=deleted, version=version):
+            size = sum(len(row.value) for row in rows) + sum(
+                len(key) + _ROW_OVERHEAD_BYTES
+                for key in (*(row.key for row in rows), *deleted)
+            )
+            if size > MAX_RELAYED_BYTES:
+                return messages.RelayedResult(gone=True)
             return messages.RelayedResult(rows, deleted, version=version)
         case store.HistoryGone():
             return messages.RelayedResult(gone=True)
--- a/tests/test_relaytable.py
+++ b/tests/test_relaytable.py
@@ -9,6 +9,7 @@
 from pomelostair import pipelinemessages as messages
 from pomelostair import relaytable
 from pomelostair import store
+from pomelostair import wire
 from tests import faultystore
 
 Fault = faultystore.Fault
@@ -243,6 +244,38 @@
         assert result.gone
         assert not result.rows
 
+    def test_watch_sees_the_largest_commit_of_a_leader(self):
+        """Guards against a scan by each watcher in ordinary load."""
+        rows = tuple(
+            store.Row(f"{KEY}{n:04}", b"x" * 440, n + 1) for n in range(1100)
+        )
+        large = store.Row(f"{KEY}large", b"x" * 65_000, 1101)
+        changes = store.Changes((*rows, large), (KEY,), 1101)
+        result = curio.run(self.watch, changes)
+        assert not result.gone
+        assert len(result.rows) == 1101
+        assert len(wire.encode_sparse(result)) < (
+            bus_module.MAX_PIPELINE_MESSAGE_BYTES
+        )
+
+    def test_watch_with_too_many_deleted_keys_makes_the_watcher_scan(self):
+        """Guards against an answer that is too large to be sent."""
+        deleted = tuple(f"{KEY}{n:064}" for n in range(30_000))
+        result = curio.run(self.watch, store.Changes((), deleted, 1))
+        assert result.gone
+        assert not result.deleted
+
+    async def watch(self, changes):
+        class Table:
+            async def watch(self, _table, _after, _wait_s):
+                return changes
+
+            def time(self):
+                return None
+
+        relay = relaytable.Relay(Table())
+        return await relay.answer(messages.RelayedWatch("pipelines", 0, 1.0))
+
     def test_too_many_at_once_are_refused(self):
         gate = curio.Event()
 
