Agents: made-up ids do not keep out the successor of a worker

At 1,000 ended incarnations a heartbeat removed the incarnation that it replaced and was then ignored, so that made-up ids could take a worker from the host. The successor of a worker that has answered is exempt, and a heartbeat that is ignored replaces none.

--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -388,17 +388,17 @@
         ):
             self._parts.metrics.count("notices_ignored", reason="old-life")
             return
-        for other in list(self._workers.values()):
-            same = other.heartbeat.worker == heartbeat.worker
-            if same or other.heartbeat.address == heartbeat.address:
-                self._remove(
-                    other,
-                    "another incarnation replaced it",
-                    key if same else None,
-                    crashed=not other.is_leaving,
-                )
-        if len(self._workers) >= MAX_WORKERS or (
-            len(self._gone_since_s) >= MAX_GONE
+        replaced = [
+            w
+            for w in self._workers.values()
+            if w.heartbeat.worker == heartbeat.worker
+            or w.heartbeat.address == heartbeat.address
+        ]
+        # The successor of a worker that has answered is real, and must not be
+        # kept out by ids that were made up.
+        succeeds = any(worker.listing is not None for worker in replaced)
+        if len(self._workers) - len(replaced) >= MAX_WORKERS or (
+            len(self._gone_since_s) >= MAX_GONE and not succeeds
         ):
             self._parts.metrics.count("notices_ignored", reason="too-many")
             log.emit(
@@ -407,6 +407,14 @@
                 reason="the host has too many workers or incarnations",
             )
             return
+        for other in replaced:
+            same = other.heartbeat.worker == heartbeat.worker
+            self._remove(
+                other,
+                "another incarnation replaced it",
+                key if same else None,
+                crashed=not other.is_leaving,
+            )
         worker = _Worker(
             heartbeat,
             self._port.worker_client(heartbeat),
--- a/tests/test_pipelineagent.py
+++ b/tests/test_pipelineagent.py
@@ -400,6 +400,46 @@
         harness.run(body)
 
 
+class TestMadeUpIncarnations:
+    def test_successor_is_accepted_after_many_made_up_ones(self, monkeypatch):
+        """Guards against a host that made-up ids take a worker from."""
+        monkeypatch.setattr(pipelineagent, "MAX_GONE", 3)
+        harness = Harness()
+        agent = harness.agent
+
+        async def body():
+            await harness.heartbeat()
+            await harness.instruct()
+            worker = agent._workers["w1", 7]
+            await harness.wait_until(lambda: worker.listing is not None)
+            for n in range(3):
+                agent._gone_since_s[f"x{n}", 1] = agent._clock.now()
+            await harness.heartbeat(worker="x9", address="127.0.0.1:9")
+            assert list(agent._workers) == [("w1", 7)]
+            await harness.heartbeat(incarnation=8)
+            assert list(agent._workers) == [("w1", 8)]
+
+        harness.run(body)
+
+    def test_made_up_successors_are_bounded(self, monkeypatch):
+        """Only a worker that has answered is known to be real."""
+        monkeypatch.setattr(pipelineagent, "MAX_GONE", 3)
+        harness = Harness()
+        agent = harness.agent
+        harness.port.client.down = True
+
+        async def body():
+            for n in range(3):
+                agent._gone_since_s[f"x{n}", 1] = agent._clock.now()
+            agent._gone_since_s.popitem()
+            await harness.heartbeat()
+            agent._gone_since_s["x3", 1] = agent._clock.now()
+            await harness.heartbeat(incarnation=8)
+            assert list(agent._workers) == [("w1", 7)]
+
+        harness.run(body)
+
+
 class TestOrders:
     def test_repeated_order_is_executed_once(self):
         harness = Harness()
