--- a/pomelostair/platform/control.py
+++ b/pomelostair/platform/control.py
@@ -47,6 +47,7 @@
                 gets_have_no_effect=True,
                 headers_timeout_s=REQUEST_TIMEOUT_S,
                 body_timeout_s=REQUEST_TIMEOUT_S,
+                write_timeout_s=REQUEST_TIMEOUT_S,
             ),
             parts.bounds.callers,
             memorybudget.LimitLog(parts.metrics),
--- a/pomelostair/platform/front.py
+++ b/pomelostair/platform/front.py
@@ -23,7 +23,8 @@
 MAX_HEADERS_BYTES = 8 * 1024
 RECEIVE_BYTES = 16 * 1024
 MAX_REJECTING_CONNECTIONS = 16
-# Callers wait for 3 s at most, and a head or body takes milliseconds.
+# Callers wait for 3 s at most, and a head, body or response takes milliseconds.
+# One that does not read its responses can't be evicted before that.
 REQUEST_TIMEOUT_S = 5.0
 # The balancer checks once a second; idle connections must not keep it out.
 READINESS_IDLE_S = 5.0
@@ -61,7 +62,6 @@
                 max_connections=bounds.max_readiness_connections,
                 max_body_bytes=READINESS_BODY_BYTES,
                 idle_timeout_s=READINESS_IDLE_S,
-                write_timeout_s=READINESS_IDLE_S,
             ),
             bounds.readiness,
             limit_log,
@@ -156,6 +156,7 @@
         gets_have_no_effect=True,
         headers_timeout_s=REQUEST_TIMEOUT_S,
         body_timeout_s=REQUEST_TIMEOUT_S,
+        write_timeout_s=REQUEST_TIMEOUT_S,
         **limits,
     )
 
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -1,6 +1,10 @@
+import curio
 import pytest
 
+from pomelostair import http
+from pomelostair import httpserver
 from pomelostair import outcome
+from pomelostair import responses
 from pomelostair.platform import front
 
 
@@ -22,3 +26,34 @@
         response = front._refusal_response(refused)
         assert response.status == status
         assert ("retry-after" in dict(response.headers)) is retries
+
+
+class TestLimits:
+    def test_caller_that_does_not_read_is_closed(self, monkeypatch):
+        """It was not evictable either, for the default of 60 s."""
+        assert front.REQUEST_TIMEOUT_S <= 5.0
+        monkeypatch.setattr(front, "REQUEST_TIMEOUT_S", 0.2)
+
+        async def handle(_request):
+            return http.Response(200, (), b"x" * 10_000_000)
+
+        async def body():
+            server = httpserver.Server(
+                "127.0.0.1",
+                0,
+                handle,
+                responses.error_response,
+                front._limits(max_connections=9, max_body_bytes=100),
+            )
+            task = await curio.spawn(server.run, daemon=True)
+            client = await curio.open_connection("127.0.0.1", server.port)
+            request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+            await client.sendall(request * 20)
+            while not server.open_connections:
+                await curio.sleep(0.01)
+            while server.open_connections:
+                await curio.sleep(0.01)
+            await client.close()
+            await task.cancel()
+
+        curio.run(curio.timeout_after, 20, body)
