Tests of memory check that each crowd was sent, rejected or closed

A crowd ended after 4 s whether or not it had been sent, so that a test could pass without its load on a slow machine. Crowds and bounds are as before.

--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -17,8 +17,9 @@
 from pomelostair_standins import platformsite
 
 WAIT_S = 20.0
-# Longest time for which one crowd sends; it stops earlier if all is sent.
-CROWD_S = 4.0
+# Longest time until each client of a crowd was sent in full, rejected or
+# closed. Those whose answers are not read are closed after 5 s.
+CROWD_S = 60.0
 MEMORY_MB = 80
 MAX_FDS = 400
 CLIENTS = 96
@@ -129,7 +130,8 @@
         events = selectors.EVENT_WRITE | (selectors.EVENT_READ if reads else 0)
         selector.register(client, events, [memoryview(payload)])
     deadline = time.monotonic() + CROWD_S
-    while selector.get_map() and time.monotonic() < deadline:
+    while selector.get_map():
+        assert time.monotonic() < deadline, "clients have unsent data"
         for key, events in selector.select(0.05):
             try:
                 finished = _advance(key, events)
