--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -28,6 +28,16 @@
 from pomelostair import settings as settings_module
 from pomelostair import store
 
+# Incarnations of workers that are held at the same time; a host has few, and
+# ids are free to make up.
+MAX_WORKERS = 64
+MAX_GONE = 1000  # Ended incarnations that are still reported.
+# Workers' states in one report; further ones follow in the next. The rest of a
+# report, mostly ids of ended incarnations, stays below the same size.
+MAX_REPORT_BYTES = bus_module.MAX_PIPELINE_MESSAGE_BYTES // 4
+# Numbers, end and framing of a row, and the other fields of a state.
+_ROW_OVERHEAD_BYTES = 64
+_STATE_OVERHEAD_BYTES = 512
 # Longest wait of a `hold` call. A new leader has to wait for it.
 MAX_HOLD_WAIT_MS = 400
 # Polls, at `LISTING_POLL_S`, for the listing that shows an unanswered start.
@@ -378,15 +388,33 @@
         ):
             self._parts.metrics.count("notices_ignored", reason="old-life")
             return
-        for other in list(self._workers.values()):
+        replaced = [
+            w
+            for w in self._workers.values()
+            if w.heartbeat.worker == heartbeat.worker
+            or w.heartbeat.address == heartbeat.address
+        ]
+        # The successor of a worker that has answered is real, and must not be
+        # kept out by ids that were made up.
+        succeeds = any(worker.listing is not None for worker in replaced)
+        if len(self._workers) - len(replaced) >= MAX_WORKERS or (
+            len(self._gone_since_s) >= MAX_GONE and not succeeds
+        ):
+            self._parts.metrics.count("notices_ignored", reason="too-many")
+            log.emit(
+                events.Events.HEARTBEAT_IGNORED,
+                worker=heartbeat.worker,
+                reason="the host has too many workers or incarnations",
+            )
+            return
+        for other in replaced:
             same = other.heartbeat.worker == heartbeat.worker
-            if same or other.heartbeat.address == heartbeat.address:
-                self._remove(
-                    other,
-                    "another incarnation replaced it",
-                    key if same else None,
-                    crashed=not other.is_leaving,
-                )
+            self._remove(
+                other,
+                "another incarnation replaced it",
+                key if same else None,
+                crashed=not other.is_leaving,
+            )
         worker = _Worker(
             heartbeat,
             self._port.worker_client(heartbeat),
@@ -950,7 +978,7 @@
         fresh: bool = False,
         results: tuple[messages.OrderResult, ...] = (),
     ) -> None:
-        """Sends a report to the leader.
+        """Sends a report to the leader, in parts if it is large.
 
         Args:
             workers: Workers whose states are included.
@@ -967,6 +995,23 @@
         for key, since_s in list(self._blameless_since_s.items()):
             if now_s - since_s > BLAMELESS_REPORT_S:
                 del self._blameless_since_s[key]
+        states = [
+            _worker_state(
+                worker,
+                fresh,
+                results,
+                self._lease_has_lapsed(worker),
+                self._is_silent(worker),
+            )
+            for worker in workers
+            if worker.listing is not None
+        ]
+        for part in _split_states(states):
+            await self._post_report(part, now_s)
+
+    async def _post_report(
+        self, states: tuple[messages.WorkerState, ...], now_s: float
+    ) -> None:
         self._sequence += 1
         self._last_report_s = now_s
         self._report_sent_s[self._sequence] = now_s
@@ -977,17 +1022,7 @@
             self._sequence,
             now_s - self._started_s > self._complete_after_s,
             tuple(w.key for w in self._workers.values() if w.confirmed),
-            tuple(
-                _worker_state(
-                    worker,
-                    fresh,
-                    results,
-                    self._lease_has_lapsed(worker),
-                    self._is_silent(worker),
-                )
-                for worker in workers
-                if worker.listing is not None
-            ),
+            states,
             tuple(self._gone_since_s),
             {
                 w.heartbeat.worker: w.heartbeat.address
@@ -1109,3 +1144,56 @@
         zone=heartbeat.zone,
         cold_left_ms=heartbeat.cold_left_ms,
     )
+
+
+def _split_states(
+    states: list[messages.WorkerState],
+) -> list[tuple[messages.WorkerState, ...]]:
+    """Returns the states in parts that fit into one report each, at least one.
+
+    A state that exceeds a report by itself loses its last ends, which are
+    listed again once the leader has acknowledged the first ones.
+    """
+    parts = [[]]
+    part_size = 0
+    for state in states:
+        fitting, size = _cut_ends(state)
+        if parts[-1] and part_size + size > MAX_REPORT_BYTES:
+            parts.append([])
+            part_size = 0
+        parts[-1].append(fitting)
+        part_size += size
+    return [tuple(part) for part in parts]
+
+
+def _cut_ends(
+    state: messages.WorkerState,
+) -> tuple[messages.WorkerState, int]:
+    """Returns a state with the ends that fit, and its largest size."""
+    size = _STATE_OVERHEAD_BYTES + _row_bytes(
+        (state.worker, state.service, state.rack, state.zone, *state.labels)
+    )
+    size += sum(map(_row_bytes, state.running))
+    size += sum(_row_bytes((r.outcome, r.reason)) for r in state.results)
+    sizes = list(map(_row_bytes, state.ended))
+    if size + sum(sizes) <= MAX_REPORT_BYTES:
+        return state, size + sum(sizes)
+    # In the order of their numbers, as an acknowledgement covers all before it.
+    kept = []
+    for row in sorted(state.ended, key=lambda row: row[0]):
+        row_bytes = _row_bytes(row)
+        if kept and size + row_bytes > MAX_REPORT_BYTES:
+            break
+        size += row_bytes
+        kept.append(row)
+    cut = len(kept) < len(state.ended)
+    state = attrs.evolve(
+        state, ended=tuple(kept), more_ended=state.more_ended or cut
+    )
+    return state, size
+
+
+def _row_bytes(row: tuple) -> int:
+    return _ROW_OVERHEAD_BYTES + sum(
+        len(text.encode()) for text in row if isinstance(text, str)
+    )
--- a/pomelostair/relaytable.py
+++ b/pomelostair/relaytable.py
@@ -6,6 +6,7 @@
 store has never served can lead.
 """
 
+import collections
 from collections.abc import Callable
 
 import attrs
@@ -14,12 +15,23 @@
 from pomelostair import circuitbreaker
 from pomelostair import clock as clock_module
 from pomelostair import outcome
+from pomelostair import pipelinelease
 from pomelostair import pipelinemessages as messages
 from pomelostair import store
 from pomelostair import storeclock
 
 RELAY_TIMEOUT_S = 1.5  # Longer than one transaction of a slow store.
 MAX_PEERS = 2  # Further peers are likely refused for the same reason.
+# Rows of an answer; a scan goes on after them, a watch begins anew.
+# A commit of the leader, up to 0.6 MB, has to fit.
+MAX_RELAYED_BYTES = bus_module.MAX_PIPELINE_MESSAGE_BYTES // 2
+# Operations that an entry performs for peers at once. Those on the lease row of
+# the leader, and watches, have slots of their own, as the leader would lose its
+# lease while operations of callers fill the others.
+MAX_RELAYED_AT_ONCE = 64
+MAX_RELAYED_WATCHES = 64
+MAX_RELAYED_ON_LEASE = 16
+_ROW_OVERHEAD_BYTES = 64
 MAX_RELAYED_WATCH_S = 0.5  # A relayed watch occupies the peer's connection.
 
 
@@ -149,10 +161,20 @@
 
     def __init__(self, direct_table: circuitbreaker.CircuitBreakerTable):
         self._direct_table = direct_table
+        self._performing = collections.Counter()
 
     async def answer(self, message: object) -> messages.RelayedResult:
         """Returns the store's answer to a relayed operation, and its time."""
-        result = await self._perform(message)
+        kind, limit = _kind_and_limit(message)
+        if self._performing[kind] >= limit:
+            return messages.RelayedResult(
+                unavailable="the peer relays too many operations"
+            )
+        self._performing[kind] += 1
+        try:
+            result = await self._perform(message)
+        finally:
+            self._performing[kind] -= 1
         return attrs.evolve(result, time=self._direct_table.time())
 
     async def _perform(self, message: object) -> messages.RelayedResult:
@@ -164,6 +186,7 @@
                     await self._direct_table.scan(prefix, after, limit)
                 )
             case messages.RelayedWatch(table=table, after=after, wait_s=wait):
+                wait = min(wait, MAX_RELAYED_WATCH_S)
                 return _result_of_watch(
                     await self._direct_table.watch(table, after, wait)
                 )
@@ -174,6 +197,20 @@
         raise TypeError(f"not a relayed operation: {message!r}")
 
 
+def _kind_and_limit(message: object) -> tuple[str, int]:
+    """Returns the kind of an operation, and how many run at once."""
+    match message:
+        case messages.RelayedWatch():
+            return "watch", MAX_RELAYED_WATCHES
+        case messages.RelayedRead(key=pipelinelease.KEY):
+            return "lease", MAX_RELAYED_ON_LEASE
+        case messages.RelayedCommit(transaction=transaction) if any(
+            put.key == pipelinelease.KEY for put in transaction.puts
+        ):
+            return "lease", MAX_RELAYED_ON_LEASE
+    return "other", MAX_RELAYED_AT_ONCE
+
+
 def _result_of_read(result: store.ReadResult) -> messages.RelayedResult:
     match result:
         case store.Found(row=row):
@@ -186,13 +223,31 @@
 def _result_of_scan(result: store.ScanResult) -> messages.RelayedResult:
     match result:
         case store.Page(rows=rows, more=more, version=version):
-            return messages.RelayedResult(rows, more=more, version=version)
+            fitting = _fitting(rows)
+            more = more or len(fitting) < len(rows)
+            return messages.RelayedResult(fitting, more=more, version=version)
     return messages.RelayedResult(unavailable=result.reason)
 
 
+def _fitting(rows: tuple[store.Row, ...]) -> tuple[store.Row, ...]:
+    """Returns the first rows that fit into a message, at least one."""
+    size = 0
+    for number, row in enumerate(rows):
+        size += len(row.key) + len(row.value) + _ROW_OVERHEAD_BYTES
+        if number and size > MAX_RELAYED_BYTES:
+            return rows[:number]
+    return rows
+
+
 def _result_of_watch(result: store.WatchResult) -> messages.RelayedResult:
     match result:
         case store.Changes(rows=rows, deleted=deleted, version=version):
+            size = sum(len(row.value) for row in rows) + sum(
+                len(key) + _ROW_OVERHEAD_BYTES
+                for key in (*(row.key for row in rows), *deleted)
+            )
+            if size > MAX_RELAYED_BYTES:
+                return messages.RelayedResult(gone=True)
             return messages.RelayedResult(rows, deleted, version=version)
         case store.HistoryGone():
             return messages.RelayedResult(gone=True)
--- a/pomelostair_standins/platformsite.py
+++ b/pomelostair_standins/platformsite.py
@@ -63,7 +63,7 @@
         entries: Number of entries.
         sides: Number of agents, each with a worker.
         zones: Zone of each worker, "patan" where none is given.
-        bounds: Bounds of the platform that the settings files state.
+        settings: Further keys of the settings file of entries and agents.
     """
 
     def __init__(
@@ -72,13 +72,11 @@
         entries: int = 2,
         sides: int = 2,
         zones: tuple[str, ...] = (),
-        **bounds: int,
+        settings: dict[str, str] | None = None,
     ):
         self._zones = zones
-        self._bounds = "".join(
-            f"bounds.{name}={value}\n" for name, value in bounds.items()
-        )
         self._folder = folder
+        self._settings = settings or {}
         self._processes: dict[str, subprocess.Popen] = {}
         self.entries = [
             f"127.0.0.{FIRST_ENTRY_OCTET + n}" for n in range(entries)
@@ -97,6 +95,21 @@
         """Port of the metrics endpoint of entries and agents."""
         return self._port_range[1]
 
+    @property
+    def readiness(self) -> int:
+        """Port of the readiness checks of entries."""
+        return self._ports[1]
+
+    @property
+    def control(self) -> int:
+        """Port at which agents serve workers."""
+        return self._ports[2]
+
+    @property
+    def bus(self) -> int:
+        """Port of the bus of entries and agents."""
+        return self._port_range[0]
+
     @property
     def store(self) -> str:
         """IP:PORT of the store."""
@@ -149,6 +162,10 @@
         """Sends a signal to a process of the site."""
         self._processes[name].send_signal(number)
 
+    def pid(self, name: str) -> int:
+        """Returns the process id of a process of the site."""
+        return self._processes[name].pid
+
     def kill(self, name: str) -> None:
         """Kills a process and waits for its end."""
         process = self._processes.pop(name)
@@ -242,7 +259,8 @@
             f"portRange={self._port_range[0]},{self._port_range[1]}\n"
             f"seeds={seeds}\n"
             f"app={ip}:{app}\nbounds.graceS=4\n"
-            f"platform.address={self.store}\n{self._bounds}"
+            f"platform.address={self.store}\n"
+            + "".join(f"{k}={v}\n" for k, v in self._settings.items())
         )
         self._start_process(
             name, "pomelostair.platform", POMELOSTAIR_CONFIG=str(path)
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -197,7 +197,9 @@
     def test_no_start_in_the_zone_until_the_row_is_removed(self, tmp_path):
         """The leader is lost just after the row is written."""
         site = platformsite.PlatformSite(
-            tmp_path, zones=("patan", "kirtipur"), evacuateMs=5000
+            tmp_path,
+            zones=("patan", "kirtipur"),
+            settings={"bounds.evacuateMs": "5000"},
         )
 
         def run_and_count(name):
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -2,6 +2,8 @@
 import contextlib
 import functools
 import socket
+import subprocess
+import sys
 
 import curio
 from hypothesis import given
@@ -16,6 +18,26 @@
 from pomelostair_standins import site
 
 WAIT_S = 20.0
+# A process that calls a receiver over four connections, one after the other.
+_SENDER = """
+import sys
+import curio
+from pomelostair import bus, messages, metrics
+from pomelostair_standins import site
+
+async def main():
+    address, number = sys.argv[1], int(sys.argv[2])
+    sender = bus.NngBus("s", f"tcp://{site.free_address()}", metrics.Metrics())
+    task = await curio.spawn(sender.run, daemon=True)
+    for _ in range(4):
+        result = await sender.call(address, messages.Nudge(number), 5.0)
+        assert isinstance(result, bus.Answered), result
+        sender.disconnect(address)
+    await task.cancel()
+    sender.close()
+
+curio.run(main)
+"""
 
 
 class CountingMetrics:
@@ -187,6 +209,21 @@
 
         assert isinstance(pair.run(body), bus.Answered)
 
+    def test_posts_that_wait_are_bounded(self, monkeypatch):
+        """Each holds its message until the connection is given up."""
+        monkeypatch.setattr(bus, "MAX_WAITING_POSTS", 2)
+        pair = Pair("nng")
+        dead = f"tcp://{site.free_address()}"
+
+        async def body():
+            for n in range(5):
+                await pair.a.post(dead, messages.Nudge(n))
+            await wait_until(lambda: not pair.a._waiting_posts)
+
+        pair.run(body)
+        counts = pair.metrics["a"].counts
+        assert counts["messages_not_sent", "too-many-waiting"] == 3
+
     def test_sends_to_a_dead_peer_block_only_once(self):
         pair = Pair("nng")
         dead_address = f"tcp://{site.free_address()}"
@@ -267,6 +304,74 @@
         assert sent == bus.NotSent("too-large")
         assert isinstance(answered, bus.Answered)
 
+    def test_connections_to_made_up_addresses_are_bounded(self):
+        """Guards against descriptors taken by made-up addresses."""
+        metrics = CountingMetrics()
+        sender = bus.NngBus(
+            "s",
+            f"tcp://{site.free_address()}",
+            metrics,
+            limits=bus.Limits(10_000, 3),
+        )
+
+        async def body():
+            for number in range(9):
+                await sender._try_transmit(f"tcp://127.0.0.1:{number + 1}", b"")
+            assert len(sender._peers) == 3
+            sender._report_limits()
+
+        try:
+            curio.run(curio.timeout_after, WAIT_S, body)
+        finally:
+            sender.close()
+        assert metrics.counts["limits_reached", "bus", "addresses"] == 6
+
+    def test_peers_reconnect_beside_silent_connections(self):
+        """Guards against a receiver that closes new connections.
+
+        Closing them in a callback of pynng ended the sending processes with
+        SIGSEGV, and kept out peers that came after idle connections.
+        """
+        address = f"tcp://{site.free_address()}"
+        receiver = bus.NngBus(
+            "r", address, CountingMetrics(), limits=bus.Limits(10_000, 10)
+        )
+        received = collections.Counter()
+
+        async def on_nudge(message, envelope):
+            received[message.epoch] += 1
+            await receiver.reply(envelope, message)
+
+        receiver.handle(messages.Nudge, on_nudge)
+        host, _, port = address.removeprefix("tcp://").rpartition(":")
+
+        async def body():
+            task = await curio.spawn(receiver.run, daemon=True)
+            clients = [
+                socket.create_connection((host, int(port))) for _ in range(40)
+            ]
+            for client in clients[:20]:
+                client.sendall(b"\x00SP\x00\x00\x50\x00\x00")
+            await curio.sleep(0.1)
+            senders = [
+                subprocess.Popen(
+                    [sys.executable, "-c", _SENDER, address, str(number)]
+                )
+                for number in range(5)
+            ]
+            await wait_until(lambda: all(s.poll() is not None for s in senders))
+            for client in clients:
+                client.close()
+            await task.cancel()
+            return [sender.returncode for sender in senders]
+
+        try:
+            codes = curio.run(curio.timeout_after, WAIT_S, body)
+        finally:
+            receiver.close()
+        assert codes == [0] * 5
+        assert received == dict.fromkeys(range(5), 4)
+
     def test_flushed_message_arrives_after_close(self):
         pair = Pair("nng")
         big = messages.Served(200, (), b"z" * 10_000_000)
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,4 +1,5 @@
 import contextlib
+import socket
 
 import curio
 from hypothesis import given
@@ -8,6 +9,7 @@
 from pomelostair import errors
 from pomelostair import http
 from pomelostair import httpserver
+from pomelostair import memorybudget
 from pomelostair import responses
 
 REQUEST = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n"
@@ -19,6 +21,8 @@
         raise ValueError("crash")
     if request.target == "/slow":
         await curio.sleep(0.3)
+    if request.target == "/large":
+        return http.Response(200, (), b"x" * 100_000)
     if request.target == "/lost":
         return http.NoResponse()
     return http.Response(200, (), request.method.encode() + request.body)
@@ -33,13 +37,15 @@
 
 
 class ServerHarness:
-    def __init__(self, **limits):
+    def __init__(self, budget=None, **limits):
+        self.budget = budget
         self.server = httpserver.Server(
             "127.0.0.1",
             0,
             handle_request,
             responses.error_response,
             http.Limits(**limits),
+            budget,
         )
 
     async def connect(self):
@@ -209,6 +215,334 @@
         harness.run(body)
 
 
+class TestMemory:
+    """Callers that hold as much as the budget of their server allows."""
+
+    BODY = 10_000
+    HEAD = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 10000\r\n\r\n"
+    CHUNKED = (
+        b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+
+    def harness(self, requests, **limits):
+        """Returns a server with memory for some requests with a body."""
+        fields = {
+            "max_headers_bytes": 1000,
+            "receive_bytes": 1000,
+            "max_body_bytes": self.BODY,
+            "linger_timeout_s": 0.1,
+            **limits,
+        }
+        request_bytes = httpserver.CONNECTION_BYTES + 2000
+        budget = memorybudget.MemoryBudget(
+            requests * (request_bytes + self.BODY * httpserver.BODY_FACTOR)
+            + request_bytes
+        )
+        return ServerHarness(budget, **fields)
+
+    @pytest.mark.parametrize(
+        "start", [HEAD + b"x", CHUNKED + b"1388\r\n" + b"x" * 5000]
+    )
+    def test_body_is_rejected_before_it_is_read(self, start):
+        harness = self.harness(1)
+
+        async def body():
+            async with await harness.connect() as holder:
+                await holder.sendall(start)
+                while harness.budget.reserved_bytes < 20_000:
+                    await curio.sleep(0.01)
+                rejected = await harness.exchange(self.HEAD)
+                await holder.sendall(b"")
+            while harness.server.open_connections:
+                await curio.sleep(0.01)
+            assert harness.budget.reserved_bytes == 0
+            head = self.HEAD.replace(
+                b"host: a", b"host: a\r\nconnection: close"
+            )
+            return rejected, await harness.exchange(head + b"y" * self.BODY)
+
+        rejected, served = harness.run(body)
+        assert status_of(rejected) == 503
+        assert b"retry-after: 1" in rejected.lower()
+        assert b"connection: close" in rejected.lower()
+        assert b"pomelostair-ran: no" in rejected.lower()
+        assert served.endswith(b"y" * self.BODY)
+
+    def test_body_that_is_being_read_continues(self):
+        harness = self.harness(1)
+
+        async def body():
+            async with await harness.connect() as holder:
+                await holder.sendall(self.HEAD + b"x")
+                while harness.budget.reserved_bytes < 20_000:
+                    await curio.sleep(0.01)
+                await harness.exchange(self.HEAD)
+                await holder.sendall(b"x" * (self.BODY - 1))
+                return await holder.recv(65536)
+
+        assert status_of(harness.run(body)) == 200
+
+    @pytest.mark.parametrize(
+        ("no_effect", "expected"), [(True, 503), (False, 200)]
+    )
+    def test_large_response_is_replaced_only_if_nothing_has_run(
+        self, no_effect, expected
+    ):
+        """A 503 promises that the request has not run."""
+        harness = self.harness(0, gets_have_no_effect=no_effect)
+        answer = harness.run(
+            lambda: harness.exchange(
+                b"GET /large HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+            )
+        )
+        assert status_of(answer) == expected
+
+    def test_many_tiny_headers_are_rejected(self):
+        answer = exchange_once(
+            b"GET / HTTP/1.1\r\nhost: a\r\n" + b"a:\r\n" * 300 + b"\r\n",
+            linger_timeout_s=0.1,
+        )
+        assert status_of(answer) == 431
+
+    @pytest.mark.parametrize("size", [1, 5, 10])
+    def test_body_of_tiny_chunks_is_accepted(self, size):
+        """Guards against rejecting encoders that stream a valid body."""
+        harness = self.harness(1)
+        head = self.CHUNKED.replace(b"host: a", b"host: a\r\nconnection: close")
+        count = self.BODY // size
+        chunk = b"%x\r\n%s\r\n" % (size, b"x" * size)
+        answer = harness.run(
+            lambda: harness.exchange(head + chunk * count + b"0\r\n\r\n")
+        )
+        assert answer.endswith(b"POST" + b"x" * self.BODY)
+
+    def test_chunks_over_the_number_of_a_large_body_are_rejected(
+        self, monkeypatch
+    ):
+        """Guards against minutes of parsing for one body of 16 MiB."""
+        monkeypatch.setattr(httpserver, "MAX_SMALL_CHUNKS", 100)
+        harness = self.harness(1)
+        chunks = b"1\r\nx\r\n" * 200 + b"0\r\n\r\n"
+        answer = harness.run(lambda: harness.exchange(self.CHUNKED + chunks))
+        assert status_of(answer) == 400
+        assert b"send chunks" in answer
+
+    def test_others_are_served_while_tiny_chunks_are_parsed(self):
+        """Several such bodies kept all others waiting for seconds."""
+        handled = []
+
+        async def handle(request):
+            handled.append(request.method)
+            return http.Response(200, (), b"")
+
+        harness = ServerHarness(max_body_bytes=10_000)
+        harness.server._handler = handle
+        body_data = self.CHUNKED + b"1\r\nx\r\n" * 9000 + b"0\r\n\r\n"
+
+        async def body():
+            async with await harness.connect() as other:
+                slow = [await harness.connect() for _ in range(4)]
+                while harness.server.open_connections < 5:
+                    await curio.sleep(0.01)
+                # All arrive before the server's tasks run again.
+                for client in slow:
+                    assert client._socket.send(body_data) == len(body_data)
+                other._socket.send(REQUEST)
+                assert status_of(await other.recv(65536)) == 200
+                for client in slow:
+                    assert status_of(await client.recv(65536)) == 200
+                    await client.close()
+
+        harness.run(body)
+        assert handled == ["GET"] + ["POST"] * 4
+
+    def test_one_body_of_tiny_chunks_is_parsed_in_a_turn(self):
+        """Guards against turns that grow with the number of such bodies."""
+        harness = ServerHarness(max_body_bytes=10_000)
+        chunks = httpserver.CHUNKS_PER_TURN * 20
+        data = self.CHUNKED + b"1\r\nx\r\n" * chunks
+        parsed = []
+
+        def count():
+            return sum(c._chunks for c in harness.server._connections)
+
+        async def body():
+            clients = [await harness.connect() for _ in range(8)]
+            while harness.server.open_connections < 8:
+                await curio.sleep(0.01)
+            for client in clients:
+                client._socket.send(data)
+            while not parsed or parsed[-1] < 8 * chunks:
+                parsed.append(count())
+                await curio.sleep(0)
+            for client in clients:
+                await client.close()
+
+        harness.run(body)
+        steps = [b - a for a, b in zip(parsed, parsed[1:], strict=False)]
+        # The first part of each body is parsed at once.
+        most = httpserver.CHUNKS_PER_TURN
+        assert sorted(steps)[-2] <= 2 * most
+        assert max(steps) <= 9 * most
+
+    @pytest.mark.parametrize(
+        ("start", "received"),
+        [
+            (b"", b""),
+            (b"GET / HT", b""),
+            (HEAD.replace(b"10000", b"20000"), b"HTTP/1.1 413"),
+        ],
+    )
+    def test_waiting_connection_makes_room(self, start, received, monkeypatch):
+        """Callers that send nothing more must not keep all others out."""
+        monkeypatch.setattr(httpserver, "EVICTABLE_S", 0.0)
+        harness = self.harness(9, max_connections=1, linger_timeout_s=9.0)
+
+        async def body():
+            async with await harness.connect() as holder:
+                await holder.sendall(start)
+                while not harness.server.open_connections:
+                    await curio.sleep(0.01)
+                answer = await harness.exchange(
+                    b"GET /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+                )
+                while harness.server.open_connections:
+                    await curio.sleep(0.01)
+                return answer, await receive_all(holder)
+
+        answer, of_holder = harness.run(body)
+        assert status_of(answer) == 200
+        assert of_holder[:12] == received
+        assert harness.budget.reserved_bytes == 0
+
+    def test_request_that_has_arrived_is_not_evicted(self, monkeypatch):
+        """Its handler started and was cancelled, so its outcome was unknown."""
+        monkeypatch.setattr(httpserver, "EVICTABLE_S", 0.0)
+        harness = self.harness(9, max_connections=1)
+
+        async def body():
+            async with await harness.connect() as holder:
+                await holder.sendall(REQUEST)
+                assert status_of(await holder.recv(65536)) == 200
+                # Both arrive before the server's tasks run again.
+                address = "127.0.0.1", harness.server.port
+                with socket.create_connection(address):
+                    holder._socket.send(
+                        b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n"
+                    )
+                    return await holder.recv(65536)
+
+        assert status_of(harness.run(body)) == 200
+
+    def test_data_of_an_evicted_connection_is_not_parsed(self, monkeypatch):
+        """Guards against a request that runs after its connection was closed.
+
+        The data arrive after the check, and the cancellation is delivered only
+        when the task waits next.
+        """
+        handled = []
+
+        async def handle(request):
+            handled.append(request)
+            return http.Response(200, (), b"")
+
+        monkeypatch.setattr(httpserver, "EVICTABLE_S", 0.0)
+        harness = self.harness(9)
+        harness.server._handler = handle
+
+        async def body():
+            async with await harness.connect() as holder:
+                while not harness.server.open_connections:
+                    await curio.sleep(0.01)
+                [connection] = harness.server._connections
+                connection.mark_evicted()
+                await holder.sendall(REQUEST)
+                return await receive_all(holder)
+
+        assert harness.run(body) == b""
+        assert not handled
+
+    def test_malformed_request_waits_from_its_rejection(self):
+        """Guards against an eviction that discards the rejection at once."""
+        harness = self.harness(9, linger_timeout_s=9.0)
+
+        async def body():
+            async with await harness.connect() as holder:
+                while not harness.server.open_connections:
+                    await curio.sleep(0.01)
+                [connection] = harness.server._connections
+                connection._waiting_since_s = 1.0
+                await holder.sendall(b"nonsense\r\n\r\n")
+                assert status_of(await holder.recv(65536)) == 400
+                return connection.waiting_since_s
+
+        assert harness.run(body) > 1.0
+
+    def test_rejected_connection_is_evicted_last(self, monkeypatch):
+        """Closing it may discard the response that it was sent."""
+        monkeypatch.setattr(httpserver, "EVICTABLE_S", 0.0)
+        harness = self.harness(9, max_connections=2, linger_timeout_s=9.0)
+
+        async def body():
+            rejected = await harness.connect()
+            await rejected.sendall(self.HEAD.replace(b"10000", b"20000"))
+            assert status_of(await rejected.recv(65536)) == 413
+            idle = await harness.connect()
+            while harness.server.open_connections < 2:
+                await curio.sleep(0.01)
+            await harness.exchange(
+                b"GET /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+            )
+            assert await receive_all(idle) == b""
+            [connection] = harness.server._connections
+            await rejected.close()
+            await idle.close()
+            return connection.lingering
+
+        assert harness.run(body)
+
+    def test_waiting_connections_make_room_for_a_body(self, monkeypatch):
+        monkeypatch.setattr(httpserver, "EVICTABLE_S", 0.0)
+        harness = self.harness(1)
+
+        async def body():
+            idle = [await harness.connect() for _ in range(3)]
+            while harness.server.open_connections < 3:
+                await curio.sleep(0.01)
+            head = self.HEAD.replace(
+                b"host: a", b"host: a\r\nconnection: close"
+            )
+            answer = await harness.exchange(head + b"y" * self.BODY)
+            for client in idle:
+                await client.close()
+            return answer
+
+        assert status_of(harness.run(body)) == 200
+
+    @pytest.mark.parametrize(
+        ("start", "rest"),
+        [
+            (b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n", b""),
+            (HEAD + b"x", b"x" * (BODY - 1)),
+        ],
+    )
+    def test_request_in_work_is_not_evicted(self, start, rest, monkeypatch):
+        monkeypatch.setattr(httpserver, "EVICTABLE_S", 0.0)
+        harness = self.harness(9, max_connections=1)
+
+        async def body():
+            async with await harness.connect() as holder:
+                await holder.sendall(start)
+                await curio.sleep(0.1)
+                rejected = await harness.exchange(REQUEST)
+                await holder.sendall(rest)
+                return rejected, await holder.recv(65536)
+
+        rejected, answer = harness.run(body)
+        assert status_of(rejected) == 503
+        assert status_of(answer) == 200
+
+
 class TestDrain:
     def test_open_request_is_answered(self):
         harness = ServerHarness()
--- a/tests/test_relaytable.py
+++ b/tests/test_relaytable.py
@@ -5,9 +5,11 @@
 from pomelostair import clock as clock_module
 from pomelostair import metrics
 from pomelostair import outcome
+from pomelostair import pipelinelease
 from pomelostair import pipelinemessages as messages
 from pomelostair import relaytable
 from pomelostair import store
+from pomelostair import wire
 from tests import faultystore
 
 Fault = faultystore.Fault
@@ -191,3 +193,188 @@
 
     async def unavailable_watch(self, *_arguments):
         return outcome.Unavailable("down")
+
+
+class TestLargeAnswers:
+    """Rows of 64 KiB, which together exceed the largest message."""
+
+    COUNT = 40
+
+    def test_scan_is_cut_and_goes_on(self):
+        harness = Harness()
+        harness.own_table.down = True
+
+        async def body(table):
+            puts = tuple(
+                store.Put(f"{KEY}{n:02}", b"x" * 65_000)
+                for n in range(self.COUNT)
+            )
+            await harness.shared_table.commit(store.Transaction((), puts))
+            keys, after, sizes = [], "", []
+            while True:
+                page = await table.scan("pipelines/1/", after)
+                sizes.append(sum(len(row.value) for row in page.rows))
+                keys += [row.key for row in page.rows]
+                if not page.more:
+                    return keys, sizes
+                after = keys[-1]
+
+        keys, sizes = harness.run(body)
+        assert len(keys) == self.COUNT
+        assert max(sizes) <= relaytable.MAX_RELAYED_BYTES
+
+    def test_watch_that_does_not_fit_makes_the_watcher_scan(self):
+        """Dropping some of the changes would lose them for good."""
+        rows = tuple(
+            store.Row(f"{KEY}{n}", b"x" * 65_000, n + 1)
+            for n in range(self.COUNT)
+        )
+
+        class Table:
+            async def watch(self, _table, _after, _wait_s):
+                return store.Changes(rows, (), self.COUNT)
+
+            def time(self):
+                return None
+
+        Table.COUNT = self.COUNT
+        relay = relaytable.Relay(Table())
+        message = messages.RelayedWatch("pipelines", 0, 60.0)
+        result = curio.run(relay.answer, message)
+        assert result.gone
+        assert not result.rows
+
+    def test_watch_sees_the_largest_commit_of_a_leader(self):
+        """Guards against a scan by each watcher in ordinary load."""
+        rows = tuple(
+            store.Row(f"{KEY}{n:04}", b"x" * 440, n + 1) for n in range(1100)
+        )
+        large = store.Row(f"{KEY}large", b"x" * 65_000, 1101)
+        changes = store.Changes((*rows, large), (KEY,), 1101)
+        result = curio.run(self.watch, changes)
+        assert not result.gone
+        assert len(result.rows) == 1101
+        assert len(wire.encode_sparse(result)) < (
+            bus_module.MAX_PIPELINE_MESSAGE_BYTES
+        )
+
+    def test_watch_with_too_many_deleted_keys_makes_the_watcher_scan(self):
+        """Guards against an answer that is too large to be sent."""
+        deleted = tuple(f"{KEY}{n:064}" for n in range(30_000))
+        result = curio.run(self.watch, store.Changes((), deleted, 1))
+        assert result.gone
+        assert not result.deleted
+
+    async def watch(self, changes):
+        class Table:
+            async def watch(self, _table, _after, _wait_s):
+                return changes
+
+            def time(self):
+                return None
+
+        relay = relaytable.Relay(Table())
+        return await relay.answer(messages.RelayedWatch("pipelines", 0, 1.0))
+
+    def test_too_many_at_once_are_refused(self):
+        gate = curio.Event()
+
+        class SlowTable:
+            async def read(self, _key):
+                await gate.wait()
+                return store.Absent()
+
+            def time(self):
+                return None
+
+        async def body():
+            relay = relaytable.Relay(SlowTable())
+            tasks = [
+                await curio.spawn(relay.answer, messages.RelayedRead(KEY))
+                for _ in range(relaytable.MAX_RELAYED_AT_ONCE)
+            ]
+            await curio.sleep(0)
+            refused = await relay.answer(messages.RelayedRead(KEY))
+            await gate.set()
+            return refused, [await task.join() for task in tasks]
+
+        refused, answers = curio.run(body)
+        assert refused.unavailable
+        assert not any(answer.unavailable for answer in answers)
+
+    def test_operations_of_callers_leave_room_for_the_leader(self):
+        """Guards against a lease that lapses under a flood of callers."""
+        gate = curio.Event()
+        lease = store.Transaction(
+            (store.Check(pipelinelease.KEY, 0),),
+            (store.Put(pipelinelease.KEY, b"1"),),
+        )
+
+        class SlowTable:
+            async def read(self, _key):
+                await gate.wait()
+                return store.Absent()
+
+            async def commit(self, transaction):
+                if transaction is not lease:
+                    await gate.wait()
+                return outcome.Committed(1)
+
+            async def watch(self, _table, _after, _wait_s):
+                return store.Changes((), (), 1)
+
+            def time(self):
+                return None
+
+        async def body():
+            relay = relaytable.Relay(SlowTable())
+            of_callers = (
+                messages.RelayedRead(KEY),
+                messages.RelayedCommit(TRANSACTION),
+            )
+            for number in range(relaytable.MAX_RELAYED_AT_ONCE + 8):
+                message = of_callers[number % 2]
+                await curio.spawn(relay.answer, message, daemon=True)
+            await curio.sleep(0)
+            return (
+                await relay.answer(of_callers[0]),
+                await relay.answer(of_callers[1]),
+                await relay.answer(messages.RelayedCommit(lease)),
+                await relay.answer(messages.RelayedWatch("pipelines", 0, 0.1)),
+            )
+
+        read, commit, of_leader, watch = curio.run(body)
+        assert read.unavailable
+        assert commit.unavailable
+        assert of_leader.committed
+        assert not watch.unavailable
+
+    def test_watches_leave_room_for_the_lease(self):
+        """Guards against a lease that lapses under watches of many peers."""
+        lease = store.Transaction((), (store.Put(pipelinelease.KEY, b"1"),))
+        gate = curio.Event()
+
+        class SlowTable:
+            async def commit(self, _transaction):
+                return outcome.Committed(1)
+
+            async def watch(self, _table, _after, _wait_s):
+                await gate.wait()
+
+            def time(self):
+                return None
+
+        async def body():
+            relay = relaytable.Relay(SlowTable())
+            watch = messages.RelayedWatch("pipelines", 0, 0.1)
+            for _ in range(relaytable.MAX_RELAYED_WATCHES + 1):
+                await curio.spawn(relay.answer, watch, daemon=True)
+            await curio.sleep(0)
+            return (
+                await relay.answer(watch),
+                await relay.answer(messages.RelayedCommit(lease)),
+            )
+
+        watch, of_leader = curio.run(body)
+        assert watch.unavailable
+        assert of_leader.committed
