A gang moves only if all its members can start again

Members outside the zone were not checked: if the worker of one was not announced, suspect, not registered, had orphans or did not confirm orders, all members were stopped and stayed down. A draining worker needs no test, as its lasting tasks are stopped before in the same round.

--- a/pomelostair/evacuation.py
+++ b/pomelostair/evacuation.py
@@ -312,11 +312,17 @@
                     p.task, permitted(p.task, window), self._pacer, now
                 )
             if target is None:
-                for worker, reserving in reserved:
-                    worker.cancel_reservation(reserving)
-                return
+                break
             target.reserve(p.task, now + RESERVATION_S)
             reserved.append((target, p.task))
+        # Also for members that start again where they are.
+        if len(reserved) < len(moving) or not all(
+            _is_target(worker, now) and permitted(reserving, [worker])
+            for worker, reserving in reserved
+        ):
+            for worker, reserving in reserved:
+                worker.cancel_reservation(reserving)
+            return
         for p in moving:
             self._moving.add(p.task)
             self._attempts.stop(p, "its zone is being evacuated")
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -1,8 +1,10 @@
+import attrs
 import pytest
 
 from pomelostair import evacuation
 from pomelostair import events
 from pomelostair import fleet as fleet_module
+from pomelostair import pipelinemessages as messages
 from pomelostair import pipelinescheduler
 from tests import pipelines
 from tests import simfleet
@@ -31,6 +33,27 @@
         fleet.step()
 
 
+def leave_orders_unconfirmed(worker, now):
+    """Makes a worker one whose agent has not confirmed an order for long."""
+    order = messages.Order(1, messages.STOP, "other.0.0.0", 1)
+    worker.unconfirmed_orders = [order]
+    worker.orders_confirmed_s = now - 2 * fleet_module.UNCONFIRMED_S
+
+
+# Conditions of a worker on which no task can start.
+FAULTS = {
+    "unannounced": lambda worker, now: setattr(
+        worker, "state", attrs.evolve(worker.state, announced=False)
+    ),
+    "suspect": lambda worker, now: setattr(
+        worker, "suspect_until_s", now + 1.0
+    ),
+    "unregistered": lambda worker, now: setattr(worker, "registered", False),
+    "orphans": lambda worker, now: worker.orphans.add(("other.0.0.0", 1)),
+    "orders": leave_orders_unconfirmed,
+}
+
+
 def hosts_of(fleet, name="a"):
     """Returns the workers that run the tasks of a pipeline, sorted."""
     return sorted(
@@ -312,3 +335,26 @@
             away_s += 0.0 if fleet.running() else 0.1
         assert hosts_of(fleet) == ["w2"]
         assert away_s < 2.0
+
+    @pytest.mark.parametrize("fault", FAULTS)
+    def test_gang_stays_if_a_member_outside_could_not_start_again(
+        self, fault, monkeypatch
+    ):
+        """Both members stayed down when one of them had no worker left."""
+        stage = pipelines.stage(2, 8000, lasting=True, gang=True)
+        fleet = self.start(stage, ["w3"], w1="a", w2="b", w3="b")
+        assert hosts_of(fleet) == ["w1", "w2"]
+        outside = fleet.scheduler.workers["w2", 1]
+        run_round = fleet.scheduler.run_round
+
+        def run_round_with_fault(now):
+            FAULTS[fault](outside, now)
+            run_round(now)
+
+        monkeypatch.setattr(fleet.scheduler, "run_round", run_round_with_fault)
+        fleet.step()
+        fleet.evacuate("a")
+        for _ in range(30):
+            fleet.step()
+            assert hosts_of(fleet) == ["w1", "w2"]
+        assert not fleet.scheduler.workers["w3", 1].reservations
