Watch and reading of evacuations follow the store's answer time

The timeout of a reading was reset after one success, and the margin of a watch was fixed: with answers after 0.5 s or more each watch was lost, and the review saw a row only after 5.56 s with 1.6 s. Both follow the longest recent answer time now, which decays by a fifth with each answer; so does the margin of the store's client. On a simulated clock, rows are seen within two answer times and 0.1 s.

The test that added up constants is replaced by one that lets a store fall silent, with answers of 0.01 to 0.5 s before, and has the same bound of 3.3 s.

--- a/pomelostair/evacuationwatch.py
+++ b/pomelostair/evacuationwatch.py
@@ -21,16 +21,22 @@
 # take effect (5 s on the platform).
 MAX_WATCH_WAIT_S = 0.8
 WATCH_SHARE = 0.16
-# Time for the answer of a watch, in addition to its wait. A store that is
-# slower is read after each watch.
-WATCH_MARGIN_S = 0.4
-# Time for a reading; doubled after each one without an answer, as the store may
-# only be slow. A silent store is read again after 2.4 s (a watch, a reading and
-# a pause). The circuit breaker is open by then, since the leader's commits have
-# no answer either, so that a peer relays this reading. The upper bound exceeds
-# the longest timeout of a reading by the store's client.
+# Time for the answer of a watch, in addition to its wait: a multiple of the
+# longest recent answer time, within bounds. On a store that answers after 1.6 s
+# a fixed margin lost each watch.
+WATCH_MARGIN_FACTOR = 1.25
+MIN_WATCH_MARGIN_S = 0.4
+MAX_WATCH_MARGIN_S = 2.0
+# Time for a reading: likewise; doubled after each one without an answer, as the
+# store may only be slow. A silent store is read again after 2.4 s (a watch, a
+# reading and a pause). The circuit breaker is open by then, since the leader's
+# commits have no answer either, so that a peer relays this reading. The upper
+# bound exceeds the longest timeout of a reading by the store's client.
+READ_TIMEOUT_FACTOR = 2.0
 MIN_READ_TIMEOUT_S = 0.9
 MAX_READ_TIMEOUT_S = 2.4
+# Share of the longest recent answer time that is kept with each answer.
+ANSWER_TIME_DECAY = 0.8
 RETRY_S = 0.25
 
 
@@ -62,7 +68,7 @@
         self._metrics = metrics
         self._clock = clock
         self._apply = apply
-        self._read_timeout_s = MIN_READ_TIMEOUT_S
+        self._answer_s = 0.0  # Longest recent answer time, decaying.
         self._zones: frozenset[str] = frozenset()
         self._ignored: set[str] = set()
         self._known = curio.Event()
@@ -74,6 +80,19 @@
         """Seconds since the store last confirmed the set of zones."""
         return self._clock.now() - self._confirmed_s
 
+    @property
+    def _watch_margin_s(self) -> float:
+        margin_s = WATCH_MARGIN_FACTOR * self._answer_s
+        return min(MAX_WATCH_MARGIN_S, max(MIN_WATCH_MARGIN_S, margin_s))
+
+    @property
+    def _read_timeout_s(self) -> float:
+        timeout_s = READ_TIMEOUT_FACTOR * self._answer_s
+        return min(MAX_READ_TIMEOUT_S, max(MIN_READ_TIMEOUT_S, timeout_s))
+
+    def _record_answer(self, took_s: float) -> None:
+        self._answer_s = max(took_s, ANSWER_TIME_DECAY * self._answer_s)
+
     async def wait_until_known(self) -> None:
         """Waits until the rows were read once."""
         await self._known.wait()
@@ -107,16 +126,16 @@
         Returns:
             Version of the table to watch from, None if reading failed.
         """
-        page = await curio.ignore_after(self._read_timeout_s, self._scan)
+        timeout_s = self._read_timeout_s
+        started_s = self._clock.now()
+        page = await curio.ignore_after(timeout_s, self._scan)
         if page is None:
-            self._read_timeout_s = min(
-                MAX_READ_TIMEOUT_S, 2 * self._read_timeout_s
-            )
+            self._answer_s = 2 * timeout_s / READ_TIMEOUT_FACTOR
         if not isinstance(page, store.Page):
             self._metrics.count("evacuation_reads", outcome="failed")
             await curio.sleep(RETRY_S)
             return None
-        self._read_timeout_s = MIN_READ_TIMEOUT_S
+        self._record_answer(self._clock.now() - started_s)
         self._metrics.count("evacuation_reads", outcome="read")
         await self._set(self._decode({row.key for row in page.rows}))
         await self._known.set()
@@ -142,8 +161,9 @@
         Returns:
             Version to watch from, None if the rows have to be read afresh.
         """
+        started_s = self._clock.now()
         changes = await curio.ignore_after(
-            self._wait_s + WATCH_MARGIN_S,
+            self._wait_s + self._watch_margin_s,
             self._table.watch,
             self._port.evacuations_table,
             version,
@@ -154,6 +174,14 @@
             if not isinstance(changes, store.HistoryGone | None):
                 await curio.sleep(RETRY_S)
             return None
+        took_s = self._clock.now() - started_s
+        if changes.rows or changes.deleted:
+            # It ended at an unknown time of its wait, which bounds the answer
+            # time from both sides.
+            least_s = max(self._answer_s, took_s - self._wait_s)
+            self._answer_s = min(took_s, least_s)
+        else:
+            self._record_answer(max(0.0, took_s - self._wait_s))
         written = self._decode({row.key for row in changes.rows})
         removed = self._decode(set(changes.deleted))
         if written & removed:
--- a/pomelostair/platform/store.py
+++ b/pomelostair/platform/store.py
@@ -22,7 +22,8 @@
 from pomelostair import store
 from pomelostair import storeclock
 
-# Time for the answer of a watch, in addition to the requested wait.
+# Time for the answer of a watch, in addition to the requested wait; at least
+# that of other operations, so that a slow store does not lose each watch.
 WATCH_TIMEOUT_MARGIN_S = 1.0
 # An operation without an answer is given up after this multiple of the recent
 # answer times, but not before MIN_TIMEOUT_S: a slow store takes half a second,
@@ -213,7 +214,12 @@
     ) -> store.WatchResult:
         """Waits for changes of the rows of a table."""
         query = {"table": table, "after": after, "waitMs": int(wait_s * 1000)}
-        timeout_s = wait_s + WATCH_TIMEOUT_MARGIN_S
+        margin_s = max(
+            WATCH_TIMEOUT_MARGIN_S,
+            self._read_timeout.seconds,
+            self._commit_timeout.seconds,
+        )
+        timeout_s = wait_s + margin_s
         body = await self._fetch_rows(
             "watch", "/rows-feed", query, self._watch_client, timeout_s
         )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,6 +3,7 @@
 import curio
 import pytest
 
+from pomelostair import errors
 from pomelostair import http
 from pomelostair import httpclient
 from pomelostair import httpserver
@@ -96,7 +97,29 @@
             expected_s *= 2
 
 
+class RecordingClient:
+    """A client that records timeouts and gets no answer."""
+
+    def __init__(self):
+        self.timeouts_s = []
+
+    async def request(self, request, timeout_s):
+        self.timeouts_s.append(timeout_s)
+        raise errors.NotSentError("refused")
+
+
 class TestRowsTable:
+    def test_slow_store_has_more_time_for_a_watch(self):
+        """Guards against a watch that is lost each time on a slow store."""
+        client = RecordingClient()
+        table = platform_store.RowsTable(client, client, METRICS, 2.0)
+        curio.run(table.watch, "op", 1, 0.8)
+        table._commit_timeout.record_answer(0.45)
+        curio.run(table.watch, "op", 1, 0.8)
+        table._commit_timeout.record_answer(1.6)
+        curio.run(table.watch, "op", 1, 0.8)
+        assert client.timeouts_s == pytest.approx([1.8, 2.6, 2.8])
+
     def test_conflict_names_the_check_that_failed(self):
         """Guards against taking another row's state for the cause."""
         harness = StoreHarness()
--- a/tests/test_evacuationwatch.py
+++ b/tests/test_evacuationwatch.py
@@ -1,3 +1,6 @@
+import selectors
+import time
+
 import curio
 import pytest
 
@@ -145,10 +148,146 @@
 
         harness.run(body)
 
-    def test_silent_store_is_noticed_well_within_the_bound(self):
-        """A watch and a reading without an answer; a peer relays the next."""
-        watch_s = (
-            evacuationwatch.MAX_WATCH_WAIT_S + evacuationwatch.WATCH_MARGIN_S
+
+class SimulatedTime(selectors.DefaultSelector):
+    """A selector that advances the kernel's clock instead of waiting."""
+
+    def __init__(self, monkeypatch):
+        super().__init__()
+        self.now = 1000.0
+        monkeypatch.setattr(time, "monotonic", lambda: self.now)
+
+    def select(self, timeout=None):
+        self.now += max(timeout or 0.0, 0.0)
+        return super().select(0)
+
+
+class SlowTable(HangingTable):
+    """A table whose answers take `latency_s`, with silent operations."""
+
+    latency_s = 0.0
+    silent_scans = 0
+    hanging = False
+
+    async def scan(self, prefix, after="", limit=1000):
+        if self.silent_scans:
+            self.silent_scans -= 1
+            await curio.sleep(3600)
+        page = await super().scan(prefix, after)
+        await curio.sleep(self.latency_s)
+        return page
+
+    async def watch(self, table, after, wait_s):
+        self.hanging = self.hangs
+        changes = await super().watch(table, after, wait_s)
+        await curio.sleep(self.latency_s)
+        return changes
+
+
+class TestSlowStore:
+    """A store whose answers take long, on a simulated clock."""
+
+    def run(self, monkeypatch, latency_s, body):
+        simulated = SimulatedTime(monkeypatch)
+        self.table = SlowTable()
+        self.table.latency_s = latency_s
+        self.metrics = metrics.Metrics()
+        self.applied = frozenset()
+        watch = evacuationwatch.EvacuationWatch(
+            self.table,
+            port.PlatformPort(),
+            5000,
+            self.metrics,
+            clock.MonotonicClock(),
+            self.apply,
         )
-        read_s = evacuationwatch.MIN_READ_TIMEOUT_S
-        assert watch_s + read_s + evacuationwatch.RETRY_S <= 3.3
+
+        async def main():
+            task = await curio.spawn(watch.run, daemon=True)
+            await watch.wait_until_known()
+            await curio.sleep(10)
+            await body()
+            await task.cancel()
+
+        curio.run(main, selector=simulated)
+
+    async def apply(self, zones):
+        self.applied = zones
+
+    async def write_and_wait(self, zone):
+        """Returns the time from the write of a row to its application."""
+        put = store.Put(f"{PREFIX}{zone}", b"1")
+        await self.table.table.commit(store.Transaction(puts=(put,)))
+        written_s = time.monotonic()
+        while zone not in self.applied:
+            await curio.sleep(0.01)
+            assert time.monotonic() - written_s < 60
+        return time.monotonic() - written_s
+
+    async def write_to_silent_store(self, zone):
+        """Writes a row as the first watch is sent that gets no answer.
+
+        Returns:
+            The time until its application.
+        """
+        self.table.hangs = True
+        self.table.silent_scans = 1
+        while not self.table.hanging:
+            await curio.sleep(0.01)
+        took_s = await self.write_and_wait(zone)
+        assert not self.table.silent_scans
+        self.table.hangs = self.table.hanging = False
+        return took_s
+
+    def lost(self):
+        return [
+            line
+            for line in self.metrics.exposition().decode().splitlines()
+            if "evacuation_watches_lost" in line and line[0] != "#"
+        ]
+
+    @pytest.mark.parametrize("latency_s", [0.01, 0.4, 0.5, 0.8, 1.6])
+    def test_rows_are_seen_in_time(self, latency_s, monkeypatch):
+        """Guards against watches that are lost each time.
+
+        Each was followed by a reading that was given up once before it was
+        answered: with answers after 1.6 s, a row was seen after 5.56 s.
+        """
+        took_s = []
+
+        async def body():
+            lost = self.lost()
+            for n in range(30):
+                took_s.append(await self.write_and_wait(f"z{n}"))
+                await curio.sleep(0.37 * (n % 7))
+            assert self.lost() == lost
+
+        self.run(monkeypatch, latency_s, body)
+        assert max(took_s) <= 2 * latency_s + 0.1
+
+    @pytest.mark.parametrize("latency_s", [0.01, 0.4, 0.5])
+    def test_silent_store_is_noticed_well_within_the_bound(
+        self, latency_s, monkeypatch
+    ):
+        """A watch and a reading without an answer; a peer relays the next."""
+        took_s = []
+
+        async def body():
+            for n in range(10):
+                took_s.append(await self.write_to_silent_store(f"z{n}"))
+                await curio.sleep(12 + 0.13 * n)
+
+        self.run(monkeypatch, latency_s, body)
+        assert max(took_s) <= 3.3
+
+    def test_silent_store_is_noticed_after_it_was_slow(self, monkeypatch):
+        """Guards against long timeouts that remain once answers are fast."""
+        took_s = []
+
+        async def body():
+            self.table.latency_s = 0.01
+            await curio.sleep(15)
+            took_s.append(await self.write_to_silent_store("a"))
+
+        self.run(monkeypatch, 1.6, body)
+        assert max(took_s) <= 3.3
