Lasting tasks move only while the store commits

They were stopped during an outage of the store, and then waited for their record. The last successful commit must be younger than 1.5 s now.

--- a/pomelostair/evacuation.py
+++ b/pomelostair/evacuation.py
@@ -39,6 +39,9 @@
 # How long room is reserved for a task that moves. A stop takes 0.4 s, its end
 # must be reported, and the members of a gang start after the last end.
 RESERVATION_S = 2.4
+# Age of the leader's last commit up to which lasting tasks move. It commits
+# each 0.45 s; a task that moves starts again only once its record is stored.
+MAX_COMMIT_AGE_S = 1.5
 # Checks whether a task is at work that count as one comparison with a worker,
 # so that a pass over many stages is bounded as well. Chosen, not measured.
 CHECKS_PER_COMPARISON = 5
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -565,6 +565,7 @@
         match result:
             case outcome.Committed():
                 self._last_renewal_s = started_s
+                scheduler.record_commit(started_s)
                 if handover is not None:
                     self._extension_due = False
                     await self._grant_withheld()
--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -136,6 +136,8 @@
         )
         self._evacuation = evacuation.Evacuation(metrics)
         self._mover = evacuation.Mover(self._attempts, self._pacer, metrics)
+        # Monotonic time at which the latest commit began that succeeded.
+        self._committed_s = -math.inf
 
     @property
     def registry(self) -> pipelineregistry.PipelineRegistry:
@@ -195,6 +197,18 @@
         """
         return self._earlier_placements_recorded or self._to_record == set()
 
+    def record_commit(self, began_s: float) -> None:
+        """Records a commit that the store has acknowledged.
+
+        Args:
+            began_s: Monotonic time at which it began.
+        """
+        self._committed_s = began_s
+
+    def has_recent_commit(self, now: float) -> bool:
+        """Returns whether a start can be expected to be recorded soon."""
+        return now - self._committed_s < evacuation.MAX_COMMIT_AGE_S
+
     def confirm(self, batch: pipelineregistry.Batch) -> list[fleet.Worker]:
         """Records that a batch is durable.
 
@@ -386,7 +400,7 @@
             for placement in self._monitor.check(worker, now):
                 name = placement.task.pipeline.id
                 slowed.setdefault(name, []).append(placement)
-        if self._evacuation.zones:
+        if self._evacuation.zones and self.has_recent_commit(now):
             self._mover.move(
                 self._workers.values(),
                 lambda task, workers: self._starter.permitted_workers(
--- a/tests/faultfleet.py
+++ b/tests/faultfleet.py
@@ -757,6 +757,7 @@
         self.last_commit_s = self._last_begun_s
         if handover is not None:
             self.scheduler.grants.confirm(self.leases_end_s)
+            self.scheduler.record_commit(self.last_commit_s)
             withheld, self._withheld = self._withheld, set()
             for key in sorted(withheld):
                 worker = self.scheduler.workers.get(key)
--- a/tests/simfleet.py
+++ b/tests/simfleet.py
@@ -139,6 +139,8 @@
         self.placements_recorded = False
         self.silent = {}
         self.evacuated = ()
+        # Whether the store takes no commits.
+        self.store_down = False
         # End of all leases that leaders so far granted, as stored.
         self.leases_end_s = self.now
         self.start_leader()
@@ -447,6 +449,9 @@
                 worker_runner.start(order.task, order.attempt, until_ms, fence)
 
     def _commit(self):
+        if self.store_down:
+            return
+        self.scheduler.record_commit(self.now)
         self.placements_recorded = self.scheduler.placements_recorded
         self.silent = self.scheduler.next_silent(self.now)
         self.leases_end_s = self.now + RENEWED_LEASES_S
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -391,3 +391,17 @@
         fleet.step()
         # The third member finds no room any more.
         assert 0 < len(compared) <= 3 * 32
+
+    def test_stays_while_the_store_does_not_commit(self):
+        """A stopped task waited for its record until the store was back."""
+        stage = pipelines.stage(2, 2000, lasting=True)
+        fleet = self.start(stage, ["w2"], w1="a", w2="b")
+        fleet.store_down = True
+        fleet.run_for(evacuation.MAX_COMMIT_AGE_S + 0.1)
+        fleet.evacuate("a")
+        for _ in range(20):
+            fleet.step()
+            assert hosts_of(fleet) == ["w1", "w1"]
+        fleet.store_down = False
+        fleet.run_for(6)
+        assert hosts_of(fleet) == ["w2", "w2"]
--- a/tests/test_pipelineleader.py
+++ b/tests/test_pipelineleader.py
@@ -7,6 +7,7 @@
 
 from pomelostair import clock as clock_module
 from pomelostair import contention
+from pomelostair import evacuation
 from pomelostair import fleet
 from pomelostair import outcome
 from pomelostair import pipeline
@@ -556,6 +557,23 @@
 
         harness.run(body)
 
+    def test_commits_are_recorded_for_the_moves(self):
+        """Guards against moves whose starts wait for a store that is down."""
+        harness, leader = self.lead()
+        recent = leader._scheduler.has_recent_commit
+
+        async def body():
+            assert not recent(leader._clock.now())
+            started_s = leader._clock.now()
+            assert await leader._commit()
+            assert recent(started_s + evacuation.MAX_COMMIT_AGE_S - 0.01)
+            committed_s = leader._clock.now()
+            harness.table.down = True
+            assert await leader._commit()
+            assert not recent(committed_s + evacuation.MAX_COMMIT_AGE_S)
+
+        harness.run(body)
+
     @pytest.mark.parametrize("recorded", [True, False])
     def test_new_leader_takes_over_what_the_row_says(self, recorded):
         harness, leader = self.lead()
