--- a/pomelostair/evacuation.py
+++ b/pomelostair/evacuation.py
@@ -405,11 +405,13 @@
 
 
 def _is_movable(placement: fleet.Placement, now: float) -> bool:
-    """Returns whether an attempt is known to run, and its worker answers."""
+    """Returns whether an attempt is known to run, and can be stopped soon."""
     return (
         placement.state is fleet.AttemptState.RUNNING
         and placement.reported
         and placement.worker.is_heard(now)
+        and not placement.worker.is_silent(now)
+        and placement.worker.confirms_orders(now)
         and not placement.task.suspect
     )
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -317,6 +317,35 @@
         fleet.step()
         assert 0 < len(compared) <= evacuation.MAX_COMPARISONS + 35
 
+    @pytest.mark.parametrize("fault", ["silent", "orders"])
+    def test_stays_on_a_worker_that_would_not_get_the_stop(
+        self, fault, monkeypatch
+    ):
+        """Its agent reports it, but it lists nothing or confirms no order."""
+        stage = pipelines.stage(1, 2000, lasting=True)
+        fleet = self.start(stage, ["w2"], w1="a", w2="b")
+        source = fleet.scheduler.workers["w1", 1]
+        run_round = fleet.scheduler.run_round
+
+        def run_round_with_fault(now):
+            if fault == "orders":
+                leave_orders_unconfirmed(source, now)
+            else:
+                silent_since_s = now - 2 * fleet_module.SILENT_S
+                source.last_listed_s = source.lease_granted_s = silent_since_s
+            run_round(now)
+
+        with monkeypatch.context() as patched:
+            patched.setattr(fleet.scheduler, "run_round", run_round_with_fault)
+            fleet.evacuate("a")
+            for _ in range(20):
+                fleet.step()
+                assert hosts_of(fleet) == ["w1"]
+                assert not fleet.scheduler.workers["w2", 1].reservations
+        source.unconfirmed_orders = []
+        fleet.run_for(3)
+        assert hosts_of(fleet) == ["w2"]
+
     def test_waits_until_the_task_may_start_under_a_new_leader(self):
         """A new leader stopped a task that it could not start yet.
 
