Zones are marked as a whole before starts are withdrawn

With worker by worker, a gang whose record was pending got stops for the members on workers that were not marked yet, instead of being dropped.

--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -285,15 +285,21 @@
         Stored starts of lasting tasks would otherwise be ordered meanwhile.
         """
         if self._evacuation.set_zones(zones, now):
-            for worker in self._workers.values():
-                self._mark_evacuated(worker)
+            self._mark_evacuated(self._workers.values())
 
-    def _mark_evacuated(self, worker: fleet.Worker) -> None:
-        covered = self._evacuation.covers(worker.state.zone)
-        if covered is not worker.evacuated:
+    def _mark_evacuated(self, workers: Iterable[fleet.Worker]) -> None:
+        """Marks workers; withdraws the starts on those that are evacuated now.
+
+        All are marked first, so that a gang is dropped as a whole.
+        """
+        evacuated = []
+        for worker in workers:
+            covered = self._evacuation.covers(worker.state.zone)
+            if covered and not worker.evacuated:
+                evacuated.append(worker)
             worker.evacuated = covered
-            if covered:
-                self._starter.withdraw_from_evacuated([worker])
+        if evacuated:
+            self._starter.withdraw_from_evacuated(evacuated)
 
     def expect_agents(
         self,
@@ -471,7 +477,7 @@
             and worker.agent_incarnation != agent_incarnation
         )
         worker.agent_incarnation = agent_incarnation
-        self._mark_evacuated(worker)
+        self._mark_evacuated([worker])
         if restarted:
             self._apply_agent_restart(worker, state)
         worker.confirm_orders(state.received, now)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -183,6 +183,26 @@
         assert hosts_of(fleet) == ([] if gang else ["w2"])
         assert starting_hosts(fleet) <= {"w2"}
 
+    def test_gang_that_waits_for_its_record_gets_no_stops(self):
+        """Guards against a stop of each member on a further worker.
+
+        Zones were withdrawn worker by worker: the members on workers that were
+        not marked yet were stopped, and the task waited for these stops.
+        """
+        fleet = make_fleet(True, w1="a", w2="a", w3="b", w4="b")
+        stage = pipelines.stage(2, 8000, lasting=True, gang=True)
+        fleet.resize_worker("w3", 0)
+        fleet.resize_worker("w4", 0)
+        fleet.run_for(simfleet.BEAT_S + 0.1)
+        fleet.submit("a", stage)
+        workers = fleet.scheduler.workers.values()
+        while not any(worker.placements for worker in workers):
+            fleet.step()
+        assert not fleet.starts
+        fleet.evacuate("a")
+        assert not any(worker.placements for worker in workers)
+        assert not any(worker.unconfirmed_orders for worker in workers)
+
     def test_order_that_is_carried_out_late_is_fenced_off(self):
         """The worker would start it seconds after its agent gave it up."""
         fleet = make_fleet(w1="a")
