What a report lists as running goes on if it also names an evacuated zone

The zone was applied before the list, so that such an attempt was stopped. It is applied before starts that wait for the report, and also if nothing is listed.

A test that compared an age after a sleep waits for it with a bound instead.

--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -477,15 +477,18 @@
             and worker.agent_incarnation != agent_incarnation
         )
         worker.agent_incarnation = agent_incarnation
-        self._mark_evacuated([worker])
         if restarted:
             self._apply_agent_restart(worker, state)
         worker.confirm_orders(state.received, now)
         if not state.fresh or not state.reachable:
+            self._mark_evacuated([worker])
             return worker
         worker.last_listed_s = now
         self._apply_ends(worker, state, now)
         self._apply_running(worker, state, now)
+        # What is listed as running goes on; what waits for this report is
+        # not ordered.
+        self._mark_evacuated([worker])
         if state.more_ended:
             self._partial_lists += 1
         else:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -203,6 +203,35 @@
         assert not any(worker.placements for worker in workers)
         assert not any(worker.unconfirmed_orders for worker in workers)
 
+    @pytest.mark.parametrize("reachable", [True, False])
+    def test_zone_and_running_attempt_in_one_report(
+        self, reachable, monkeypatch
+    ):
+        """Guards against a stop of what the same report lists as running.
+
+        The zone counts also if the report lists nothing.
+        """
+        fleet = make_fleet(w1="b")
+        fleet.evacuate("a")
+        fleet.submit("a", pipelines.stage(1, 2000))
+        while not fleet.running():
+            fleet.step()
+        fleet.hosts["w1"].zone = "a"
+        worker_state = pipelines.worker_state
+        monkeypatch.setattr(
+            pipelines,
+            "worker_state",
+            lambda *arguments, **fields: worker_state(
+                *arguments, **{**fields, "reachable": reachable}
+            ),
+        )
+        fleet.step()
+        worker = fleet.scheduler.workers["w1", 1]
+        assert worker.evacuated
+        stopping = fleet_module.AttemptState.STOPPING
+        stopped = [p.state is stopping for p in worker.placements.values()]
+        assert stopped == [not reachable]
+
     def test_order_that_is_carried_out_late_is_fenced_off(self):
         """The worker would start it seconds after its agent gave it up."""
         fleet = make_fleet(w1="a")
--- a/tests/test_evacuationwatch.py
+++ b/tests/test_evacuationwatch.py
@@ -127,9 +127,8 @@
             await known.join()
             assert harness.applied == [{"a"}]
             harness.table.down = True
-            await curio.sleep(0.3)
+            assert await leaders.eventually(lambda: harness.watch.age_s > 0.2)
             assert harness.applied == [{"a"}]
-            assert harness.watch.age_s > 0.2
             await harness.write("b")
             harness.table.table.truncate_history()
             harness.table.down = False
