Further tests of evacuation: missing ticket, store that slows down

A gang stays if a member outside the zone has no ticket for its worker (both members were stopped without that check).

--- a/pomelostair/evacuation.py
+++ b/pomelostair/evacuation.py
@@ -303,6 +303,7 @@
             return
         current.tried_gangs.add(key)
         members = task.pipeline.tasks(task.occurrence, task.stage_number)
+        current.comparisons_left -= len(members) // CHECKS_PER_COMPARISON
         if task.stage.skippable and len(members) > task.stage.skippable:
             return
         moving = [p for m in members for p in self._attempts.of_task(m)]
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -437,6 +437,26 @@
             assert hosts_of(fleet) == ["w1", "w2"]
         assert not fleet.scheduler.workers["w3", 1].reservations
 
+    def test_gang_stays_if_a_member_outside_has_no_ticket(self, monkeypatch):
+        """Guards against a stopped member that waits for its advisor."""
+        stage = pipelines.stage(2, 8000, lasting=True, gang=True)
+        fleet = self.start(stage, ["w3"], w1="a", w2="b", w3="b")
+        assert hosts_of(fleet) == ["w1", "w2"]
+        with monkeypatch.context() as patched:
+            patched.setattr(
+                fleet.scheduler._starter,
+                "permitted_workers",
+                lambda task, workers, table, now: [
+                    worker for worker in workers if worker.id != "w2"
+                ],
+            )
+            fleet.evacuate("a")
+            for _ in range(20):
+                fleet.step()
+                assert hosts_of(fleet) == ["w1", "w2"]
+        fleet.run_for(4)
+        assert hosts_of(fleet) == ["w2", "w3"]
+
     def test_unavailable_tasks_of_a_stage_are_counted_once_a_pass(
         self, monkeypatch
     ):
--- a/tests/test_evacuationwatch.py
+++ b/tests/test_evacuationwatch.py
@@ -264,6 +264,21 @@
         self.run(monkeypatch, latency_s, body)
         assert max(took_s) <= 2 * latency_s + 0.1
 
+    def test_rows_are_seen_in_time_once_the_store_slows_down(self, monkeypatch):
+        """The first watch and reading are given up; the next has more time."""
+        took_s = []
+
+        async def body():
+            for n in range(10):
+                self.table.latency_s = 1.6
+                await curio.sleep(0.3 * n)
+                took_s.append(await self.write_and_wait(f"z{n}"))
+                self.table.latency_s = 0.01
+                await curio.sleep(20)
+
+        self.run(monkeypatch, 0.01, body)
+        assert max(took_s) <= 4.2
+
     @pytest.mark.parametrize("latency_s", [0.01, 0.4, 0.5])
     def test_silent_store_is_noticed_well_within_the_bound(
         self, latency_s, monkeypatch
