--- a/pomelostair/pipelinescheduler.py
+++ b/pomelostair/pipelinescheduler.py
@@ -152,6 +152,8 @@
         )
         self._evacuation = evacuation.Evacuation(metrics)
         self._mover = evacuation.Mover(self._attempts, self._pacer, metrics)
+        # Monotonic time at which the latest commit began that succeeded.
+        self._committed_s = -math.inf
 
     @property
     def registry(self) -> pipelineregistry.PipelineRegistry:
@@ -211,6 +213,18 @@
         """
         return self._earlier_placements_recorded or self._to_record == set()
 
+    def record_commit(self, began_s: float) -> None:
+        """Records a commit that the store has acknowledged.
+
+        Args:
+            began_s: Monotonic time at which it began.
+        """
+        self._committed_s = began_s
+
+    def has_recent_commit(self, now: float) -> bool:
+        """Returns whether a start can be expected to be recorded soon."""
+        return now - self._committed_s < evacuation.MAX_COMMIT_AGE_S
+
     def confirm(self, batch: pipelineregistry.Batch) -> list[fleet.Worker]:
         """Records that a batch is durable.
 
@@ -287,15 +301,21 @@
         Stored starts of lasting tasks would otherwise be ordered meanwhile.
         """
         if self._evacuation.set_zones(zones, now):
-            for worker in self._workers.values():
-                self._mark_evacuated(worker)
+            self._mark_evacuated(self._workers.values())
+
+    def _mark_evacuated(self, workers: Iterable[fleet.Worker]) -> None:
+        """Marks workers; withdraws the starts on those that are evacuated now.
 
-    def _mark_evacuated(self, worker: fleet.Worker) -> None:
-        covered = self._evacuation.covers(worker.state.zone)
-        if covered is not worker.evacuated:
+        All are marked first, so that a gang is dropped as a whole.
+        """
+        evacuated = []
+        for worker in workers:
+            covered = self._evacuation.covers(worker.state.zone)
+            if covered and not worker.evacuated:
+                evacuated.append(worker)
             worker.evacuated = covered
-            if covered:
-                self._starter.withdraw_from_evacuated([worker])
+        if evacuated:
+            self._starter.withdraw_from_evacuated(evacuated)
 
     def expect_agents(
         self,
@@ -402,12 +422,13 @@
             for placement in self._monitor.check(worker, now):
                 name = placement.task.pipeline.id
                 slowed.setdefault(name, []).append(placement)
-        if self._evacuation.zones:
+        if self._evacuation.zones and self.has_recent_commit(now):
             self._mover.move(
                 self._workers.values(),
                 lambda task, workers: self._starter.permitted_workers(
                     task, workers, self._queues, now
                 ),
+                self._may_start,
                 now,
             )
         self._packer.pack(self._workers.values(), now)
@@ -472,15 +493,18 @@
             and worker.agent_incarnation != agent_incarnation
         )
         worker.agent_incarnation = agent_incarnation
-        self._mark_evacuated(worker)
         if restarted:
             self._apply_agent_restart(worker, state)
         worker.confirm_orders(state.received, now)
         if not state.fresh or not state.reachable:
+            self._mark_evacuated([worker])
             return worker
         worker.last_listed_s = now
         self._apply_ends(worker, state, now)
         self._apply_running(worker, state, now)
+        # What is listed as running goes on; what waits for this report is
+        # not ordered.
+        self._mark_evacuated([worker])
         if state.more_ended:
             self._partial_lists += 1
         else:
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -1,8 +1,10 @@
+import attrs
 import pytest
 
 from pomelostair import evacuation
 from pomelostair import events
 from pomelostair import fleet as fleet_module
+from pomelostair import pipelinemessages as messages
 from pomelostair import pipelinescheduler
 from tests import pipelines
 from tests import simfleet
@@ -31,6 +33,27 @@
         fleet.step()
 
 
+def leave_orders_unconfirmed(worker, now):
+    """Makes a worker one whose agent has not confirmed an order for long."""
+    order = messages.Order(1, messages.STOP, "other.0.0.0", 1)
+    worker.unconfirmed_orders = [order]
+    worker.orders_confirmed_s = now - 2 * fleet_module.UNCONFIRMED_S
+
+
+# Conditions of a worker on which no task can start.
+FAULTS = {
+    "unannounced": lambda worker, now: setattr(
+        worker, "state", attrs.evolve(worker.state, announced=False)
+    ),
+    "suspect": lambda worker, now: setattr(
+        worker, "suspect_until_s", now + 1.0
+    ),
+    "unregistered": lambda worker, now: setattr(worker, "registered", False),
+    "orphans": lambda worker, now: worker.orphans.add(("other.0.0.0", 1)),
+    "orders": leave_orders_unconfirmed,
+}
+
+
 def hosts_of(fleet, name="a"):
     """Returns the workers that run the tasks of a pipeline, sorted."""
     return sorted(
@@ -160,6 +183,55 @@
         assert hosts_of(fleet) == ([] if gang else ["w2"])
         assert starting_hosts(fleet) <= {"w2"}
 
+    def test_gang_that_waits_for_its_record_gets_no_stops(self):
+        """Guards against a stop of each member on a further worker.
+
+        Zones were withdrawn worker by worker: the members on workers that were
+        not marked yet were stopped, and the task waited for these stops.
+        """
+        fleet = make_fleet(True, w1="a", w2="a", w3="b", w4="b")
+        stage = pipelines.stage(2, 8000, lasting=True, gang=True)
+        fleet.resize_worker("w3", 0)
+        fleet.resize_worker("w4", 0)
+        fleet.run_for(simfleet.BEAT_S + 0.1)
+        fleet.submit("a", stage)
+        workers = fleet.scheduler.workers.values()
+        while not any(worker.placements for worker in workers):
+            fleet.step()
+        assert not fleet.starts
+        fleet.evacuate("a")
+        assert not any(worker.placements for worker in workers)
+        assert not any(worker.unconfirmed_orders for worker in workers)
+
+    @pytest.mark.parametrize("reachable", [True, False])
+    def test_zone_and_running_attempt_in_one_report(
+        self, reachable, monkeypatch
+    ):
+        """Guards against a stop of what the same report lists as running.
+
+        The zone counts also if the report lists nothing.
+        """
+        fleet = make_fleet(w1="b")
+        fleet.evacuate("a")
+        fleet.submit("a", pipelines.stage(1, 2000))
+        while not fleet.running():
+            fleet.step()
+        fleet.hosts["w1"].zone = "a"
+        worker_state = pipelines.worker_state
+        monkeypatch.setattr(
+            pipelines,
+            "worker_state",
+            lambda *arguments, **fields: worker_state(
+                *arguments, **{**fields, "reachable": reachable}
+            ),
+        )
+        fleet.step()
+        worker = fleet.scheduler.workers["w1", 1]
+        assert worker.evacuated
+        stopping = fleet_module.AttemptState.STOPPING
+        stopped = [p.state is stopping for p in worker.placements.values()]
+        assert stopped == [not reachable]
+
     def test_order_that_is_carried_out_late_is_fenced_off(self):
         """The worker would start it seconds after its agent gave it up."""
         fleet = make_fleet(w1="a")
@@ -293,3 +365,141 @@
         compared = pipelines.record_comparisons(monkeypatch)
         fleet.step()
         assert 0 < len(compared) <= evacuation.MAX_COMPARISONS + 35
+
+    @pytest.mark.parametrize("fault", ["silent", "orders"])
+    def test_stays_on_a_worker_that_would_not_get_the_stop(
+        self, fault, monkeypatch
+    ):
+        """Its agent reports it, but it lists nothing or confirms no order."""
+        stage = pipelines.stage(1, 2000, lasting=True)
+        fleet = self.start(stage, ["w2"], w1="a", w2="b")
+        source = fleet.scheduler.workers["w1", 1]
+        run_round = fleet.scheduler.run_round
+
+        def run_round_with_fault(now):
+            if fault == "orders":
+                leave_orders_unconfirmed(source, now)
+            else:
+                silent_since_s = now - 2 * fleet_module.SILENT_S
+                source.last_listed_s = source.lease_granted_s = silent_since_s
+            run_round(now)
+
+        with monkeypatch.context() as patched:
+            patched.setattr(fleet.scheduler, "run_round", run_round_with_fault)
+            fleet.evacuate("a")
+            for _ in range(20):
+                fleet.step()
+                assert hosts_of(fleet) == ["w1"]
+                assert not fleet.scheduler.workers["w2", 1].reservations
+        source.unconfirmed_orders = []
+        fleet.run_for(3)
+        assert hosts_of(fleet) == ["w2"]
+
+    def test_waits_until_the_task_may_start_under_a_new_leader(self):
+        """A new leader stopped a task that it could not start yet.
+
+        No placement is recorded and a worker is out of contact, so nothing of
+        earlier terms starts until its leases have lapsed.
+        """
+        stage = pipelines.stage(1, 2000, lasting=True)
+        fleet = self.start(stage, ["w2", "w3"], w1="a", w2="b", w3="b")
+        fleet.placements_recorded = False
+        fleet.hosts["w3"].partitioned = True
+        fleet.start_leader(gap_s=2.0)
+        fleet.evacuate("a")
+        away_s = 0.0
+        for _ in range(150):
+            fleet.step()
+            away_s += 0.0 if fleet.running() else 0.1
+        assert hosts_of(fleet) == ["w2"]
+        assert away_s < 2.0
+
+    @pytest.mark.parametrize("fault", FAULTS)
+    def test_gang_stays_if_a_member_outside_could_not_start_again(
+        self, fault, monkeypatch
+    ):
+        """Both members stayed down when one of them had no worker left."""
+        stage = pipelines.stage(2, 8000, lasting=True, gang=True)
+        fleet = self.start(stage, ["w3"], w1="a", w2="b", w3="b")
+        assert hosts_of(fleet) == ["w1", "w2"]
+        outside = fleet.scheduler.workers["w2", 1]
+        run_round = fleet.scheduler.run_round
+
+        def run_round_with_fault(now):
+            FAULTS[fault](outside, now)
+            run_round(now)
+
+        monkeypatch.setattr(fleet.scheduler, "run_round", run_round_with_fault)
+        fleet.step()
+        fleet.evacuate("a")
+        for _ in range(30):
+            fleet.step()
+            assert hosts_of(fleet) == ["w1", "w2"]
+        assert not fleet.scheduler.workers["w3", 1].reservations
+
+    def test_gang_stays_if_a_member_outside_has_no_ticket(self, monkeypatch):
+        """Guards against a stopped member that waits for its advisor."""
+        stage = pipelines.stage(2, 8000, lasting=True, gang=True)
+        fleet = self.start(stage, ["w3"], w1="a", w2="b", w3="b")
+        assert hosts_of(fleet) == ["w1", "w2"]
+        with monkeypatch.context() as patched:
+            patched.setattr(
+                fleet.scheduler._starter,
+                "permitted_workers",
+                lambda task, workers, table, now: [
+                    worker for worker in workers if worker.id != "w2"
+                ],
+            )
+            fleet.evacuate("a")
+            for _ in range(20):
+                fleet.step()
+                assert hosts_of(fleet) == ["w1", "w2"]
+        fleet.run_for(4)
+        assert hosts_of(fleet) == ["w2", "w3"]
+
+    def test_unavailable_tasks_of_a_stage_are_counted_once_a_pass(
+        self, monkeypatch
+    ):
+        """A pass walked all members of the stage for each task: 170 ms."""
+        stage = pipelines.stage(280, 1000, lasting=True, skippable=100)
+        fleet = self.start(stage, **{f"w{n}": "ab"[n % 2] for n in range(35)})
+        fleet.evacuate("a")
+        checked = []
+        is_at_work = evacuation.Mover._is_at_work
+        monkeypatch.setattr(
+            evacuation.Mover,
+            "_is_at_work",
+            lambda *arguments: checked.append(1) or is_at_work(*arguments),
+        )
+        fleet.step()
+        assert 0 < len(checked) <= 280
+
+    def test_gang_is_examined_once_a_pass(self, monkeypatch):
+        """Each of its members compared the whole gang with all workers."""
+        stage = pipelines.stage(8, 4000, lasting=True, gang=True)
+        zones = {f"w{n}": "a" if n < 8 else "b" for n in range(40)}
+        blocked = [name for name, zone in zones.items() if zone == "b"]
+        fleet = self.start(stage, blocked, **zones)
+        assert len(hosts_of(fleet)) == 8
+        for name in blocked[1:]:
+            fleet.hosts[name].cores = 0
+        fleet.run_for(simfleet.BEAT_S + 0.1)
+        fleet.evacuate("a")
+        compared = pipelines.record_comparisons(monkeypatch)
+        fleet.step()
+        # The third member finds no room any more.
+        assert 0 < len(compared) <= 3 * 32
+
+    def test_stays_while_the_store_does_not_commit(self):
+        """A stopped task waited for its record until the store was back."""
+        stage = pipelines.stage(2, 2000, lasting=True)
+        fleet = self.start(stage, ["w2"], w1="a", w2="b")
+        fleet.store_down = True
+        fleet.run_for(evacuation.MAX_COMMIT_AGE_S + 0.1)
+        fleet.evacuate("a")
+        for _ in range(20):
+            fleet.step()
+            assert hosts_of(fleet) == ["w1", "w1"]
+        fleet.store_down = False
+        fleet.run_for(6)
+        assert hosts_of(fleet) == ["w2", "w2"]
