Very slow fillers stop where others wait

Slow fillers count with their full requests, and one that finds no better worker stays where it is, at 5 % of its pace or halted.

On a service that is at least half in use by counted work, such a filler now stops after 2 s if fillers of other pipelines wait, unless it would lose work. Its task starts again where it can have 0.7 of its pace.

--- a/pomelostair/pacing.py
+++ b/pomelostair/pacing.py
@@ -44,6 +44,11 @@
 MOVE_BELOW_PERCENT = 60
 MOVE_AFTER_S = 1.0
 MOVE_TARGET_PERCENT = 80
+# One that finds no such worker, and is below YIELD_BELOW_PERCENT after
+# YIELD_AFTER_S, stops where others wait: it holds room in which a filler that
+# disturbs the services less could run at full pace.
+YIELD_BELOW_PERCENT = 25
+YIELD_AFTER_S = 2.0
 # Share of full pace that a worker must offer to a filler for it to start. Lower
 # shares fill a busy fleet with slow fillers, which keep others from the workers
 # where those would run at full pace. So that no task starves, the requirement
@@ -274,6 +279,14 @@
             and now - placement.slowed_since_s > MOVE_AFTER_S
         )
 
+    def should_yield(self, placement: fleet.Placement, now: float) -> bool:
+        """Returns whether a filler is too slow to keep its room from others."""
+        return (
+            self.should_move(placement, now)
+            and placement.pace_percent < YIELD_BELOW_PERCENT
+            and now - placement.slowed_since_s > YIELD_AFTER_S
+        )
+
     def _non_exempt_serving(
         self, worker: fleet.Worker, now: float
     ) -> list[fleet.Placement]:
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -171,9 +171,13 @@
             for service, same_service in schedulable.items()
         }
         top_priority: dict[str, int] = {}
-        for _, _, queue in ranked:
+        # Pipelines with fillers that wait, by service.
+        waiting_fillers: collections.Counter[str] = collections.Counter()
+        for _, item, queue in ranked:
             known = top_priority.get(queue.service, queue.priority)
             top_priority[queue.service] = min(known, queue.priority)
+            if item.ready and item.declaration.has_filler:
+                waiting_fillers[queue.service] += 1
 
         def terms_of(queue: queues.Queue) -> _Terms:
             top = top_priority.get(queue.service, queue.priority)
@@ -199,7 +203,13 @@
                 if move_comparisons < MAX_MOVE_COMPARISONS:
                     targets = schedulable[queue.service]
                     move_comparisons += len(targets)
-                    self._move(placement, targets, now)
+                    self._move(
+                        placement,
+                        targets,
+                        waiting_fillers[queue.service] > bool(item.ready)
+                        and searches[queue.service].is_busy,
+                        now,
+                    )
         for task, ready_s in lapsing.items():
             queue = table.by_name(task.pipeline.declaration.queue)
             # Where an advisor must agree, only it knows the workers.
@@ -556,12 +566,21 @@
         self,
         placement: fleet.Placement,
         workers: list[fleet.Worker],
+        others_wait: bool,
         now: float,
     ) -> None:
         """Moves a slowed attempt unless too much progress would be lost.
 
         Resources for it are reserved on the target, and the attempt is
-        stopped; the task starts there once the end is reported.
+        stopped; the task starts there once the end is reported. Without a
+        target, a very slow attempt stops where others wait for room, and its
+        task waits with them.
+
+        Args:
+            placement: The attempt.
+            workers: Workers of its service that accept new attempts.
+            others_wait: Whether fillers of other pipelines wait for room.
+            now: Monotonic seconds.
         """
         task = placement.task
         if (
@@ -583,6 +602,9 @@
             pacing.MOVE_TARGET_PERCENT / pacing.FULL_PERCENT,
         )
         if target is None:
+            if others_wait and self._pacer.should_yield(placement, now):
+                self._metrics.count("fillers_yielded")
+                self._attempts.stop(placement, "it is too slow on its worker")
             return
         target.reserve(task, now + fleet.RESERVATION_S)
         self._attempts.stop(placement, "it slows serving tasks on its worker")
--- a/tests/test_pipelinestarts.py
+++ b/tests/test_pipelinestarts.py
@@ -1,5 +1,6 @@
 """Starts of ready tasks, and moves of fillers that services slow down."""
 
+import attrs
 import pytest
 
 from pomelostair import attempts
@@ -46,7 +47,8 @@
         pipelines.place(self.busy, pipelines.stage(millicores=6000))
 
     def place_slowed(self, stage=FILLER, submitted_ms=0, **changes):
-        placement = pipelines.place(self.busy, stage, pace_percent=5, **changes)
+        changes = {"pace_percent": 5, **changes}
+        placement = pipelines.place(self.busy, stage, **changes)
         self.busy.remove(placement)
         self.attempts.attach(placement)
         return placement
@@ -167,6 +169,50 @@
         assert pacer.should_move(placement, later)
 
 
+class TestVerySlowFillers:
+    """Fillers at 5 % of their pace, on a fleet without a better place.
+
+    Guards against a full fleet whose slow fillers keep others from the workers
+    on which those would run at full pace.
+    """
+
+    SLOWED_SINCE_S = 1.0
+    LATE_S = SLOWED_SINCE_S + pacing.YIELD_AFTER_S + 0.1
+
+    def play(self, busy=True, others=1, now=LATE_S, **changes):
+        cluster = TwoWorkers()
+        cluster.fill(cluster.empty, filler=not busy)
+        slowed = cluster.place_slowed(
+            slowed_since_s=self.SLOWED_SINCE_S, **changes
+        )
+        waiting = [cluster.add(f"other-{n}", FILLER) for n in range(others)]
+        cluster.start_ready(
+            slowed.task.pipeline, *waiting, slowed=[slowed], now=now
+        )
+        return slowed.state
+
+    def test_stop_where_others_wait(self):
+        assert self.play() is fleet.AttemptState.STOPPING
+
+    @pytest.mark.parametrize(
+        "case",
+        [
+            {"others": 0},
+            {"busy": False},
+            {"now": LATE_S - 0.2},
+            {"pace_percent": pacing.YIELD_BELOW_PERCENT},
+            {
+                "stage": attrs.evolve(FILLER, checkpointing=False),
+                "progress_percent": 60.0,
+            },
+            {"stage": attrs.evolve(FILLER, gang=True)},
+        ],
+        ids=["none-waits", "half-empty", "early", "faster", "loses", "gang"],
+    )
+    def test_go_on_otherwise(self, case):
+        assert self.play(**case) is fleet.AttemptState.RUNNING
+
+
 class TestServicesOnMostOfTheCapacity:
     """Services, half of them spread, that fill five in six workers at once.
 
