--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -121,6 +121,8 @@
     EARLIER_ATTEMPTS_KNOWN = Event(
         455, logging.INFO, "attempts of earlier terms are known"
     )
+    STORE_LOST = Event(460, logging.WARNING, "store refuses this process")
+    STORE_BACK = Event(461, logging.INFO, "store serves this process again")
     EVACUATION_BEGUN = Event(470, logging.WARNING, "zone is being evacuated")
     EVACUATION_ENDED = Event(471, logging.INFO, "zone gets work again")
     EVACUATED_ZONE_UNKNOWN = Event(
@@ -141,8 +143,6 @@
     PIPELINE_WORKER_NOT_SLOW = Event(
         482, logging.INFO, "worker is not slower than others any more"
     )
-    STORE_LOST = Event(460, logging.WARNING, "store refuses this process")
-    STORE_BACK = Event(461, logging.INFO, "store serves this process again")
     RELOADED = Event(105, logging.INFO, "settings reloaded")
     RELOAD_REFUSED = Event(106, logging.WARNING, "changed settings refused")
     LINES_DROPPED = Event(107, logging.WARNING, "log lines dropped")
