--- a/pomelostair/evacuation.py
+++ b/pomelostair/evacuation.py
@@ -19,7 +19,7 @@
 from pomelostair import pipeline
 from pomelostair import pipelineplacement as placement_module
 
-# Interval at which all workers are looked at for the reports below.
+# Interval at which all workers are checked for the reports below.
 CHECK_INTERVAL_S = 0.25
 # Time for which a zone may be without a known worker before it is reported as
 # unknown. Agents report to a new leader within about a second.
@@ -30,7 +30,7 @@
 # Interval at which lasting tasks are moved. A move takes about 1 s.
 PASS_INTERVAL_S = 0.25
 # Most comparisons of a task with a worker in one pass, about 5 ms of processor
-# time, and most tasks that it looks at. The next pass goes on with the others.
+# time, and most tasks that it examines. The next pass continues after them.
 MAX_COMPARISONS = 500
 MAX_EXAMINED_TASKS = 200
 # Workers that one pass compares with a task, so that a large fleet is searched
@@ -43,7 +43,7 @@
 # each 0.45 s; a task that moves starts again only once its record is stored.
 MAX_COMMIT_AGE_S = 1.5
 # Checks whether a task is at work that count as one comparison with a worker,
-# so that a pass over many stages is bounded as well. Chosen, not measured.
+# as they are cheaper. Thus a pass over many stages is bounded as well.
 CHECKS_PER_COMPARISON = 5
 # Percent that a lasting task reports when it is at work.
 AT_WORK_PERCENT = 100
@@ -180,8 +180,8 @@
 class Mover:
     """Moves lasting tasks out of evacuated zones, during one term of a leader.
 
-    Only into room that exists, and only as many tasks of a stage at a time as
-    its `skippable` allows; of a stage without that limit, one.
+    They move only into room that exists, and only as many tasks of a stage at a
+    time as its `skippable` allows; of a stage without that limit, one.
 
     Args:
         attempts: Attempts that may be running.
@@ -202,7 +202,7 @@
         self._staying_tasks = 0
         # Moved tasks that are not known to be at work again.
         self._moving: set[pipeline.Task] = set()
-        # Where the next pass goes on among the tasks and the workers.
+        # Index of the task and of the worker at which the next pass begins.
         self._next_task = 0
         self._next_worker = 0
 
@@ -277,7 +277,8 @@
     ) -> set[pipeline.Task]:
         """Returns the tasks of a stage that count against its limit.
 
-        Those that are not at work; without a limit, only those that move.
+        These are the tasks that are not at work; in a stage without a limit,
+        only those of them that move.
         """
         key = _stage_key(task)
         if key not in current.unavailable:
@@ -339,7 +340,7 @@
                 break
             target.reserve(p.task, now + RESERVATION_S)
             reserved.append((target, p.task))
-        # Also for members that start again where they are.
+        # Checked for all, as members may also start again where they are.
         if len(reserved) < len(moving) or not all(
             _is_target(worker, now) and current.permitted(reserving, [worker])
             for worker, reserving in reserved
@@ -377,13 +378,13 @@
 
 @attrs.define
 class _Pass:
-    """What one pass of the mover knows.
+    """State of one pass of the mover.
 
     Attributes:
         permitted: Returns those of several workers on which a task may run.
         may_start: Returns whether no earlier leader can have started a task.
         now: Monotonic seconds.
-        comparisons_left: Comparisons that are left.
+        comparisons_left: Comparisons that the pass may still make.
         unavailable: Tasks that count against the limit of their stage, by
             stage. They are determined once a pass, as a stage may be large.
         tried_gangs: Stages of the gangs that were examined.
--- a/pomelostair/evacuationwatch.py
+++ b/pomelostair/evacuationwatch.py
@@ -27,8 +27,9 @@
 WATCH_MARGIN_FACTOR = 1.25
 MIN_WATCH_MARGIN_S = 0.4
 MAX_WATCH_MARGIN_S = 2.0
-# Time for a reading: likewise; doubled after each one without an answer, as the
-# store may only be slow. A silent store is read again after 2.4 s (a watch, a
+# Timeout of a reading, a multiple of the longest recent answer time as well. It
+# doubles after each reading without an answer, as the store may only be slow. A
+# silent store is read again after 2.4 s (a watch, a
 # reading and a pause). The circuit breaker is open by then, since the leader's
 # commits have no answer either, so that a peer relays this reading. The upper
 # bound exceeds the longest timeout of a reading by the store's client.
@@ -176,10 +177,10 @@
             return None
         took_s = self._clock.now() - started_s
         if changes.rows or changes.deleted:
-            # It ended at an unknown time of its wait, which bounds the answer
-            # time from both sides.
-            least_s = max(self._answer_s, took_s - self._wait_s)
-            self._answer_s = min(took_s, least_s)
+            # The change came at an unknown time of the wait, so the answer took
+            # between `took_s - self._wait_s` and `took_s`.
+            at_least_s = max(self._answer_s, took_s - self._wait_s)
+            self._answer_s = min(took_s, at_least_s)
         else:
             self._record_answer(max(0.0, took_s - self._wait_s))
         written = self._decode({row.key for row in changes.rows})
--- a/pomelostair/memorybudget.py
+++ b/pomelostair/memorybudget.py
@@ -15,22 +15,24 @@
 from pomelostair import metrics as metrics_module
 
 _MIB = 1024 * 1024
-# Of the smallest entry; its defaults suit processes that state nothing.
+# Machine of the smallest entry, for processes whose settings state no limits.
 DEFAULT_MEMORY_MB = 200
 DEFAULT_MAX_FDS = 4096
 # Share of the machine's memory for callers. An idle process takes about 45 MB,
 # so this leaves half of the smallest machine for the product's own state.
 CALLERS_SHARE = 0.25
-# Taken out of that share for readiness checks, and again for metrics.
+# Part of that share for readiness checks, and as much again for metrics.
 OPERATIONS_BYTES = 2 * _MIB
 # Descriptors for files and the parts of the runtime.
 RESERVED_FDS = 200
-# A connection to a peer: its socket, and what tells when it is writable.
+# Descriptors of a connection to a peer: its socket, and those that tell when it
+# is writable.
 FDS_PER_PEER = 3
 MAX_CALLERS = 2048
 MAX_READINESS_CONNECTIONS = 64
 MIN_CONNECTIONS = 16
-# One of a kind of limit at one place; further ones are counted in the line.
+# Shortest time between two log lines about one limit at one place. The next
+# line counts what was not logged meanwhile.
 LOG_INTERVAL_S = 1.0
 
 
@@ -115,7 +117,7 @@
         self._metrics = metrics
         self._now = now
         self._logged_s: dict[tuple[str, str], float] = {}
-        self._since: dict[tuple[str, str], int] = {}
+        self._unlogged: dict[tuple[str, str], int] = {}
 
     def record(self, place: str, limit: str) -> None:
         """Records that a limit was reached.
@@ -126,7 +128,7 @@
         """
         self._metrics.count("limits_reached", place=place, limit=limit)
         key = (place, limit)
-        self._since[key] = self._since.get(key, 0) + 1
+        self._unlogged[key] = self._unlogged.get(key, 0) + 1
         now = self._now()
         if now - self._logged_s.get(key, -LOG_INTERVAL_S) < LOG_INTERVAL_S:
             return
@@ -135,7 +137,7 @@
             events.Events.LIMIT_REACHED,
             place=place,
             limit=limit,
-            count=self._since.pop(key),
+            count=self._unlogged.pop(key),
         )
 
 
--- a/pomelostair/runtimes.py
+++ b/pomelostair/runtimes.py
@@ -12,7 +12,8 @@
 from pomelostair import fleet
 from pomelostair import pipeline
 
-# Pipelines of a queue that are remembered, and that must be known.
+# Pipelines of a queue that are remembered, and how many must be known for its
+# ratio to count.
 MAX_PIPELINES = 24
 MIN_PIPELINES = 5
 # Ends of a pipeline that are remembered.
@@ -42,7 +43,7 @@
     def __init__(self, enabled: bool = False, remote_factor: float = 1.0):
         self._enabled = enabled
         self._remote_factor = remote_factor
-        # Ratios by pipeline by queue, oldest first.
+        # Ratios of the ended attempts by queue and pipeline, oldest first.
         self._ends: collections.OrderedDict[
             str, collections.OrderedDict[str, list[float]]
         ] = collections.OrderedDict()
@@ -74,7 +75,7 @@
         worker = placement.worker
         known_s = placement.known_run_ms / 1000
         elapsed_s = now - placement.ordered_s
-        if elapsed_s - known_s > known_s:
+        if elapsed_s > 2 * known_s:
             # Orders or reports were late, so that the run time is not known.
             return
         run_s = max(known_s, elapsed_s - DELAY_S)
@@ -97,11 +98,12 @@
         if len(by_pipeline) > MAX_PIPELINES:
             by_pipeline.popitem(last=False)
         if len(by_pipeline) >= MIN_PIPELINES:
-            ratio = statistics.median(
+            median = statistics.median(
                 map(statistics.median, by_pipeline.values())
             )
             lowest, highest = USUAL_RATIOS
-            self._ratios[queue] = 1.0 if lowest <= ratio <= highest else ratio
+            is_usual = lowest <= median <= highest
+            self._ratios[queue] = 1.0 if is_usual else median
 
 
 # Knows nothing: all estimates are taken as they are.
--- a/pomelostair/workerspeed.py
+++ b/pomelostair/workerspeed.py
@@ -53,15 +53,15 @@
 SLOW_BELOW_BY_IMAGE = 0.5
 # Time for which a comparison counts.
 FORGET_S = 20.0
-# Bounds of what is kept: stages and images, workers of each, comparisons of
-# each worker.
+# Most groups (stages and images) that are kept, workers of each group, and
+# comparisons of each worker.
 MAX_GROUPS = 256
 MAX_GROUP_WORKERS = 24
 MAX_SAMPLES = 24
 # Time for which the median of a group is not computed again.
 MEDIAN_VALID_S = 0.25
-# Shortest time between two looks at what runs on a worker. Reports come several
-# times a second, and each look takes some microseconds for each attempt.
+# Shortest time between two measurements on a worker. Reports come several times
+# a second, and a measurement takes some microseconds for each attempt.
 OBSERVE_INTERVAL_S = 0.5
 # Time after which a speed without new comparisons is computed again, since
 # earlier ones are forgotten.
@@ -112,7 +112,8 @@
     """Begin of the time over which the rate of an attempt is measured.
 
     Attributes:
-        percent: Progress at the begin.
+        percent: Progress at the begin; negative while the attempt may not have
+            full pace yet, so that nothing is measured.
         clock_ms: The worker's clock then.
         latest_percent: Latest progress. Less progress begins a new span, as the
             attempt has gone back to a checkpoint, or reports falsely.
@@ -149,9 +150,10 @@
 
     Attributes:
         rates: Latest rate by worker, in percent a millisecond.
-        median: Their median, 0 if too many of them are low.
+        median: Their median, 0 if `is_mixed` or not computed yet.
         median_at_s: Monotonic time at which it was computed.
-        is_mixed: Whether too many of the rates are low.
+        is_mixed: Whether too many rates are low, so that the work of the
+            attempts differs rather than the workers.
     """
 
     rates: dict[fleet.WorkerKey, float] = attrs.field(factory=dict)
@@ -160,15 +162,21 @@
     is_mixed: bool = False
 
     def add(self, key: fleet.WorkerKey, rate: float) -> None:
+        """Records the latest rate of a worker."""
         self.rates.pop(key, None)
         self.rates[key] = rate
         if len(self.rates) > MAX_GROUP_WORKERS:
             del self.rates[next(iter(self.rates))]
 
     def reference(self, key: fleet.WorkerKey, now: float) -> float:
-        """Returns the median, 0 if it shows no worker to be slow.
+        """Returns the rate to compare a worker with, 0 if there is none.
 
-        There are too few rates of other workers, or too many low ones.
+        It is the median. There is none if too few other workers are known, or
+        if too many rates are low, as the work of the attempts differs then.
+
+        Args:
+            key: The worker.
+            now: Monotonic seconds.
         """
         if len(self.rates) - (key in self.rates) < MIN_WORKERS:
             return 0.0
@@ -191,21 +199,23 @@
     Attributes:
         spans: What is measured now, by attempt.
         samples: Latest comparisons, by attempt, oldest first.
-        slow: Whether it was logged as slow.
-        next_look_s: Monotonic time of the next look at its attempts.
+        slow: Whether it counts as slow, as the log says.
+        next_measurement_s: Monotonic time of the next measurement of its
+            attempts.
         speed_valid_s: Monotonic time until which its speed is valid.
     """
 
     spans: dict[fleet.AttemptKey, _Span] = attrs.field(factory=dict)
     samples: dict[fleet.AttemptKey, _Sample] = attrs.field(factory=dict)
     slow: bool = False
-    next_look_s: float = 0.0
+    next_measurement_s: float = 0.0
     speed_valid_s: float = 0.0
 
     def speed(self, now: float) -> float | None:
         """Returns the median over the pipelines, None if too little is known.
 
-        It is the upper one, so that most of the pipelines show a low speed.
+        Of an even number, it is the upper one, so that more than half of the
+        pipelines have to show a low speed.
 
         Args:
             now: Monotonic seconds.
@@ -279,8 +289,8 @@
         if not self._enabled:
             return
         learned = self._learned.setdefault(worker.key, _Learned())
-        if now >= learned.next_look_s:
-            learned.next_look_s = now + OBSERVE_INTERVAL_S
+        if now >= learned.next_measurement_s:
+            learned.next_measurement_s = now + OBSERVE_INTERVAL_S
             for key in learned.spans.keys() - worker.placements.keys():
                 del learned.spans[key]
             for placement in worker.placements.values():
