--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -1,5 +1,6 @@
 """The pipeline leader's view of the workers and of what runs on them."""
 
+from collections.abc import Iterable
 import enum
 import itertools
 
@@ -608,6 +609,10 @@
             for order in self.unconfirmed_orders
         ]
 
+    def is_far(self, stage: pipeline.Stage) -> bool:
+        """Returns whether the data of a stage are in another rack."""
+        return bool(stage.rack) and stage.rack != self.state.rack
+
     def _adjust_usage(self, stage: pipeline.Stage, sign: int) -> None:
         demand = stage.demand
         millicores = demand.millicores
@@ -623,6 +628,14 @@
         )
 
 
+def by_rack(workers: Iterable[Worker]) -> dict[str, list[Worker]]:
+    """Returns the workers of each rack."""
+    racks: dict[str, list[Worker]] = {}
+    for worker in workers:
+        racks.setdefault(worker.state.rack, []).append(worker)
+    return racks
+
+
 def _fitting(orders: list[messages.Order]) -> tuple[messages.Order, ...]:
     """Returns the first orders that fit into one message, at least one."""
     size = 0
--- a/pomelostair/pipelinelocality.py
+++ b/pomelostair/pipelinelocality.py
@@ -37,20 +37,20 @@
 SPARE_SHARE = 0.25
 # Share of its work that a task with a checkpoint is assumed to have left.
 CHECKPOINT_WORK_SHARE = 0.5
-# Most tasks for whose room on one worker the ends are followed.
+# Most tasks for which room on one worker is expected.
 MAX_ROOMS_PER_WORKER = 64
-# Least expected time until an attempt ends, for the report of its end. It tells
-# the room of one that is at 100 % from room that is there already.
+# Least expected time until an attempt ends, as its end has to be reported. Thus
+# the room of an attempt at 100 % differs from room that exists already.
 MIN_LEFT_S = 0.05
 # Most workers that one round searches for room that will become free. Further
 # tasks start as if nothing were expected.
 MAX_SEARCHED_WORKERS = 1_200
-# Time for which a decision to wait is kept. Rounds come with each report, and
-# what they rest on changes more slowly.
+# Time for which a decision to wait is kept. There is a round with each report,
+# and the facts that decide change more slowly.
 KEEP_DECISION_S = 0.25
-# Most waits that one round decides on; further tasks have many ahead of them,
-# and start far.
-MAX_DECISIONS = 1200
+# Most tasks for which one round decides whether they wait. Further ones have
+# many ahead of them, and start far.
+MAX_DECISIONS = 1_200
 
 
 @attrs.frozen
@@ -135,7 +135,7 @@
             placement_module.UNKNOWN_DURATION_S, now - placement.ordered_s
         )
     total_s = run_times.work_s(placement.task)
-    if stage.rack and stage.rack != placement.worker.state.rack:
+    if placement.worker.is_far(stage):
         total_s *= remote_factor
     total_s *= pacing.FULL_PERCENT / placement.pace_percent
     left_share = 1 - min(max(placement.progress_percent, 0.0), 100.0) / 100
@@ -184,8 +184,8 @@
         self._ends: dict[fleet.WorkerKey, list[_End]] = {}
         self._rooms: dict[tuple, list[float]] = {}
         self._uneven: dict[str, bool] = {}
-        # Millicores and memory of the tasks ahead that wait for a rack, and of
-        # those that wait for any.
+        # Millicores and memory of the tasks ahead that wait, by the rack that
+        # they wait for; the empty one for those that may run on any.
         self._claimed: dict[str, tuple[int, int]] = {}
         self._decisions_left = MAX_DECISIONS
         self._searches_left = MAX_SEARCHED_WORKERS
@@ -193,7 +193,7 @@
         self._far_is_spare: bool | None = None
 
     @property
-    def is_of_use(self) -> bool:
+    def is_near_faster(self) -> bool:
         """Whether near places are faster than far ones."""
         return self._remote_factor > 1
 
@@ -201,9 +201,7 @@
     def racks(self) -> dict[str, list[fleet.Worker]]:
         """The workers by rack."""
         if self._by_rack is None:
-            self._by_rack = {}
-            for worker in self._workers:
-                self._by_rack.setdefault(worker.state.rack, []).append(worker)
+            self._by_rack = fleet.by_rack(self._workers)
         return self._by_rack
 
     def prefers_near(self, stage: pipeline.Stage) -> bool:
@@ -212,7 +210,7 @@
         A lasting task has no run time that could grow.
         """
         return (
-            self.is_of_use
+            self.is_near_faster
             and not stage.lasting
             and bool(stage.rack or (stage.gang and stage.same_rack))
         )
@@ -307,6 +305,7 @@
         return self._uneven[rack]
 
     def _is_far_spare(self) -> bool:
+        """Returns whether the service has plenty of unused processor time."""
         if self._far_is_spare is None:
             unused = sum(max(0, w.unused_millicores) for w in self._workers)
             capacity = sum(w.state.capacity.millicores for w in self._workers)
@@ -388,17 +387,10 @@
     def _worker_room_times(
         self, task: pipeline.Task, worker: fleet.Worker
     ) -> Iterable[float]:
-        stage = task.stage
-        if (
-            worker.is_silent(self._now)
-            or worker.unproven
-            or workerspeed.speed_for(stage, worker, self._now)
-            * self._remote_factor
-            <= 1
-            or not worker.state.capacity.covers(stage.demand)
-            or not placement_module.meets_constraints(task, worker, self._now)
-        ):
+        """Returns when a worker has room for one task after the other."""
+        if not self._is_awaitable(task, worker):
             return ()
+        stage = task.stage
         demand = stage.demand
         most = MAX_ROOMS_PER_WORKER
         if stage.most_per_worker:
@@ -436,7 +428,19 @@
                 accelerators -= demand.accelerators
         return times
 
+    def _is_awaitable(self, task: pipeline.Task, worker: fleet.Worker) -> bool:
+        """Returns whether a task may wait for a worker that could run it."""
+        speed = workerspeed.speed_for(task.stage, worker, self._now)
+        return (
+            not worker.is_silent(self._now)
+            and not worker.unproven
+            and speed * self._remote_factor > 1
+            and worker.state.capacity.covers(task.stage.demand)
+            and placement_module.meets_constraints(task, worker, self._now)
+        )
+
     def _ends_of(self, worker: fleet.Worker) -> list[_End]:
+        """Returns the expected ends of attempts on a worker, earliest first."""
         ends = self._ends.get(worker.key)
         if ends is None:
             ends = []
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -178,7 +178,7 @@
     """
     stage = task.stage
     value = float(worker.unused_millicores)
-    if stage.rack and stage.rack != worker.state.rack:
+    if worker.is_far(stage):
         if remote_factor > 1 and not stage.lasting:
             speed /= remote_factor
         else:
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 import functools
@@ -147,17 +148,12 @@
         schedulable = _schedulable(workers, now)
         if not schedulable:
             return
-        ranked = []
-        for item in items:
-            if item.ready or item.id in slowed:
-                queue = table.by_name(item.declaration.queue)
-                if queue is None or queue.service not in schedulable:
-                    continue
-                rank = pipelineorder.rank(
-                    item, queue, now, self._run_times.ratio(queue.name)
-                )
-                ranked.append((rank, item, queue))
-        ranked.sort(key=lambda row: (row[0].key, row[1].id))
+        ranked = self._rank(
+            (item for item in items if item.ready or item.id in slowed),
+            schedulable.keys(),
+            table,
+            now,
+        )
         considered = 0
         move_comparisons = 0
         searches = {
@@ -228,6 +224,26 @@
             may_start,
         )
 
+    def _rank(
+        self,
+        items: Iterable[pipeline.Pipeline],
+        services: Collection[str],
+        table: queues.QueueTable,
+        now: float,
+    ) -> list[tuple[pipelineorder.Rank, pipeline.Pipeline, queues.Queue]]:
+        """Returns pipelines of some services in order, with rank and queue."""
+        ranked = []
+        for item in items:
+            queue = table.by_name(item.declaration.queue)
+            if queue is None or queue.service not in services:
+                continue
+            rank = pipelineorder.rank(
+                item, queue, now, self._run_times.ratio(queue.name)
+            )
+            ranked.append((rank, item, queue))
+        ranked.sort(key=lambda row: (row[0].key, row[1].id))
+        return ranked
+
     def _start_pipeline(
         self,
         item: pipeline.Pipeline,
@@ -253,8 +269,8 @@
         search = terms.search
         considered = 0
         search.drop_comparison()
-        # A task of each stage without room, and how many there are.
-        without_worker: dict[tuple[int, int], list] = {}
+        # Tasks without room, by stage.
+        without_worker: dict[tuple[int, int], list[pipeline.Task]] = {}
         gangs: set[tuple[int, int]] = set()
         permitted: dict[tuple[str, frozenset[str]], list[fleet.Worker]] = {}
         for task in list(item.ready.values()):
@@ -266,31 +282,23 @@
                 task.failed_on or task.suspect or task.reserved_until_s > now
             )
             stage_key = (task.occurrence, task.stage_number)
+            # Where an advisor must agree, only it knows the near workers.
             may_wait = unrestricted and queue.advice is None
-            if unrestricted and _count_further(without_worker, stage_key):
+            if unrestricted and stage_key in without_worker:
+                without_worker[stage_key].append(task)
                 pipelinelocality.end_wait(task)
                 continue
             if stage_key in gangs or (
-                may_wait
-                and (
-                    search.keeps_waiting(task)
-                    or search.has_only_far_room(task)
-                    and self._waits_for_near(
-                        task, search.far_room(task), search, slack_s, now
-                    )
-                )
+                may_wait and self._goes_on_waiting(task, search, slack_s, now)
             ):
                 continue
             if (
-                unrestricted
-                and queue.advice is None
+                may_wait
                 and not (task.stage.gang and task.stage.lasting)
                 and search.is_full_for(task)
             ):
-                without_worker[stage_key] = [task, 1]
-                pipelinelocality.end_wait(task)
-                self._report_unplaceable(task, search)
-                self._keep_rooms([task], search.workers, terms, now)
+                without_worker[stage_key] = [task]
+                self._leave_without_room(task, search.workers, terms, now)
                 continue
             considered += 1
             allowed = search.workers
@@ -319,15 +327,41 @@
             worker = search.choose(task, allowed)
             if worker is None:
                 if unrestricted:
-                    without_worker[stage_key] = [task, 1]
-                pipelinelocality.end_wait(task)
-                self._report_unplaceable(task, search)
-                self._keep_rooms([task], allowed, terms, now)
+                    without_worker[stage_key] = [task]
+                self._leave_without_room(task, allowed, terms, now)
                 continue
             self._start_or_wait(task, worker, search, may_wait, slack_s, now)
-        search.claim_all(without_worker.values())
+        search.claim_all(
+            (tasks[0], len(tasks)) for tasks in without_worker.values()
+        )
         return considered
 
+    def _leave_without_room(
+        self,
+        task: pipeline.Task,
+        workers: list[fleet.Worker],
+        terms: "_Terms",
+        now: float,
+    ) -> None:
+        """Handles a task for which none of the workers has room."""
+        pipelinelocality.end_wait(task)
+        self._report_unplaceable(task, terms.search)
+        self._keep_rooms([task], workers, terms, now)
+
+    def _goes_on_waiting(
+        self,
+        task: pipeline.Task,
+        search: "_Search",
+        slack_s: float,
+        now: float,
+    ) -> bool:
+        """Returns whether a task waits for a near place without a search."""
+        if search.keeps_waiting(task):
+            return True
+        return search.has_only_far_room(task) and self._waits_for_near(
+            task, search.far_room(task), search, slack_s, now
+        )
+
     def _start_or_wait(
         self,
         task: pipeline.Task,
@@ -367,14 +401,13 @@
     ) -> bool:
         """Returns whether a task waits for a place near its data.
 
-        Where an advisor must agree, only it knows the near workers.
-
         Args:
             task: A task with room far from its data, or a member of a gang
                 without room on a near rack.
             far: The far worker, None for those of a gang.
             search: Search for room on the workers of its service.
-            slack_s: Time that its pipeline can still wait.
+            slack_s: Time that its pipeline can still wait without missing its
+                objective.
             now: Monotonic seconds.
         """
         if not search.locality.prefers_near(task.stage):
@@ -750,7 +783,7 @@
         is_far_slower = self._remote_factor > 1 and not stage.lasting
         if not (stage.same_rack or (stage.rack and is_far_slower)):
             return [workers], []
-        racks = _by_rack(workers)
+        racks = fleet.by_rack(workers)
         if not stage.rack or not is_far_slower:
             return list(racks.values()), [workers]
         near = racks.pop(stage.rack, [])
@@ -1278,7 +1311,7 @@
         Args:
             waiting: A task of each stage, and how many of them wait.
         """
-        if self.locality.is_of_use:
+        if self.locality.is_near_faster:
             for task, count in waiting:
                 if self.could_ever_fit(task.stage):
                     self.locality.claim(task, count)
@@ -1297,21 +1330,6 @@
             self._full.add_too_slow(stage, required_pace_share)
 
 
-def _count_further(
-    without_worker: dict[tuple[int, int], list], stage_key: tuple[int, int]
-) -> bool:
-    """Counts one more task of a stage without room.
-
-    Returns:
-        Whether the stage is known to have none.
-    """
-    entry = without_worker.get(stage_key)
-    if entry is None:
-        return False
-    entry[1] += 1
-    return True
-
-
 def _schedulable(
     workers: Iterable[fleet.Worker], now: float
 ) -> dict[str, list[fleet.Worker]]:
@@ -1375,11 +1393,3 @@
 def _forget_old_refusals(task: pipeline.Task, now: float) -> None:
     if now - max(task.refused_by.values()) > REFUSAL_MEMORY_S:
         task.refused_by.clear()
-
-
-def _by_rack(workers: Iterable[fleet.Worker]) -> dict[str, list[fleet.Worker]]:
-    """Returns the workers of each rack."""
-    racks: dict[str, list[fleet.Worker]] = {}
-    for worker in workers:
-        racks.setdefault(worker.state.rack, []).append(worker)
-    return racks
--- a/pomelostair/runtimes.py
+++ b/pomelostair/runtimes.py
@@ -80,7 +80,7 @@
             return
         run_s = max(known_s, elapsed_s - DELAY_S)
         estimated_s = stage.estimate_ms / 1000
-        if stage.rack and stage.rack != worker.state.rack:
+        if worker.is_far(stage):
             estimated_s *= self._remote_factor
         estimated_s /= placement.expected_speed
         ratio = min(max(run_s / estimated_s, MIN_RATIO), MAX_RATIO)
