--- a/pomelostair/fleet.py
+++ b/pomelostair/fleet.py
@@ -10,6 +10,7 @@
 from pomelostair import pipeline
 from pomelostair import pipelinemessages as messages
 from pomelostair import resources
+from pomelostair import wire
 
 # A worker whose latest report is older gets no new attempts. This is about
 # two report intervals.
@@ -555,13 +556,15 @@
             else:
                 self.resends = min(self.resends + 1, MAX_RESEND_DOUBLINGS)
             self.orders_confirmed_s = now
-        orders = _fitting(
-            [o for o in self.unconfirmed_orders if o.number >= first_number]
+        orders = wire.first_fitting(
+            [o for o in self.unconfirmed_orders if o.number >= first_number],
+            lambda order: len(order.payload) + len(order.checkpoint),
+            MAX_ORDERS_CHARACTERS,
         )
-        self.last_sent_order_number = self.last_order_number
-        if orders and orders[-1] is not self.unconfirmed_orders[-1]:
-            self.last_sent_order_number = orders[-1].number
-        return orders
+        self.last_sent_order_number = (
+            orders[-1].number if orders else self.last_order_number
+        )
+        return tuple(orders)
 
     def confirm_orders(self, number: int, now: float) -> None:
         """Drops the orders up to a number, which the agent has received."""
@@ -634,13 +637,3 @@
     for worker in workers:
         racks.setdefault(worker.state.rack, []).append(worker)
     return racks
-
-
-def _fitting(orders: list[messages.Order]) -> tuple[messages.Order, ...]:
-    """Returns the first orders that fit into one message, at least one."""
-    size = 0
-    for number, order in enumerate(orders):
-        size += len(order.payload) + len(order.checkpoint)
-        if number and size > MAX_ORDERS_CHARACTERS:
-            return tuple(orders[:number])
-    return tuple(orders)
--- a/pomelostair/pipelineagent.py
+++ b/pomelostair/pipelineagent.py
@@ -32,8 +32,8 @@
 # ids are free to make up.
 MAX_WORKERS = 64
 MAX_GONE = 1000  # Ended incarnations that are still reported.
-# Workers' states in one report; further ones follow in the next. The rest of a
-# report, mostly ids of ended incarnations, stays below the same size.
+# Size of the workers' states in one report; further ones follow in the next.
+# The rest of a report, mostly ids of ended incarnations, stays below it, too.
 MAX_REPORT_BYTES = bus_module.MAX_PIPELINE_MESSAGE_BYTES // 4
 # Numbers, end and framing of a row, and the other fields of a state.
 _ROW_OVERHEAD_BYTES = 64
@@ -394,12 +394,7 @@
             if w.heartbeat.worker == heartbeat.worker
             or w.heartbeat.address == heartbeat.address
         ]
-        # The successor of a worker that has answered is real, and must not be
-        # kept out by ids that were made up.
-        succeeds = any(worker.listing is not None for worker in replaced)
-        if len(self._workers) - len(replaced) >= MAX_WORKERS or (
-            len(self._gone_since_s) >= MAX_GONE and not succeeds
-        ):
+        if not self._has_place_for_successor(replaced):
             self._parts.metrics.count("notices_ignored", reason="too-many")
             log.emit(
                 events.Events.HEARTBEAT_IGNORED,
@@ -415,13 +410,31 @@
                 key if same else None,
                 crashed=not other.is_leaving,
             )
+        await self._add_worker(heartbeat)
+
+    def _has_place_for_successor(self, replaced: list[_Worker]) -> bool:
+        """Returns whether a new incarnation stays within the limits of a host.
+
+        The successor of a worker that has answered is real, and must not be
+        kept out by ids that were made up.
+
+        Args:
+            replaced: Incarnations that it replaces.
+        """
+        succeeds = any(worker.listing is not None for worker in replaced)
+        return len(self._workers) - len(replaced) < MAX_WORKERS and (
+            len(self._gone_since_s) < MAX_GONE or succeeds
+        )
+
+    async def _add_worker(self, heartbeat: ports.WorkerHeartbeat) -> None:
+        """Manages a new incarnation of a worker until it is gone."""
         worker = _Worker(
             heartbeat,
             self._port.worker_client(heartbeat),
             heartbeat.clock_ms,
             self._clock.now(),
         )
-        self._workers[key] = worker
+        self._workers[worker.key] = worker
         log.emit(
             events.Events.PIPELINE_WORKER_UP,
             worker=heartbeat.worker,
--- a/pomelostair/relaytable.py
+++ b/pomelostair/relaytable.py
@@ -19,11 +19,12 @@
 from pomelostair import pipelinemessages as messages
 from pomelostair import store
 from pomelostair import storeclock
+from pomelostair import wire
 
 RELAY_TIMEOUT_S = 1.5  # Longer than one transaction of a slow store.
 MAX_PEERS = 2  # Further peers are likely refused for the same reason.
-# Rows of an answer; a scan goes on after them, a watch begins anew.
-# A commit of the leader, up to 0.6 MB, has to fit.
+# Size of the rows in one answer; a scan goes on after them, a watch begins
+# anew. A commit of the leader, up to 0.6 MB, has to fit.
 MAX_RELAYED_BYTES = bus_module.MAX_PIPELINE_MESSAGE_BYTES // 2
 # Operations that an entry performs for peers at once. Those on the lease row of
 # the leader, and watches, have slots of their own, as the leader would lose its
@@ -223,28 +224,21 @@
 def _result_of_scan(result: store.ScanResult) -> messages.RelayedResult:
     match result:
         case store.Page(rows=rows, more=more, version=version):
-            fitting = _fitting(rows)
+            fitting = wire.first_fitting(rows, _row_bytes, MAX_RELAYED_BYTES)
             more = more or len(fitting) < len(rows)
             return messages.RelayedResult(fitting, more=more, version=version)
     return messages.RelayedResult(unavailable=result.reason)
 
 
-def _fitting(rows: tuple[store.Row, ...]) -> tuple[store.Row, ...]:
-    """Returns the first rows that fit into a message, at least one."""
-    size = 0
-    for number, row in enumerate(rows):
-        size += len(row.key) + len(row.value) + _ROW_OVERHEAD_BYTES
-        if number and size > MAX_RELAYED_BYTES:
-            return rows[:number]
-    return rows
+def _row_bytes(row: store.Row) -> int:
+    return len(row.key) + len(row.value) + _ROW_OVERHEAD_BYTES
 
 
 def _result_of_watch(result: store.WatchResult) -> messages.RelayedResult:
     match result:
         case store.Changes(rows=rows, deleted=deleted, version=version):
-            size = sum(len(row.value) for row in rows) + sum(
-                len(key) + _ROW_OVERHEAD_BYTES
-                for key in (*(row.key for row in rows), *deleted)
+            size = sum(map(_row_bytes, rows)) + sum(
+                len(key) + _ROW_OVERHEAD_BYTES for key in deleted
             )
             if size > MAX_RELAYED_BYTES:
                 return messages.RelayedResult(gone=True)
--- a/pomelostair/wire.py
+++ b/pomelostair/wire.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import typing
 
 import attrs
@@ -170,3 +171,21 @@
 def tags() -> tuple[str, ...]:
     """Returns all registered tags, sorted."""
     return tuple(sorted(_types))
+
+
+def first_fitting(
+    items: Sequence[_T], size: Callable[[_T], int], limit: int
+) -> Sequence[_T]:
+    """Returns the first items that fit into one message, at least one.
+
+    Args:
+        items: Parts of a message.
+        size: Returns the size of an item.
+        limit: Largest size of all items together.
+    """
+    total = 0
+    for number, item in enumerate(items):
+        total += size(item)
+        if number and total > limit:
+            return items[:number]
+    return items
