--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -389,7 +389,10 @@
         self._peers: dict[str, _Peer] = {}
 
     def _report_limits(self) -> None:
-        """Counts and logs the limit if it was reached since the last call."""
+        """Counts and logs the limit if it was reached since the last call.
+
+        Called at intervals, which bounds the rate of log lines.
+        """
         count, self._excess_peers = self._excess_peers, 0
         if not count:
             return
--- a/pomelostair/httpserver.py
+++ b/pomelostair/httpserver.py
@@ -31,8 +31,8 @@
 # of 16 MiB in single bytes would take two minutes of processor time.
 MIN_MEAN_CHUNK_BYTES = 64
 MAX_SMALL_CHUNKS = 48_000
-# Chunks of a body after which others are served. Of all bodies that need more
-# turns, one goes on at a time.
+# Chunks of a body that are parsed before other connections get a turn. Of all
+# bodies that need further turns, one goes on at a time.
 CHUNKS_PER_TURN = 64
 # Responses up to this size are covered by the reservation of the connection.
 SMALL_RESPONSE_BYTES = 4 * 1024
@@ -87,7 +87,8 @@
         self._name = name
         self._connections: dict[_Connection, curio.Task] = {}
         self._rejecting_connections = 0
-        self._eviction_s = 0.0
+        self._next_eviction_s = 0.0
+        # Held by the one connection that goes on with a body of many chunks.
         self._parsing = curio.Lock()
         self._acceptor: curio.Task | None = None
         self._stopped = curio.Event()
@@ -201,7 +202,7 @@
         after a rejection goes last, as closing it may discard the response.
         """
         now = time.monotonic()
-        if now < self._eviction_s:
+        if now < self._next_eviction_s:
             return False
         latest_s = now - EVICTABLE_S
         waiting = sorted(
@@ -210,7 +211,7 @@
         )
         oldest = next((c for c in waiting if not c.has_request_data()), None)
         if oldest is None:
-            self._eviction_s = now + _EVICTION_PAUSE_S
+            self._next_eviction_s = now + _EVICTION_PAUSE_S
             return False
         task = self._connections.pop(oldest)
         oldest.mark_evicted()
@@ -266,6 +267,7 @@
         self._record_limit = record_limit
         self._evict = evict
         self._parsing = parsing
+        # Whether received chunks are left for the next turn.
         self._more_received = False
         self._reservation = memorybudget.Reservation(budget)
         self._body = bytearray()
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -185,7 +185,7 @@
         return pipelinetombstones.Tombstones(self._retention_ms / 1000)
 
     def _register_evacuation_gauges(self) -> None:
-        """Registers the gauges of evacuations; all are 0 where nobody leads."""
+        """Registers gauges of evacuations; they are 0 unless this leads."""
         for name, count in {
             "zones_evacuated": lambda s: len(s.evacuation.zones),
             "zones_evacuated_unknown": (
--- a/pomelostair/pipelinestarts.py
+++ b/pomelostair/pipelinestarts.py
@@ -751,15 +751,13 @@
                 min_filler_share,
             )
             if started:
-                if number < len(near) or not may_wait:
-                    break
-                # What is expected on the racks must not include the gang.
-                for placement in started:
-                    self._attempts.detach(placement)
-                if self._waits_for_near(members[0], None, search, slack_s, now):
+                is_far = number >= len(near)
+                if (
+                    is_far
+                    and may_wait
+                    and self._gang_waits(started, search, slack_s, now)
+                ):
                     return False
-                for placement in started:
-                    self._attempts.attach(placement)
                 break
         if not started:
             pipelinelocality.end_wait(members[0])
@@ -771,6 +769,32 @@
         pipelinelocality.record_start(started, self._metrics, now)
         return True
 
+    def _gang_waits(
+        self,
+        placed: list[fleet.Placement],
+        search: "_Search",
+        slack_s: float,
+        now: float,
+    ) -> bool:
+        """Returns whether a gang that was placed far waits for a near rack.
+
+        It is detached for the decision, as the room that is expected on the
+        racks must not depend on it, and stays so if it waits.
+
+        Args:
+            placed: Attempts of all members.
+            search: Search for room on the workers of its service.
+            slack_s: Time that its pipeline can still wait.
+            now: Monotonic seconds.
+        """
+        for placement in placed:
+            self._attempts.detach(placement)
+        if self._waits_for_near(placed[0].task, None, search, slack_s, now):
+            return True
+        for placement in placed:
+            self._attempts.attach(placement)
+        return False
+
     def _gang_places(
         self, stage: pipeline.Stage, workers: list[fleet.Worker]
     ) -> tuple[list[list[fleet.Worker]], list[list[fleet.Worker]]]:
