--- a/pomelostair/platform/control.py
+++ b/pomelostair/platform/control.py
@@ -11,16 +11,14 @@
 from pomelostair import responses
 from pomelostair import settings as settings_module
 from pomelostair.platform import decoding
+from pomelostair.platform import httplimits
 
 _HEARTBEAT_PATH = "/Instances.Heartbeat/"
 _DEREGISTER_PATH = "/Instances.Deregister/"
 # A heartbeat with 64 labels of usual length is a tenth of this.
 MAX_BODY_BYTES = 64 * 1024
-MAX_HEADERS_BYTES = 8 * 1024
-RECEIVE_BYTES = 16 * 1024
 REQUEST_TIMEOUT_S = 5.0
 MAX_CONNECTIONS = 64
-MAX_REJECTING_CONNECTIONS = 16
 
 
 @kernel.plugin(settings_module.Role.PIPELINE_AGENT)
@@ -38,16 +36,10 @@
             int(port),
             self._answer,
             responses.error_response,
-            http.Limits(
+            httplimits.create(
+                REQUEST_TIMEOUT_S,
                 max_connections=MAX_CONNECTIONS,
-                max_rejecting_connections=MAX_REJECTING_CONNECTIONS,
                 max_body_bytes=MAX_BODY_BYTES,
-                max_headers_bytes=MAX_HEADERS_BYTES,
-                receive_bytes=RECEIVE_BYTES,
-                gets_have_no_effect=True,
-                headers_timeout_s=REQUEST_TIMEOUT_S,
-                body_timeout_s=REQUEST_TIMEOUT_S,
-                write_timeout_s=REQUEST_TIMEOUT_S,
             ),
             parts.bounds.callers,
             memorybudget.LimitLog(parts.metrics),
--- a/pomelostair/platform/front.py
+++ b/pomelostair/platform/front.py
@@ -15,14 +15,12 @@
 from pomelostair import responses
 from pomelostair import settings as settings_module
 from pomelostair.platform import decoding
+from pomelostair.platform import httplimits
 
 DEADLINE_HEADER = "x-pomelostair-deadline-ms"
 # The load balancer checks the readiness once a second and removes a node after
 # two failed checks; until then it opens new connections.
 BALANCER_REMOVAL_S = 2.5
-MAX_HEADERS_BYTES = 8 * 1024
-RECEIVE_BYTES = 16 * 1024
-MAX_REJECTING_CONNECTIONS = 16
 # Callers wait for 3 s at most, and a head, body or response takes milliseconds.
 # One that does not read its responses can't be evicted before that.
 REQUEST_TIMEOUT_S = 5.0
@@ -149,16 +147,7 @@
 
 
 def _limits(**limits) -> http.Limits:
-    return http.Limits(
-        max_rejecting_connections=MAX_REJECTING_CONNECTIONS,
-        max_headers_bytes=MAX_HEADERS_BYTES,
-        receive_bytes=RECEIVE_BYTES,
-        gets_have_no_effect=True,
-        headers_timeout_s=REQUEST_TIMEOUT_S,
-        body_timeout_s=REQUEST_TIMEOUT_S,
-        write_timeout_s=REQUEST_TIMEOUT_S,
-        **limits,
-    )
+    return httplimits.create(REQUEST_TIMEOUT_S, **limits)
 
 
 def _create_server(
