--- a/pomelostair/evacuation.py
+++ b/pomelostair/evacuation.py
@@ -239,13 +239,7 @@
             for task in self._moving
             if not (task.pipeline.ended or self._is_at_work(task, now))
         }
-        placements: list[fleet.Placement] = []
-        targets: dict[str, list[fleet.Worker]] = {}
-        for worker in workers:
-            if worker.evacuated:
-                placements += filter(_is_lasting, worker.placements.values())
-            elif _is_target(worker, now):
-                targets.setdefault(worker.state.service, []).append(worker)
+        placements, targets = _placements_and_targets(workers, now)
         self._staying_tasks = len(placements)
         if not placements:
             return
@@ -402,6 +396,20 @@
     return task.pipeline.id, task.occurrence, task.stage_number
 
 
+def _placements_and_targets(
+    workers: Iterable[fleet.Worker], now: float
+) -> tuple[list[fleet.Placement], dict[str, list[fleet.Worker]]]:
+    """Returns the lasting tasks in the zones, and by service where to move."""
+    placements: list[fleet.Placement] = []
+    targets: dict[str, list[fleet.Worker]] = {}
+    for worker in workers:
+        if worker.evacuated:
+            placements += filter(_is_lasting, worker.placements.values())
+        elif _is_target(worker, now):
+            targets.setdefault(worker.state.service, []).append(worker)
+    return placements, targets
+
+
 def _is_lasting(placement: fleet.Placement) -> bool:
     return placement.task.stage.lasting
 
--- a/pomelostair/pipelineplacement.py
+++ b/pomelostair/pipelineplacement.py
@@ -32,9 +32,10 @@
 # Factor on the unused processor time of a worker outside the rack of the data,
 # where the deployment does not state how much longer tasks take there.
 OFF_RACK_FACTOR = 0.5
-# Bonus of a worker at full speed near the data for regular tasks, in proportion
-# to the speed; it exceeds the capacity of any worker, and `SERVING_BONUS`.
-FULL_SPEED_BONUS_MILLICORES = 400_000
+# Penalty of a worker for a task that is no filler, in proportion to the share
+# of full speed near the data that it lacks. It exceeds the capacity of any
+# worker, and SERVING_BONUS_MILLICORES.
+LOW_SPEED_PENALTY_MILLICORES = 400_000
 # Bonus of a worker that offers full pace to a filler, in proportion to the
 # offered share. It exceeds the capacity of any worker. Shares of at least
 # SUFFICIENT_PACE_SHARE count the same.
@@ -192,11 +193,10 @@
         if not worker.serving_millicores:
             value -= NO_SERVING_PENALTY_MILLICORES
     elif stage.latency_target_ms:
-        return _serving_score(stage, worker) - FULL_SPEED_BONUS_MILLICORES * (
-            1 - speed
-        )
+        value = _serving_score(stage, worker)
+        value -= LOW_SPEED_PENALTY_MILLICORES * (1 - speed)
     else:
-        value -= FULL_SPEED_BONUS_MILLICORES * (1 - speed)
+        value -= LOW_SPEED_PENALTY_MILLICORES * (1 - speed)
         if worker.serving_millicores:
             value += SERVING_BONUS_MILLICORES
     return value
