--- a/pomelostair/evacuationwatch.py
+++ b/pomelostair/evacuationwatch.py
@@ -29,10 +29,10 @@
 MAX_WATCH_MARGIN_S = 2.0
 # Timeout of a reading, a multiple of the longest recent answer time as well. It
 # doubles after each reading without an answer, as the store may only be slow. A
-# silent store is read again after 2.4 s (a watch, a
-# reading and a pause). The circuit breaker is open by then, since the leader's
-# commits have no answer either, so that a peer relays this reading. The upper
-# bound exceeds the longest timeout of a reading by the store's client.
+# silent store is read again after 2.4 s (a watch, a reading and a pause). The
+# circuit breaker is open by then, since the leader's commits have no answer
+# either, so that a peer relays this reading. The upper bound exceeds the
+# longest timeout of a reading by the store's client.
 READ_TIMEOUT_FACTOR = 2.0
 MIN_READ_TIMEOUT_S = 0.9
 MAX_READ_TIMEOUT_S = 2.4
