Entries tell how long the store has not confirmed their configuration

What was logged did not distinguish the hypotheses: event 500 named the source of a configuration, but not how long the entry had heard nothing from the store, and a request that waited for a free connection looked like one without an answer.

Added: age_s in event 500, the gauge queues_age_seconds, the counter queue_watches_lost, and a reason of its own for a timeout without a connection.

--- a/pomelostair/entrypeers.py
+++ b/pomelostair/entrypeers.py
@@ -5,6 +5,8 @@
 a new leader or a new queue configuration.
 """
 
+import math
+
 import attrs
 import curio
 
@@ -73,6 +75,7 @@
         self._leader_update_s = 0.0
         self._queues = queues.QueueTable()
         self._queues_document = b""
+        self._queues_confirmed_s: float | None = None
         self._pending: dict[str, int] = {}
         self._pending_update_s = 0.0
         self._draining = False
@@ -91,6 +94,7 @@
         parts.bus.handle(messages.FindLeader, self._on_find_leader)
         parts.bus.handle(messages.QueuesQuery, self._on_queues_query)
         parts.metrics.gauge("queues_version", lambda: self._queues.version)
+        parts.metrics.gauge("queues_age_seconds", lambda: self.queues_age_s)
         parts.metrics.gauge("leader_epoch", lambda: self._leader.epoch)
         parts.metrics.gauge("store_reached", lambda: not direct_table.is_open)
 
@@ -104,6 +108,16 @@
         """The active queue configuration; it may change at any time."""
         return self._queues
 
+    @property
+    def queues_age_s(self) -> float:
+        """Seconds since the store last confirmed the active queues.
+
+        Infinite if it never did.
+        """
+        if self._queues_confirmed_s is None:
+            return math.inf
+        return self._clock.now() - self._queues_confirmed_s
+
     @property
     def leader(self) -> messages.LeaderInfo:
         """The current leader; its `bus` is empty while none is known."""
@@ -307,9 +321,11 @@
                     for row in rows:
                         if row.key == port.queues_key:
                             self._apply_queues(row.value, "the store")
+                    self._queues_confirmed_s = self._clock.now()
                 case store.HistoryGone():
                     version = None
                 case _:
+                    self._parts.metrics.count("queue_watches_lost")
                     version = None
                     await curio.sleep(RETRY_S)
 
@@ -325,6 +341,7 @@
         for row in page.rows:
             if row.key == self._parts.port.queues_key:
                 self._apply_queues(row.value, "the store")
+        self._queues_confirmed_s = self._clock.now()
         return page.version
 
     def _apply_queues(self, document: bytes, source: str) -> None:
@@ -336,12 +353,14 @@
             return
         if table.version <= self._queues.version:
             return
+        age_s = self.queues_age_s
         log.emit(
             events.Events.CONFIG_APPLIED,
             version=table.version,
             before=self._queues.version,
             queues=len(table.queues),
             source=source,
+            age_s=None if math.isinf(age_s) else round(age_s, 3),
         )
         self._queues = table
         self._queues_document = document
--- a/pomelostair/httpclient.py
+++ b/pomelostair/httpclient.py
@@ -55,7 +55,10 @@
             # When one connection stops responding, the others usually have as
             # well, and only a timeout reveals it.
             await self.close()
-            raise progress.error("timeout") from error
+            reason = "timeout"
+            if not progress.connection_acquired:
+                reason = "timeout waiting for a connection"
+            raise progress.error(reason) from error
         except ConnectionRefusedError as error:
             raise errors.NoListenerError(str(error)) from error
         except (OSError, h11.ProtocolError) as error:
@@ -76,6 +79,7 @@
         self, request: http.Request, progress: "_Progress"
     ) -> http.Response:
         connection = await self._acquire_connection()
+        progress.connection_acquired = True
         try:
             response = await connection.exchange(request, progress)
         except BaseException:
@@ -107,9 +111,10 @@
 
 
 class _Progress:
-    """Tracks whether a request may have reached the server."""
+    """Tracks how far a request has come."""
 
     def __init__(self):
+        self.connection_acquired = False
         self.sending_started = False
 
     def error(self, reason: str) -> errors.PomelostairError:
