Entries see a change of the configuration within contactMs on silent connections

After the open connections of the entries to the store had gone silent, requests to a route were refused with 404 for up to 5.2 s after the acknowledgement of the version that adds it; 2 s are allowed.

Cause: the watch of the configuration waited 5 s, and at least 1 s more for its answer, so that a silent connection was noticed after up to 6 s, longer than contactMs and than configApplyMs. Nothing else ended it: other operations timed out and went on over new connections meanwhile. Class of fault: a wait for news that is longer than the bound of what the news must bring about. Where the bus was silent, too, relayed operations of 1.5 s each came on top.

The wait is a quarter of contactMs, 0.8 s at most. A watch that is given up closes idle connections.

--- a/pomelostair/circuitbreaker.py
+++ b/pomelostair/circuitbreaker.py
@@ -71,6 +71,10 @@
         """Applies a transaction."""
         return await self._perform(self._table.commit, transaction)
 
+    async def reconnect(self) -> None:
+        """Closes idle connections, as they may have gone silent."""
+        await self._table.reconnect()
+
     def time(self) -> store.StoreTime | None:
         """Returns the store's time, None before the store first answered."""
         return self._table.time()
--- a/pomelostair/entrypeers.py
+++ b/pomelostair/entrypeers.py
@@ -20,6 +20,7 @@
 from pomelostair import outcome
 from pomelostair import pipelinemessages as messages
 from pomelostair import queues
+from pomelostair import queuewatch
 from pomelostair import relaytable
 from pomelostair import settings as settings_module
 from pomelostair import store
@@ -33,7 +34,6 @@
 GOSSIP_FANOUT = 3
 # Rounds from one that names the known entries to the next.
 ROUNDS_PER_ENTRY_LIST = 8
-WATCH_WAIT_S = 5.0
 RETRY_S = 0.25
 QUERY_TIMEOUT_S = 1.0
 SCAN_INTERVAL_S = 10.0
@@ -75,7 +75,14 @@
         self._leader_update_s = 0.0
         self._queues = queues.QueueTable()
         self._queues_document = b""
-        self._queues_confirmed_s: float | None = None
+        self._queue_watch = queuewatch.QueueWatch(
+            self._table,
+            parts.port,
+            parts.settings.pipelines.reconnect_ms,
+            parts.metrics,
+            self._clock,
+            lambda document: self._apply_queues(document, "the store"),
+        )
         self._pending: dict[str, int] = {}
         self._pending_update_s = 0.0
         self._draining = False
@@ -94,7 +101,9 @@
         parts.bus.handle(messages.FindLeader, self._on_find_leader)
         parts.bus.handle(messages.QueuesQuery, self._on_queues_query)
         parts.metrics.gauge("queues_version", lambda: self._queues.version)
-        parts.metrics.gauge("queues_age_seconds", lambda: self.queues_age_s)
+        parts.metrics.gauge(
+            "queues_age_seconds", lambda: self._queue_watch.age_s
+        )
         parts.metrics.gauge("leader_epoch", lambda: self._leader.epoch)
         parts.metrics.gauge("store_reached", lambda: not direct_table.is_open)
 
@@ -108,16 +117,6 @@
         """The active queue configuration; it may change at any time."""
         return self._queues
 
-    @property
-    def queues_age_s(self) -> float:
-        """Seconds since the store last confirmed the active queues.
-
-        Infinite if it never did.
-        """
-        if self._queues_confirmed_s is None:
-            return math.inf
-        return self._clock.now() - self._queues_confirmed_s
-
     @property
     def leader(self) -> messages.LeaderInfo:
         """The current leader; its `bus` is empty while none is known."""
@@ -158,7 +157,7 @@
         """Gossips and watches the queue configuration until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._gossip_at_intervals)
-            await group.spawn(self._watch_queues)
+            await group.spawn(self._queue_watch.run)
             await group.spawn(self._register_and_scan)
         _ = group.result
 
@@ -302,48 +301,6 @@
             ) if document:
                 self._apply_queues(document, "a peer")
 
-    async def _watch_queues(self) -> None:
-        """Applies each new queue configuration in the store."""
-        port = self._parts.port
-        version = None
-        while True:
-            if version is None:
-                version = await self._read_queues()
-                if version is None:
-                    await curio.sleep(RETRY_S)
-                continue
-            changes = await self._table.watch(
-                port.queues_table, version, WATCH_WAIT_S
-            )
-            match changes:
-                case store.Changes(rows=rows):
-                    version = changes.version
-                    for row in rows:
-                        if row.key == port.queues_key:
-                            self._apply_queues(row.value, "the store")
-                    self._queues_confirmed_s = self._clock.now()
-                case store.HistoryGone():
-                    version = None
-                case _:
-                    self._parts.metrics.count("queue_watches_lost")
-                    version = None
-                    await curio.sleep(RETRY_S)
-
-    async def _read_queues(self) -> int | None:
-        """Reads the queue configuration.
-
-        Returns:
-            Version of the table to watch from, None if reading failed.
-        """
-        page = await self._table.scan(self._parts.port.queues_key)
-        if not isinstance(page, store.Page):
-            return None
-        for row in page.rows:
-            if row.key == self._parts.port.queues_key:
-                self._apply_queues(row.value, "the store")
-        self._queues_confirmed_s = self._clock.now()
-        return page.version
-
     def _apply_queues(self, document: bytes, source: str) -> None:
         try:
             table = self._parts.port.decode_queues(document)
@@ -353,7 +310,7 @@
             return
         if table.version <= self._queues.version:
             return
-        age_s = self.queues_age_s
+        age_s = self._queue_watch.age_s
         log.emit(
             events.Events.CONFIG_APPLIED,
             version=table.version,
--- a/pomelostair/events.py
+++ b/pomelostair/events.py
@@ -149,3 +149,4 @@
     CONFIG_APPLIED = Event(500, logging.INFO, "configuration in force")
     CONFIG_REFUSED = Event(501, logging.WARNING, "configuration refused")
     COMMAND_RUN = Event(502, logging.INFO, "operator command run")
+    CONFIG_UNREAD = Event(503, logging.WARNING, "configuration can't be read")
--- a/pomelostair/pipelineleader.py
+++ b/pomelostair/pipelineleader.py
@@ -457,18 +457,8 @@
         return [task.result for task in tasks]
 
     async def _scan(self, prefix: str) -> store.Page | None:
-        rows: list[store.Row] = []
-        version = None
-        after = ""
-        while True:
-            page = await self._table.scan(prefix, after)
-            if not isinstance(page, store.Page):
-                return None
-            version = page.version if version is None else version
-            rows.extend(page.rows)
-            if not page.more or not page.rows:
-                return store.Page(tuple(rows), False, version)
-            after = page.rows[-1].key
+        page = await store.scan_all(self._table, prefix)
+        return page if isinstance(page, store.Page) else None
 
     def _apply_to_registry(
         self,
--- a/pomelostair/platform/settingsfile.py
+++ b/pomelostair/platform/settingsfile.py
@@ -10,6 +10,7 @@
 _BUS_PORT_OFFSET = 0
 _METRICS_PORT_OFFSET = 1
 STORE_TIMEOUT_MS = 2000
+DEFAULT_CONTACT_MS = 3000
 # Longest lease under which a worker runs attempts. A shorter lease restarts
 # the attempts of a lost worker sooner, but the lease must outlast a pause or a
 # restart of an agent.
@@ -185,6 +186,8 @@
         retention_s=retention_s,
         shutdown_s=drain_s,
         evacuate_ms=int(file.number("bounds.evacuateMs", 0)),
+        reconnect_ms=int(file.number("bounds.contactMs", 0))
+        or DEFAULT_CONTACT_MS,
         remote_factor=max(1.0, file.number("bounds.remoteFactor", 1)),
         cold_workers="bounds.coldOverrun" in file.values,
     )
--- a/pomelostair/platform/store.py
+++ b/pomelostair/platform/store.py
@@ -246,6 +246,11 @@
         self._count_operation("commit", result)
         return result
 
+    async def reconnect(self) -> None:
+        """Closes idle connections, as they may have gone silent."""
+        await self._client.close()
+        await self._watch_client.close()
+
     def time(self) -> store.StoreTime | None:
         """Returns the store's time, None before the store first answered."""
         return self._store_clock.bounds()
--- /dev/null
+++ b/pomelostair/queuewatch.py
@@ -0,0 +1,113 @@
+"""Reads and watches the operator's row that configures the queues.
+
+On connections that have gone silent, the row is read afresh within the time in
+which a change must be in force again.
+"""
+
+from collections.abc import Callable
+import math
+
+from pomelostair import clock as clock_module
+from pomelostair import events
+from pomelostair import log
+from pomelostair import metrics as metrics_module
+from pomelostair import ports
+from pomelostair import store
+from pomelostair import tablewatch
+
+# Wait of a watch, as a share of the time in which changes must be seen again.
+WATCH_SHARE = 0.25
+
+
+class QueueWatch:
+    """Follows the row while its process runs.
+
+    Args:
+        table: The store.
+        port: Names the row.
+        reconnect_ms: Time in which a change must be seen after connections
+            have gone silent.
+        metrics: Registry that counts the readings.
+        clock: Source of monotonic time.
+        apply: Called with the document after each reading and change.
+    """
+
+    def __init__(
+        self,
+        table: store.Table,
+        port: ports.Port,
+        reconnect_ms: int,
+        metrics: metrics_module.Metrics,
+        clock: clock_module.Clock,
+        apply: Callable[[bytes], None],
+    ):
+        self._table = table
+        self._port = port
+        self._reconnect_s = reconnect_ms / 1000
+        self._clock = clock
+        self._apply = apply
+        self._watch = tablewatch.TableWatch(
+            table,
+            port.queues_table,
+            watch_wait_s(reconnect_ms),
+            tablewatch.Handlers(
+                self._scan, self._apply_page, self._apply_changes
+            ),
+            metrics,
+            "queue",
+            clock,
+        )
+        self._confirmed_s: float | None = None
+        self._started_s = clock.now()
+        self._reported_stale = False
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the store last confirmed the row.
+
+        Infinite if it never did.
+        """
+        if self._confirmed_s is None:
+            return math.inf
+        return self._clock.now() - self._confirmed_s
+
+    async def run(self) -> None:
+        """Reads the row and follows its changes until cancelled."""
+        while True:
+            if await self._watch.step():
+                self._confirmed_s = self._clock.now()
+                self._reported_stale = False
+            else:
+                self._report_stale()
+
+    def _report_stale(self) -> None:
+        confirmed_s = self._confirmed_s or self._started_s
+        silent_s = self._clock.now() - confirmed_s
+        if silent_s >= self._reconnect_s and not self._reported_stale:
+            self._reported_stale = True
+            log.emit(events.Events.CONFIG_UNREAD, silent_s=round(silent_s, 3))
+
+    async def _scan(self) -> store.ScanResult:
+        return await self._table.scan(self._port.queues_key)
+
+    async def _apply_page(self, page: store.Page) -> None:
+        self._apply_rows(page.rows)
+
+    async def _apply_changes(self, changes: store.Changes) -> bool:
+        self._apply_rows(changes.rows)
+        return True
+
+    def _apply_rows(self, rows: tuple[store.Row, ...]) -> None:
+        for row in rows:
+            if row.key == self._port.queues_key:
+                self._apply(row.value)
+
+
+def watch_wait_s(reconnect_ms: int) -> float:
+    """Returns the wait of one watch.
+
+    Args:
+        reconnect_ms: Time in which a change must be seen after connections
+            have gone silent.
+    """
+    return min(tablewatch.MAX_WATCH_WAIT_S, WATCH_SHARE * reconnect_ms / 1000)
--- a/pomelostair/relaytable.py
+++ b/pomelostair/relaytable.py
@@ -114,6 +114,10 @@
             return outcome.Conflict(answer.conflict, answer.version)
         return outcome.Unknown(answer.unknown)
 
+    async def reconnect(self) -> None:
+        """Closes idle connections, as they may have gone silent."""
+        await self._direct_table.reconnect()
+
     def time(self) -> store.StoreTime | None:
         """Returns the store's time, None before the first answer.
 
--- a/pomelostair/settings.py
+++ b/pomelostair/settings.py
@@ -228,6 +228,8 @@
         shutdown_s: Time limit of a graceful shutdown.
         evacuate_ms: Time in which the evacuation of an availability zone must
             take effect; 0 if the operator's rows are not to be read.
+        reconnect_ms: Time in which changes in the store must be seen after
+            connections have gone silent.
         remote_factor: Factor on the run time of a task far from the rack of its
             data, and of a gang that prefers a common rack on several ones; 1 if
             that makes no difference.
@@ -256,6 +258,7 @@
     retention_s: float = _positive_field(180.0)
     shutdown_s: float = _positive_field(5.0)
     evacuate_ms: int = attrs.field(default=0, validator=attrs.validators.ge(0))
+    reconnect_ms: int = _positive_field(3000)
     remote_factor: float = _positive_field(1.0)
     cold_workers: bool = False
     learn_speeds: bool = False
--- a/pomelostair/store.py
+++ b/pomelostair/store.py
@@ -173,11 +173,39 @@
         """
         raise NotImplementedError(f"{type(self).__name__} has no history")
 
+    async def reconnect(self) -> None:  # noqa: B027 - without connections
+        """Closes idle connections, as they may have gone silent."""
+
     def time(self) -> StoreTime | None:
         """Returns the store's time, None before the store first answered."""
         raise NotImplementedError(f"{type(self).__name__} has no clock")
 
 
+async def scan_all(table: Table, prefix: str) -> ScanResult:
+    """Reads all rows with a prefix.
+
+    Args:
+        table: The store.
+        prefix: Prefix of the keys.
+
+    Returns:
+        The rows as one page, with the version of the first one read; what the
+        store answered instead, if a page could not be read.
+    """
+    rows: list[Row] = []
+    version = None
+    after = ""
+    while True:
+        page = await table.scan(prefix, after)
+        if not isinstance(page, Page):
+            return page
+        version = page.version if version is None else version
+        rows.extend(page.rows)
+        if not page.more or not page.rows:
+            return Page(tuple(rows), False, version)
+        after = page.rows[-1].key
+
+
 class Objects(abc.ABC):
     """The platform's object store."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -39,15 +39,18 @@
                 "127.0.0.1", 0, self.standin.answer, service.error_response
             )
             task = await curio.spawn(server.run, daemon=True)
-            client = httpclient.Client(f"127.0.0.1:{server.port}", 8)
+            address = f"127.0.0.1:{server.port}"
+            client = self.client = httpclient.Client(address, 8)
+            self.watch_client = httpclient.Client(address, 8)
             self.table = platform_store.RowsTable(
-                client, client, METRICS, self.timeout_s
+                client, self.watch_client, METRICS, self.timeout_s
             )
             self.objects = platform_store.BlobObjects(client, self.timeout_s)
             try:
                 return await curio.timeout_after(20, body)
             finally:
                 await client.close()
+                await self.watch_client.close()
                 await task.cancel()
 
         return curio.run(main)
@@ -120,6 +123,20 @@
         curio.run(table.watch, "op", 1, 0.8)
         assert client.timeouts_s == pytest.approx([1.8, 2.6, 2.8])
 
+    def test_idle_connections_are_closed_on_request(self):
+        """Guards against operations on connections that have gone silent."""
+        harness = StoreHarness()
+
+        async def body():
+            await harness.table.read(KEY)
+            await harness.table.watch("op", 0, 0.01)
+            idle = (harness.client._idle, harness.watch_client._idle)
+            counts = [len(connections) for connections in idle]
+            await harness.table.reconnect()
+            return counts, [len(connections) for connections in idle]
+
+        assert harness.run(body) == ([1, 1], [0, 0])
+
     def test_conflict_names_the_check_that_failed(self):
         """Guards against taking another row's state for the cause."""
         harness = StoreHarness()
--- /dev/null
+++ b/tests/test_entrypeers.py
@@ -0,0 +1,117 @@
+import json
+import math
+import time
+
+import attrs
+import curio
+import pytest
+
+from pomelostair import bus as bus_module
+from pomelostair import entrypeers
+from pomelostair import metrics
+from pomelostair import settings
+from pomelostair import store
+from pomelostair.platform import port
+from tests import parts
+from tests import silenttable
+from tests import simulatedtime
+
+METRICS = metrics.Metrics()
+# Bounds of the platform in ms: from the loss of connections until a machine
+# counts as in touch again, and from an acknowledgement until a change has to be
+# in force.
+SMALL = (3000, 2000)
+GROWN = (4000, 3000)
+
+
+class Entry:
+    """An entry over a store whose connections may go silent.
+
+    Args:
+        silent_peers: Number of peers that never answer.
+        reconnect_ms: Setting of the entry.
+    """
+
+    def __init__(self, silent_peers=0, reconnect_ms=SMALL[0]):
+        self.table = silenttable.SilentTable()
+        network = bus_module.MemoryNetwork()
+        seeds = tuple(f"memory:peer-{n}" for n in range(silent_peers))
+        for seed in seeds:
+            bus_module.MemoryBus(seed, seed, METRICS, network)
+        host, own_parts = parts.make_process(
+            network,
+            "edge",
+            self.table,
+            role=settings.Role.PIPELINE_ENTRY,
+            pipelines=settings.Pipelines(
+                seeds=seeds, reconnect_ms=reconnect_ms
+            ),
+        )
+        own_parts = attrs.evolve(own_parts, port=port.PlatformPort())
+        self.bus = own_parts.bus
+        self.peers = entrypeers.EntryPeers(own_parts, host)
+        self.version = 0
+
+    async def start(self):
+        for run in (self.bus.run, self.peers.run):
+            await curio.spawn(run, daemon=True)
+
+    async def configure(self):
+        """Writes the next version of the configuration."""
+        self.version += 1
+        document = {"version": self.version, "routes": [], "services": []}
+        put = store.Put("op/config", json.dumps(document).encode())
+        await self.table.table.commit(store.Transaction(puts=(put,)))
+
+    async def wait_until_in_force(self):
+        """Returns the clock reading at which the last version is in force."""
+        deadline_s = time.monotonic() + 60
+        while self.peers.queues.version < self.version:
+            await curio.sleep(0.01)
+            assert time.monotonic() < deadline_s
+        return time.monotonic()
+
+
+class TestQueues:
+    @pytest.mark.parametrize("bounds", [SMALL, GROWN], ids=["small", "grown"])
+    @pytest.mark.parametrize("silent_peers", [0, 11])
+    @pytest.mark.parametrize("idle", [0, 1, 16])
+    def test_change_is_in_force_in_time_on_silent_connections(
+        self, idle, silent_peers, bounds, monkeypatch
+    ):
+        """Guards against a watch that outlasts the bound of a change.
+
+        The connections of all entries go silent at once, also those between
+        them, so that none can tell the others.
+        """
+        contact_s, apply_s = (bound / 1000 for bound in bounds)
+        late_s = []
+
+        async def body():
+            entry = Entry(silent_peers, bounds[0])
+            entry.table.idle = idle
+            await entry.configure()
+            await entry.start()
+            await entry.wait_until_in_force()
+            for step in range(60):
+                await curio.sleep(7 + 0.037 * step)
+                entry.table.silence()
+                silent_s = time.monotonic()
+                await curio.sleep(0.13 * (step % 30))
+                await entry.configure()
+                due_s = max(silent_s + contact_s, time.monotonic() + apply_s)
+                late_s.append(await entry.wait_until_in_force() - due_s)
+
+        simulatedtime.run(monkeypatch, body)
+        assert max(late_s) <= 0
+
+
+class TestGossip:
+    @pytest.mark.parametrize("entries", [2, 3, 8, 18, 36])
+    def test_every_entry_is_told_within_the_rounds_of_the_design(self, entries):
+        """docs/design/platform.md computes how long a version may take."""
+        entry = Entry(silent_peers=entries - 1)
+        told = set()
+        for _ in range(math.ceil((entries - 1) / entrypeers.GOSSIP_FANOUT)):
+            told.update(entry.peers.gossip_targets())
+        assert len(told) == entries - 1
--- a/tests/test_evacuationwatch.py
+++ b/tests/test_evacuationwatch.py
@@ -1,4 +1,3 @@
-import selectors
 import time
 
 import curio
@@ -12,6 +11,7 @@
 from pomelostair.platform import port
 from tests import faultystore
 from tests import leaders
+from tests import simulatedtime
 
 PREFIX = "op//evacuate/"
 # Makes each watch last 16 ms.
@@ -148,19 +148,6 @@
         harness.run(body)
 
 
-class SimulatedTime(selectors.DefaultSelector):
-    """A selector that advances the kernel's clock instead of waiting."""
-
-    def __init__(self, monkeypatch):
-        super().__init__()
-        self.now = 1000.0
-        monkeypatch.setattr(time, "monotonic", lambda: self.now)
-
-    def select(self, timeout=None):
-        self.now += max(timeout or 0.0, 0.0)
-        return super().select(0)
-
-
 class SlowTable(HangingTable):
     """A table whose answers take `latency_s`, with silent operations."""
 
@@ -187,7 +174,6 @@
     """A store whose answers take long, on a simulated clock."""
 
     def run(self, monkeypatch, latency_s, body):
-        simulated = SimulatedTime(monkeypatch)
         self.table = SlowTable()
         self.table.latency_s = latency_s
         self.metrics = metrics.Metrics()
@@ -208,7 +194,7 @@
             await body()
             await task.cancel()
 
-        curio.run(main, selector=simulated)
+        simulatedtime.run(monkeypatch, main)
 
     async def apply(self, zones):
         self.applied = zones
--- a/tests/test_pipelineapi.py
+++ b/tests/test_pipelineapi.py
@@ -14,6 +14,7 @@
 from pomelostair import pipelinerows
 from pomelostair import settings
 from pomelostair import store
+from pomelostair.platform import port as platform_port
 from tests import faultystore
 from tests import parts as parts_module
 from tests import pipelines
@@ -46,7 +47,7 @@
             objects=store.MemoryObjects(),
             metrics=METRICS,
             random=random.Random(1),
-            port=port,
+            port=port or platform_port.PlatformPort(),
         )
         self.host = parts_module.Host(parts)
         self.peers = self.host.get(entrypeers.EntryPeers)
