An entry that relays watches for many keeps its own connection to the store

What callers could see: where the store refuses most entries, the few that it serves lost it, too, while they relayed the watches of the others: late configurations, and a leader that lost its lease.

Cause: 64 relayed watches are allowed at once, with 8 connections for watches. The others waited for a connection up to 4 s, and their timeout of 1.5 s counted as a missing answer of the store, which opened the circuit. Class of fault: a wait in a queue of one's own that is taken for the silence of another.

Change: as many connections as watches.

Measured: test_store.py::TestWatchConnections failed before (the own watch: 'timeout waiting for a connection') and passes.

--- a/pomelostair/compose.py
+++ b/pomelostair/compose.py
@@ -55,7 +55,10 @@
     ),
 }
 PLATFORM_CONNECTIONS = 16
-PLATFORM_WATCH_CONNECTIONS = 8  # Separate: long polls must not block others.
+# Long polls have connections of their own, so that they do not block others:
+# all that an entry relays at once (`relaytable.MAX_RELAYED_WATCHES`), and its
+# own.
+PLATFORM_WATCH_CONNECTIONS = 64 + 8
 
 
 def build(settings: settings_module.Settings) -> kernel.Kernel:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,6 +3,9 @@
 import curio
 import pytest
 
+from pomelostair import circuitbreaker
+from pomelostair import clock
+from pomelostair import compose
 from pomelostair import errors
 from pomelostair import http
 from pomelostair import httpclient
@@ -11,6 +14,8 @@
 from pomelostair import outcome
 from pomelostair import pipelineleader
 from pomelostair import pipelinelease
+from pomelostair import pipelinemessages as messages
+from pomelostair import relaytable
 from pomelostair import store
 from pomelostair.platform import store as platform_store
 from pomelostair_standins import platform as platform_standin
@@ -29,6 +34,7 @@
     def __init__(self, timeout_s=2.0):
         self.standin = platform_standin.Platform()
         self.timeout_s = timeout_s
+        self.watch_connections = 8
 
     async def set_faults(self, **faults):
         await self.standin._set_faults(service.Faults(**faults))
@@ -41,7 +47,9 @@
             task = await curio.spawn(server.run, daemon=True)
             address = f"127.0.0.1:{server.port}"
             client = self.client = httpclient.Client(address, 8)
-            self.watch_client = httpclient.Client(address, 8)
+            self.watch_client = httpclient.Client(
+                address, self.watch_connections
+            )
             self.table = platform_store.RowsTable(
                 client, self.watch_client, METRICS, self.timeout_s
             )
@@ -69,6 +77,37 @@
             assert platform_store.join_key(row) == key
 
 
+class TestWatchConnections:
+    def test_relayed_watches_leave_room_for_the_own_one(self):
+        """Guards an entry that is one of the few that the store serves.
+
+        Watches waited for a connection longer than for their answer, and the
+        entry took the store for lost.
+        """
+        harness = StoreHarness()
+        harness.watch_connections = compose.PLATFORM_WATCH_CONNECTIONS
+
+        async def body():
+            table = circuitbreaker.CircuitBreakerTable(
+                harness.table, clock.MonotonicClock()
+            )
+            relay = relaytable.Relay(table)
+            message = messages.RelayedWatch(
+                "op", 1, relaytable.MAX_RELAYED_WATCH_S
+            )
+            async with curio.TaskGroup() as group:
+                for _ in range(relaytable.MAX_RELAYED_WATCHES):
+                    await group.spawn(relay.answer, message)
+                own = await group.spawn(table.watch, "op", 1, 0.5)
+            results = [t.result for t in group.tasks if t is not own]
+            return own.result, results, table.is_open
+
+        own, results, is_open = harness.run(body)
+        assert isinstance(own, store.Changes)
+        assert not any(result.unavailable for result in results)
+        assert not is_open
+
+
 class TestAdaptiveTimeout:
     def make_timeout(self, *answers_s):
         timeout = platform_store.AdaptiveTimeout(2.0)
