A row of requests on one connection does not keep other callers out

What callers saw: beside 200 connections that each send 1,000 requests in a row, an ordinary caller got no answer within 5 s.

Cause: a connection went on with requests that it had already received without giving way. Requests that are answered without a wait, as counts of pending work are, were served to the end of the row. Class of fault: work on received data whose amount a caller sets, done in one turn.

Evidence: only counts show it; reads and submissions wait for the store, and were answered within 0.35 s.

Change: before a further request that has been received already, a connection waits for its turn, as with bodies of many chunks.

Measured: test_httpserver.py::TestPipelinedRequests failed before (20,000 requests of others served first, 40 are allowed) and passes.

--- a/pomelostair/httpserver.py
+++ b/pomelostair/httpserver.py
@@ -88,7 +88,8 @@
         self._connections: dict[_Connection, curio.Task] = {}
         self._rejecting_connections = 0
         self._next_eviction_s = 0.0
-        # Held by the one connection that goes on with a body of many chunks.
+        # Held by the one connection that goes on with what it has received: a
+        # body of many chunks, or a further request.
         self._parsing = curio.Lock()
         self._acceptor: curio.Task | None = None
         self._stopped = curio.Event()
@@ -337,13 +338,15 @@
         """Serves requests until the connection ends."""
         try:
             while await self._serve_one() and not self._close_after_response:
-                self._idle = True
-                self._waiting_since_s = time.monotonic()
                 self._protocol.start_next_cycle()
                 pipelined = bool(self._protocol.trailing_data[0])
                 self._reservation.resize(
                     self._request_bytes if pipelined else CONNECTION_BYTES
                 )
+                if pipelined:
+                    await self._yield_to_others()
+                self._idle = True
+                self._waiting_since_s = time.monotonic()
         except OSError:
             pass
         except h11.LocalProtocolError:
@@ -351,6 +354,11 @@
         finally:
             await self._client.close()
 
+    async def _yield_to_others(self) -> None:
+        """Lets other connections go on before more received data is parsed."""
+        async with self._parsing:
+            await curio.sleep(0)
+
     async def reject(self, error: errors.HttpError) -> None:
         """Sends an error without reading a request, and closes."""
         try:
@@ -478,8 +486,7 @@
         complete = False
         while not complete:
             if self._more_received:
-                async with self._parsing:
-                    await curio.sleep(0)
+                await self._yield_to_others()
             else:
                 await self._receive()
             complete = await self._append_received_body()
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -644,3 +644,40 @@
         assert b'"no"' in responses.error_response(limited).body
         crash = errors.HttpError(500, "internal", "report it")
         assert b'"unknown"' in responses.error_response(crash).body
+
+
+class TestPipelinedRequests:
+    def test_a_single_request_is_served_between_those_of_a_row(self):
+        """Guards against one caller's row of requests that keeps others out.
+
+        The handler answers without a wait, as counts of pending work are. All
+        requests have arrived before the server starts.
+        """
+        served = []
+
+        async def handle(request):
+            served.append(request.target)
+            return http.Response(200, (), b"")
+
+        server = httpserver.Server(
+            "127.0.0.1", 0, handle, responses.error_response
+        )
+        address = ("127.0.0.1", server.port)
+        row = b"GET /row HTTP/1.1\r\nhost: a\r\n\r\n" * 1000
+        clients = []
+        for payload in [row] * 20 + [REQUEST]:
+            clients.append(socket.create_connection(address))
+            clients[-1].sendall(payload)
+
+        async def body():
+            task = await curio.spawn(server.run, daemon=True)
+            while len(served) < 20 * 1000 + 1:
+                await curio.sleep(0.01)
+            await task.cancel()
+
+        curio.run(curio.timeout_after, WAIT_S, body)
+        for client in clients:
+            client.close()
+        # Each of the others may have been served once before, and once while
+        # the connection is accepted and its request is read.
+        assert served.index("/x") <= 2 * 20
