--- a/tests/silenttable.py
+++ b/tests/silenttable.py
@@ -17,14 +17,14 @@
             answer; a watch waits `watch_margin_s` longer than asked.
         watch_margin_s: See `timeout_s`.
         idle: Idle connections when the pool goes silent.
-        refused: Whether the store refuses new operations.
+        deaf: Whether no operation gets an answer, also on new connections.
     """
 
     latency_s = 0.004
     timeout_s = 2.0
     watch_margin_s = 1.0
     idle = 1
-    refused = False
+    deaf = False
 
     def __init__(self, table=None):
         super().__init__(table)
@@ -65,11 +65,11 @@
         return answer
 
     async def _answer(self, operation, *arguments):
-        if self.refused:
+        if self.down:
             return outcome.Unavailable("refused")
         silences = self._silences
-        if self._silent_idle:
-            self._silent_idle -= 1
+        if self._silent_idle or self.deaf:
+            self._silent_idle = max(0, self._silent_idle - 1)
             await curio.sleep(FOREVER_S)
         answer = await operation(*arguments)
         await curio.sleep(self.latency_s)
--- a/tests/test_entrypeers.py
+++ b/tests/test_entrypeers.py
@@ -22,6 +22,8 @@
 # in force.
 SMALL = (3000, 2000)
 GROWN = (4000, 3000)
+# How much longer a change may take while the store turns machines away.
+MAX_STRETCH_MS = 5000
 
 
 class Entry:
@@ -30,17 +32,21 @@
     Args:
         silent_peers: Number of peers that never answer.
         reconnect_ms: Setting of the entry.
+        peer: Another entry of the same site, which it knows.
     """
 
-    def __init__(self, silent_peers=0, reconnect_ms=SMALL[0]):
-        self.table = silenttable.SilentTable()
-        network = bus_module.MemoryNetwork()
+    def __init__(self, silent_peers=0, reconnect_ms=SMALL[0], peer=None):
+        shared = peer and peer.table.table
+        self.table = silenttable.SilentTable(shared)
+        self.network = peer.network if peer else bus_module.MemoryNetwork()
         seeds = tuple(f"memory:peer-{n}" for n in range(silent_peers))
         for seed in seeds:
-            bus_module.MemoryBus(seed, seed, METRICS, network)
+            bus_module.MemoryBus(seed, seed, METRICS, self.network)
+        if peer:
+            seeds = (peer.bus.address,)
         host, own_parts = parts.make_process(
-            network,
-            "edge",
+            self.network,
+            "other" if peer else "edge",
             self.table,
             role=settings.Role.PIPELINE_ENTRY,
             pipelines=settings.Pipelines(
@@ -105,6 +111,36 @@
         simulatedtime.run(monkeypatch, body)
         assert max(late_s) <= 0
 
+    @pytest.mark.parametrize("fault", ["deaf", "down"])
+    @pytest.mark.parametrize("calm_s", [0, 3, 6, 9])
+    def test_a_peer_relays_while_the_store_turns_the_entry_away(
+        self, calm_s, fault, monkeypatch
+    ):
+        """Guards an entry that the store alone does not answer.
+
+        The peer sends no gossip. The bound is stretched while the store turns
+        machines away.
+        """
+        took_s = []
+
+        async def body():
+            peer = Entry()
+            await curio.spawn(peer.bus.run, daemon=True)
+            entry = Entry(peer=peer)
+            await entry.configure()
+            await entry.start()
+            await entry.wait_until_in_force()
+            await curio.sleep(calm_s)
+            setattr(entry.table, fault, True)
+            for step in range(30):
+                await curio.sleep(0.37 * step)
+                await entry.configure()
+                acked_s = time.monotonic()
+                took_s.append(await entry.wait_until_in_force() - acked_s)
+
+        simulatedtime.run(monkeypatch, body)
+        assert max(took_s) <= (SMALL[1] + MAX_STRETCH_MS) / 1000
+
 
 class TestGossip:
     @pytest.mark.parametrize("entries", [2, 3, 8, 18, 36])
