--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -323,15 +323,31 @@
         agent.check()
 
 
+GREETING = b"\x00SP\x00" + struct.pack(">HH", 0x50, 0)
+
+
+def bus_message(size, sent):
+    return GREETING + struct.pack(">Q", size) + b"x" * sent
+
+
 class TestBus:
     def test_messages_one_byte_short(self, site, entry):
-        size = 16 * MIB
-        greeting = b"\x00SP\x00" + struct.pack(">HH", 0x50, 0)
-        payload = greeting + struct.pack(">Q", size) + b"x" * (size - 1)
+        payload = bus_message(16 * MIB, 16 * MIB - 1)
         address = site.entries[0], site.bus
         close(run_crowd(entry, address, [payload] * 12))
         entry.check()
 
+    def test_many_messages_within_the_size_one_byte_short(self, site, entry):
+        payload = bus_message(2 * MIB, 2 * MIB - 1)
+        address = site.entries[0], site.bus
+        close(run_crowd(entry, address, [payload] * CLIENTS))
+        entry.check()
+
+    def test_connections_that_only_greet(self, site, entry):
+        address = site.entries[0], site.bus
+        close(run_crowd(entry, address, [GREETING] * CONNECTIONS))
+        entry.check()
+
 
 class TestCalm:
     def test_spec_of_4000_bytes_is_accepted_however_it_is_escaped(self, site):
