--- a/pomelostair_standins/platformsite.py
+++ b/pomelostair_standins/platformsite.py
@@ -14,6 +14,9 @@
 from urllib import error as urllib_error
 from urllib import request
 
+import attrs
+
+from pomelostair_standins import relay
 from pomelostair_standins import site
 
 STORE_HOST = "127.0.0.9"
@@ -64,6 +67,7 @@
         sides: Number of agents, each with a worker.
         zones: Zone of each worker, "patan" where none is given.
         settings: Further keys of the settings file of entries and agents.
+        links: Whether entries reach the store through a relay.
     """
 
     def __init__(
@@ -73,7 +77,9 @@
         sides: int = 2,
         zones: tuple[str, ...] = (),
         settings: dict[str, str] | None = None,
+        links: bool = False,
     ):
+        self._links = links
         self._zones = zones
         self._folder = folder
         self._settings = settings or {}
@@ -124,6 +130,8 @@
         self._start_process(
             "store", "pomelostair_standins.platform", "--listen", self.store
         )
+        if self._links:
+            self._start_relay()
         self._wait_until(lambda: self.configure(configuration(1)))
         for number in range(len(self.entries)):
             self.start_entry(number)
@@ -133,6 +141,42 @@
         for entry in self.entries:
             self._wait_until(lambda entry=entry: self.is_ready(entry))
 
+    def set_rules(self, *rules: relay.Rule) -> None:
+        """Replaces the rules of the relay; the site must have one.
+
+        Args:
+            *rules: Rules from an entry, as "edge-0", to "store".
+        """
+        body = [attrs.asdict(rule) for rule in rules]
+        assert self.call(self._relay, "POST", "/rules", body)[0] == 200
+
+    @property
+    def _relay(self) -> str:
+        return f"{STORE_HOST}:{self._ports[4]}"
+
+    def _start_relay(self) -> None:
+        links = [
+            relay.Link(f"{entry}:{self._ports[3]}", self.store, "store", name)
+            for name, entry in self._named_entries()
+        ]
+        network = attrs.asdict(relay.Network(tuple(links), {}))
+        path = self._folder / "network.json"
+        path.write_text(json.dumps(network))
+        self._start_process(
+            "relay",
+            "pomelostair_standins.relay",
+            "--listen",
+            self._relay,
+            "--network",
+            str(path),
+        )
+        self._wait_until(
+            lambda: self.call(self._relay, "GET", "/rules")[0] == 200
+        )
+
+    def _named_entries(self) -> list[tuple[str, str]]:
+        return [(f"edge-{n}", entry) for n, entry in enumerate(self.entries)]
+
     def start_entry(self, number: int) -> None:
         """Starts the entry with the given index."""
         name = f"edge-{number}"
@@ -251,6 +295,9 @@
     def _start_daemon(self, name: str, ip: str, serves: str) -> None:
         front, ready, control, _, app, *_ = self._ports
         seeds = ",".join(f"{entry}:{control}" for entry in self.entries)
+        store = self.store
+        if self._links and serves == "edge":
+            store = f"{ip}:{self._ports[3]}"
         path = self._folder / f"{name}.conf"
         path.write_text(
             f"nodeName={name}\nserves={serves}\nip={ip}\nzone=patan\n"
@@ -259,7 +306,7 @@
             f"portRange={self._port_range[0]},{self._port_range[1]}\n"
             f"seeds={seeds}\n"
             f"app={ip}:{app}\nbounds.graceS=4\n"
-            f"platform.address={self.store}\n"
+            f"platform.address={store}\n"
             + "".join(f"{k}={v}\n" for k, v in self._settings.items())
         )
         self._start_process(
--- a/pomelostair_standins/relay.py
+++ b/pomelostair_standins/relay.py
@@ -3,7 +3,8 @@
 `POST /rules` at the control address takes a JSON list of `Rule`, which
 replaces all earlier rules; `GET /rules` returns them. The first matching rule
 applies. The relay buffers the bytes of a cut link until the cut ends, as TCP
-does in a network that drops every packet.
+does in a network that drops every packet. Connections that a rule makes silent
+pass nothing on any more, also after the rule has ended; new ones work.
 """
 
 import argparse
@@ -61,18 +62,36 @@
         target: Name of the process that accepts, `*` for any.
         cut: Whether bytes are withheld in both directions.
         delay_ms: Delay added in each direction, in milliseconds.
+        silent: Whether the connections that are open when the rule is set go
+            silent for good, without a reset.
     """
 
     source: str = ANY
     target: str = ANY
     cut: bool = False
     delay_ms: float = 0.0
+    silent: bool = False
 
     def applies(self, source: str, target: str) -> bool:
         """Returns whether the rule matches a pair of processes."""
         return self.source in (ANY, source) and self.target in (ANY, target)
 
 
+@attrs.define(eq=False)
+class _Connection:
+    """An open connection.
+
+    Attributes:
+        source: Name of the connecting process.
+        target: Name of the process that accepts.
+        silent: Whether it passes nothing on any more.
+    """
+
+    source: str
+    target: str
+    silent: bool = False
+
+
 class Relay(service.Service):
     """Forwards the connections of all links according to the current rules.
 
@@ -84,6 +103,7 @@
         super().__init__()
         self._network = network
         self._rules: tuple[Rule, ...] = ()
+        self._connections: set[_Connection] = set()
 
     async def handle(self, request: http.Request) -> http.Response:
         """Returns or replaces the rules."""
@@ -95,6 +115,10 @@
             except msgspec.MsgspecError as error:
                 text = f"send a list of rules as JSON: {error}"
                 raise errors.HttpError(400, "bad-request", text) from error
+            for connection in self._connections:
+                pair = connection.source, connection.target
+                if self._matching_rule(*pair).silent:
+                    connection.silent = True
         return http.json_response(200, self._rules)
 
     async def run(self) -> None:
@@ -118,20 +142,27 @@
                 upstream = await curio.open_connection(host, int(port))
             except OSError:
                 return
-            async with upstream, curio.TaskGroup(wait=any) as group:
-                for endpoints in ((client, upstream), (upstream, client)):
-                    await group.spawn(
-                        self._copy_bytes, source, link.target, *endpoints
-                    )
+            connection = _Connection(source, link.target)
+            self._connections.add(connection)
+            try:
+                async with upstream, curio.TaskGroup(wait=any) as group:
+                    for endpoints in ((client, upstream), (upstream, client)):
+                        await group.spawn(
+                            self._copy_bytes, connection, *endpoints
+                        )
+            finally:
+                self._connections.discard(connection)
 
         return forward
 
     async def _copy_bytes(
-        self, source: str, target: str, reader, writer
+        self, connection: _Connection, reader, writer
     ) -> None:
         try:
             while data := await reader.recv(_RECEIVE_BYTES):
-                await self._apply_rule(source, target)
+                await self._apply_rule(connection.source, connection.target)
+                if connection.silent:
+                    await curio.Event().wait()
                 await writer.sendall(data)
         except OSError:
             return
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,5 +1,8 @@
+import curio
 import pytest
 
+from pomelostair import http
+from pomelostair_standins import relay
 from pomelostair_standins import site
 from tests import caller
 
@@ -48,3 +51,39 @@
         answer = caller.call(relay, "POST", "/rules", b'[{"cut": 3}]')
         assert answer.status == 400
         assert "list of rules" in answer.json()["error"]
+
+
+class TestSilent:
+    def test_open_connections_stay_silent_and_new_ones_work(self):
+        async def echo(client, _address):
+            while data := await client.recv(100):
+                await client.sendall(data)
+
+        async def ask(client):
+            await client.sendall(b"x")
+            return await curio.ignore_after(0.2, client.recv, 1)
+
+        async def body():
+            await curio.spawn(
+                curio.tcp_server, "127.0.0.1", upstream, echo, daemon=True
+            )
+            link = relay.Link(
+                f"127.0.0.1:{listen}", f"127.0.0.1:{upstream}", "store", "edge"
+            )
+            network = relay.Relay(relay.Network((link,), {}))
+            await network.run()
+            await curio.sleep(0.05)
+            old = await curio.open_connection("127.0.0.1", listen)
+            answers = [await ask(old)]
+            rules = b'[{"source": "edge", "silent": true}]'
+            await network.handle(http.Request("POST", "/rules", (), rules))
+            await network.handle(http.Request("POST", "/rules", (), b"[]"))
+            answers.append(await ask(old))
+            new = await curio.open_connection("127.0.0.1", listen)
+            answers.append(await ask(new))
+            return answers
+
+        upstream, listen = (
+            int(site.free_address().rpartition(":")[2]) for _ in range(2)
+        )
+        assert curio.run(body) == [b"x", None, b"x"]
