--- a/pomelostair_standins/configsoak.py
+++ b/pomelostair_standins/configsoak.py
@@ -34,6 +34,8 @@
 # An entry must not go back to an older version later than this.
 ROLLBACK_SLACK_S = 0.25
 UNKNOWN_ID = "00000000000000ff"
+# The site starts with version 1.
+FIRST_VERSION = 2
 KEPT_VERSIONS = 3
 CALL_TIMEOUT_S = 2.0
 START_S = 20.0
@@ -111,7 +113,7 @@
         threads = []
         try:
             self._site.start()
-            self._write(1)
+            self._write(FIRST_VERSION)
             for number in range(ENTRIES):
                 threads += [
                     threading.Thread(target=self._call_entry, args=(number,))
@@ -127,12 +129,12 @@
             for thread in threads:
                 thread.join()
             self._site.stop()
-        self._result.versions = max(self._acked_s, default=0)
+        self._result.versions = len(self._acked_s)
         return self._result
 
     def _write(self, version: int) -> None:
         """Writes a configuration with the routes of the last versions."""
-        first = max(1, version - KEPT_VERSIONS + 1)
+        first = max(FIRST_VERSION, version - KEPT_VERSIONS + 1)
         document = platformsite.configuration(version)
         (base,) = document["routes"]
         document["routes"] += [
@@ -143,13 +145,13 @@
             raise OSError("the operator could not write")
         with self._lock:
             self._acked_s[version] = time.monotonic()
-            if first > 1:
+            if first > FIRST_VERSION:
                 self._dropped = first - 1, self._acked_s[version]
 
     def _change(self) -> None:
         # Drawn here, so that the faults do not depend on how many changes fit.
         draws = random.Random(self._result.seed)
-        version = 1
+        version = FIRST_VERSION
         ends_s = time.monotonic() + self._duration_s
         while time.monotonic() < ends_s and not self._stopped.is_set():
             self._stopped.wait(draws.choice((0.2, 0.4, 0.9, 2.5, 4.0)))
