--- a/pomelostair_standins/configsoak.py
+++ b/pomelostair_standins/configsoak.py
@@ -1,10 +1,10 @@
 """Changes configurations under series of faults, and checks what callers see.
 
-Beside the changes, connections to the store go silent or are cut, entries are
-stopped, killed, frozen and reloaded, and the store drops its history, one fault
-after the other. Callers keep their connections until the process at the other
-end is gone. Each answer tells which routes an entry knows, and thus whether a
-change is late or an entry has gone back to an older version.
+Changes and faults overlap: connections to the store go silent or are cut,
+entries are stopped, killed, frozen and reloaded, and the store drops its
+history. Callers keep their connections until the process at the other end is
+gone. Each answer tells which routes an entry knows, and thus whether a change
+is late or an entry has gone back to an older version.
 
     python -m pomelostair_standins.configsoak --seeds 1 50 --seconds 40
 """
@@ -26,7 +26,7 @@
 from pomelostair_standins import platformsite
 from pomelostair_standins import relay
 
-ENTRIES = 3
+DEFAULT_ENTRIES = 3
 # Bounds of the platform's small sites, in seconds: from an acknowledgement to
 # the change in force, and from a disturbance until a machine is in touch again.
 APPLY_S = 2.0
@@ -72,6 +72,7 @@
         findings: Answers that only an older version allows.
         reached: Whether each entry had the last version in the end.
         exits: Exit codes of entries that were stopped gracefully.
+        failures: Entries that did not start again.
     """
 
     seed: int
@@ -81,6 +82,13 @@
     findings: list[Finding] = attrs.field(factory=list)
     reached: bool = False
     exits: list[int] = attrs.field(factory=list)
+    failures: list[str] = attrs.field(factory=list)
+
+    @property
+    def passed(self) -> bool:
+        """Whether nothing was found."""
+        failed = self.findings or self.failures or set(self.exits) - {0}
+        return self.reached and not failed
 
 
 class Soak:
@@ -90,21 +98,33 @@
         folder: Directory for settings and logs.
         seed: Seed of the changes and faults.
         duration_s: How long changes and faults go on.
+        entries: Number of entries.
     """
 
-    def __init__(self, folder: pathlib.Path, seed: int, duration_s: float):
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        seed: int,
+        duration_s: float,
+        entries: int = DEFAULT_ENTRIES,
+    ):
         self._site = platformsite.PlatformSite(
-            folder, entries=ENTRIES, sides=1, links=True
+            folder, entries=entries, sides=1, links=True
         )
+        self._numbers = range(entries)
         self._random = random.Random(seed)
         self._duration_s = duration_s
         self._result = Result(seed)
         self._acked_s: dict[int, float] = {}
         # Version that no longer has a route, and when that was acknowledged.
         self._dropped: tuple[int, float] | None = None
-        self._disturbed_s = [0.0] * ENTRIES
-        self._incarnation = [0] * ENTRIES
+        self._disturbed_s = [0.0] * entries
+        self._incarnation = [0] * entries
         self._lock = threading.Lock()
+        self._cut_entries: set[int] = set()
+        # Held while an entry is stopped, frozen, reloaded or cut off.
+        self._entry_locks = [threading.Lock() for _ in self._numbers]
+        self._fault_threads: list[threading.Thread] = []
         self._stopped = threading.Event()
 
     def run(self) -> Result:
@@ -113,7 +133,7 @@
         try:
             self._site.start()
             self._write(FIRST_VERSION)
-            for number in range(ENTRIES):
+            for number in self._numbers:
                 threads += [
                     threading.Thread(target=self._call_entry, args=(number,))
                     for _ in range(2)
@@ -159,23 +179,49 @@
             self._write(version)
 
     def _inject(self) -> None:
+        """Starts faults, which overlap unless they need the same entry."""
         ends_s = time.monotonic() + self._duration_s
-        kinds = {
-            "silent": self._silence,
-            "silent all": self._silence_all,
+        entry_faults = {
             "cut": self._cut,
             "freeze": self._freeze,
             "kill": self._kill,
             "stop": self._stop,
             "reload": self._reload,
+        }
+        site_faults = {
+            "silent": self._silence,
+            "silent all": self._silence_all,
             "forget": self._forget,
         }
+        kinds = (*entry_faults, *site_faults)
         while time.monotonic() < ends_s:
-            self._stopped.wait(self._random.uniform(0.1, 2.5))
-            kind = self._random.choice(tuple(kinds))
+            time.sleep(self._random.uniform(0.1, 2.5))
+            kind = self._random.choice(kinds)
+            number = self._random.choice(self._numbers)
+            lasting = self._random.uniform(0.1, 2.0)
+            if kind in site_faults:
+                site_faults[kind](number)
+            elif self._entry_locks[number].acquire(blocking=False):
+                thread = threading.Thread(
+                    target=self._hold_entry,
+                    args=(entry_faults[kind], number, lasting),
+                )
+                thread.start()
+                self._fault_threads.append(thread)
+            else:
+                continue
             count = self._result.faults.get(kind, 0)
             self._result.faults[kind] = count + 1
-            kinds[kind](self._random.randrange(ENTRIES))
+        for thread in self._fault_threads:
+            thread.join()
+
+    def _hold_entry(self, fault, number: int, lasting_s: float) -> None:
+        try:
+            fault(number, lasting_s)
+        except (OSError, TimeoutError) as error:
+            self._result.failures.append(f"edge-{number}: {error}")
+        finally:
+            self._entry_locks[number].release()
 
     def _disturb(self, number: int) -> None:
         with self._lock:
@@ -185,30 +231,47 @@
         self._silence_entries({number})
 
     def _silence_all(self, _number: int) -> None:
-        self._silence_entries(set(range(ENTRIES)))
+        self._silence_entries(set(self._numbers))
 
     def _silence_entries(self, numbers: set[int]) -> None:
-        rules = [relay.Rule(f"edge-{n}", "store", silent=True) for n in numbers]
-        self._site.set_rules(*rules)
+        self._set_rules(numbers)
         for number in numbers:
             self._disturb(number)
 
-    def _cut(self, number: int) -> None:
-        self._site.set_rules(relay.Rule(f"edge-{number}", "store", cut=True))
-        time.sleep(self._random.uniform(0.1, 1.5))
-        self._site.set_rules()
+    def _set_rules(self, silent: set[int] = frozenset()) -> None:
+        """Sets the cuts in force, and makes open connections silent."""
+        with self._lock:
+            rules = [
+                relay.Rule(
+                    f"edge-{n}",
+                    "store",
+                    cut=n in self._cut_entries,
+                    silent=n in silent,
+                )
+                for n in silent | self._cut_entries
+            ]
+            self._site.set_rules(*rules)
+
+    def _cut(self, number: int, lasting_s: float) -> None:
+        self._disturb(number)
+        self._cut_entries.add(number)
+        self._set_rules()
+        time.sleep(lasting_s)
+        self._cut_entries.discard(number)
+        self._set_rules()
         self._disturb(number)
 
-    def _freeze(self, number: int) -> None:
+    def _freeze(self, number: int, lasting_s: float) -> None:
+        self._disturb(number)
         self._site.signal(f"edge-{number}", signal.SIGSTOP)
-        time.sleep(self._random.uniform(0.1, 2.0))
+        time.sleep(lasting_s)
         self._site.signal(f"edge-{number}", signal.SIGCONT)
         self._disturb(number)
 
-    def _kill(self, number: int) -> None:
+    def _kill(self, number: int, _lasting_s: float) -> None:
         self._restart(number, lambda: self._site.kill(f"edge-{number}"))
 
-    def _stop(self, number: int) -> None:
+    def _stop(self, number: int, _lasting_s: float) -> None:
         def end() -> None:
             self._site.signal(f"edge-{number}", signal.SIGTERM)
             try:
@@ -239,7 +302,7 @@
             time.sleep(0.05)
         self._disturb(number)
 
-    def _reload(self, number: int) -> None:
+    def _reload(self, number: int, _lasting_s: float) -> None:
         self._site.signal(f"edge-{number}", signal.SIGHUP)
 
     def _forget(self, _number: int) -> None:
@@ -331,7 +394,7 @@
 
     def _wait_until_reached(self) -> bool:
         deadline_s = time.monotonic() + START_S
-        waiting = set(range(ENTRIES))
+        waiting = set(self._numbers)
         while waiting and time.monotonic() < deadline_s:
             version = max(self._acked_s)
             for number in tuple(waiting):
@@ -344,10 +407,10 @@
         return not waiting
 
 
-def run(seed: int, duration_s: float) -> Result:
+def run(seed: int, duration_s: float, entries: int) -> Result:
     """Runs one seed in a folder of its own."""
     with tempfile.TemporaryDirectory() as folder:
-        return Soak(pathlib.Path(folder), seed, duration_s).run()
+        return Soak(pathlib.Path(folder), seed, duration_s, entries).run()
 
 
 def main() -> int:
@@ -357,11 +420,12 @@
         "--seeds", type=int, nargs=2, default=(1, 1), metavar=("FIRST", "LAST")
     )
     parser.add_argument("--seconds", type=float, default=40.0)
+    parser.add_argument("--entries", type=int, default=DEFAULT_ENTRIES)
     options = parser.parse_args()
     failed = False
     for seed in range(options.seeds[0], options.seeds[1] + 1):
-        result = run(seed, options.seconds)
-        failed = failed or bool(result.findings) or not result.reached
+        result = run(seed, options.seconds, options.entries)
+        failed = failed or not result.passed
         print(json.dumps(attrs.asdict(result)), flush=True)
     return int(failed)
 
--- a/tests/test_configsoak.py
+++ b/tests/test_configsoak.py
@@ -12,4 +12,5 @@
         assert [f for f in result.findings if f.kind == "older"] == []
         assert result.reached
         assert result.answers
+        assert result.failures == []
         assert set(result.exits) <= {0}
