One peer at a time is asked for a configuration, and none while the store answers

What callers saw: CONFIG.

Cause: gossip of each peer that knows a newer version made an entry ask that peer for the whole document, again with each message. All tell at the same moment, so 11 and more copies of 290 KB shared a link of 10 Mbit/s with the store's answer, which then did not come in time; calls were given up after 1 s and made again. Class of fault: repetitions without a bound on what is outstanding.

Change: one query at a time, with 2 s for its answer, and only once the store has not confirmed the queues for 2 s.

Measured: test_entrypeers.py::TestFetch failed before in both cases (33 copies asked for at once; 1 and 0 are allowed) and passes.

--- a/pomelostair/entrypeers.py
+++ b/pomelostair/entrypeers.py
@@ -35,7 +35,11 @@
 # Rounds from one that names the known entries to the next.
 ROUNDS_PER_ENTRY_LIST = 8
 RETRY_S = 0.25
-QUERY_TIMEOUT_S = 1.0
+# A document of 300 KB takes a quarter of a second on a link of 10 Mbit/s.
+QUERY_TIMEOUT_S = 2.0
+# Peers are asked for the queues once the store has not confirmed them for this
+# long. Before that, their answers would only share the link with the store's.
+QUERY_AFTER_S = 2.0
 SCAN_INTERVAL_S = 10.0
 
 
@@ -75,6 +79,8 @@
         self._leader_update_s = 0.0
         self._queues = queues.QueueTable()
         self._queues_document = b""
+        # Whether a peer is being asked for its queues.
+        self._fetching = False
         self._queue_watch = queuewatch.QueueWatch(
             self._table,
             parts.port,
@@ -271,7 +277,13 @@
         if message.pending is not None:
             self._pending = message.pending
             self._pending_update_s = now_s
-        if message.queues_version > self._queues.version and message.bus:
+        if (
+            message.queues_version > self._queues.version
+            and message.bus
+            and not self._fetching
+            and self._queue_watch.age_s > QUERY_AFTER_S
+        ):
+            self._fetching = True
             await curio.spawn(self._fetch_queues, message.bus, daemon=True)
 
     async def _on_find_leader(self, _message, envelope) -> None:
@@ -292,9 +304,12 @@
         await self._parts.bus.reply(envelope, answer)
 
     async def _fetch_queues(self, bus: str) -> None:
-        result = await self._parts.bus.call(
-            bus, messages.QueuesQuery(), QUERY_TIMEOUT_S
-        )
+        try:
+            result = await self._parts.bus.call(
+                bus, messages.QueuesQuery(), QUERY_TIMEOUT_S
+            )
+        finally:
+            self._fetching = False
         match result:
             case bus_module.Answered(
                 message=messages.QueuesDocument(document=document)
--- a/tests/test_entrypeers.py
+++ b/tests/test_entrypeers.py
@@ -9,6 +9,7 @@
 from pomelostair import bus as bus_module
 from pomelostair import entrypeers
 from pomelostair import metrics
+from pomelostair import pipelinemessages as messages
 from pomelostair import settings
 from pomelostair import store
 from pomelostair.platform import port
@@ -151,3 +152,59 @@
         for _ in range(math.ceil((entries - 1) / entrypeers.GOSSIP_FANOUT)):
             told.update(entry.peers.gossip_targets())
         assert len(told) == entries - 1
+
+
+class TestFetch:
+    """Peers that all tell a newer version, over a link that is slow."""
+
+    def most_queries_at_once(self, monkeypatch, deaf):
+        counts = [0]
+
+        async def body():
+            entry = Entry()
+            await entry.configure()
+            await entry.start()
+            await entry.wait_until_in_force()
+            entry.table.deaf = deaf
+            await curio.sleep(3.5)
+            pending = 0
+
+            async def answer_late(peer, envelope):
+                nonlocal pending
+                await curio.sleep(0.7)
+                pending -= 1
+                await peer.reply(envelope, messages.QueuesDocument(9, b""))
+
+            async def on_query(peer, envelope):
+                nonlocal pending
+                pending += 1
+                counts.append(pending)
+                await curio.spawn(answer_late, peer, envelope, daemon=True)
+
+            for n in range(11):
+                name = f"memory:peer-{n}"
+                peer = bus_module.MemoryBus(name, name, METRICS, entry.network)
+                peer.handle(
+                    messages.QueuesQuery,
+                    lambda _m, envelope, peer=peer: on_query(peer, envelope),
+                )
+                await curio.spawn(peer.run, daemon=True)
+                news = messages.Peers(
+                    name, name, messages.LeaderInfo(), (), 9, None
+                )
+                for _ in range(3):
+                    await peer.post(entry.bus.address, news)
+            await curio.sleep(5)
+
+        simulatedtime.run(monkeypatch, body)
+        return max(counts)
+
+    def test_one_peer_at_a_time_is_asked_for_a_large_configuration(
+        self, monkeypatch
+    ):
+        """Guards a slow link against copies of one document from all peers."""
+        assert self.most_queries_at_once(monkeypatch, deaf=True) == 1
+
+    def test_no_peer_is_asked_while_the_store_answers(self, monkeypatch):
+        """The answer of the store would share the link with theirs."""
+        assert self.most_queries_at_once(monkeypatch, deaf=False) == 0
