A long answer with a configuration is not taken for a missing one

Cause: a reading was given up after 0.9 s, and a watch 0.4 s after its wait.

Change: a reading of the queues has 1.6 s at least; the wait of the watch is a tenth of contactMs, so that silent connections are replaced within the bound as before: 2.55 s for contactMs 3,000 (2.3 s before), 2.65 s for 4,000. Price: a reading of the store each 0.3 to 0.5 s for each entry, of some hundred bytes.

Measured: test_entrypeers.py::TestQueues with answers of 0.9 and 1.2 s failed before (2.96 and 3.51 s on a simulated clock, 2 s are allowed) and passes.

--- a/pomelostair/queuewatch.py
+++ b/pomelostair/queuewatch.py
@@ -15,6 +15,10 @@
 from pomelostair import store
 from pomelostair import tablewatch
 
+# Shortest timeout of a reading. A document of 300 KB takes a third of a second
+# on an idle link of 10 Mbit/s, and longer beside the traffic of callers.
+MIN_READ_TIMEOUT_S = 1.6
+
 
 class QueueWatch:
     """Follows the row while its process runs.
@@ -53,6 +57,7 @@
             metrics,
             "queue",
             clock,
+            MIN_READ_TIMEOUT_S,
         )
         self._confirmed_s: float | None = None
         self._started_s = clock.now()
--- a/pomelostair/tablewatch.py
+++ b/pomelostair/tablewatch.py
@@ -19,7 +19,7 @@
 # seen after connections have gone silent. A silent connection is noticed later
 # with a longer wait; a shorter one costs more readings of the store.
 MAX_WATCH_WAIT_S = 0.8
-WATCH_SHARE = 0.25
+WATCH_SHARE = 0.1
 # Time for the answer of a watch, in addition to its wait: a multiple of the
 # longest recent answer time, within bounds. On a store that answers after 1.6 s
 # a fixed margin lost each watch.
@@ -150,6 +150,8 @@
         metrics: Registry that counts the readings and the lost watches.
         label: Prefix of the names of these counters.
         clock: Source of monotonic time.
+        min_read_timeout_s: Shortest timeout of a reading; long enough for the
+            rows over a slow link.
     """
 
     def __init__(
@@ -161,12 +163,14 @@
         metrics: metrics_module.Metrics,
         label: str,
         clock: clock_module.Clock,
+        min_read_timeout_s: float = MIN_READ_TIMEOUT_S,
     ):
         self._table = table
         self._handlers = handlers
         self._metrics = metrics
         self._label = label
         self._clock = clock
+        self._min_read_timeout_s = min_read_timeout_s
         self._watch = BoundedWatch(table, name, wait_s, clock)
         self._version: int | None = None
 
@@ -189,7 +193,7 @@
         Returns:
             Version of the table to watch from, None if reading failed.
         """
-        timeout_s = self._watch.read_timeout_s
+        timeout_s = max(self._min_read_timeout_s, self._watch.read_timeout_s)
         started_s = self._clock.now()
         page = await curio.ignore_after(timeout_s, self._handlers.scan)
         if page is None:
--- a/tests/silenttable.py
+++ b/tests/silenttable.py
@@ -16,11 +16,13 @@
         timeout_s: Longest time that a read, scan or commit waits for its
             answer; a watch waits `watch_margin_s` longer than asked.
         watch_margin_s: See `timeout_s`.
+        transfer_s: Further time that an answer with rows takes.
         idle: Idle connections when the pool goes silent.
         deaf: Whether no operation gets an answer, also on new connections.
     """
 
     latency_s = 0.004
+    transfer_s = 0.0
     timeout_s = 2.0
     watch_margin_s = 1.0
     idle = 1
@@ -73,6 +75,8 @@
             await curio.sleep(FOREVER_S)
         answer = await operation(*arguments)
         await curio.sleep(self.latency_s)
+        if getattr(answer, "rows", ()):
+            await curio.sleep(self.transfer_s)
         if self._silences != silences:
             await curio.sleep(FOREVER_S)
         return answer
--- a/tests/test_entrypeers.py
+++ b/tests/test_entrypeers.py
@@ -112,6 +112,31 @@
         simulatedtime.run(monkeypatch, body)
         assert max(late_s) <= 0
 
+    @pytest.mark.parametrize("transfer_s", [0.3, 0.6, 0.9, 1.2])
+    def test_large_change_is_in_force_in_time_over_a_slow_link(
+        self, transfer_s, monkeypatch
+    ):
+        """Guards against taking a long answer for a missing one.
+
+        The answer that brings 1,440 routes takes long, others do not.
+        """
+        took_s = []
+
+        async def body():
+            entry = Entry()
+            await entry.configure()
+            await entry.start()
+            await entry.wait_until_in_force()
+            entry.table.transfer_s = transfer_s
+            for step in range(60):
+                await curio.sleep(20 + 0.037 * step)
+                await entry.configure()
+                acked_s = time.monotonic()
+                took_s.append(await entry.wait_until_in_force() - acked_s)
+
+        simulatedtime.run(monkeypatch, body)
+        assert max(took_s) <= SMALL[1] / 1000
+
     @pytest.mark.parametrize("fault", ["deaf", "down"])
     @pytest.mark.parametrize("calm_s", [0, 3, 6, 9])
     def test_a_peer_relays_while_the_store_turns_the_entry_away(
