A graceful stop does not end with a crash when connections change meanwhile

What operators saw: an entry that was stopped by SIGTERM beside kills of other entries ended with exit code 1.

Cause: the last flush of the bus waits for each connection to a peer, and went through the dictionary of them while others were added or renewed: RuntimeError, dictionary changed size during iteration.

Change: it goes through a copy, and leaves out connections that were closed meanwhile.

Measured: test_bus.py::TestNngBus::test_flush_goes_on_when_connections_change_meanwhile failed before with that error and passes.

--- a/pomelostair/bus.py
+++ b/pomelostair/bus.py
@@ -477,8 +477,10 @@
         async with curio.ignore_after(FLUSH_TIMEOUT_S):
             while self._waiting_replies:
                 await curio.sleep(0.01)
-        for peer in self._peers.values():
-            await peer.flush()
+        # Others may connect, and connections be renewed, during a wait.
+        for address, peer in list(self._peers.items()):
+            if self._peers.get(address) is peer:
+                await peer.flush()
 
     def close(self) -> None:
         """Closes all sockets."""
--- a/tests/test_bus.py
+++ b/tests/test_bus.py
@@ -372,6 +372,34 @@
         assert codes == [0] * 5
         assert received == dict.fromkeys(range(5), 4)
 
+    def test_flush_goes_on_when_connections_change_meanwhile(self):
+        """Guards a graceful stop that ended with a crash (exit code 1)."""
+        own = bus.NngBus(
+            "own", f"tcp://{site.free_address()}", CountingMetrics()
+        )
+        flushed = []
+
+        class FakePeer:
+            def __init__(self, name):
+                self.name = name
+
+            async def flush(self):
+                flushed.append(self.name)
+                for number in range(2):
+                    later = f"later-{self.name}-{number}"
+                    own._peers[later] = FakePeer(later)
+                own._peers.pop("closed", None)
+
+            def close(self):
+                pass
+
+        own._peers = {name: FakePeer(name) for name in ("a", "closed", "b")}
+        try:
+            curio.run(own.flush)
+        finally:
+            own.close()
+        assert flushed == ["a", "b"]
+
     def test_flushed_message_arrives_after_close(self):
         pair = Pair("nng")
         big = messages.Served(200, (), b"z" * 10_000_000)
