Stale rows are reported by the watch of a table, not by each of its users

The watches of queues and of evacuations each kept the time of the last confirmation and reported it in the same way. TableWatch does both now.

No change in behaviour.

--- a/pomelostair/evacuationwatch.py
+++ b/pomelostair/evacuationwatch.py
@@ -45,16 +45,19 @@
     ):
         self._table = table
         self._port = port
-        self._evacuate_s = evacuate_ms / 1000
+        evacuate_s = evacuate_ms / 1000
         self._metrics = metrics
-        self._clock = clock
         self._apply = apply
         self._watch = tablewatch.TableWatch(
             table,
             port.evacuations_table,
-            min(tablewatch.MAX_WATCH_WAIT_S, WATCH_SHARE * self._evacuate_s),
+            min(tablewatch.MAX_WATCH_WAIT_S, WATCH_SHARE * evacuate_s),
+            evacuate_s,
             tablewatch.Handlers(
-                self._scan, self._apply_page, self._apply_changes
+                self._scan,
+                self._apply_page,
+                self._apply_changes,
+                self._report_stale,
             ),
             metrics,
             "evacuation",
@@ -63,13 +66,11 @@
         self._zones: frozenset[str] = frozenset()
         self._ignored: set[str] = set()
         self._known = curio.Event()
-        self._confirmed_s = clock.now()
-        self._reported_stale = False
 
     @property
     def age_s(self) -> float:
         """Seconds since the store last confirmed the set of zones."""
-        return self._clock.now() - self._confirmed_s
+        return self._watch.age_s
 
     async def wait_until_known(self) -> None:
         """Waits until the rows were read once."""
@@ -77,21 +78,14 @@
 
     async def run(self) -> None:
         """Reads the rows and follows their changes until cancelled."""
-        while True:
-            if await self._watch.step():
-                self._confirmed_s = self._clock.now()
-                self._reported_stale = False
-            else:
-                self._report_stale()
-
-    def _report_stale(self) -> None:
-        if self.age_s >= self._evacuate_s and not self._reported_stale:
-            self._reported_stale = True
-            log.emit(
-                events.Events.EVACUATIONS_UNREAD,
-                zones=sorted(self._zones),
-                age_s=round(self.age_s, 3),
-            )
+        await self._watch.run()
+
+    def _report_stale(self, age_s: float) -> None:
+        log.emit(
+            events.Events.EVACUATIONS_UNREAD,
+            zones=sorted(self._zones),
+            age_s=round(age_s, 3),
+        )
 
     async def _scan(self) -> store.ScanResult:
         return await store.scan_all(self._table, self._port.evacuations_prefix)
--- a/pomelostair/queuewatch.py
+++ b/pomelostair/queuewatch.py
@@ -44,24 +44,23 @@
     ):
         self._table = table
         self._port = port
-        self._reconnect_s = reconnect_ms / 1000
-        self._clock = clock
         self._apply = apply
         self._watch = tablewatch.TableWatch(
             table,
             port.queues_table,
             tablewatch.watch_wait_s(reconnect_ms),
+            reconnect_ms / 1000,
             tablewatch.Handlers(
-                self._scan, self._apply_page, self._apply_changes
+                self._scan,
+                self._apply_page,
+                self._apply_changes,
+                self._report_stale,
             ),
             metrics,
             "queue",
             clock,
             MIN_READ_TIMEOUT_S,
         )
-        self._confirmed_s: float | None = None
-        self._started_s = clock.now()
-        self._reported_stale = False
 
     @property
     def age_s(self) -> float:
@@ -69,25 +68,14 @@
 
         Infinite if it never did.
         """
-        if self._confirmed_s is None:
-            return math.inf
-        return self._clock.now() - self._confirmed_s
+        return self._watch.age_s if self._watch.confirmed else math.inf
 
     async def run(self) -> None:
         """Reads the row and follows its changes until cancelled."""
-        while True:
-            if await self._watch.step():
-                self._confirmed_s = self._clock.now()
-                self._reported_stale = False
-            else:
-                self._report_stale()
-
-    def _report_stale(self) -> None:
-        confirmed_s = self._confirmed_s or self._started_s
-        silent_s = self._clock.now() - confirmed_s
-        if silent_s >= self._reconnect_s and not self._reported_stale:
-            self._reported_stale = True
-            log.emit(events.Events.CONFIG_UNREAD, silent_s=round(silent_s, 3))
+        await self._watch.run()
+
+    def _report_stale(self, age_s: float) -> None:
+        log.emit(events.Events.CONFIG_UNREAD, silent_s=round(age_s, 3))
 
     async def _scan(self) -> store.ScanResult:
         return await self._table.scan(self._port.queues_key)
--- a/pomelostair/tablewatch.py
+++ b/pomelostair/tablewatch.py
@@ -132,11 +132,14 @@
         apply_page: Called with the rows that were read.
         apply_changes: Called with each change; returns whether it could be
             applied, else the rows are read afresh.
+        report_stale: Called once with the seconds since the store confirmed
+            the rows, or since the start, when these reach a limit.
     """
 
     scan: Callable[[], Awaitable[store.ScanResult]]
     apply_page: Callable[[store.Page], Awaitable[None]]
     apply_changes: Callable[[store.Changes], Awaitable[bool]]
+    report_stale: Callable[[float], None]
 
 
 class TableWatch:
@@ -146,6 +149,8 @@
         table: The store.
         name: Table to watch.
         wait_s: Wait of one watch.
+        stale_after_s: Time without a confirmation by the store after which the
+            rows are reported as stale.
         handlers: What to read, and what to do with it.
         metrics: Registry that counts the readings and the lost watches.
         label: Prefix of the names of these counters.
@@ -159,6 +164,7 @@
         table: store.Table,
         name: str,
         wait_s: float,
+        stale_after_s: float,
         handlers: Handlers,
         metrics: metrics_module.Metrics,
         label: str,
@@ -173,19 +179,37 @@
         self._min_read_timeout_s = min_read_timeout_s
         self._watch = BoundedWatch(table, name, wait_s, clock)
         self._version: int | None = None
+        self._stale_after_s = stale_after_s
+        self._started_s = clock.now()
+        self._confirmed_s: float | None = None
+        self._reported_stale = False
 
-    async def step(self) -> bool:
-        """Reads the rows, or waits for one change of them.
+    @property
+    def age_s(self) -> float:
+        """Seconds since the store confirmed the rows, or since the start."""
+        since_s = self._confirmed_s
+        return self._clock.now() - (
+            self._started_s if since_s is None else since_s
+        )
 
-        Returns:
-            Whether the store has confirmed the rows; if not, the next step
-            reads them.
-        """
-        if self._version is None:
-            self._version = await self._read()
-        else:
-            self._version = await self._follow(self._version)
-        return self._version is not None
+    @property
+    def confirmed(self) -> bool:
+        """Whether the store has ever confirmed the rows."""
+        return self._confirmed_s is not None
+
+    async def run(self) -> None:
+        """Reads the rows and follows their changes until cancelled."""
+        while True:
+            if self._version is None:
+                self._version = await self._read()
+            else:
+                self._version = await self._follow(self._version)
+            if self._version is not None:
+                self._confirmed_s = self._clock.now()
+                self._reported_stale = False
+            elif self.age_s >= self._stale_after_s and not self._reported_stale:
+                self._reported_stale = True
+                self._handlers.report_stale(self.age_s)
 
     async def _read(self) -> int | None:
         """Reads all rows.
