--- /dev/null
+++ b/review/harness3/minion.py
@@ -0,0 +1,115 @@
+"""Stand-in for a minion: the project's own, with a log of what it runs.
+
+A task runs for `--work-ms`, and for ever if its submission's spec says so by the
+word "lasts". With `--log`, each start and each end is appended to a file; the
+file outlasts a crash of the process.
+"""
+
+import argparse
+import json
+import time
+
+import curio
+
+from pomelostair import http
+from pomelostair import httpserver
+from pomelostair_standins import runnerhttp
+from pomelostair_standins import service
+
+# The platform's heartbeatMs.
+runnerhttp.BEAT_S = 1.1
+
+
+class Minion(runnerhttp.RunnerService):
+    """A minion that logs its runs.
+
+    Args:
+        options: Options of the command line.
+    """
+
+    def __init__(self, options: argparse.Namespace):
+        super().__init__(options.name, options.listen, options.service)
+        self.runner.work_ms = options.work_ms
+        self._options = options
+        self._logged_starts = 0
+        self._logged_end = 0
+
+    def heartbeat(self) -> http.Request:
+        """Returns the next heartbeat, with the rack of this minion."""
+        request = super().heartbeat()
+        body = json.loads(request.body)
+        body["labels"] = ["a", self._options.rack]
+        body["coldLeftMs"] = 0
+        return http.Request(
+            request.method,
+            request.target,
+            request.headers,
+            json.dumps(body).encode(),
+        )
+
+    async def handle(self, request: http.Request) -> http.Response:
+        """Answers one call, and logs what it started."""
+        if request.target == "/run-start":
+            spec = json.loads(request.body).get("spec", "")
+            self.runner.lasting = "lasts" in spec
+        response = await super().handle(request)
+        self.log_runs()
+        return response
+
+    def log_runs(self) -> None:
+        """Logs the starts and ends since the last call."""
+        rows = []
+        for task, number, _ in self.runner.started[self._logged_starts :]:
+            rows.append({"what": "start", "task": task, "run": number})
+        self._logged_starts = len(self.runner.started)
+        for ended in self.runner.ended:
+            if ended.number > self._logged_end:
+                self._logged_end = ended.number
+                rows.append(
+                    {
+                        "what": ended.how,
+                        "task": ended.task,
+                        "run": ended.run,
+                    }
+                )
+        if rows:
+            now = time.time()
+            with open(self._options.log, "a", encoding="utf-8") as log:
+                for row in rows:
+                    row.update(minion=self._options.name, at=round(now, 3))
+                    row["born"] = self.runner.born_ms
+                    log.write(json.dumps(row) + "\n")
+
+
+async def _log_at_intervals(minion: Minion) -> None:
+    while True:
+        await curio.sleep(0.02)
+        minion.log_runs()
+
+
+async def _serve(minion: Minion, options: argparse.Namespace) -> None:
+    host, _, port = options.listen.rpartition(":")
+    server = httpserver.Server(
+        host, int(port), minion.answer, service.error_response
+    )
+    await curio.spawn(minion.run, daemon=True)
+    await curio.spawn(_log_at_intervals, minion, daemon=True)
+    await curio.spawn(minion.send_heartbeats, options.control, daemon=True)
+    await server.run()
+
+
+def main() -> None:
+    """Runs the stand-in until the process is stopped."""
+    parser = service.parser(__doc__)
+    parser.add_argument("--control", required=True)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--rack", default="r1-0")
+    parser.add_argument("--log", required=True)
+    parser.add_argument("--work-ms", type=float, default=800.0)
+    options = parser.parse_args()
+    curio.run(_serve, Minion(options), options)
+
+
+if __name__ == "__main__":
+    main()
