--- a/review/harness3/minion.py
+++ b/review/harness3/minion.py
@@ -8,11 +8,13 @@
 import argparse
 import json
 import time
+import typing
 
 import curio
 
 from pomelostair import http
 from pomelostair import httpserver
+from pomelostair_standins import runner as runner_module
 from pomelostair_standins import runnerhttp
 from pomelostair_standins import service
 
@@ -20,6 +22,23 @@
 runnerhttp.BEAT_S = 1.1
 
 
+class Runner(runner_module.Runner):
+    """A runner with gangs that never complete.
+
+    With the word "gangfails" in the spec and the size of the gang after it, one
+    member of each run fails, in turn, and the others end `broken`.
+    """
+
+    gang_sizes: typing.ClassVar[dict[str, int]] = {}
+
+    def _end(self, run: runner_module.Run, how: str) -> None:
+        size = self.gang_sizes.get(run.task)
+        if size and how == "done":
+            index = int(run.task.rpartition(".")[2])
+            how = "failed" if run.number % size == index else "broken"
+        super()._end(run, how)
+
+
 class Minion(runnerhttp.RunnerService):
     """A minion that logs its runs.
 
@@ -29,7 +48,7 @@
 
     def __init__(self, options: argparse.Namespace):
         super().__init__(options.name, options.listen, options.service)
-        self.runner.work_ms = options.work_ms
+        self.runner = Runner(self.runner.born_ms, options.work_ms)
         self._options = options
         self._logged_starts = 0
         self._logged_end = 0
@@ -50,8 +69,11 @@
     async def handle(self, request: http.Request) -> http.Response:
         """Answers one call, and logs what it started."""
         if request.target == "/run-start":
-            spec = json.loads(request.body).get("spec", "")
-            self.runner.lasting = "lasts" in spec
+            order = json.loads(request.body)
+            words = order["spec"].split()
+            self.runner.lasting = "lasts" in words
+            if "gangfails" in words:
+                self.runner.gang_sizes[order["task"]] = int(words[-1])
         response = await super().handle(request)
         self.log_runs()
         return response
