--- a/review/harness3/deployment.py
+++ b/review/harness3/deployment.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -37,7 +38,7 @@
 limits.cores=2
 limits.memoryMb=300
 limits.maxFds=4100
-limits.linkMbps=1000.0
+limits.linkMbps={link_mbps}
 limits.diskMb=0
 discovery=local
 entry=vip
@@ -118,7 +119,7 @@
         sides: Number of hosts with an agent and a minion.
         route: Fields of the only route to override.
         entry_store: Address at which an entry reaches the store, by its index.
-        settings: Lines to add to the settings of all processes.
+        link_mbps: What the settings say of the machines' links.
         rack_of: Returns the rack of a minion, by its index.
     """
 
@@ -129,7 +130,7 @@
         sides: int = 4,
         route: dict | None = None,
         entry_store: dict[int, str] | None = None,
-        settings: str = "",
+        link_mbps: float = 1000.0,
         rack_of=lambda number: f"r1-{number // 3}",
     ):
         self.record = record
@@ -138,14 +139,12 @@
         self.store_ip = f"127.{base}.0.9"
         self.entries = [f"127.{base}.1.{n + 1}" for n in range(entries)]
         self.sides = [f"127.{base}.2.{n + 1}" for n in range(sides)]
-        self.ports = _free_ports(
-            [self.store_ip, *self.entries, *self.sides], 8
-        )
+        self.ports = _free_ports([self.store_ip, *self.entries, *self.sides], 8)
         self.front, self.ready, self.control, self.store_port = self.ports[:4]
         self.app, self.bus, self.metrics, self.spare = self.ports[4:]
         self.processes: dict[str, subprocess.Popen] = {}
         self.entry_store = entry_store or {}
-        self.settings = settings
+        self.link_mbps = link_mbps
         self.rack_of = rack_of
         self.minion_arguments: dict[int, list[str]] = {}
         self.version = 1
@@ -179,8 +178,9 @@
             self.start_minion(number)
         for entry in self.entries:
             _wait(
-                lambda e=entry: call(f"{e}:{self.ready}", "GET", "/ready")[0]
-                == 200
+                lambda e=entry: (
+                    call(f"{e}:{self.ready}", "GET", "/ready")[0] == 200
+                )
             )
         self.record.add("the entries are ready")
 
@@ -254,10 +254,9 @@
             process.kill()
         for process in self.processes.values():
             process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
-    def submit(
-        self, entry: int, name: str, steps: list[dict], **fields
-    ) -> int:
+    def submit(self, entry: int, name: str, steps: list[dict], **fields) -> int:
         """Hands a submission in; returns the status, 0 without an answer."""
         body = {"spec": f"spec of {name}", "steps": steps, **fields}
         return self.request(entry, "POST", name, body)[0]
@@ -336,8 +335,9 @@
             f"listen.control={ip}:{self.control}\n"
             f"portRange={self.bus},{self.metrics}\nseeds={seeds}\n"
             f"app={ip}:{self.app}\nplatform.address={store}\n"
-            + SETTINGS.format(serves=serves.partition(",")[0])
-            + self.settings
+            + SETTINGS.format(
+                serves=serves.partition(",")[0], link_mbps=self.link_mbps
+            )
         )
         self.record.add("process", name, "starts")
         self.run(
