--- a/review/harness3/deployment.py
+++ b/review/harness3/deployment.py
@@ -93,7 +93,8 @@
     """Writes `record.txt`, with the seconds since its creation."""
 
     def __init__(self, folder: pathlib.Path):
-        self._file = open(folder / "record.txt", "w", encoding="utf-8")
+        self._path = folder / "record.txt"
+        self._path.write_text("")
         self._lock = threading.Lock()
         self._began_s = time.monotonic()
 
@@ -106,8 +107,8 @@
         """Adds a line."""
         with self._lock:
             text = " ".join(str(word) for word in words)
-            self._file.write(f"{self.now_s:8.3f} {text}\n")
-            self._file.flush()
+            with open(self._path, "a", encoding="utf-8") as file:
+                file.write(f"{self.now_s:8.3f} {text}\n")
 
 
 class Site:
@@ -170,7 +171,7 @@
     def start(self) -> None:
         """Starts all processes and waits until they work together."""
         self.start_store()
-        _wait(lambda: self.configure())
+        _wait(self.configure)
         for number in range(len(self.entries)):
             self.start_entry(number)
         for number in range(len(self.sides)):
--- a/review/harness3/minion.py
+++ b/review/harness3/minion.py
@@ -1,8 +1,8 @@
 """Stand-in for a minion: the project's own, with a log of what it runs.
 
-A task runs for `--work-ms`, and for ever if its submission's spec says so by the
-word "lasts". With `--log`, each start and each end is appended to a file; the
-file outlasts a crash of the process.
+A task runs for `--work-ms`, and for ever if its submission's spec says so by
+the word "lasts". With `--log`, each start and each end is appended to a file;
+the file outlasts a crash of the process.
 """
 
 import argparse
