--- a/review/harness3/minion.py
+++ b/review/harness3/minion.py
@@ -10,6 +10,7 @@
 import time
 import typing
 
+import attrs
 import curio
 
 from pomelostair import http
@@ -22,21 +23,62 @@
 runnerhttp.BEAT_S = 1.1
 
 
+# The platform's checkpointS.
+CHECKPOINT_MS = 2000
+
+
 class Runner(runner_module.Runner):
-    """A runner with gangs that never complete.
+    """A runner with gangs, some of whose runs fail, and with checkpoints.
 
     With the word "gangfails" in the spec and the size of the gang after it, one
-    member of each run fails, in turn, and the others end `broken`.
+    member of each run fails, in turn, and the others end `broken`. With
+    "breaks" and a Unix time in milliseconds after it, that happens to the first
+    run at that time, and all members save checkpoints.
     """
 
     gang_sizes: typing.ClassVar[dict[str, int]] = {}
+    # Unix milliseconds by task.
+    breaks: typing.ClassVar[dict[str, int]] = {}
+
+    def advance(self, milliseconds: float) -> None:
+        """Advances the clock and the runs, and breaks gangs in time."""
+        super().advance(milliseconds)
+        for run in list(self.runs.values()):
+            break_ms = self.breaks.get(run.task)
+            if break_ms is not None and time.time() * 1000 >= break_ms:
+                is_first = run.task.endswith(".0")
+                self._end(run, "failed" if is_first else "broken")
+
+    def resume(self, task: str, checkpoint: str) -> None:
+        """Lets a run that has just started begin at a checkpoint."""
+        if checkpoint and task in self.runs:
+            self.runs[task].left_ms -= int(checkpoint.partition("-")[0], 16)
+
+    def running_rows(self) -> list[tuple[str, int, str, int, int]]:
+        """Returns the active runs, with their checkpoints."""
+        return [
+            (task, number, self._saved(self.runs[task]), percent, load)
+            for task, number, _, percent, load in super().running_rows()
+        ]
+
+    def _saved(self, run: runner_module.Run) -> str:
+        """Returns the latest checkpoint of a run."""
+        if run.task not in self.breaks:
+            return ""
+        saves = int((run.total_ms - run.left_ms) / CHECKPOINT_MS)
+        saved_ms = saves * CHECKPOINT_MS
+        return f"{saved_ms:08x}-{run.task}-{run.number}" if saves else ""
 
     def _end(self, run: runner_module.Run, how: str) -> None:
         size = self.gang_sizes.get(run.task)
         if size and how == "done":
             index = int(run.task.rpartition(".")[2])
             how = "failed" if run.number % size == index else "broken"
+        saved = self._saved(run)
         super()._end(run, how)
+        if saved:
+            self.ended[-1] = attrs.evolve(self.ended[-1], saved=saved)
+            del self.breaks[run.task]
 
 
 class Minion(runnerhttp.RunnerService):
@@ -52,6 +94,7 @@
         self._options = options
         self._logged_starts = 0
         self._logged_end = 0
+        self._checkpoints: dict[tuple[str, int], str] = {}
 
     def heartbeat(self) -> http.Request:
         """Returns the next heartbeat, with the rack of this minion."""
@@ -74,6 +117,12 @@
             self.runner.lasting = "lasts" in words
             if "gangfails" in words:
                 self.runner.gang_sizes[order["task"]] = int(words[-1])
+            if "breaks" in words and order["runId"] == 1:
+                self.runner.breaks[order["task"]] = int(words[-1])
+            if order.get("lastCheckpoint"):
+                self._checkpoints[order["task"], order["runId"]] = order[
+                    "lastCheckpoint"
+                ]
         response = await super().handle(request)
         self.log_runs()
         return response
@@ -82,7 +131,16 @@
         """Logs the starts and ends since the last call."""
         rows = []
         for task, number, _ in self.runner.started[self._logged_starts :]:
-            rows.append({"what": "start", "task": task, "run": number})
+            checkpoint = self._checkpoints.get((task, number), "")
+            self.runner.resume(task, checkpoint)
+            rows.append(
+                {
+                    "what": "start",
+                    "task": task,
+                    "run": number,
+                    "checkpoint": checkpoint,
+                }
+            )
         self._logged_starts = len(self.runner.started)
         for ended in self.runner.ended:
             if ended.number > self._logged_end:
