--- a/review/harness3/minion.py
+++ b/review/harness3/minion.py
@@ -94,6 +94,8 @@
         self._options = options
         self._logged_starts = 0
         self._logged_end = 0
+        # Ends up to this one have been taken note of.
+        self._noted = 0
         self._checkpoints: dict[tuple[str, int], str] = {}
 
     def heartbeat(self) -> http.Request:
@@ -124,11 +126,18 @@
                     "lastCheckpoint"
                 ]
         response = await super().handle(request)
-        self.log_runs()
+        noted = 0
+        if request.target == "/hold" and response.status == 200:
+            noted = json.loads(request.body).get("lastSeen", 0)
+        self.log_runs(noted)
         return response
 
-    def log_runs(self) -> None:
-        """Logs the starts and ends since the last call."""
+    def log_runs(self, noted: int = 0) -> None:
+        """Logs the starts and ends since the last call.
+
+        Args:
+            noted: Number up to which ends have been taken note of.
+        """
         rows = []
         for task, number, _ in self.runner.started[self._logged_starts :]:
             checkpoint = self._checkpoints.get((task, number), "")
@@ -150,8 +159,12 @@
                         "what": ended.how,
                         "task": ended.task,
                         "run": ended.run,
+                        "number": ended.number,
                     }
                 )
+        if noted > self._noted:
+            self._noted = noted
+            rows.append({"what": "noted", "task": "", "number": noted})
         if rows:
             now = time.time()
             with open(self._options.log, "a", encoding="utf-8") as log:
